Lay out the workspace, the shared types and the protocol between instances

Cause: nothing stood yet. Packages are cut by concern so that each decision package can be driven by tests with its own clock and seed.

--- /dev/null
+++ b/hemlockrouter-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon and the operators' command line.
--- /dev/null
+++ b/hemlockrouter-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings and release notes: parse, check and apply.
--- /dev/null
+++ b/hemlockrouter-limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions per upstream at its owner.
--- /dev/null
+++ b/hemlockrouter-member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of a zone, ownership of upstreams and configuration relay.
--- /dev/null
+++ b/hemlockrouter-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The edge to the platform's store and instance list.
--- /dev/null
+++ b/hemlockrouter-route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions per query at an entry instance.
--- /dev/null
+++ b/hemlockrouter-types/src/clock.rs
@@ -0,0 +1,101 @@
+//! Time in milliseconds.
+//!
+//! Decisions compare instants on one process's monotonic clock and nothing else: wall clocks step,
+//! and two machines' clocks differ. So [`Time`] counts from an arbitrary start that is private to
+//! the process, and instants never travel between processes; remaining durations do.
+
+use std::ops::Add;
+use std::time::Instant;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// An instant on the monotonic clock of one process, in milliseconds.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0} ms")]
+pub struct Time(u64);
+
+impl Time {
+    /// The start of the clock.
+    pub const ZERO: Time = Time(0);
+
+    /// An instant that no clock reaches.
+    pub const MAX: Time = Time(u64::MAX);
+
+    /// Returns the instant that lies `ms` milliseconds after the start of the clock.
+    pub const fn from_ms(ms: u64) -> Time {
+        Time(ms)
+    }
+
+    /// Returns the milliseconds since the start of the clock.
+    pub const fn as_ms(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the milliseconds from `earlier` to `self`, or 0 if `earlier` is later.
+    pub const fn since(self, earlier: Time) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// Returns the milliseconds that are left at `now` until `self`, or 0 once it has passed.
+    pub const fn left(self, now: Time) -> u64 {
+        self.0.saturating_sub(now.0)
+    }
+
+    /// Returns the instant `ms` milliseconds before `self`, or the start of the clock.
+    pub const fn before(self, ms: u64) -> Time {
+        Time(self.0.saturating_sub(ms))
+    }
+}
+
+impl Add<u64> for Time {
+    type Output = Time;
+
+    /// Adds a duration in milliseconds. The sum saturates at [`Time::MAX`].
+    fn add(self, ms: u64) -> Time {
+        Time(self.0.saturating_add(ms))
+    }
+}
+
+/// Reads the monotonic clock of this process.
+///
+/// Copies of a clock agree with each other.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts a clock at [`Time::ZERO`].
+    pub fn new() -> Clock {
+        Clock {
+            start: Instant::now(),
+        }
+    }
+
+    /// Returns the current instant.
+    pub fn now(&self) -> Time {
+        let ms = self.start.elapsed().as_millis();
+        Time(u64::try_from(ms).unwrap_or(u64::MAX))
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Clock {
+        Clock::new()
+    }
+}
--- /dev/null
+++ b/hemlockrouter-types/tests/arena.rs
@@ -0,0 +1,30 @@
+//! Arenas assign keys by the order of operations alone, and old keys find nothing.
+
+use hemlockrouter_types::prelude::*;
+
+#[test]
+fn a_removed_key_does_not_find_its_successor() {
+    let mut arena: Arena<ZoneKey, &str> = Arena::new();
+    let first = arena.insert("first");
+    assert_eq!(arena.remove(first), Some("first"));
+    let second = arena.insert("second");
+    assert_eq!(second.slot(), first.slot());
+    assert_eq!(arena.get(first), None);
+    assert_eq!(arena.get(second), Some(&"second"));
+    assert_eq!(arena.remove(first), None);
+    assert_eq!(arena.len(), 1);
+}
+
+#[test]
+fn equal_histories_assign_equal_keys() {
+    let build = || {
+        let mut arena: Arena<UpstreamKey, u32> = Arena::new();
+        let keys: Vec<UpstreamKey> = (0..10).map(|n| arena.insert(n)).collect();
+        arena.remove(keys[4]);
+        arena.remove(keys[2]);
+        arena.insert(11);
+        arena.insert(12);
+        arena
+    };
+    assert_eq!(build(), build());
+}
--- /dev/null
+++ b/hemlockrouter-wire/src/member.rs
@@ -0,0 +1,82 @@
+//! Probes and rumours of the membership protocol.
+
+use std::net::SocketAddr;
+
+use hemlockrouter_types::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A message of the membership protocol. Each carries the sender's configuration number, so that
+/// whoever lags notices.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberMessage {
+    /// The last release note that the sender has in force.
+    pub config: ConfigNumber,
+    /// News about instances.
+    pub rumours: Vec<Rumour>,
+    /// What is asked or answered.
+    pub kind: MemberKind,
+}
+
+/// What a [`MemberMessage`] asks or answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum MemberKind {
+    /// Asks the receiver for an [`Ack`](MemberKind::Ack).
+    Probe {
+        /// Names the probe.
+        seq: u32,
+    },
+    /// Answers a probe.
+    Ack {
+        /// The probe that it answers.
+        seq: u32,
+    },
+    /// Asks the receiver to probe `target` and to pass its answer on.
+    ProbeFor {
+        /// Names the probe.
+        seq: u32,
+        /// The instance to probe.
+        target: InstanceId,
+    },
+    /// Introduces the sender and asks for all instances that the receiver knows.
+    Join,
+    /// Tells all instances that the sender knows, in its rumours.
+    Table,
+    /// Carries only rumours.
+    News,
+}
+
+/// What the sender believes of an instance.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rumour {
+    /// The instance.
+    pub peer: Peer,
+    /// Its condition.
+    pub condition: Condition,
+    /// Counts how often the instance refuted a suspicion; a higher count outweighs a lower one.
+    pub refutations: u32,
+}
+
+/// An instance of the tier, as others know it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Its id.
+    pub id: InstanceId,
+    /// Where it takes messages.
+    pub address: SocketAddr,
+    /// The name of its availability zone.
+    pub zone: String,
+}
+
+/// The condition of an instance.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub enum Condition {
+    /// It answers probes.
+    Alive,
+    /// It did not answer and may be dead.
+    Suspect,
+    /// It is shutting down and takes no new work.
+    Leaving,
+    /// It is gone.
+    Dead,
+}
