Read settings and release notes, and apply notes to the catalogue

Cause: the daemon and its tests need settings, notes, the catalogue they give and the customer behind a bearer key. Change: JSON with comments is read from the syntax tree rather than through serde, since every error names a line and a serde visitor loses it.

--- /dev/null
+++ b/hemlockrouter-config/src/document.rs
@@ -0,0 +1,286 @@
+//! Reads typed values out of a text of JSON with comments.
+//!
+//! A serde visitor loses the place of a value as soon as it has it, while every complaint here has
+//! to name a line. So settings and notes are read from the syntax tree, through [`Field`] (one
+//! value and its place) and [`Table`] (an object with a fixed set of fields).
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+
+use jsonc_parser::ast::ObjectProp;
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Range;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::parse_to_ast;
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::suggest::nearest;
+
+/// The longest piece of a wrong value that an error repeats, in characters.
+const SHOWN_MAX: usize = 40;
+
+/// A text and the places of its lines.
+pub(crate) struct Source<'t> {
+    file: &'t str,
+    text: &'t str,
+    line_starts: Vec<usize>,
+}
+
+impl<'t> Source<'t> {
+    pub(crate) fn new(text: &'t str, file: &'t str) -> Source<'t> {
+        let after_newline = text.match_indices('\n').map(|(at, _)| at + 1);
+        let line_starts = std::iter::once(0).chain(after_newline).collect();
+        Source {
+            file,
+            text,
+            line_starts,
+        }
+    }
+
+    /// Parses the text.
+    pub(crate) fn parse(&self) -> Result<Value<'t>, Error> {
+        let options = ParseOptions {
+            allow_comments: true,
+            allow_loose_object_property_names: false,
+            allow_trailing_commas: true,
+            allow_missing_commas: false,
+            allow_single_quoted_strings: false,
+            allow_hexadecimal_numbers: false,
+            allow_unary_plus_numbers: false,
+            allow_bare_decimal_point_numbers: false,
+            allow_non_finite_numbers: false,
+            allow_extended_string_escapes: false,
+        };
+        let parsed = parse_to_ast(self.text, &CollectOptions::default(), &options);
+        let parsed = parsed.map_err(|err| {
+            let message = format!("not JSON with comments: {}", err.kind());
+            Error::new(
+                ErrorKind::Syntax,
+                self.file,
+                err.line_display(),
+                "",
+                message,
+            )
+        })?;
+        parsed.value.ok_or_else(|| {
+            let message = String::from("expected an object, found nothing");
+            Error::new(ErrorKind::Syntax, self.file, 1, "", message)
+        })
+    }
+
+    /// Returns the outermost value as a field.
+    pub(crate) fn root<'s>(&'s self, value: &'s Value<'t>) -> Field<'s, 't> {
+        Field {
+            source: self,
+            path: String::new(),
+            line: self.line(value.range()),
+            value,
+        }
+    }
+
+    fn line(&self, range: Range) -> usize {
+        self.line_starts
+            .partition_point(|&start| start <= range.start)
+    }
+}
+
+/// One value and its place.
+pub(crate) struct Field<'s, 't> {
+    source: &'s Source<'t>,
+    path: String,
+    line: usize,
+    value: &'s Value<'t>,
+}
+
+impl<'s, 't> Field<'s, 't> {
+    pub(crate) fn line(&self) -> usize {
+        self.line
+    }
+
+    pub(crate) fn path(&self) -> &str {
+        &self.path
+    }
+
+    pub(crate) fn error(&self, kind: ErrorKind, message: String) -> Error {
+        Error::new(kind, self.source.file, self.line, &self.path, message)
+    }
+
+    /// Says that something else than this value was expected.
+    pub(crate) fn expected<D>(&self, what: D) -> Error
+    where
+        D: Display,
+    {
+        let found = self.shown();
+        self.error(ErrorKind::Value, format!("expected {what}, found {found}"))
+    }
+
+    pub(crate) fn text(&self, what: &str) -> Result<&'s str, Error> {
+        match self.value {
+            Value::StringLit(lit) => Ok(&lit.value),
+            _ => Err(self.expected(what)),
+        }
+    }
+
+    pub(crate) fn flag(&self) -> Result<bool, Error> {
+        match self.value {
+            Value::BooleanLit(lit) => Ok(lit.value),
+            _ => Err(self.expected("true or false")),
+        }
+    }
+
+    pub(crate) fn number<N>(&self, min: N, max: N) -> Result<N, Error>
+    where
+        N: Copy + Display + PartialOrd + std::str::FromStr,
+    {
+        let Value::NumberLit(lit) = self.value else {
+            return Err(self.expected(format!("a whole number from {min} to {max}")));
+        };
+        match lit.value.parse::<N>() {
+            Ok(number) if min <= number && number <= max => Ok(number),
+            _ => Err(self.expected(format!("a whole number from {min} to {max}"))),
+        }
+    }
+
+    pub(crate) fn address(&self) -> Result<SocketAddr, Error> {
+        let what = "an IP address with a port, such as \"10.0.0.7:8080\"";
+        let text = self.text(what)?;
+        text.parse().map_err(|_| self.expected(what))
+    }
+
+    pub(crate) fn list(&self, what: &str) -> Result<Vec<Field<'s, 't>>, Error> {
+        let Value::Array(array) = self.value else {
+            return Err(self.expected(format!("a list of {what}")));
+        };
+        let fields = array.elements.iter().enumerate().map(|(at, value)| Field {
+            source: self.source,
+            path: format!("{}[{at}]", self.path),
+            line: self.source.line(value.range()),
+            value,
+        });
+        Ok(fields.collect())
+    }
+
+    /// Reads an object whose fields are among `known`.
+    pub(crate) fn table(&self, known: &[&str]) -> Result<Table<'s, 't>, Error> {
+        let fields = self.entries("an object")?;
+        for (name, field) in &fields {
+            if known.contains(name) {
+                continue;
+            }
+            let hint = match nearest(name, known) {
+                Some(near) => format!("did you mean \"{near}\"?"),
+                None => format!("expected one of {}", known.join(", ")),
+            };
+            return Err(field.error(ErrorKind::UnknownField, format!("unknown field; {hint}")));
+        }
+        Ok(Table {
+            source: self.source,
+            path: self.path.clone(),
+            line: self.line,
+            fields,
+        })
+    }
+
+    /// Reads an object whose field names are free, in their order.
+    pub(crate) fn entries(&self, what: &str) -> Result<Vec<(&'s str, Field<'s, 't>)>, Error> {
+        let Value::Object(object) = self.value else {
+            return Err(self.expected(what));
+        };
+        let fields = object.properties.iter().map(|prop| self.entry(prop));
+        let fields: Vec<(&'s str, Field<'s, 't>)> = fields.collect();
+        let mut names: Vec<(&str, usize)> = fields
+            .iter()
+            .enumerate()
+            .map(|(at, (name, _))| (*name, at))
+            .collect();
+        names.sort_unstable();
+        if let Some(pair) = names.windows(2).find(|pair| pair[0].0 == pair[1].0) {
+            let first = fields[pair[0].1].1.line;
+            let message = format!("stands twice; first on line {first}");
+            return Err(fields[pair[1].1].1.error(ErrorKind::Conflict, message));
+        }
+        Ok(fields)
+    }
+
+    fn entry(&self, prop: &'s ObjectProp<'t>) -> (&'s str, Field<'s, 't>) {
+        let name = prop.name.as_str();
+        let path = match self.path.as_str() {
+            "" => String::from(name),
+            path => format!("{path}.{name}"),
+        };
+        let field = Field {
+            source: self.source,
+            path,
+            line: self.source.line(prop.range()),
+            value: &prop.value,
+        };
+        (name, field)
+    }
+
+    /// Shows the value in an error: short, on one line.
+    fn shown(&self) -> String {
+        let range = self.value.range();
+        match self.value {
+            Value::Object(_) => String::from("an object"),
+            Value::Array(_) => String::from("a list"),
+            _ => {
+                let text = &self.source.text[range.start..range.end];
+                let mut shown: String = text.chars().take(SHOWN_MAX).collect();
+                if shown.len() < text.len() {
+                    shown.push_str("...");
+                }
+                shown
+            }
+        }
+    }
+}
+
+/// An object with a fixed set of fields.
+pub(crate) struct Table<'s, 't> {
+    source: &'s Source<'t>,
+    path: String,
+    line: usize,
+    fields: Vec<(&'s str, Field<'s, 't>)>,
+}
+
+impl<'s, 't> Table<'s, 't> {
+    pub(crate) fn get(&self, name: &str) -> Option<&Field<'s, 't>> {
+        let found = self.fields.iter().find(|(field, _)| *field == name);
+        found.map(|(_, field)| field)
+    }
+
+    pub(crate) fn need(&self, name: &str, what: &str) -> Result<&Field<'s, 't>, Error> {
+        self.get(name).ok_or_else(|| {
+            let path = match self.path.as_str() {
+                "" => String::from(name),
+                path => format!("{path}.{name}"),
+            };
+            let message = format!("missing; expected {what}");
+            Error::new(
+                ErrorKind::Missing,
+                self.source.file,
+                self.line,
+                &path,
+                message,
+            )
+        })
+    }
+
+    pub(crate) fn error(&self, kind: ErrorKind, message: String) -> Error {
+        Error::new(kind, self.source.file, self.line, &self.path, message)
+    }
+
+    /// Reads the field `name` as a number, or takes `default` if it is absent.
+    pub(crate) fn number_or<N>(&self, name: &str, default: N, min: N, max: N) -> Result<N, Error>
+    where
+        N: Copy + Display + PartialOrd + std::str::FromStr,
+    {
+        match self.get(name) {
+            Some(field) => field.number(min, max),
+            None => Ok(default),
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrouter-config/src/error.rs
@@ -0,0 +1,98 @@
+//! The one error of this package: what is wrong in a file, and where.
+//!
+//! Operators meet these texts at a terminal, so each names the file, the line, the field and what
+//! was expected there. The kind is for programs.
+
+use std::fmt;
+
+/// What is wrong in a settings file or a release note, and where.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Error {
+    kind: ErrorKind,
+    file: String,
+    line: usize,
+    field: String,
+    message: String,
+}
+
+/// The kinds of [`Error`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum ErrorKind {
+    /// The text is not JSON with comments.
+    Syntax,
+    /// A field is not known.
+    UnknownField,
+    /// A required field is missing.
+    Missing,
+    /// A value has the wrong type, or is out of its range.
+    Value,
+    /// A value contradicts another one, in the same file or in what earlier notes say.
+    Conflict,
+    /// A name refers to nothing.
+    NotFound,
+    /// What is to be withdrawn is still used.
+    InUse,
+    /// The document is larger than the store holds.
+    TooLarge,
+    /// A key could not be read.
+    Key,
+}
+
+impl Error {
+    pub(crate) fn new(
+        kind: ErrorKind,
+        file: &str,
+        line: usize,
+        field: &str,
+        message: String,
+    ) -> Error {
+        Error {
+            kind,
+            file: String::from(file),
+            line,
+            field: String::from(field),
+            message,
+        }
+    }
+
+    /// Returns the kind.
+    pub fn kind(&self) -> ErrorKind {
+        self.kind
+    }
+
+    /// Returns the name of the file, as the caller gave it.
+    pub fn file(&self) -> &str {
+        &self.file
+    }
+
+    /// Returns the line, counted from 1, or 0 if the error concerns the file as a whole.
+    pub fn line(&self) -> usize {
+        self.line
+    }
+
+    /// Returns the path of the field, for example `limits.queue_max`, or an empty text.
+    pub fn field(&self) -> &str {
+        &self.field
+    }
+
+    /// Returns what is wrong, without the place.
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:", self.file)?;
+        if self.line > 0 {
+            write!(f, "{}:", self.line)?;
+        }
+        if !self.field.is_empty() {
+            write!(f, " {}:", self.field)?;
+        }
+        write!(f, " {}", self.message)
+    }
+}
+
+impl std::error::Error for Error {}
--- a/hemlockrouter-config/src/lib.rs
+++ b/hemlockrouter-config/src/lib.rs
@@ -1,1 +1,60 @@
 //! Settings and release notes: parse, check and apply.
+//!
+//! Two documents steer an instance. Its *settings* ([`Settings`]) belong to one process: addresses,
+//! its availability zone, where the platform is, limits and timings. *Release notes* ([`Note`])
+//! belong to all instances: each lists what is added, changed and withdrawn among zones, upstreams,
+//! customers, searches and operations. Applying the accepted notes in their order gives the
+//! [`Catalog`](hemlockrouter_types::catalog::Catalog) that the decision packages read. Both are
+//! JSON with comments, and every error names file, line, field and what was expected.
+//!
+//! This package does no I/O, except that [`Settings::load_keys`] reads the keys that the settings
+//! point to.
+//!
+//! # Examples
+//!
+//! ```
+//! use hemlockrouter_config::Note;
+//! use hemlockrouter_types::prelude::*;
+//!
+//! let text = r#"{
+//!     "id": "2026-12-04-first-zone",
+//!     "author": "kim",
+//!     "added": { "zones": { "daegu-1": { "region": "daegu" } } },
+//! }"#;
+//! let note = Note::parse(text, "note.jsonc").unwrap();
+//! let catalog = note.apply(&Catalog::default(), ConfigNumber(1)).unwrap();
+//! assert!(catalog.find_zone("daegu-1").is_some());
+//!
+//! let err = note.apply(&catalog, ConfigNumber(2)).unwrap_err();
+//! assert_eq!(
+//!     err.to_string(),
+//!     "note.jsonc:4: added.zones.daegu-1: the zone exists already; change it under \"changed\"",
+//! );
+//! ```
+//!
+//! # Modules
+//!
+//! - [`settings`]: the settings of one instance.
+//! - [`secret`]: keys of operators and instances.
+//! - [`note`]: release notes, and how one changes the catalogue.
+//! - [`base`]: the catalogue as one document, from which a new instance starts.
+//! - [`identity`]: which customer a bearer key belongs to.
+//! - [`error`]: what is wrong, and where.
+
+pub mod base;
+mod document;
+pub mod error;
+pub mod identity;
+pub mod note;
+pub mod secret;
+pub mod settings;
+mod suggest;
+
+pub use crate::base::Base;
+pub use crate::error::Error;
+pub use crate::error::ErrorKind;
+pub use crate::identity::find_customer_by_key;
+pub use crate::identity::KeyIndex;
+pub use crate::note::Note;
+pub use crate::secret::SecretKey;
+pub use crate::settings::Settings;
--- /dev/null
+++ b/hemlockrouter-config/src/settings.rs
@@ -0,0 +1,220 @@
+//! The settings of one instance.
+//!
+//! They hold what differs between processes or machines, and nothing that all instances must agree
+//! on; that belongs into release notes. Every field has a documented default but for those that
+//! only the operator can know. Keys are never written into the settings themselves, which get
+//! copied and shown; the settings name the file or the environment variable that holds them.
+
+mod keys;
+mod limits;
+mod log;
+mod timing;
+
+use std::net::SocketAddr;
+
+pub use self::keys::KeySource;
+pub use self::keys::KeySources;
+pub use self::keys::Keys;
+pub use self::limits::Limits;
+pub use self::log::Level;
+pub use self::log::Log;
+pub use self::timing::Timing;
+
+use crate::document::Field;
+use crate::document::Source;
+use crate::document::Table;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::note::check_name;
+
+/// The fields of the settings.
+const FIELDS: &[&str] = &[
+    "zone",
+    "callers_listen",
+    "operators_listen",
+    "instances_listen",
+    "instances_advertise",
+    "platform",
+    "keys",
+    "seeds",
+    "limits",
+    "timing",
+    "log",
+];
+
+/// The settings of one instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// The availability zone that the instance runs in.
+    pub zone: String,
+    /// Where callers connect.
+    pub callers_listen: SocketAddr,
+    /// Where operators and their monitoring connect.
+    pub operators_listen: SocketAddr,
+    /// Where other instances connect.
+    pub instances_listen: SocketAddr,
+    /// The address under which other instances reach this one, where it differs from
+    /// `instances_listen`.
+    pub instances_advertise: Option<SocketAddr>,
+    /// The platform's store and instance list.
+    pub platform: Platform,
+    /// Where the keys are.
+    pub keys: KeySources,
+    /// Addresses of instances to ask for others while the platform's list does not answer.
+    pub seeds: Vec<SocketAddr>,
+    /// Bounds on what the instance holds.
+    pub limits: Limits,
+    /// Intervals and timeouts.
+    pub timing: Timing,
+    /// What is logged.
+    pub log: Log,
+}
+
+/// Where the platform's store and instance list are, and how to call them.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Platform {
+    /// The store's HTTP address.
+    pub store_address: SocketAddr,
+    /// The name of the tier's own service in the instance list. Default: `hemlockrouter`.
+    pub service_name: String,
+    /// How long a call waits for its answer, in milliseconds. Default: 1,000.
+    pub timeout_ms: u64,
+    /// The interval between two reads of the instance list, in milliseconds. Default: 5,000.
+    pub list_every_ms: u64,
+}
+
+impl Settings {
+    /// Parses and checks settings; `file` names them in errors.
+    ///
+    /// # Errors
+    ///
+    /// Names file, line, field and what was expected.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use hemlockrouter_config::Settings;
+    ///
+    /// let err = Settings::parse(r#"{ "zon": "daegu-1" }"#, "settings.jsonc").unwrap_err();
+    /// let text = r#"settings.jsonc:1: zon: unknown field; did you mean "zone"?"#;
+    /// assert_eq!(err.to_string(), text);
+    /// ```
+    pub fn parse(text: &str, file: &str) -> Result<Settings, Error> {
+        let source = Source::new(text, file);
+        let value = source.parse()?;
+        let root = source.root(&value);
+        let table = root.table(FIELDS)?;
+        let settings = Settings {
+            zone: zone(&table)?,
+            callers_listen: listen(&table, "callers_listen")?,
+            operators_listen: listen(&table, "operators_listen")?,
+            instances_listen: listen(&table, "instances_listen")?,
+            instances_advertise: table
+                .get("instances_advertise")
+                .map(reachable)
+                .transpose()?,
+            platform: Platform::read(&table)?,
+            keys: KeySources::read(&table, file)?,
+            seeds: seeds(&table)?,
+            limits: Limits::read(&table)?,
+            timing: Timing::read(&table)?,
+            log: Log::read(&table)?,
+        };
+        settings.check_listens(&table)?;
+        Ok(settings)
+    }
+
+    /// Reads the keys from where the settings say they are.
+    ///
+    /// # Errors
+    ///
+    /// Names the field whose file or environment variable can't be read, or holds a key that is
+    /// too short. No error repeats any part of a key.
+    pub fn load_keys(&self) -> Result<Keys, Error> {
+        self.keys.load()
+    }
+
+    /// Returns the address under which other instances reach this one.
+    pub fn instances_address(&self) -> SocketAddr {
+        self.instances_advertise.unwrap_or(self.instances_listen)
+    }
+
+    /// Checks that no two listening addresses are the same, and that others can reach this one.
+    fn check_listens(&self, table: &Table<'_, '_>) -> Result<(), Error> {
+        let listens = [
+            ("callers_listen", self.callers_listen),
+            ("operators_listen", self.operators_listen),
+            ("instances_listen", self.instances_listen),
+        ];
+        for (at, (name, address)) in listens.iter().enumerate() {
+            let same = |(_, other): &&(&str, SocketAddr)| other == address && address.port() != 0;
+            if let Some((other, _)) = listens[..at].iter().find(same) {
+                let field = table.need(name, "an address")?;
+                let message = format!("is the same address as {other}");
+                return Err(field.error(ErrorKind::Conflict, message));
+            }
+        }
+        if self.instances_advertise.is_none() && self.instances_listen.ip().is_unspecified() {
+            let field = table.need("instances_listen", "an address")?;
+            let message = String::from(
+                "other instances can't connect to an unspecified address; \
+                 set instances_advertise",
+            );
+            return Err(field.error(ErrorKind::Conflict, message));
+        }
+        Ok(())
+    }
+}
+
+impl Platform {
+    fn read(settings: &Table<'_, '_>) -> Result<Platform, Error> {
+        let field = settings.need("platform", "an object with store_address")?;
+        let table = field.table(&[
+            "store_address",
+            "service_name",
+            "timeout_ms",
+            "list_every_ms",
+        ])?;
+        let service_name = match table.get("service_name") {
+            Some(field) => named(field)?,
+            None => String::from("hemlockrouter"),
+        };
+        Ok(Platform {
+            store_address: reachable(table.need("store_address", "an address with a port")?)?,
+            service_name,
+            timeout_ms: table.number_or("timeout_ms", 1_000, 10, 60_000)?,
+            list_every_ms: table.number_or("list_every_ms", 5_000, 100, 600_000)?,
+        })
+    }
+}
+
+fn zone(table: &Table<'_, '_>) -> Result<String, Error> {
+    named(table.need("zone", "the name of the availability zone")?)
+}
+
+fn named(field: &Field<'_, '_>) -> Result<String, Error> {
+    let text = field.text("a name")?;
+    check_name(text).map_err(|what| field.expected(what))?;
+    Ok(String::from(text))
+}
+
+fn listen(table: &Table<'_, '_>, name: &str) -> Result<SocketAddr, Error> {
+    table.need(name, "an IP address with a port")?.address()
+}
+
+/// Reads an address that something connects to.
+fn reachable(field: &Field<'_, '_>) -> Result<SocketAddr, Error> {
+    let address = field.address()?;
+    if address.port() == 0 || address.ip().is_unspecified() {
+        return Err(field.expected("an address and a port that others can connect to"));
+    }
+    Ok(address)
+}
+
+fn seeds(table: &Table<'_, '_>) -> Result<Vec<SocketAddr>, Error> {
+    let Some(field) = table.get("seeds") else {
+        return Ok(Vec::new());
+    };
+    let seeds = field.list("addresses")?;
+    seeds.iter().map(reachable).collect()
+}
--- /dev/null
+++ b/hemlockrouter-config/src/settings/limits.rs
@@ -0,0 +1,152 @@
+//! Bounds on what one instance holds, so that no caller, peer or upstream can exhaust it.
+
+use crate::document::Table;
+use crate::error::Error;
+
+/// The fields of [`Limits`].
+const FIELDS: &[&str] = &[
+    "callers_connections",
+    "instances_connections",
+    "operators_connections",
+    "body_max_bytes",
+    "answer_max_bytes",
+    "header_max_bytes",
+    "header_timeout_ms",
+    "body_timeout_ms",
+    "callers_threads",
+    "upstream_threads",
+    "peer_threads",
+    "requests_max",
+    "queue_max",
+    "batch_max",
+    "tickets_max",
+];
+
+/// Bounds on what one instance holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Connections of callers open at once. Default: 256.
+    pub callers_connections: usize,
+    /// Connections of other instances open at once. Default: 1,024.
+    pub instances_connections: usize,
+    /// Connections of operators open at once. Default: 16.
+    pub operators_connections: usize,
+    /// The largest body of a caller's request, in bytes. Default: 65,536.
+    pub body_max_bytes: usize,
+    /// The largest answer of an upstream, in bytes. Default: 1,048,576.
+    pub answer_max_bytes: usize,
+    /// The largest header of a caller's request, in bytes. Default: 32,768.
+    pub header_max_bytes: usize,
+    /// How long a caller may take to send a header, in milliseconds. Default: 1,000.
+    pub header_timeout_ms: u64,
+    /// How long a caller may take to send a body, in milliseconds. Default: 2,000.
+    pub body_timeout_ms: u64,
+    /// Threads that serve callers' connections. Default: 2.
+    pub callers_threads: usize,
+    /// Threads that call upstreams. Default: 64.
+    pub upstream_threads: usize,
+    /// Threads that send messages to other instances. Default: 16.
+    pub peer_threads: usize,
+    /// Requests of callers under way at once. Default: 4,096.
+    pub requests_max: usize,
+    /// Sub-requests that wait for one upstream. Default: 1,000.
+    pub queue_max: usize,
+    /// Messages that travel to another instance together. Default: 256.
+    pub batch_max: usize,
+    /// Tickets that the instance remembers. Default: 100,000.
+    pub tickets_max: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            callers_connections: 256,
+            instances_connections: 1_024,
+            operators_connections: 16,
+            body_max_bytes: 65_536,
+            answer_max_bytes: 1_048_576,
+            header_max_bytes: 32_768,
+            header_timeout_ms: 1_000,
+            body_timeout_ms: 2_000,
+            callers_threads: 2,
+            upstream_threads: 64,
+            peer_threads: 16,
+            requests_max: 4_096,
+            queue_max: 1_000,
+            batch_max: 256,
+            tickets_max: 100_000,
+        }
+    }
+}
+
+impl Limits {
+    pub(super) fn read(settings: &Table<'_, '_>) -> Result<Limits, Error> {
+        let default = Limits::default();
+        let Some(field) = settings.get("limits") else {
+            return Ok(default);
+        };
+        let table = field.table(FIELDS)?;
+        Ok(Limits {
+            callers_connections: table.number_or(
+                "callers_connections",
+                default.callers_connections,
+                1,
+                65_536,
+            )?,
+            instances_connections: table.number_or(
+                "instances_connections",
+                default.instances_connections,
+                1,
+                65_536,
+            )?,
+            operators_connections: table.number_or(
+                "operators_connections",
+                default.operators_connections,
+                1,
+                1_024,
+            )?,
+            body_max_bytes: table.number_or(
+                "body_max_bytes",
+                default.body_max_bytes,
+                1_024,
+                16_777_216,
+            )?,
+            answer_max_bytes: table.number_or(
+                "answer_max_bytes",
+                default.answer_max_bytes,
+                1_024,
+                67_108_864,
+            )?,
+            header_max_bytes: table.number_or(
+                "header_max_bytes",
+                default.header_max_bytes,
+                1_024,
+                1_048_576,
+            )?,
+            header_timeout_ms: table.number_or(
+                "header_timeout_ms",
+                default.header_timeout_ms,
+                10,
+                60_000,
+            )?,
+            body_timeout_ms: table.number_or(
+                "body_timeout_ms",
+                default.body_timeout_ms,
+                10,
+                60_000,
+            )?,
+            callers_threads: table.number_or("callers_threads", default.callers_threads, 1, 64)?,
+            upstream_threads: table.number_or(
+                "upstream_threads",
+                default.upstream_threads,
+                1,
+                4_096,
+            )?,
+            peer_threads: table.number_or("peer_threads", default.peer_threads, 1, 1_024)?,
+            requests_max: table.number_or("requests_max", default.requests_max, 1, 1_000_000)?,
+            queue_max: table.number_or("queue_max", default.queue_max, 1, 1_000_000)?,
+            batch_max: table.number_or("batch_max", default.batch_max, 1, 65_536)?,
+            tickets_max: table.number_or("tickets_max", default.tickets_max, 1, 10_000_000)?,
+        })
+    }
+}
--- /dev/null
+++ b/hemlockrouter-config/src/settings/timing.rs
@@ -0,0 +1,212 @@
+//! Intervals, timeouts and budgets.
+
+use crate::document::Table;
+use crate::error::Error;
+use crate::error::ErrorKind;
+
+/// The fields of [`Timing`].
+const FIELDS: &[&str] = &[
+    "deadline_max_ms",
+    "probe_every_ms",
+    "probe_timeout_ms",
+    "suspect_ms",
+    "lease_ms",
+    "lease_margin_ms",
+    "lease_renew_ms",
+    "hedge_min_ms",
+    "flush_ms",
+    "upstream_connect_ms",
+    "list_trust_ms",
+    "watch_ms",
+    "store_retry_min_ms",
+    "store_retry_max_ms",
+    "shutdown_ms",
+    "hedge_quantile_percent",
+    "hedge_budget_percent",
+    "retry_budget_percent",
+];
+
+/// Intervals, timeouts and budgets.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Timing {
+    /// The longest deadline that a caller may ask for, in milliseconds. Default: 60,000.
+    pub deadline_max_ms: u64,
+    /// The interval between two probes of other instances, in milliseconds. Default: 1,000.
+    pub probe_every_ms: u64,
+    /// How long a probe waits for its answer, in milliseconds. Default: 300.
+    pub probe_timeout_ms: u64,
+    /// How long a suspected instance has to refute the suspicion, in milliseconds. Default: 3,000.
+    pub suspect_ms: u64,
+    /// How long an ownership lease lasts after its last renewal, in milliseconds. Default: 3,000.
+    pub lease_ms: u64,
+    /// How long before the end of its lease an owner stops dispatching, in milliseconds. Default: 500.
+    pub lease_margin_ms: u64,
+    /// The interval between two renewals of a lease, in milliseconds. Default: 1,000.
+    pub lease_renew_ms: u64,
+    /// The shortest wait before a straggler is hedged, in milliseconds. Default: 2.
+    pub hedge_min_ms: u64,
+    /// How long a message waits for others that go to the same instance, in milliseconds. Default: 1.
+    pub flush_ms: u64,
+    /// How long connecting to an upstream may take, in milliseconds. Default: 500.
+    pub upstream_connect_ms: u64,
+    /// How long the last read of the instance list is relied on while it does not answer, in milliseconds. Default: 60,000.
+    pub list_trust_ms: u64,
+    /// How long one blocking read of the store waits for a new note, in milliseconds. Default: 30,000.
+    pub watch_ms: u64,
+    /// The first wait before the store is called again after a failure; it doubles each time, in milliseconds. Default: 500.
+    pub store_retry_min_ms: u64,
+    /// The longest wait before the store is called again after a failure, in milliseconds. Default: 10,000.
+    pub store_retry_max_ms: u64,
+    /// How long a graceful shutdown waits for the requests under way, in milliseconds. Default: 30,000.
+    pub shutdown_ms: u64,
+    /// The quantile of a shard's own latency after which a straggler is hedged, in percent. Default: 95.
+    pub hedge_quantile_percent: u32,
+    /// The hedges allowed for each hundred sub-requests. Default: 5.
+    pub hedge_budget_percent: u32,
+    /// The retries allowed for each hundred sub-requests. Default: 5.
+    pub retry_budget_percent: u32,
+}
+
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing {
+            deadline_max_ms: 60_000,
+            probe_every_ms: 1_000,
+            probe_timeout_ms: 300,
+            suspect_ms: 3_000,
+            lease_ms: 3_000,
+            lease_margin_ms: 500,
+            lease_renew_ms: 1_000,
+            hedge_min_ms: 2,
+            flush_ms: 1,
+            upstream_connect_ms: 500,
+            list_trust_ms: 60_000,
+            watch_ms: 30_000,
+            store_retry_min_ms: 500,
+            store_retry_max_ms: 10_000,
+            shutdown_ms: 30_000,
+            hedge_quantile_percent: 95,
+            hedge_budget_percent: 5,
+            retry_budget_percent: 5,
+        }
+    }
+}
+
+impl Timing {
+    pub(super) fn read(settings: &Table<'_, '_>) -> Result<Timing, Error> {
+        let default = Timing::default();
+        let Some(field) = settings.get("timing") else {
+            return Ok(default);
+        };
+        let table = field.table(FIELDS)?;
+        let timing = Timing {
+            deadline_max_ms: table.number_or(
+                "deadline_max_ms",
+                default.deadline_max_ms,
+                1,
+                600_000,
+            )?,
+            probe_every_ms: table.number_or(
+                "probe_every_ms",
+                default.probe_every_ms,
+                10,
+                60_000,
+            )?,
+            probe_timeout_ms: table.number_or(
+                "probe_timeout_ms",
+                default.probe_timeout_ms,
+                1,
+                60_000,
+            )?,
+            suspect_ms: table.number_or("suspect_ms", default.suspect_ms, 10, 600_000)?,
+            lease_ms: table.number_or("lease_ms", default.lease_ms, 100, 600_000)?,
+            lease_margin_ms: table.number_or(
+                "lease_margin_ms",
+                default.lease_margin_ms,
+                1,
+                60_000,
+            )?,
+            lease_renew_ms: table.number_or(
+                "lease_renew_ms",
+                default.lease_renew_ms,
+                10,
+                60_000,
+            )?,
+            hedge_min_ms: table.number_or("hedge_min_ms", default.hedge_min_ms, 0, 60_000)?,
+            flush_ms: table.number_or("flush_ms", default.flush_ms, 0, 1_000)?,
+            upstream_connect_ms: table.number_or(
+                "upstream_connect_ms",
+                default.upstream_connect_ms,
+                1,
+                60_000,
+            )?,
+            list_trust_ms: table.number_or(
+                "list_trust_ms",
+                default.list_trust_ms,
+                100,
+                3_600_000,
+            )?,
+            watch_ms: table.number_or("watch_ms", default.watch_ms, 100, 600_000)?,
+            store_retry_min_ms: table.number_or(
+                "store_retry_min_ms",
+                default.store_retry_min_ms,
+                10,
+                60_000,
+            )?,
+            store_retry_max_ms: table.number_or(
+                "store_retry_max_ms",
+                default.store_retry_max_ms,
+                10,
+                600_000,
+            )?,
+            shutdown_ms: table.number_or("shutdown_ms", default.shutdown_ms, 100, 600_000)?,
+            hedge_quantile_percent: table.number_or(
+                "hedge_quantile_percent",
+                default.hedge_quantile_percent,
+                50,
+                99,
+            )?,
+            hedge_budget_percent: table.number_or(
+                "hedge_budget_percent",
+                default.hedge_budget_percent,
+                0,
+                100,
+            )?,
+            retry_budget_percent: table.number_or(
+                "retry_budget_percent",
+                default.retry_budget_percent,
+                0,
+                100,
+            )?,
+        };
+        timing.check(&table)?;
+        Ok(timing)
+    }
+
+    /// Checks the fields against each other.
+    fn check(&self, table: &Table<'_, '_>) -> Result<(), Error> {
+        if self.lease_margin_ms + self.lease_renew_ms >= self.lease_ms {
+            let message = format!(
+                "lease_renew_ms ({}) and lease_margin_ms ({}) together must be less than \
+                 lease_ms ({})",
+                self.lease_renew_ms, self.lease_margin_ms, self.lease_ms
+            );
+            return Err(table.error(ErrorKind::Conflict, message));
+        }
+        if self.probe_timeout_ms > self.probe_every_ms {
+            let message = format!(
+                "probe_timeout_ms ({}) must be at most probe_every_ms ({})",
+                self.probe_timeout_ms, self.probe_every_ms
+            );
+            return Err(table.error(ErrorKind::Conflict, message));
+        }
+        if self.store_retry_min_ms > self.store_retry_max_ms {
+            let message = format!(
+                "store_retry_min_ms ({}) must be at most store_retry_max_ms ({})",
+                self.store_retry_min_ms, self.store_retry_max_ms
+            );
+            return Err(table.error(ErrorKind::Conflict, message));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/hemlockrouter-config/src/suggest.rs
@@ -0,0 +1,28 @@
+//! Finds the known name that was probably meant.
+
+/// The largest number of edits at which a name still counts as near.
+const EDITS_MAX: usize = 3;
+
+/// Returns the known name with the fewest edits from `name`, if it is near.
+pub(crate) fn nearest<'k>(name: &str, known: &[&'k str]) -> Option<&'k str> {
+    let scored = known.iter().map(|known| (edits(name, known), *known));
+    let (edits, near) = scored.min()?;
+    let limit = EDITS_MAX.min(name.chars().count() / 2);
+    (edits <= limit).then_some(near)
+}
+
+/// Counts the single-character edits between two names (the Levenshtein distance).
+fn edits(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (at, a) in left.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = at + 1;
+        for (col, b) in right.iter().enumerate() {
+            let replaced = diagonal + usize::from(a != *b);
+            diagonal = row[col + 1];
+            row[col + 1] = replaced.min(row[col] + 1).min(diagonal + 1);
+        }
+    }
+    row[right.len()]
+}
