Remember the ids of the last accepted notes in the catalogue

Cause: an operator whose answer was lost submits the same note again, maybe through an instance that started since. It must be told the number under which the note was accepted, so the ids have to be part of what every instance derives, and of the base document. Change: an additive field of Catalog, empty by default.

--- a/hemlockrouter-types/src/catalog.rs
+++ b/hemlockrouter-types/src/catalog.rs
@@ -4,6 +4,7 @@
 //! package `hemlockrouter-config` parses notes, checks them and applies them to a [`Catalog`]; the
 //! decision packages only read it.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -20,6 +21,9 @@
 use crate::id::UpstreamKey;
 use crate::id::ZoneKey;
 
+/// How many of the last accepted notes a catalogue remembers.
+pub const RECENT_NOTES_MAX: usize = 1_024;
+
 /// Everything that the release notes up to [`number`](Catalog::number) say.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Catalog {
@@ -35,6 +39,23 @@
     pub searches: Arena<SearchKey, Search>,
     /// The operations that must not be repeated.
     pub operations: Arena<OperationKey, Operation>,
+    /// The last accepted notes, oldest first, at most [`RECENT_NOTES_MAX`]. A note that is submitted
+    /// again after a lost answer is found here.
+    #[serde(default)]
+    pub recent: VecDeque<NoteHead>,
+}
+
+/// What is remembered of an accepted release note.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct NoteHead {
+    /// The number under which it was accepted.
+    pub number: ConfigNumber,
+    /// The id that its author chose.
+    pub id: String,
+    /// Who wrote it.
+    pub author: String,
+    /// A hash of its text, which tells a note submitted again from another one of the same id.
+    pub digest: u64,
 }
 
 /// An availability zone.
@@ -127,6 +148,11 @@
         })
     }
 
+    /// Returns what is remembered of the accepted note with this id.
+    pub fn find_note(&self, id: &str) -> Option<&NoteHead> {
+        self.recent.iter().rev().find(|head| head.id == id)
+    }
+
     /// Returns the key of the zone called `name`.
     pub fn find_zone(&self, name: &str) -> Option<ZoneKey> {
         find(&self.zones, |zone| zone.name == name)
