--- a/hemlockrouter-config/src/lib.rs
+++ b/hemlockrouter-config/src/lib.rs
@@ -55,6 +55,8 @@
 pub use crate::error::ErrorKind;
 pub use crate::identity::find_customer_by_key;
 pub use crate::identity::KeyIndex;
+pub use crate::note::accept;
+pub use crate::note::Accepted;
 pub use crate::note::Note;
 pub use crate::secret::SecretKey;
 pub use crate::settings::Settings;
--- a/hemlockrouter-config/src/note.rs
+++ b/hemlockrouter-config/src/note.rs
@@ -10,6 +10,10 @@
 
 use std::net::SocketAddr;
 
+use hemlockrouter_types::prelude::*;
+use sha2::Digest;
+use sha2::Sha256;
+
 use crate::document::Source;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -24,6 +28,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Note {
     id: String,
+    id_line: usize,
     author: String,
     text: String,
     file: String,
@@ -85,6 +90,50 @@
     pub fn bytes(&self) -> &[u8] {
         &self.document
     }
+
+    /// Returns a hash of the text, the first eight bytes of its SHA-256.
+    pub fn digest(&self) -> u64 {
+        let hash = Sha256::digest(&self.document);
+        let bytes = hash[..8].try_into().expect("a hash has 32 bytes");
+        u64::from_be_bytes(bytes)
+    }
+}
+
+/// What applying an accepted note gave.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Accepted {
+    /// The catalogue up to the note.
+    pub catalog: Catalog,
+    /// Why the note changed nothing, if it did not check.
+    pub skipped: Option<Error>,
+}
+
+/// Applies the bytes of the note that was accepted under `number`, the one after the catalogue's.
+///
+/// A note is checked before it is written, so one that does not check was written by something
+/// else. It changes nothing but the number, on every instance alike: to stop at it would leave
+/// some instances behind for good.
+///
+/// # Panics
+///
+/// Panics if `number` does not follow the catalogue's number.
+pub fn accept(catalog: &Catalog, number: ConfigNumber, bytes: &[u8]) -> Accepted {
+    assert_eq!(number, catalog.number.next(), "notes are applied in order");
+    let file = format!("note {number}");
+    let applied = Note::from_bytes(bytes, &file).and_then(|note| note.apply(catalog, number));
+    match applied {
+        Ok(catalog) => Accepted {
+            catalog,
+            skipped: None,
+        },
+        Err(err) => Accepted {
+            catalog: Catalog {
+                number,
+                ..catalog.clone()
+            },
+            skipped: Some(err),
+        },
+    }
 }
 
 /// An entry of a note, and the line that it starts on.
--- a/hemlockrouter-config/src/note/apply.rs
+++ b/hemlockrouter-config/src/note/apply.rs
@@ -7,11 +7,13 @@
 use std::collections::BTreeMap;
 
 use hemlockrouter_types::catalog::Customer;
+use hemlockrouter_types::catalog::NoteHead;
 use hemlockrouter_types::catalog::Operation;
 use hemlockrouter_types::catalog::Search;
 use hemlockrouter_types::catalog::Shard;
 use hemlockrouter_types::catalog::Upstream;
 use hemlockrouter_types::catalog::Zone;
+use hemlockrouter_types::catalog::RECENT_NOTES_MAX;
 use hemlockrouter_types::prelude::*;
 
 use super::check;
@@ -41,13 +43,19 @@
     /// or withdraws does not, a name that it uses refers to nothing, what it withdraws is still
     /// used, or two upstreams would share an address or two customers a key.
     pub fn apply(&self, catalog: &Catalog, number: ConfigNumber) -> Result<Catalog, Error> {
+        if let Some(head) = catalog.find_note(&self.id) {
+            let message = format!(
+                "a note with this id was accepted as number {}; choose another id",
+                head.number
+            );
+            return Err(self.error(ErrorKind::Conflict, self.id_line, "id", message));
+        }
         let mut draft = Draft::new(self, catalog);
         draft.add()?;
         draft.change()?;
         draft.withdraw()?;
         check::catalog(self, &draft.catalog, &draft.gone)?;
-        draft.catalog.number = number;
-        Ok(draft.catalog)
+        Ok(draft.finish(number))
     }
 
     pub(super) fn error<S>(&self, kind: ErrorKind, line: usize, field: S, message: String) -> Error
@@ -339,6 +347,20 @@
         Ok(())
     }
 
+    fn finish(mut self, number: ConfigNumber) -> Catalog {
+        self.catalog.number = number;
+        self.catalog.recent.push_back(NoteHead {
+            number,
+            id: self.note.id.clone(),
+            author: self.note.author.clone(),
+            digest: self.note.digest(),
+        });
+        if self.catalog.recent.len() > RECENT_NOTES_MAX {
+            self.catalog.recent.pop_front();
+        }
+        self.catalog
+    }
+
     fn error(&self, kind: ErrorKind, place: Place<'_>, message: String) -> Error {
         let field = format!("{}.{}", place.section, place.name);
         self.note.error(kind, place.line, field, message)
--- a/hemlockrouter-config/src/note/read.rs
+++ b/hemlockrouter-config/src/note/read.rs
@@ -35,8 +35,10 @@
 
 pub(super) fn note(root: Field<'_, '_>, text: &str, file: &str) -> Result<Note, Error> {
     let table = root.table(&["id", "author", "text", "added", "changed", "withdrawn"])?;
+    let id = table.need("id", "a name for the note, new for each")?;
     let note = Note {
-        id: named(table.need("id", "a name for the note, new for each")?)?,
+        id: named(id)?,
+        id_line: id.line(),
         author: named(table.need("author", "who wrote the note")?)?,
         text: explanation(&table)?,
         file: String::from(file),
--- /dev/null
+++ b/hemlockrouter-platform/src/consul.rs
@@ -0,0 +1,241 @@
+//! The HTTP client for a store and an instance list in the shape of Consul's published API.
+//!
+//! Every call has a time limit and every answer a size limit, and a call is never repeated here: a
+//! hidden retry of a write would blur what became of the first, and a store that struggles would be
+//! called more instead of less.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use ureq::http::Response;
+use ureq::Agent;
+use ureq::Body;
+use ureq::Timeout;
+
+use crate::calls::Calls;
+use crate::calls::Counter;
+use crate::list::List;
+use crate::list::Listed;
+use crate::list::Row;
+use crate::store::Down;
+use crate::store::Entry;
+use crate::store::Guard;
+use crate::store::Read;
+use crate::store::Store;
+use crate::store::Written;
+
+/// The largest answer with one value: a megabyte in base64, and what stands around it.
+const VALUE_ANSWER_MAX_BYTES: u64 = 1_500_000;
+
+/// The largest answer with a list of keys or of instances.
+const LIST_ANSWER_MAX_BYTES: u64 = 8_000_000;
+
+/// The header that names the state that was read.
+const INDEX_HEADER: &str = "X-Consul-Index";
+
+/// The store adds up to this share of the waiting time to spread its answers.
+const WAIT_JITTER_SHARE: u64 = 16;
+
+/// A client of the platform's store and instance list.
+#[derive(Debug)]
+pub struct Consul {
+    agent: Agent,
+    address: SocketAddr,
+    timeout_ms: u64,
+    counter: Counter,
+}
+
+/// One value, as it travels.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct KeyValue {
+    value: Option<String>,
+    modify_index: u64,
+}
+
+impl Consul {
+    /// Makes a client of the store at `address`, whose calls take at most `timeout_ms`
+    /// milliseconds. A blocking read may take as much longer as it waits.
+    pub fn new(address: SocketAddr, timeout_ms: u64) -> Consul {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .no_delay(true)
+            .proxy(None)
+            .build();
+        Consul {
+            agent: config.new_agent(),
+            address,
+            timeout_ms,
+            counter: Counter::default(),
+        }
+    }
+
+    /// Returns how often the platform was called.
+    pub fn calls(&self) -> Calls {
+        self.counter.calls()
+    }
+
+    fn read(&self, path: &str, timeout_ms: u64) -> Result<Response<Body>, Down> {
+        let url = format!("http://{}{path}", self.address);
+        let request = self.agent.get(url).config();
+        let request = request.timeout_global(Some(Duration::from_millis(timeout_ms)));
+        let answer = request.build().call().map_err(Down::new);
+        self.count_failure(answer)
+    }
+
+    fn read_key(&self, path: &str, timeout_ms: u64) -> Result<Read, Down> {
+        let mut answer = self.read(path, timeout_ms)?;
+        let read = read_answer(&mut answer);
+        self.count_failure(read)
+    }
+
+    fn read_json<T>(&self, path: &str) -> Result<Option<T>, Down>
+    where
+        T: DeserializeOwned,
+    {
+        let mut answer = self.read(path, self.timeout_ms)?;
+        let list = match answer.status().as_u16() {
+            200 => body(&mut answer, LIST_ANSWER_MAX_BYTES).map(Some),
+            404 => Ok(None),
+            status => Err(Down::new(format!("status {status}"))),
+        };
+        self.count_failure(list)
+    }
+
+    fn count_failure<T>(&self, outcome: Result<T, Down>) -> Result<T, Down> {
+        if outcome.is_err() {
+            self.counter.fail();
+        }
+        outcome
+    }
+
+    fn count_lost(&self, written: Written) -> Written {
+        if matches!(written, Written::NotSent | Written::Unknown) {
+            self.counter.fail();
+        }
+        written
+    }
+}
+
+impl Store for Consul {
+    fn get(&self, key: &str) -> Result<Read, Down> {
+        self.counter.read();
+        self.read_key(&format!("/v1/kv/{key}"), self.timeout_ms)
+    }
+
+    fn wait(&self, key: &str, index: u64, wait_ms: u64) -> Result<Read, Down> {
+        self.counter.wait();
+        let path = format!("/v1/kv/{key}?index={index}&wait={wait_ms}ms");
+        let timeout_ms = wait_ms + wait_ms / WAIT_JITTER_SHARE + self.timeout_ms;
+        self.read_key(&path, timeout_ms)
+    }
+
+    fn keys(&self, prefix: &str) -> Result<Vec<String>, Down> {
+        self.counter.read();
+        let keys = self.read_json(&format!("/v1/kv/{prefix}?keys"))?;
+        Ok(keys.unwrap_or_default())
+    }
+
+    fn write(&self, key: &str, value: &[u8], guard: Guard) -> Written {
+        self.counter.write();
+        let query = match guard {
+            Guard::Absent => String::from("?cas=0"),
+            Guard::Version(version) => format!("?cas={version}"),
+            Guard::Any => String::new(),
+        };
+        let url = format!("http://{}/v1/kv/{key}{query}", self.address);
+        let request = self.agent.put(url).config();
+        let timeout = Duration::from_millis(self.timeout_ms);
+        let request = request.timeout_global(Some(timeout)).build();
+        self.count_lost(outcome(request.send(value)))
+    }
+
+    fn delete(&self, key: &str) -> Written {
+        self.counter.write();
+        let url = format!("http://{}/v1/kv/{key}", self.address);
+        let request = self.agent.delete(url).config();
+        let timeout = Duration::from_millis(self.timeout_ms);
+        let request = request.timeout_global(Some(timeout)).build();
+        self.count_lost(outcome(request.call()))
+    }
+}
+
+impl List for Consul {
+    fn instances(&self, service: &str) -> Result<Vec<Listed>, Down> {
+        self.counter.read();
+        let rows: Option<Vec<Row>> = self.read_json(&format!("/v1/health/service/{service}"))?;
+        let rows = rows.unwrap_or_default();
+        Ok(rows.into_iter().filter_map(Row::into_listed).collect())
+    }
+}
+
+fn read_answer(answer: &mut Response<Body>) -> Result<Read, Down> {
+    let index = answer.headers().get(INDEX_HEADER);
+    let index = index.and_then(|value| value.to_str().ok()?.parse().ok());
+    let index = index.ok_or_else(|| {
+        let status = answer.status().as_u16();
+        Down::new(format!("status {status} without {INDEX_HEADER}"))
+    })?;
+    let entry = match answer.status().as_u16() {
+        200 => Some(entry(answer)?),
+        404 => None,
+        status => return Err(Down::new(format!("status {status}"))),
+    };
+    Ok(Read { index, entry })
+}
+
+fn entry(answer: &mut Response<Body>) -> Result<Entry, Down> {
+    let rows: Vec<KeyValue> = body(answer, VALUE_ANSWER_MAX_BYTES)?;
+    let mut rows = rows.into_iter();
+    let (Some(row), None) = (rows.next(), rows.next()) else {
+        return Err(Down::new("not exactly one value in the answer"));
+    };
+    let value = STANDARD.decode(row.value.unwrap_or_default());
+    Ok(Entry {
+        value: value.map_err(Down::new)?,
+        version: row.modify_index,
+    })
+}
+
+fn body<T>(answer: &mut Response<Body>, max_bytes: u64) -> Result<T, Down>
+where
+    T: DeserializeOwned,
+{
+    let body = answer.body_mut().with_config().limit(max_bytes);
+    body.read_json().map_err(Down::new)
+}
+
+/// Tells what became of a write from its answer, or from the lack of one.
+fn outcome(answer: Result<Response<Body>, ureq::Error>) -> Written {
+    let mut answer = match answer {
+        Ok(answer) => answer,
+        Err(err) => return lost(&err),
+    };
+    match answer.status().as_u16() {
+        200 => match body::<bool>(&mut answer, VALUE_ANSWER_MAX_BYTES) {
+            Ok(true) => Written::Yes,
+            Ok(false) => Written::No,
+            Err(_) => Written::Unknown,
+        },
+        400..=499 => Written::NotSent,
+        _ => Written::Unknown,
+    }
+}
+
+/// Only a connection that never stood proves that nothing was written.
+fn lost(err: &ureq::Error) -> Written {
+    match err {
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::Timeout(Timeout::Connect | Timeout::Resolve) => Written::NotSent,
+        ureq::Error::Io(err) if err.kind() == std::io::ErrorKind::ConnectionRefused => {
+            Written::NotSent
+        }
+        _ => Written::Unknown,
+    }
+}
