limit: decide dispatches per upstream and admissions per customer

Cause: the package was empty, and the daemon needs its interface. Change: Limiter (lease, cold-start ramp, weighted fair queue over customers, refusals with a time to come back) and Admission (requests at once and per second). Beyond the interface agreed on there is mark_leaving, for what the platform's list says. Conclusion: thin; the tests cover one cold start and one doubled offer only.

--- /dev/null
+++ b/hemlockrouter-limit/src/admission.rs
@@ -0,0 +1,157 @@
+//! Limits on what one customer may ask of one instance.
+//!
+//! A customer's requests at once are counted, and its requests per second are metered by a token
+//! bucket that holds one second's worth. Tokens are counted in thousandths, so that the bucket is
+//! exact: each millisecond adds as many thousandths as the customer may send requests a second.
+
+use hemlockrouter_types::prelude::*;
+
+/// Thousandths of a token that one request takes.
+const TOKEN: u64 = 1_000;
+
+/// How soon a caller that has too many requests at once may come back, in milliseconds. When one of
+/// them ends is up to the caller's own requests.
+const IN_FLIGHT_RETRY_MS: u32 = 50;
+
+/// Admits requests of customers at the entry.
+///
+/// # Examples
+///
+/// ```
+/// use hemlockrouter_limit::Admission;
+/// use hemlockrouter_types::prelude::*;
+///
+/// let mut admission = Admission::new();
+/// admission.configure(Time::ZERO, &Catalog::default());
+/// let refusal = admission.admit(Time::ZERO, CustomerKey::from_raw(0)).unwrap_err();
+/// assert_eq!(refusal.reason, Reason::NotConfigured);
+/// ```
+#[derive(Debug, Default)]
+pub struct Admission {
+    /// By the slot of the customer's key.
+    customers: Vec<Option<Bucket>>,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    customer: CustomerKey,
+    max_in_flight: u32,
+    max_per_second: u64,
+    in_flight: u32,
+    tokens: u64,
+    filled: Time,
+}
+
+impl Admission {
+    /// Makes an admission that knows no customer.
+    pub fn new() -> Admission {
+        Admission::default()
+    }
+
+    /// Takes the customers and their limits from `catalog`. A customer that stays keeps its counts.
+    pub fn configure(&mut self, now: Time, catalog: &Catalog) {
+        let mut old = std::mem::take(&mut self.customers);
+        for (key, customer) in catalog.customers.iter() {
+            let slot = key.slot();
+            let kept = old.get_mut(slot).and_then(Option::take);
+            let kept = kept.filter(|bucket| bucket.customer == key);
+            let mut bucket = kept.unwrap_or_else(|| Bucket::new(now, key));
+            bucket.resize(now, customer.max_in_flight, customer.max_per_second);
+            if self.customers.len() <= slot {
+                self.customers.resize_with(slot + 1, || None);
+            }
+            self.customers[slot] = Some(bucket);
+        }
+    }
+
+    /// Admits one request of `customer`, which [`done`](Admission::done) ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`] with [`Reason::CustomerLimit`] if a limit of the customer is used up,
+    /// and with [`Reason::NotConfigured`] if there is no such customer.
+    pub fn admit(&mut self, now: Time, customer: CustomerKey) -> Result<(), Refusal> {
+        let Some(bucket) = self.bucket_mut(customer) else {
+            return Err(Refusal {
+                reason: Reason::NotConfigured,
+                retry_after_ms: 0,
+            });
+        };
+        bucket.fill(now);
+        let retry_after_ms = bucket.retry_after_ms();
+        if retry_after_ms > 0 {
+            return Err(Refusal {
+                reason: Reason::CustomerLimit,
+                retry_after_ms,
+            });
+        }
+        bucket.tokens -= TOKEN;
+        bucket.in_flight += 1;
+        Ok(())
+    }
+
+    /// Ends a request of `customer` that was admitted.
+    pub fn done(&mut self, customer: CustomerKey) {
+        if let Some(bucket) = self.bucket_mut(customer) {
+            bucket.in_flight = bucket.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Returns how many requests of `customer` are admitted and not done.
+    pub fn in_flight(&self, customer: CustomerKey) -> u32 {
+        let bucket = self.customers.get(customer.slot()).and_then(Option::as_ref);
+        bucket
+            .filter(|bucket| bucket.customer == customer)
+            .map_or(0, |bucket| bucket.in_flight)
+    }
+
+    fn bucket_mut(&mut self, customer: CustomerKey) -> Option<&mut Bucket> {
+        let bucket = self.customers.get_mut(customer.slot())?.as_mut()?;
+        (bucket.customer == customer).then_some(bucket)
+    }
+}
+
+impl Bucket {
+    fn new(now: Time, customer: CustomerKey) -> Bucket {
+        Bucket {
+            customer,
+            max_in_flight: 0,
+            max_per_second: 0,
+            in_flight: 0,
+            tokens: u64::MAX,
+            filled: now,
+        }
+    }
+
+    fn resize(&mut self, now: Time, max_in_flight: u32, max_per_second: u32) {
+        if self.tokens != u64::MAX {
+            self.fill(now);
+        }
+        self.max_in_flight = max_in_flight;
+        self.max_per_second = u64::from(max_per_second);
+        self.tokens = self.tokens.min(self.capacity());
+    }
+
+    fn capacity(&self) -> u64 {
+        self.max_per_second * TOKEN
+    }
+
+    fn fill(&mut self, now: Time) {
+        let added = now.since(self.filled).saturating_mul(self.max_per_second);
+        self.tokens = self.tokens.saturating_add(added).min(self.capacity());
+        self.filled = self.filled.max(now);
+    }
+
+    /// Returns after how many milliseconds a request can be admitted; 0 if one can be now.
+    fn retry_after_ms(&self) -> u32 {
+        if self.max_per_second == 0 || self.max_in_flight == 0 {
+            return u32::MAX;
+        }
+        let missing = TOKEN.saturating_sub(self.tokens);
+        let by_rate = missing.div_ceil(self.max_per_second) as u32;
+        if self.in_flight < self.max_in_flight {
+            return by_rate;
+        }
+        by_rate.max(IN_FLIGHT_RETRY_MS)
+    }
+}
--- /dev/null
+++ b/hemlockrouter-limit/src/config.rs
@@ -0,0 +1,124 @@
+//! Settings of the limiter.
+//!
+//! Every field has a default that suits both small and large installations, so a caller names only
+//! what it wants otherwise.
+
+/// Settings of a [`Limiter`](crate::Limiter).
+///
+/// # Examples
+///
+/// ```
+/// use hemlockrouter_limit::Config;
+///
+/// let config = Config::new().queue_max(64).late_after(4);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub(crate) queue_max: usize,
+    pub(crate) late_after: u32,
+    pub(crate) late_slack_ms: u32,
+    pub(crate) window: u32,
+    pub(crate) warm_after: u32,
+    pub(crate) settle_ms: u32,
+    pub(crate) backoff_min_ms: u32,
+    pub(crate) backoff_max_ms: u32,
+    pub(crate) leaving_ms: u32,
+    pub(crate) retry_min_ms: u32,
+    pub(crate) retry_max_ms: u32,
+    pub(crate) once_memory_ms: u32,
+}
+
+impl Config {
+    /// Makes the default settings.
+    pub fn new() -> Config {
+        Config {
+            queue_max: 256,
+            late_after: 3,
+            late_slack_ms: 5,
+            window: 4,
+            warm_after: 8,
+            settle_ms: 2_000,
+            backoff_min_ms: 50,
+            backoff_max_ms: 1_000,
+            leaving_ms: 10_000,
+            retry_min_ms: 10,
+            retry_max_ms: 5_000,
+            once_memory_ms: 60_000,
+        }
+    }
+
+    /// Sets how many sub-requests wait for one upstream at most. The default is 256.
+    pub fn queue_max(mut self, items: usize) -> Config {
+        self.queue_max = items.max(1);
+        self
+    }
+
+    /// Sets how many times slower than usual an answer may be before it counts as late. The default
+    /// is 3.
+    pub fn late_after(mut self, factor: u32) -> Config {
+        self.late_after = factor.max(1);
+        self
+    }
+
+    /// Sets the milliseconds above which, besides [`late_after`](Config::late_after), an answer must
+    /// exceed the usual time to count as late. The default is 5.
+    pub fn late_slack_ms(mut self, ms: u32) -> Config {
+        self.late_slack_ms = ms;
+        self
+    }
+
+    /// Sets how many answers at least are looked at before the limit changes. The default is 4.
+    pub fn window(mut self, answers: u32) -> Config {
+        self.window = answers.max(1);
+        self
+    }
+
+    /// Sets how many timely answers in a row end a cold start. The default is 8.
+    pub fn warm_after(mut self, answers: u32) -> Config {
+        self.warm_after = answers.max(1);
+        self
+    }
+
+    /// Sets how long an upstream whose usual time is unknown stays under its cold bound at least, in
+    /// milliseconds, and after how long steadily slower answers become the usual ones. The default
+    /// is 2,000.
+    pub fn settle_ms(mut self, ms: u32) -> Config {
+        self.settle_ms = ms;
+        self
+    }
+
+    /// Sets the pauses after a refused connection, in milliseconds: the first, and the longest to
+    /// which repeated ones double. The defaults are 50 and 1,000.
+    pub fn backoff_ms(mut self, min: u32, max: u32) -> Config {
+        self.backoff_min_ms = min.max(1);
+        self.backoff_max_ms = max.max(self.backoff_min_ms);
+        self
+    }
+
+    /// Sets how long an upstream that said it is leaving gets no work before one sub-request is tried
+    /// again, in milliseconds. The default is 10,000.
+    pub fn leaving_ms(mut self, ms: u32) -> Config {
+        self.leaving_ms = ms;
+        self
+    }
+
+    /// Sets the bounds of `retry_after_ms` in refusals. The defaults are 10 and 5,000.
+    pub fn retry_after_ms(mut self, min: u32, max: u32) -> Config {
+        self.retry_min_ms = min;
+        self.retry_max_ms = max.max(min);
+        self
+    }
+
+    /// Sets how long after its end the id of work that must not be repeated is remembered, in
+    /// milliseconds, so that a duplicated message does not run it again. The default is 60,000.
+    pub fn once_memory_ms(mut self, ms: u32) -> Config {
+        self.once_memory_ms = ms;
+        self
+    }
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config::new()
+    }
+}
--- /dev/null
+++ b/hemlockrouter-limit/src/queue.rs
@@ -0,0 +1,337 @@
+//! The weighted fair queue of one upstream.
+//!
+//! Customers take turns by start-time fair queueing (Goyal, Vin and Cheng, 1996): each dispatch moves
+//! its customer's tag on by the cost of the work divided by its weight, and the customer with the
+//! lowest tag is next. Within a customer the earliest deadline goes first. A customer's queue is a
+//! sorted ring: deadlines mostly come in order, so an insert is mostly a push at its end.
+//!
+//! Waiting times are estimated from the customer's own queue and own dispatches alone, so that what
+//! it is told says nothing of others.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use hemlockrouter_types::prelude::*;
+
+/// The cost of one dispatch, in units of tags, before division by the weight.
+const COST: u64 = 1 << 16;
+
+/// What was observed of a customer longer ago than this tells nothing any more, in milliseconds.
+const MEMORY_MS: u64 = 1_000;
+
+/// A sub-request that waits.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) id: SubId,
+    pub(crate) customer: CustomerKey,
+    pub(crate) weight: u32,
+    pub(crate) deadline: Time,
+    /// Counts what the queue took in; it settles the order of equal deadlines.
+    pub(crate) seq: u64,
+    pub(crate) since: Time,
+}
+
+/// The queue of one upstream.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    /// By the slot of the customer's key.
+    flows: Vec<Option<Box<Flow>>>,
+    /// Customers that wait, by tag.
+    turns: BTreeSet<(u64, CustomerKey)>,
+    /// Customers that wait, by when their most urgent work must start.
+    heads: BTreeSet<(Time, CustomerKey)>,
+    /// Customers that wait, by how many sub-requests of theirs do.
+    lengths: BTreeSet<(usize, CustomerKey)>,
+    len: usize,
+    /// The tag of the last dispatch.
+    turn: u64,
+}
+
+/// What one customer has waiting for one upstream.
+#[derive(Debug)]
+struct Flow {
+    customer: CustomerKey,
+    tag: u64,
+    waiting: VecDeque<Waiting>,
+    /// Mean time that its work took at the upstream, in eighths of a millisecond.
+    served_x8: u64,
+    /// Mean gap between its dispatches while more of it waited, in eighths of a millisecond.
+    gap_x8: u64,
+    last_dispatch: Option<Time>,
+    last_served: Time,
+    listed: Option<Listed>,
+}
+
+/// The places of a customer in the sets of its queue.
+#[derive(Clone, Copy, Debug)]
+struct Listed {
+    tag: u64,
+    start_by: Time,
+    len: usize,
+}
+
+impl Queue {
+    /// Returns how many sub-requests wait.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether nothing waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Adds a sub-request.
+    pub(crate) fn push(&mut self, now: Time, waiting: Waiting) {
+        let customer = waiting.customer;
+        let turn = self.turn;
+        self.unlist(customer);
+        let flow = self.flow_mut(customer);
+        if flow.waiting.is_empty() {
+            flow.tag = flow.tag.max(turn);
+            flow.forget_gap(now);
+        }
+        let at = flow.rank(waiting.deadline, waiting.seq);
+        flow.waiting.insert(at, waiting);
+        self.len += 1;
+        self.list(customer);
+    }
+
+    /// Takes out the sub-request whose turn it is.
+    pub(crate) fn pop(&mut self, now: Time) -> Option<Waiting> {
+        let &(tag, customer) = self.turns.first()?;
+        self.turn = tag;
+        self.unlist(customer);
+        let flow = self.flow_mut(customer);
+        let waiting = flow
+            .waiting
+            .pop_front()
+            .expect("a listed customer has work waiting");
+        flow.tag += COST / u64::from(waiting.weight.max(1));
+        flow.observe_dispatch(now);
+        self.len -= 1;
+        self.list(customer);
+        Some(waiting)
+    }
+
+    /// Removes a sub-request.
+    pub(crate) fn remove(&mut self, customer: CustomerKey, deadline: Time, seq: u64) {
+        self.unlist(customer);
+        let flow = self.flow_mut(customer);
+        let at = flow.rank(deadline, seq);
+        let removed = flow.waiting.remove(at);
+        debug_assert!(removed.is_some_and(|waiting| waiting.seq == seq));
+        self.len -= 1;
+        self.list(customer);
+    }
+
+    /// Takes out work that can't be done any more by its deadline.
+    pub(crate) fn pop_due(&mut self, now: Time) -> Option<Waiting> {
+        let &(start_by, customer) = self.heads.first()?;
+        if start_by >= now {
+            return None;
+        }
+        self.unlist(customer);
+        let waiting = self.flow_mut(customer).waiting.pop_front();
+        self.len -= 1;
+        self.list(customer);
+        waiting
+    }
+
+    /// Returns when the most urgent work must start.
+    pub(crate) fn start_by(&self) -> Option<Time> {
+        self.heads.first().map(|&(start_by, _)| start_by)
+    }
+
+    /// Returns the customer that has most waiting, and how much.
+    pub(crate) fn longest(&self) -> Option<(usize, CustomerKey)> {
+        self.lengths.last().copied()
+    }
+
+    /// Returns how many sub-requests of `customer` wait.
+    pub(crate) fn len_of(&self, customer: CustomerKey) -> usize {
+        self.flow(customer).map_or(0, |flow| flow.waiting.len())
+    }
+
+    /// Takes out the sub-request of `customer` with the latest deadline.
+    pub(crate) fn pop_spare(&mut self, customer: CustomerKey) -> Option<Waiting> {
+        let flow = self.flow(customer)?;
+        let back = *flow.waiting.back()?;
+        self.remove(customer, back.deadline, back.seq);
+        Some(back)
+    }
+
+    /// Takes out everything, in the order of customers.
+    pub(crate) fn drain(&mut self) -> Vec<Waiting> {
+        let mut all = Vec::with_capacity(self.len);
+        for flow in self.flows.iter_mut().flatten() {
+            all.extend(flow.waiting.drain(..));
+            flow.listed = None;
+        }
+        self.turns.clear();
+        self.heads.clear();
+        self.lengths.clear();
+        self.len = 0;
+        all
+    }
+
+    /// Takes out what waits for customers for which `known` does not hold, and forgets these.
+    pub(crate) fn drain_unknown<F>(&mut self, known: F) -> Vec<Waiting>
+    where
+        F: Fn(CustomerKey) -> bool,
+    {
+        let mut all = Vec::new();
+        for slot in 0..self.flows.len() {
+            let Some(flow) = &self.flows[slot] else {
+                continue;
+            };
+            if known(flow.customer) {
+                continue;
+            }
+            self.unlist(flow.customer);
+            if let Some(flow) = self.flows[slot].take() {
+                self.len -= flow.waiting.len();
+                all.extend(flow.waiting);
+            }
+        }
+        all
+    }
+
+    /// Takes in how long work of `customer` took at the upstream.
+    pub(crate) fn observe_served(&mut self, now: Time, customer: CustomerKey, served_ms: u32) {
+        self.unlist(customer);
+        self.flow_mut(customer).observe_served(now, served_ms);
+        self.list(customer);
+    }
+
+    /// Returns how long work of `customer` takes at the upstream, in milliseconds; 0 if unknown.
+    pub(crate) fn served_ms(&self, now: Time, customer: CustomerKey) -> u64 {
+        self.flow(customer).map_or(0, |flow| flow.served_ms(now))
+    }
+
+    /// Estimates how long work of `customer` with `deadline` would wait, in milliseconds.
+    pub(crate) fn wait_ms(&self, customer: CustomerKey, deadline: Time) -> u64 {
+        let Some(flow) = self.flow(customer) else {
+            return 0;
+        };
+        flow.rank(deadline, u64::MAX) as u64 * flow.gap_x8 / 8
+    }
+
+    /// Estimates how long it takes until all that `customer` has waiting is dispatched, in
+    /// milliseconds.
+    pub(crate) fn drain_ms(&self, customer: CustomerKey) -> u64 {
+        self.flow(customer)
+            .map_or(0, |flow| flow.waiting.len() as u64 * flow.gap_x8 / 8)
+    }
+
+    fn flow(&self, customer: CustomerKey) -> Option<&Flow> {
+        let flow = self.flows.get(customer.slot())?.as_deref()?;
+        (flow.customer == customer).then_some(flow)
+    }
+
+    fn flow_mut(&mut self, customer: CustomerKey) -> &mut Flow {
+        let slot = customer.slot();
+        if self.flows.len() <= slot {
+            self.flows.resize_with(slot + 1, || None);
+        }
+        let flow = self.flows[slot].get_or_insert_with(|| Box::new(Flow::new(customer)));
+        if flow.customer != customer {
+            debug_assert!(flow.waiting.is_empty());
+            **flow = Flow::new(customer);
+        }
+        flow
+    }
+
+    fn unlist(&mut self, customer: CustomerKey) {
+        let Some(listed) = self.flow_mut(customer).listed.take() else {
+            return;
+        };
+        self.turns.remove(&(listed.tag, customer));
+        self.heads.remove(&(listed.start_by, customer));
+        self.lengths.remove(&(listed.len, customer));
+    }
+
+    fn list(&mut self, customer: CustomerKey) {
+        let flow = self.flow_mut(customer);
+        let Some(head) = flow.waiting.front() else {
+            return;
+        };
+        let listed = Listed {
+            tag: flow.tag,
+            start_by: head.deadline.before(flow.served_x8 / 8),
+            len: flow.waiting.len(),
+        };
+        flow.listed = Some(listed);
+        self.turns.insert((listed.tag, customer));
+        self.heads.insert((listed.start_by, customer));
+        self.lengths.insert((listed.len, customer));
+    }
+}
+
+impl Flow {
+    fn new(customer: CustomerKey) -> Flow {
+        Flow {
+            customer,
+            tag: 0,
+            waiting: VecDeque::new(),
+            served_x8: 0,
+            gap_x8: 0,
+            last_dispatch: None,
+            last_served: Time::ZERO,
+            listed: None,
+        }
+    }
+
+    /// Returns how many sub-requests go before one with `deadline` and `seq`.
+    fn rank(&self, deadline: Time, seq: u64) -> usize {
+        self.waiting
+            .partition_point(|other| (other.deadline, other.seq) < (deadline, seq))
+    }
+
+    /// Falls fast and rises slowly: refusing what could have been done costs more than trying.
+    fn observe_served(&mut self, now: Time, served_ms: u32) {
+        let sample_x8 = u64::from(served_ms) * 8;
+        self.served_x8 = if sample_x8 < self.served_x8 {
+            (self.served_x8 + sample_x8) / 2
+        } else {
+            mean_x8(self.served_x8, u64::from(served_ms))
+        };
+        self.last_served = now;
+    }
+
+    /// An estimate that refuses all work would never be corrected, so it is forgotten after a while.
+    fn served_ms(&self, now: Time) -> u64 {
+        if now.since(self.last_served) > MEMORY_MS {
+            return 0;
+        }
+        self.served_x8 / 8
+    }
+
+    fn observe_dispatch(&mut self, now: Time) {
+        if let Some(last) = self.last_dispatch {
+            self.gap_x8 = mean_x8(self.gap_x8, now.since(last));
+        }
+        self.last_dispatch = (!self.waiting.is_empty()).then_some(now);
+    }
+
+    fn forget_gap(&mut self, now: Time) {
+        let stale = self
+            .last_dispatch
+            .is_none_or(|last| now.since(last) > MEMORY_MS);
+        if stale {
+            self.gap_x8 = 0;
+        }
+        if now.since(self.last_served) > MEMORY_MS {
+            self.served_x8 = 0;
+        }
+        self.last_dispatch = None;
+    }
+}
+
+/// Moves a mean in eighths of a millisecond by a sample in milliseconds.
+fn mean_x8(mean_x8: u64, sample_ms: u64) -> u64 {
+    if mean_x8 == 0 {
+        return sample_ms * 8;
+    }
+    mean_x8 - mean_x8 / 8 + sample_ms
+}
--- /dev/null
+++ b/hemlockrouter-limit/tests/limit/common.rs
@@ -0,0 +1,89 @@
+//! A small catalogue and short names for events.
+
+use hemlockrouter_limit::Command;
+use hemlockrouter_limit::Limiter;
+use hemlockrouter_limit::Work;
+use hemlockrouter_types::catalog::Customer;
+use hemlockrouter_types::catalog::Upstream;
+use hemlockrouter_types::catalog::Zone;
+use hemlockrouter_types::prelude::*;
+
+/// Makes a catalogue of `upstreams` upstreams of one zone and `customers` customers.
+pub(crate) fn catalog(upstreams: usize, slots: u32, cold_slots: u32, customers: usize) -> Catalog {
+    let mut catalog = Catalog::default();
+    let zone = catalog.zones.insert(Zone {
+        name: "a".to_owned(),
+        region: "r".to_owned(),
+        in_service: true,
+    });
+    for n in 0..upstreams {
+        catalog.upstreams.insert(Upstream {
+            name: format!("upstream-{n}"),
+            address: ([127, 0, 0, 1], 9).into(),
+            zone,
+            slots,
+            cold_slots,
+            connections: 25,
+            in_service: true,
+        });
+    }
+    for n in 0..customers {
+        catalog.customers.insert(Customer {
+            name: format!("customer-{n}"),
+            key_sha256: [0; 32],
+            max_in_flight: 10,
+            max_per_second: 100,
+        });
+    }
+    catalog
+}
+
+pub(crate) fn ms(ms: u64) -> Time {
+    Time::from_ms(ms)
+}
+
+pub(crate) fn id(seq: u64) -> SubId {
+    SubId {
+        origin: InstanceId(1),
+        seq,
+    }
+}
+
+pub(crate) fn upstream(n: u32) -> UpstreamKey {
+    UpstreamKey::from_raw(n)
+}
+
+/// Makes work for the first upstream.
+pub(crate) fn work(seq: u64, customer: u32, deadline: Time) -> Work {
+    Work {
+        id: id(seq),
+        customer: CustomerKey::from_raw(customer),
+        upstream: upstream(0),
+        weight: 1,
+        deadline,
+        once: false,
+    }
+}
+
+/// Holds the lease of the first upstream for ever.
+pub(crate) fn hold(limiter: &mut Limiter, now: Time, out: &mut Vec<Command>) {
+    limiter.hold(now, upstream(0), Time::MAX, out);
+}
+
+/// Returns what was dispatched, in order.
+pub(crate) fn dispatched(out: &[Command]) -> Vec<u64> {
+    let seqs = out.iter().filter_map(|command| match command {
+        Command::Dispatch { id, .. } => Some(id.seq),
+        _ => None,
+    });
+    seqs.collect()
+}
+
+/// Returns what was refused, in order.
+pub(crate) fn refused(out: &[Command]) -> Vec<(u64, Refusal)> {
+    let refusals = out.iter().filter_map(|command| match command {
+        Command::Refuse { id, refusal } => Some((id.seq, *refusal)),
+        _ => None,
+    });
+    refusals.collect()
+}
--- /dev/null
+++ b/hemlockrouter-limit/tests/limit/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the decisions per upstream.
+
+mod common;
+mod limiter;
