Add stand-ins for the platform's store and for upstreams

Cause: nothing stood where the tier meets the platform and its upstreams, so no process could be run end to end. Change: hemlock-lab store and hemlock-lab upstream over a library, with controls for what goes wrong and counts of what was done. tiny_http can't close a single connection, so a lost answer is a byte that is no HTTP, at which the client closes; and it can't name its open connections, so the kernel's table of sockets is read when a new one appears. Ruled out: a thread for each waiting request, since 100 upstreams have to fit into one process; one timer thread does the waiting.

--- /dev/null
+++ b/hemlockrouter-lab/src/server.rs
@@ -0,0 +1,309 @@
+//! The small HTTP server under all stand-ins.
+//!
+//! It is `tiny_http` with two corrections. `tiny_http` writes an answer in pieces, so without
+//! `TCP_NODELAY` each larger answer waits for a delayed acknowledgement of some 40 ms; accepted
+//! sockets inherit the option from the listening one. And its thread pool can leave a new
+//! connection waiting while every thread is busy with a kept-alive one; each further connection
+//! makes it start a thread that takes up the waiting one, so the server connects to itself now and
+//! then.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use serde_json::json;
+use serde_json::Value;
+use tiny_http::Header;
+use tiny_http::Method;
+use tiny_http::Request;
+use tiny_http::Response;
+
+/// Largest body that is read, in bytes.
+const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
+
+/// How a [`Server`] runs.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerOptions {
+    /// Threads that take requests. Handlers don't block, so a few are enough.
+    pub threads: usize,
+    /// Milliseconds between two connections to itself.
+    pub nudge_ms: u64,
+}
+
+impl Default for ServerOptions {
+    /// Four threads, a connection to itself every 20 ms.
+    fn default() -> ServerOptions {
+        ServerOptions {
+            threads: 4,
+            nudge_ms: 20,
+        }
+    }
+}
+
+/// A running HTTP server. It stops when dropped.
+pub struct Server {
+    addr: SocketAddr,
+    http: Arc<tiny_http::Server>,
+    stopping: Arc<AtomicBool>,
+    threads: usize,
+}
+
+impl Server {
+    /// Listens on `listen` and passes each request to `handler`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be listened on.
+    pub fn start<H>(listen: SocketAddr, options: ServerOptions, handler: H) -> eyre::Result<Server>
+    where
+        H: Fn(Exchange) + Send + Sync + 'static,
+    {
+        let listener =
+            TcpListener::bind(listen).wrap_err_with(|| format!("can't listen on {listen}"))?;
+        socket2::SockRef::from(&listener).set_tcp_nodelay(true)?;
+        let addr = listener.local_addr()?;
+        let http = tiny_http::Server::from_listener(listener, None)
+            .map_err(|err| eyre::eyre!("can't serve on {addr}: {err}"))?;
+        let server = Server {
+            addr,
+            http: Arc::new(http),
+            stopping: Arc::default(),
+            threads: options.threads,
+        };
+        let handler = Arc::new(handler);
+        for _ in 0..options.threads {
+            let http = Arc::clone(&server.http);
+            let handler = Arc::clone(&handler);
+            thread::spawn(move || serve(&http, addr.port(), &*handler));
+        }
+        let stopping = Arc::clone(&server.stopping);
+        thread::spawn(move || nudge(addr, options.nudge_ms, &stopping));
+        Ok(server)
+    }
+
+    /// Returns the address that the server listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        for _ in 0..self.threads {
+            self.http.unblock();
+        }
+    }
+}
+
+fn serve<H>(http: &tiny_http::Server, own_port: u16, handler: &H)
+where
+    H: Fn(Exchange),
+{
+    // `recv` fails only when the server is stopped.
+    while let Ok(request) = http.recv() {
+        match Exchange::read(request, own_port) {
+            Ok(exchange) => handler(exchange),
+            Err(err) => log::debug!("request dropped: {err}"),
+        }
+    }
+}
+
+fn nudge(addr: SocketAddr, nudge_ms: u64, stopping: &AtomicBool) {
+    while !stopping.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(nudge_ms));
+        drop(TcpStream::connect(addr));
+    }
+}
+
+/// One request and the means to answer it, now or later.
+pub struct Exchange {
+    request: Request,
+    own_port: u16,
+    /// The path, percent-decoded, without the query.
+    pub path: String,
+    /// The parameters of the query, in their order.
+    pub params: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Exchange {
+    fn read(mut request: Request, own_port: u16) -> io::Result<Exchange> {
+        let mut body = Vec::new();
+        let reader = request.as_reader();
+        reader.take(MAX_BODY_BYTES).read_to_end(&mut body)?;
+        let url = request.url().to_owned();
+        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+        let params = query.split('&').filter(|part| !part.is_empty());
+        Ok(Exchange {
+            path: percent_decode(path),
+            params: params
+                .map(|part| part.split_once('=').unwrap_or((part, "")))
+                .map(|(name, value)| (name.to_owned(), percent_decode(value)))
+                .collect(),
+            body,
+            own_port,
+            request,
+        })
+    }
+
+    /// Returns the method.
+    pub fn method(&self) -> &Method {
+        self.request.method()
+    }
+
+    /// Returns the value of a parameter of the query; one without `=` has an empty value.
+    pub fn param(&self, name: &str) -> Option<&str> {
+        let mut found = self.params.iter().filter(|(param, _)| param == name);
+        found.next().map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the other end's address.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.request.remote_addr().copied()
+    }
+
+    /// Returns the port that the request came to.
+    pub fn own_port(&self) -> u16 {
+        self.own_port
+    }
+
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is no JSON of this type.
+    pub fn json<T>(&self) -> serde_json::Result<T>
+    where
+        T: DeserializeOwned,
+    {
+        serde_json::from_slice(&self.body)
+    }
+
+    /// Sends the answer. A client that has gone is ignored.
+    pub fn answer(self, answer: Answer) {
+        let mut response = Response::from_data(answer.body).with_status_code(answer.status);
+        for (name, value) in answer.headers {
+            let header = Header::from_bytes(name, value).expect("headers are plain ASCII");
+            response.add_header(header);
+        }
+        if let Err(err) = self.request.respond(response) {
+            log::debug!("answer not sent: {err}");
+        }
+    }
+
+    /// Gives no answer: the client sees the exchange break off.
+    ///
+    /// `tiny_http` can't close one connection, so a byte that is no HTTP goes out, at which the
+    /// client closes it.
+    pub fn break_off(self) {
+        let mut writer = self.request.into_writer();
+        let written = writer
+            .write_all(b"\0\r\n\r\n")
+            .and_then(|()| writer.flush());
+        if let Err(err) = written {
+            log::debug!("client has gone: {err}");
+        }
+    }
+}
+
+/// An answer to a request.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    status: u16,
+    headers: Vec<(&'static str, String)>,
+    body: Vec<u8>,
+}
+
+impl Answer {
+    /// Makes an answer with a JSON body.
+    pub fn json<T>(status: u16, body: &T) -> Answer
+    where
+        T: Serialize,
+    {
+        let body = serde_json::to_vec(body).expect("the stand-ins' answers are plain JSON");
+        Answer::bytes(status, body).with_header("content-type", "application/json".to_owned())
+    }
+
+    /// Makes an answer with a body of bytes.
+    pub fn bytes(status: u16, body: Vec<u8>) -> Answer {
+        Answer {
+            status,
+            headers: Vec::new(),
+            body,
+        }
+    }
+
+    /// Makes the answer to a request that can't be understood.
+    pub fn bad_request<E>(error: E) -> Answer
+    where
+        E: ToString,
+    {
+        Answer::json(
+            400,
+            &json!({"code": "bad_request", "message": error.to_string()}),
+        )
+    }
+
+    /// Makes the answer for a path that is not served.
+    pub fn not_found() -> Answer {
+        Answer::json(404, &json!({"code": "not_found"}))
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: &'static str, value: String) -> Answer {
+        self.headers.push((name, value));
+        self
+    }
+}
+
+/// Lays `fields` over those of `current`, as control calls do.
+///
+/// # Errors
+///
+/// Fails if a field is unknown or its value doesn't fit.
+pub fn overlay<T>(current: &T, fields: serde_json::Map<String, Value>) -> serde_json::Result<T>
+where
+    T: Serialize + DeserializeOwned,
+{
+    let mut value = serde_json::to_value(current)?;
+    for (name, field) in fields {
+        value[name] = field;
+    }
+    serde_json::from_value(value)
+}
+
+fn percent_decode(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut decoded = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while at < bytes.len() {
+        let hex = match bytes[at] {
+            b'%' => text.get(at + 1..at + 3),
+            _ => None,
+        };
+        match hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
+            Some(byte) => {
+                decoded.push(byte);
+                at += 3;
+            }
+            None => {
+                decoded.push(bytes[at]);
+                at += 1;
+            }
+        }
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
--- /dev/null
+++ b/hemlockrouter-lab/src/store/kv.rs
@@ -0,0 +1,221 @@
+//! Keys, values, locks and sessions of the store's stand-in.
+//!
+//! Every change raises one index, and each key remembers the index of its last change; deleted
+//! keys leave their index behind, so that a waiting reader of a prefix sees a deletion too.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Largest value, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1_048_576;
+
+/// A stored value.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) value: Vec<u8>,
+    pub(super) create_index: u64,
+    pub(super) modify_index: u64,
+    pub(super) lock_index: u64,
+    pub(super) session: Option<String>,
+}
+
+#[derive(Clone, Debug)]
+struct Session {
+    ttl: Option<Duration>,
+    delete_keys: bool,
+    expires: Option<Instant>,
+}
+
+/// What a write depends on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Guard {
+    /// Nothing.
+    Always,
+    /// The key's last change has this index; 0 means that there is no such key.
+    Index(u64),
+    /// The lock is free or is held by this session, which then holds it.
+    Acquire(String),
+    /// This session holds the lock, which is then free.
+    Release(String),
+}
+
+/// The keys and sessions.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Kv {
+    // The index of the last change; readers see 1 before the first one, whose index is 2.
+    index: u64,
+    entries: BTreeMap<String, Entry>,
+    deleted: BTreeMap<String, u64>,
+    sessions: BTreeMap<String, Session>,
+}
+
+impl Kv {
+    pub(super) fn index(&self) -> u64 {
+        self.index.max(1)
+    }
+
+    fn next_index(&mut self) -> u64 {
+        self.index = self.index() + 1;
+        self.index
+    }
+
+    pub(super) fn get(&self, key: &str) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    pub(super) fn range<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> impl Iterator<Item = (&'a String, &'a Entry)> {
+        starting_with(&self.entries, prefix)
+    }
+
+    /// Returns the index of the last change of a key, or of any key with a prefix.
+    pub(super) fn changed(&self, key: &str, recurse: bool) -> u64 {
+        let changed = if recurse {
+            let last = self.range(key).map(|(_, entry)| entry.modify_index).max();
+            let deleted = starting_with(&self.deleted, key).map(|(_, index)| *index);
+            last.max(deleted.max())
+        } else {
+            let last = self.entries.get(key).map(|entry| entry.modify_index);
+            last.max(self.deleted.get(key).copied())
+        };
+        changed.unwrap_or(0)
+    }
+
+    /// Writes a value if `guard` allows it, and returns whether it did.
+    pub(super) fn put(&mut self, key: &str, value: Vec<u8>, guard: &Guard) -> bool {
+        let old = self.entries.get(key);
+        if !self.allows(old, guard) {
+            return false;
+        }
+        let mut entry = old.cloned().unwrap_or(Entry {
+            value: Vec::new(),
+            create_index: self.index() + 1,
+            modify_index: 0,
+            lock_index: 0,
+            session: None,
+        });
+        match guard {
+            Guard::Always | Guard::Index(_) => {}
+            Guard::Acquire(session) => {
+                if entry.session.is_none() {
+                    entry.lock_index += 1;
+                }
+                entry.session = Some(session.clone());
+            }
+            Guard::Release(_) => entry.session = None,
+        }
+        entry.value = value;
+        entry.modify_index = self.next_index();
+        self.deleted.remove(key);
+        self.entries.insert(key.to_owned(), entry);
+        true
+    }
+
+    fn allows(&self, old: Option<&Entry>, guard: &Guard) -> bool {
+        let holder = old.and_then(|entry| entry.session.as_ref());
+        match guard {
+            Guard::Always => true,
+            Guard::Index(index) => old.map_or(0, |entry| entry.modify_index) == *index,
+            Guard::Acquire(session) => {
+                self.sessions.contains_key(session) && holder.is_none_or(|held| held == session)
+            }
+            Guard::Release(session) => holder == Some(session),
+        }
+    }
+
+    /// Deletes a key, if its last change has the index `cas` where one is given.
+    pub(super) fn delete(&mut self, key: &str, cas: Option<u64>) -> bool {
+        let Some(entry) = self.entries.get(key) else {
+            return true;
+        };
+        if cas.is_some_and(|cas| cas != entry.modify_index) {
+            return false;
+        }
+        let index = self.next_index();
+        self.entries.remove(key);
+        self.deleted.insert(key.to_owned(), index);
+        true
+    }
+
+    /// Deletes all keys with a prefix.
+    pub(super) fn delete_prefix(&mut self, prefix: &str) {
+        let keys: Vec<String> = self.range(prefix).map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.delete(&key, None);
+        }
+    }
+
+    /// Makes a session called `id`, which ends when it is not renewed within `ttl`.
+    pub(super) fn create_session(
+        &mut self,
+        id: &str,
+        ttl: Option<Duration>,
+        delete_keys: bool,
+        now: Instant,
+    ) {
+        let session = Session {
+            ttl,
+            delete_keys,
+            expires: ttl.map(|ttl| now + ttl),
+        };
+        self.sessions.insert(id.to_owned(), session);
+    }
+
+    /// Renews a session, and returns whether there is one.
+    pub(super) fn renew_session(&mut self, id: &str, now: Instant) -> bool {
+        let Some(session) = self.sessions.get_mut(id) else {
+            return false;
+        };
+        session.expires = session.ttl.map(|ttl| now + ttl);
+        true
+    }
+
+    /// Ends a session: its locks are released or their keys deleted, as it was made to.
+    pub(super) fn destroy_session(&mut self, id: &str) {
+        let Some(session) = self.sessions.remove(id) else {
+            return;
+        };
+        let held = self.entries.iter();
+        let held = held.filter(|(_, entry)| entry.session.as_deref() == Some(id));
+        let keys: Vec<String> = held.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            if session.delete_keys {
+                self.delete(&key, None);
+            } else {
+                self.release(&key);
+            }
+        }
+    }
+
+    fn release(&mut self, key: &str) {
+        let index = self.next_index();
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.session = None;
+            entry.modify_index = index;
+        }
+    }
+
+    /// Ends the sessions that were not renewed in time.
+    pub(super) fn expire_sessions(&mut self, now: Instant) {
+        let over = |session: &Session| session.expires.is_some_and(|expires| expires <= now);
+        let sessions = self.sessions.iter();
+        let expired = sessions.filter(|(_, session)| over(session));
+        let ids: Vec<String> = expired.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            self.destroy_session(&id);
+        }
+    }
+}
+
+fn starting_with<'a, V>(
+    map: &'a BTreeMap<String, V>,
+    prefix: &'a str,
+) -> impl Iterator<Item = (&'a String, &'a V)> {
+    let from = (Bound::Included(prefix.to_owned()), Bound::Unbounded);
+    map.range(from)
+        .take_while(move |(key, _)| key.starts_with(prefix))
+}
--- /dev/null
+++ b/hemlockrouter-lab/src/upstream/counts.rs
@@ -0,0 +1,51 @@
+//! Counts of what an upstream's stand-in did.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What an upstream did since its start.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Requests that arrived, refused ones included.
+    pub arrived: u64,
+    /// Requests that were served to the end.
+    pub served: u64,
+    /// Most requests in flight at once, waiting ones included.
+    pub peak_in_flight: usize,
+    /// Most requests in flight at once while it was cold.
+    pub peak_cold_in_flight: usize,
+    /// How often more were in flight while it was cold than it can bear, so that it fell over.
+    pub cold_bound_passed: u64,
+    /// How often each run took effect.
+    pub runs: BTreeMap<String, u64>,
+    /// Connections that were opened.
+    pub connections: u64,
+    /// Most connections open at once.
+    pub peak_connections: usize,
+    /// Requests that were shed.
+    pub shed: u64,
+    /// Requests that were cancelled.
+    pub cancelled: u64,
+    /// Requests that were asked for at a snapshot or map that it doesn't have.
+    pub wrong_version: u64,
+    /// Requests that failed on purpose or because it fell over.
+    pub failed: u64,
+    /// Answers that were lost on purpose.
+    pub answers_lost: u64,
+    /// Requests that arrived after it began to leave.
+    pub work_after_leaving: u64,
+    /// When the last of these arrived, in milliseconds since it began to leave.
+    pub last_after_leaving_ms: u64,
+    /// Whether it is cold now.
+    pub cold: bool,
+}
+
+impl Counts {
+    /// Returns the runs that took effect more than once.
+    pub fn repeated_runs(&self) -> Vec<&str> {
+        let runs = self.runs.iter().filter(|(_, times)| **times > 1);
+        runs.map(|(run, _)| run.as_str()).collect()
+    }
+}
--- /dev/null
+++ b/hemlockrouter-lab/src/upstream/model.rs
@@ -0,0 +1,428 @@
+//! What an upstream does with a request: slots, queue, cold start, snapshots.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use hemlockrouter_types::Time;
+use rand::rngs::SmallRng;
+use rand::RngExt;
+use rand::SeedableRng;
+use serde::Deserialize;
+use serde_json::json;
+use serde_json::Value;
+
+use super::counts::Counts;
+use super::spec::Behaviour;
+use super::spec::Spec;
+
+/// When a shed caller is told to come back, in milliseconds.
+const SHED_RETRY_MS: u64 = 20;
+
+/// A request, as it is sent.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct Work {
+    pub(super) id: Value,
+    #[serde(default)]
+    pub(super) shard: String,
+    pub(super) snapshot: Option<u64>,
+    pub(super) map: Option<u32>,
+    #[serde(default)]
+    pub(super) deadline_ms: Option<u64>,
+    #[serde(default)]
+    pub(super) query: Value,
+    pub(super) run_id: Option<String>,
+    #[serde(default)]
+    pub(super) request: Value,
+    #[serde(default)]
+    pub(super) operation: String,
+}
+
+/// Names one request of one upstream.
+pub(super) type Ticket = u64;
+
+/// What the driver has to do.
+#[derive(Clone, Debug)]
+pub(super) enum Command {
+    /// Call [`Model::finish`] with this ticket after `after_ms`.
+    Finish { ticket: Ticket, after_ms: u64 },
+    /// Answer this request.
+    Answer {
+        ticket: Ticket,
+        status: u16,
+        body: Value,
+    },
+    /// Break this exchange off.
+    BreakOff { ticket: Ticket },
+}
+
+struct InFlight {
+    work: Work,
+    /// Added to its service time, in milliseconds.
+    extra_ms: u64,
+    snapshot: u64,
+    deadline: Option<Time>,
+    started: bool,
+}
+
+/// The state of one upstream.
+pub(super) struct Model {
+    spec: Spec,
+    pub(super) behaviour: Behaviour,
+    pub(super) counts: Counts,
+    rng: SmallRng,
+    start: u64,
+    next_ticket: Ticket,
+    in_flight: BTreeMap<Ticket, InFlight>,
+    waiting: VecDeque<Ticket>,
+    started: usize,
+    cold: Option<Cold>,
+    fallen_until: Time,
+    leaving_since: Option<Time>,
+    answers: u64,
+}
+
+struct Cold {
+    since: Time,
+    answers: u64,
+}
+
+impl Model {
+    pub(super) fn new(spec: Spec, behaviour: Behaviour, now: Time) -> Model {
+        let mut rng = SmallRng::seed_from_u64(spec.seed);
+        let mut model = Model {
+            start: rng.random(),
+            rng,
+            behaviour,
+            counts: Counts::default(),
+            next_ticket: 0,
+            in_flight: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            started: 0,
+            cold: None,
+            fallen_until: Time::ZERO,
+            leaving_since: None,
+            answers: 0,
+            spec,
+        };
+        if !model.spec.warm {
+            model.turn_cold(now);
+        }
+        model
+    }
+
+    /// Returns the id of the current start, as answers carry it.
+    pub(super) fn start(&self) -> String {
+        format!("{:016x}", self.start)
+    }
+
+    /// Returns the share of the slots that is taken.
+    pub(super) fn load(&self) -> f64 {
+        self.in_flight.len() as f64 / self.spec.slots.max(1) as f64
+    }
+
+    pub(super) fn is_cold(&self) -> bool {
+        self.cold.is_some()
+    }
+
+    /// Turns cold without a new start.
+    pub(super) fn turn_cold(&mut self, now: Time) {
+        self.cold = Some(Cold {
+            since: now,
+            answers: 0,
+        });
+    }
+
+    /// Starts anew: what was in flight is lost.
+    pub(super) fn restart(&mut self, now: Time, commands: &mut Vec<Command>) {
+        self.start = self.rng.random();
+        let tickets = std::mem::take(&mut self.in_flight).into_keys();
+        commands.extend(tickets.map(|ticket| Command::BreakOff { ticket }));
+        self.waiting.clear();
+        self.started = 0;
+        self.turn_cold(now);
+    }
+
+    /// Changes how it behaves.
+    pub(super) fn set_behaviour(&mut self, behaviour: Behaviour, now: Time) {
+        self.leaving_since = match behaviour.leaving {
+            true => self.leaving_since.or(Some(now)),
+            false => None,
+        };
+        self.behaviour = behaviour;
+    }
+
+    /// Takes a request whose answer the driver keeps open under the returned ticket.
+    pub(super) fn arrive(
+        &mut self,
+        work: Work,
+        extra_ms: u64,
+        now: Time,
+        commands: &mut Vec<Command>,
+    ) -> Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.counts.arrived += 1;
+        if let Some(since) = self.leaving_since {
+            self.counts.work_after_leaving += 1;
+            self.counts.last_after_leaving_ms = now.since(since);
+        }
+        if self.behaviour.down {
+            commands.push(Command::BreakOff { ticket });
+        } else if let Some((status, body)) = self.refusal(&work, now) {
+            commands.push(Command::Answer {
+                ticket,
+                status,
+                body,
+            });
+        } else {
+            self.accept(ticket, work, extra_ms, now, commands);
+        }
+        ticket
+    }
+
+    fn refusal(&mut self, work: &Work, now: Time) -> Option<(u16, Value)> {
+        let start = self.start();
+        if now < self.fallen_until {
+            self.counts.failed += 1;
+            return Some((500, json!({"code": "failed", "start": start})));
+        }
+        if self.behaviour.leaving && self.behaviour.refuse_when_leaving {
+            return Some((503, json!({"code": "leaving", "start": start})));
+        }
+        let wrong = self.wrong_version(work);
+        if wrong.is_some() {
+            self.counts.wrong_version += 1;
+            return wrong.map(|body| (409, body));
+        }
+        if self.in_flight.len() >= self.spec.slots + self.spec.queue {
+            return Some(self.shed());
+        }
+        None
+    }
+
+    /// Counts a request as shed and returns the answer to it.
+    pub(super) fn shed(&mut self) -> (u16, Value) {
+        self.counts.shed += 1;
+        let body = json!({"code": "shed", "retry_after_ms": SHED_RETRY_MS, "start": self.start()});
+        (503, body)
+    }
+
+    fn wrong_version(&self, work: &Work) -> Option<Value> {
+        if work.run_id.is_some() {
+            return None;
+        }
+        let (oldest, newest) = self.snapshots();
+        if work
+            .snapshot
+            .is_some_and(|snapshot| snapshot < oldest || snapshot > newest)
+        {
+            return Some(json!({
+                "code": "wrong_snapshot",
+                "oldest": oldest,
+                "newest": newest,
+                "start": self.start(),
+            }));
+        }
+        match (work.map, self.behaviour.map) {
+            (Some(asked), Some(map)) if asked != map => {
+                Some(json!({"code": "wrong_map", "map": map, "start": self.start()}))
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns the oldest and the newest snapshot that it can serve.
+    fn snapshots(&self) -> (u64, u64) {
+        let newest = self.behaviour.snapshot;
+        let oldest = (newest + 1).saturating_sub(self.spec.snapshots_kept);
+        (oldest.max(1), newest)
+    }
+
+    fn accept(
+        &mut self,
+        ticket: Ticket,
+        work: Work,
+        extra_ms: u64,
+        now: Time,
+        commands: &mut Vec<Command>,
+    ) {
+        let in_flight = InFlight {
+            extra_ms,
+            snapshot: work.snapshot.unwrap_or(self.behaviour.snapshot),
+            deadline: work.deadline_ms.map(|ms| now + ms),
+            work,
+            started: false,
+        };
+        self.in_flight.insert(ticket, in_flight);
+        let count = self.in_flight.len();
+        self.counts.peak_in_flight = self.counts.peak_in_flight.max(count);
+        if self.cold.is_some() {
+            self.counts.peak_cold_in_flight = self.counts.peak_cold_in_flight.max(count);
+            if count > self.spec.cold_slots {
+                self.fall_over(now, commands);
+                return;
+            }
+        }
+        self.waiting.push_back(ticket);
+        self.start_waiting(now, commands);
+    }
+
+    /// An overload while cold: everything fails for a while, and it is cold after that.
+    fn fall_over(&mut self, now: Time, commands: &mut Vec<Command>) {
+        self.counts.cold_bound_passed += 1;
+        self.counts.failed += self.in_flight.len() as u64;
+        self.fallen_until = now + self.spec.fall_ms;
+        let body = json!({"code": "failed", "start": self.start()});
+        for ticket in std::mem::take(&mut self.in_flight).into_keys() {
+            commands.push(Command::Answer {
+                ticket,
+                status: 500,
+                body: body.clone(),
+            });
+        }
+        self.waiting.clear();
+        self.started = 0;
+        self.turn_cold(self.fallen_until);
+    }
+
+    fn start_waiting(&mut self, now: Time, commands: &mut Vec<Command>) {
+        while self.started < self.spec.slots {
+            let Some(ticket) = self.waiting.pop_front() else {
+                return;
+            };
+            let (late, extra_ms) = match self.in_flight.get(&ticket) {
+                Some(waiting) => (
+                    waiting.deadline.is_some_and(|deadline| deadline <= now),
+                    waiting.extra_ms,
+                ),
+                None => continue,
+            };
+            if late {
+                // It did not start, so the refusal is true for a run as well.
+                let (status, body) = self.shed();
+                self.in_flight.remove(&ticket);
+                commands.push(Command::Answer {
+                    ticket,
+                    status,
+                    body,
+                });
+                continue;
+            }
+            let after_ms = self.service_ms() + extra_ms;
+            let begun = self.in_flight.get_mut(&ticket);
+            let begun = begun.expect("the ticket was just found");
+            begun.started = true;
+            self.started += 1;
+            if let Some(run) = &begun.work.run_id {
+                *self.counts.runs.entry(run.clone()).or_default() += 1;
+            }
+            commands.push(Command::Finish { ticket, after_ms });
+        }
+    }
+
+    fn service_ms(&mut self) -> u64 {
+        let mean_ms = match self.cold {
+            Some(_) => self.spec.cold_ms,
+            None => self.spec.serve_ms,
+        };
+        let half_ms = mean_ms / 2;
+        let service_ms = mean_ms - half_ms + self.rng.random_range(0..=2 * half_ms);
+        if self.rng.random_range(0..1_000) < self.behaviour.straggle_per_mille {
+            return service_ms * self.behaviour.straggle_times;
+        }
+        service_ms
+    }
+
+    /// Ends a request that has been served for its time.
+    pub(super) fn finish(&mut self, ticket: Ticket, now: Time, commands: &mut Vec<Command>) {
+        let Some(done) = self.in_flight.remove(&ticket) else {
+            return;
+        };
+        self.started -= 1;
+        self.counts.served += 1;
+        self.warm_up(now);
+        self.answers += 1;
+        let every = self.behaviour.lose_answers_every;
+        if every > 0 && self.answers % every == 0 {
+            self.counts.answers_lost += 1;
+            commands.push(Command::BreakOff { ticket });
+        } else if self.rng.random_range(0..1_000) < self.behaviour.fail_per_mille {
+            self.counts.failed += 1;
+            commands.push(Command::Answer {
+                ticket,
+                status: 500,
+                body: json!({"code": "failed", "start": self.start()}),
+            });
+        } else {
+            commands.push(Command::Answer {
+                ticket,
+                status: 200,
+                body: self.result(&done),
+            });
+        }
+        self.start_waiting(now, commands);
+    }
+
+    fn warm_up(&mut self, now: Time) {
+        if let Some(cold) = &mut self.cold {
+            cold.answers += 1;
+            let warm = cold.answers >= self.spec.warm_answers
+                && now.since(cold.since) >= self.spec.warm_ms;
+            if warm {
+                self.cold = None;
+            }
+        }
+    }
+
+    fn result(&self, done: &InFlight) -> Value {
+        let work = &done.work;
+        if let Some(run) = &work.run_id {
+            return json!({
+                "start": self.start(),
+                "result": {
+                    "operation": work.operation,
+                    "run_id": run,
+                    "upstream": self.spec.name,
+                    "for": work.request.get("id"),
+                },
+            });
+        }
+        let (oldest, newest) = self.snapshots();
+        json!({
+            "start": self.start(),
+            "snapshot": done.snapshot,
+            "map": work.map.or(self.behaviour.map).unwrap_or(0),
+            "oldest": oldest,
+            "newest": newest,
+            "leaving": self.behaviour.leaving,
+            "results": [{
+                "shard": work.shard,
+                "snapshot": done.snapshot,
+                "upstream": self.spec.name,
+                "for": work.query.get("id"),
+            }],
+        })
+    }
+
+    /// Ends a request early. A run that has started goes on: it can't be undone.
+    pub(super) fn cancel(&mut self, id: &Value, now: Time, commands: &mut Vec<Command>) {
+        let mut entries = self.in_flight.iter();
+        let found = entries.find(|(_, entry)| {
+            entry.work.id == *id && (entry.work.run_id.is_none() || !entry.started)
+        });
+        let Some((&ticket, entry)) = found else {
+            return;
+        };
+        if entry.started {
+            self.started -= 1;
+        }
+        self.in_flight.remove(&ticket);
+        self.counts.cancelled += 1;
+        commands.push(Command::Answer {
+            ticket,
+            status: 503,
+            body: json!({"code": "cancelled", "start": self.start()}),
+        });
+        self.start_waiting(now, commands);
+    }
+}
--- /dev/null
+++ b/hemlockrouter-lab/tests/upstream.rs
@@ -0,0 +1,117 @@
+//! The upstreams' stand-in enforces what real upstreams would suffer from.
+
+use std::thread;
+use std::time::Duration;
+
+use hemlockrouter_lab::upstream::Behaviour;
+use hemlockrouter_lab::upstream::Spec;
+use hemlockrouter_lab::upstream::Upstream;
+use serde_json::json;
+use serde_json::Value;
+use ureq::Agent;
+
+fn start(change: fn(&mut Spec)) -> Upstream {
+    let mut spec = Spec::new("mill-1", "127.0.0.1:0".parse().expect("an address"));
+    spec.connect_ms = 0;
+    change(&mut spec);
+    let started = Upstream::start_all(&[spec], &Behaviour::default());
+    started.expect("a free port").remove(0)
+}
+
+fn agent() -> Agent {
+    let config = Agent::config_builder().http_status_as_error(false);
+    config.build().into()
+}
+
+fn post(agent: &Agent, upstream: &Upstream, path: &str, body: Value) -> (u16, Value) {
+    let url = format!("http://{}{path}", upstream.addr());
+    let mut response = agent.post(url).send_json(body).expect("an answer");
+    let status = response.status().as_u16();
+    (status, response.body_mut().read_json().expect("JSON"))
+}
+
+fn search(id: u32, snapshot: Option<u64>) -> Value {
+    json!({"id": id, "shard": "yard-7", "snapshot": snapshot, "map": 1, "query": {"id": id}})
+}
+
+#[test]
+fn results_name_shard_snapshot_and_query() {
+    let upstream = start(|spec| spec.warm = true);
+    upstream.set_behaviour(Behaviour {
+        snapshot: 9,
+        ..Behaviour::default()
+    });
+    let agent = agent();
+    let (status, answer) = post(&agent, &upstream, "/search", search(1, Some(8)));
+    assert_eq!(status, 200);
+    assert_eq!(
+        answer["results"],
+        json!([{"shard": "yard-7", "snapshot": 8, "upstream": "mill-1", "for": 1}])
+    );
+    let (status, answer) = post(&agent, &upstream, "/search", search(2, Some(6)));
+    assert_eq!(status, 409);
+    assert_eq!(
+        (&answer["oldest"], &answer["newest"]),
+        (&json!(7), &json!(9))
+    );
+}
+
+#[test]
+fn an_overload_while_cold_makes_it_fall_over() {
+    let upstream = start(|spec| spec.cold_ms = 200);
+    let agent = agent();
+    thread::scope(|scope| {
+        let first = scope.spawn(|| post(&agent, &upstream, "/search", search(1, None)));
+        while upstream.counts().arrived == 0 {
+            thread::sleep(Duration::from_millis(1));
+        }
+        assert_eq!(post(&agent, &upstream, "/search", search(2, None)).0, 500);
+        assert_eq!(first.join().expect("an answer").0, 500);
+    });
+    let counts = upstream.counts();
+    assert_eq!(counts.cold_bound_passed, 1);
+    assert_eq!(counts.peak_cold_in_flight, 2);
+}
+
+#[test]
+fn it_warms_up_by_answers_and_turns_cold_again() {
+    let upstream = start(|spec| {
+        spec.warm_answers = 2;
+        spec.warm_ms = 0;
+        spec.cold_ms = 1;
+    });
+    let agent = agent();
+    assert!(upstream.counts().cold);
+    for id in 0..2 {
+        assert_eq!(post(&agent, &upstream, "/search", search(id, None)).0, 200);
+    }
+    assert!(!upstream.counts().cold);
+    upstream.turn_cold();
+    assert!(upstream.counts().cold);
+}
+
+#[test]
+fn a_run_without_an_answer_took_effect() {
+    let upstream = start(|spec| spec.warm = true);
+    upstream.set_behaviour(Behaviour {
+        lose_answers_every: 1,
+        ..Behaviour::default()
+    });
+    let url = format!("http://{}/run", upstream.addr());
+    let body = json!({"id": 1, "run_id": "r1", "operation": "book", "request": {}});
+    assert!(agent().post(url).send_json(body).is_err());
+    assert_eq!(upstream.counts().runs["r1"], 1);
+}
+
+#[test]
+fn connections_over_the_limit_are_shed() {
+    let upstream = start(|spec| {
+        spec.warm = true;
+        spec.connections = 1;
+    });
+    let (first, second) = (agent(), agent());
+    assert_eq!(post(&first, &upstream, "/search", search(1, None)).0, 200);
+    assert_eq!(post(&second, &upstream, "/search", search(2, None)).0, 503);
+    assert_eq!(post(&first, &upstream, "/search", search(3, None)).0, 200);
+    assert_eq!(upstream.counts().connections, 1);
+}
