--- a/hemlockrouter-types/src/outcome.rs
+++ b/hemlockrouter-types/src/outcome.rs
@@ -43,6 +43,9 @@
     /// The sender cancelled the work before it started.
     #[display("cancelled")]
     Cancelled,
+    /// Fewer shards of a search answered in time than the caller asked for; some were searched.
+    #[display("coverage")]
+    Coverage,
 }
 
 /// A refusal of work that did not run.
