Give the second note of the guided tour an id of its own

Cause: since a note whose id was accepted is refused, the example in lib.rs, which applied one note twice, met that refusal instead of the one it shows. Change: the example's second note differs in its id; what it expects stays. Run: cargo test -p hemlockrouter-config -p hemlockrouter-platform passes.

--- a/hemlockrouter-config/src/lib.rs
+++ b/hemlockrouter-config/src/lib.rs
@@ -25,7 +25,8 @@
 //! let catalog = note.apply(&Catalog::default(), ConfigNumber(1)).unwrap();
 //! assert!(catalog.find_zone("daegu-1").is_some());
 //!
-//! let err = note.apply(&catalog, ConfigNumber(2)).unwrap_err();
+//! let again = Note::parse(&text.replace("first", "second"), "note.jsonc").unwrap();
+//! let err = again.apply(&catalog, ConfigNumber(2)).unwrap_err();
 //! assert_eq!(
 //!     err.to_string(),
 //!     "note.jsonc:4: added.zones.daegu-1: the zone exists already; change it under \"changed\"",
