Add the cuttable link and the load tool

Cause: cuts between zones and checked load had no tool. Latency counts from the due time of each request. Upstreams also count the effects of runs by the id of the request, so that a not_run can be checked against them. Ruled out: correcting percentiles afterwards by an expected interval; due times make it needless.

--- a/hemlockrouter-lab/src/bin/hemlock-lab.rs
+++ b/hemlockrouter-lab/src/bin/hemlock-lab.rs
@@ -1,11 +1,16 @@
 //! Starts a stand-in or puts load on the tier. All of it is in the library.
 
+use std::env;
 use std::fs;
 use std::net::SocketAddr;
 use std::thread;
 
 use eyre::bail;
 use eyre::WrapErr;
+use hemlockrouter_lab::link::Condition;
+use hemlockrouter_lab::link::Link;
+use hemlockrouter_lab::load::Load;
+use hemlockrouter_lab::load::LoadOptions;
 use hemlockrouter_lab::store::Faults;
 use hemlockrouter_lab::store::Store;
 use hemlockrouter_lab::store::StoreOptions;
@@ -29,6 +34,13 @@
             [--connect-ms N] [--serve-ms N] [--cold-ms N] [--seed N] [--warm]
             --file FILE: [{\"name\", \"listen\", ...}]
             PUT /lab/control, GET /lab/counts
+  link      A TCP relay that can be cut, delayed or left half open
+            --listen ADDR --to ADDR --control ADDR [--delay-ms N]
+            PUT /lab/link, GET /lab/counts on the control address
+  load      Open-loop load that checks every answer; exits with 1 if one breaks a promise
+            --target ADDR[,ADDR...] --key-env NAME --search NAME [--run OPERATION]
+            [--runs-per-mille N] [--rate N] [--seconds N] [--seed N] [--deadline-ms N]
+            [--threads N] [--new-connections] [--json]
   --help    This text
 
 Each stand-in prints the addresses that it listens on, one a line, and runs until it is stopped.
@@ -41,6 +53,8 @@
         Some(Value(command)) => match command.string()?.as_str() {
             "store" => store(args),
             "upstream" => upstream(args),
+            "link" => link(args),
+            "load" => load(args),
             other => bail!("unknown command {other:?}; see hemlock-lab --help"),
         },
         Some(Short('h') | Long("help")) => {
@@ -102,6 +116,76 @@
     run_until_stopped()
 }
 
+fn link(mut args: Parser) -> eyre::Result<()> {
+    let (mut listen, mut to, mut control) = (None, None, None);
+    let mut condition = Condition::default();
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("listen") => listen = Some(args.value()?.parse()?),
+            Long("to") => to = Some(args.value()?.parse()?),
+            Long("control") => control = Some(args.value()?.parse()?),
+            Long("delay-ms") => condition.delay_ms = args.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let link = Link::start(
+        required(listen, "--listen")?,
+        required(to, "--to")?,
+        condition,
+    )?;
+    let control = link.serve_control(required(control, "--control")?)?;
+    println!("link {}", link.addr());
+    println!("control {}", control.addr());
+    run_until_stopped()
+}
+
+fn load(mut args: Parser) -> eyre::Result<()> {
+    let mut options = LoadOptions::new(Vec::new(), "");
+    let mut json = false;
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("target") => {
+                for target in args.value()?.string()?.split(',') {
+                    options.targets.push(target.parse()?);
+                }
+            }
+            Long("key-env") => {
+                let name = args.value()?.string()?;
+                options.key = env::var(&name).wrap_err_with(|| format!("no key in {name}"))?;
+            }
+            Long("search") => options.search = Some(args.value()?.string()?),
+            Long("run") => options.operation = Some(args.value()?.string()?),
+            Long("runs-per-mille") => options.runs_per_mille = args.value()?.parse()?,
+            Long("rate") => options.rate = args.value()?.parse()?,
+            Long("seconds") => options.duration_ms = 1_000 * args.value()?.parse::<u64>()?,
+            Long("seed") => options.seed = args.value()?.parse()?,
+            Long("deadline-ms") => options.deadline_ms = args.value()?.parse()?,
+            Long("threads") => options.threads = args.value()?.parse()?,
+            Long("new-connections") => options.keep_alive = false,
+            Long("json") => json = true,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if options.targets.is_empty() {
+        bail!("--target is needed");
+    }
+    if options.search.is_none() && options.operation.is_none() {
+        bail!("--search or --run is needed");
+    }
+    let mut report = Load::start(options).finish();
+    let kept = report.faults.is_empty() && report.lost == 0;
+    if json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        report.runs.clear();
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    }
+    if kept {
+        return Ok(());
+    }
+    bail!("{} lost, broken promises: {:?}", report.lost, report.faults)
+}
+
 fn required<T>(value: Option<T>, option: &str) -> eyre::Result<T> {
     value.ok_or_else(|| eyre::eyre!("{option} is needed"))
 }
--- a/hemlockrouter-lab/src/lib.rs
+++ b/hemlockrouter-lab/src/lib.rs
@@ -24,9 +24,13 @@
 //!
 //! - [`store`]: the platform's key-value store and instance list.
 //! - [`upstream`]: upstreams with slots, cold starts, snapshots and stragglers.
+//! - [`link`]: a TCP relay that can be cut, delayed or left half open.
+//! - [`load`]: open-loop load that checks every answer.
 //! - [`server`]: the HTTP server under them.
 //! - [`timer`]: actions at a later time.
 
+pub mod link;
+pub mod load;
 pub mod server;
 pub mod store;
 pub mod timer;
--- /dev/null
+++ b/hemlockrouter-lab/src/link.rs
@@ -0,0 +1,300 @@
+//! A TCP relay that can be cut, delayed or left half open.
+//!
+//! Put between two processes, it stands for the network between them. Cut, it ends every
+//! connection and each new one at once. Half open, connections stand and can be made, but nothing
+//! comes through, as when packets vanish on the way. Bytes keep their order in every case.
+//!
+//! `PUT /lab/link` on the control address takes [`Condition`] (fields left out keep their value),
+//! and `GET /lab/counts` returns [`Counts`].
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use eyre::WrapErr;
+use serde::Deserialize;
+use serde::Serialize;
+use tiny_http::Method;
+
+use crate::server::overlay;
+use crate::server::Answer;
+use crate::server::Exchange;
+use crate::server::Server;
+use crate::server::ServerOptions;
+
+/// Bytes that are read at once.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// Chunks that one direction of a connection holds back.
+const CHUNKS_HELD: usize = 256;
+
+/// How long a connection to the far end may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The condition of the link.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Condition {
+    /// Ends all connections, and each new one at once.
+    pub cut: bool,
+    /// Lets nothing through, in either direction; connections can still be made.
+    pub half_open: bool,
+    /// How much later bytes arrive, in each direction, in milliseconds.
+    pub delay_ms: u64,
+}
+
+/// What went through the link.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Connections that were made.
+    pub connections: u64,
+    /// Connections that are open.
+    pub open: u64,
+    /// Bytes that were passed on, in both directions.
+    pub bytes: u64,
+}
+
+/// A running link. It stops when dropped.
+pub struct Link {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+    stopped: AtomicBool,
+}
+
+#[derive(Default)]
+struct State {
+    condition: Condition,
+    counts: Counts,
+    open: Vec<(u64, TcpStream, TcpStream)>,
+}
+
+impl Link {
+    /// Starts to relay connections to `listen` on to `to`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be listened on.
+    pub fn start(listen: SocketAddr, to: SocketAddr, condition: Condition) -> eyre::Result<Link> {
+        let listener =
+            TcpListener::bind(listen).wrap_err_with(|| format!("can't listen on {listen}"))?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared::default());
+        shared.lock().condition = condition;
+        let accepting = Arc::clone(&shared);
+        thread::spawn(move || accept(&listener, to, &accepting));
+        Ok(Link { addr, shared })
+    }
+
+    /// Serves the control paths on `listen`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be listened on.
+    pub fn serve_control(&self, listen: SocketAddr) -> eyre::Result<Server> {
+        let shared = Arc::clone(&self.shared);
+        Server::start(listen, ServerOptions::default(), move |exchange| {
+            let answer = shared.control(&exchange);
+            exchange.answer(answer);
+        })
+    }
+
+    /// Returns the address that it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Changes the condition.
+    pub fn set(&self, condition: Condition) {
+        self.shared.set(condition);
+    }
+
+    /// Returns what went through.
+    pub fn counts(&self) -> Counts {
+        self.shared.lock().counts
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.shared.stopped.store(true, Ordering::Relaxed);
+        self.shared.set(Condition {
+            cut: true,
+            ..Condition::default()
+        });
+        // The accepting thread looks at `stopped` only after a connection.
+        drop(TcpStream::connect(self.addr));
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics under the lock")
+    }
+
+    fn set(&self, condition: Condition) {
+        let mut state = self.lock();
+        state.condition = condition;
+        if condition.cut {
+            for (_, near, far) in state.open.drain(..) {
+                close(&near, &far);
+            }
+            state.counts.open = 0;
+        }
+        self.changed.notify_all();
+    }
+
+    fn control(&self, exchange: &Exchange) -> Answer {
+        match (exchange.method(), exchange.path.as_str()) {
+            (Method::Get, "/lab/counts") => Answer::json(200, &self.lock().counts),
+            (Method::Put, "/lab/link") => {
+                let current = self.lock().condition;
+                let wanted = exchange.json();
+                match wanted.and_then(|fields| overlay(&current, fields)) {
+                    Ok(condition) => {
+                        self.set(condition);
+                        Answer::json(200, &condition)
+                    }
+                    Err(err) => Answer::bad_request(err),
+                }
+            }
+            _ => Answer::not_found(),
+        }
+    }
+
+    /// Waits until bytes may go through, and returns how late they shall be.
+    fn wait_until_open(&self) -> u64 {
+        let mut state = self.lock();
+        while state.condition.half_open && !state.condition.cut {
+            let woken = self.changed.wait(state);
+            state = woken.expect("no thread panics under the lock");
+        }
+        state.condition.delay_ms
+    }
+
+    fn opened(&self, near: &TcpStream, far: &TcpStream) -> io::Result<Option<u64>> {
+        let ends = (near.try_clone()?, far.try_clone()?);
+        let mut state = self.lock();
+        if state.condition.cut {
+            return Ok(None);
+        }
+        state.counts.connections += 1;
+        state.counts.open += 1;
+        let id = state.counts.connections;
+        state.open.push((id, ends.0, ends.1));
+        Ok(Some(id))
+    }
+
+    fn closed(&self, id: u64) {
+        let mut state = self.lock();
+        let at = state.open.iter().position(|(open, _, _)| *open == id);
+        if let Some(at) = at {
+            let (_, near, far) = state.open.swap_remove(at);
+            close(&near, &far);
+            state.counts.open -= 1;
+        }
+    }
+}
+
+fn close(near: &TcpStream, far: &TcpStream) {
+    for end in [near, far] {
+        if let Err(err) = end.shutdown(Shutdown::Both) {
+            log::debug!("the connection had ended: {err}");
+        }
+    }
+}
+
+fn accept(listener: &TcpListener, to: SocketAddr, shared: &Arc<Shared>) {
+    for near in listener.incoming() {
+        if shared.stopped.load(Ordering::Relaxed) {
+            return;
+        }
+        let Ok(near) = near else { continue };
+        if shared.lock().condition.cut {
+            continue;
+        }
+        let shared = Arc::clone(shared);
+        thread::spawn(move || {
+            if let Err(err) = relay(near, to, &shared) {
+                log::debug!("connection not relayed: {err}");
+            }
+        });
+    }
+}
+
+fn relay(near: TcpStream, to: SocketAddr, shared: &Arc<Shared>) -> io::Result<()> {
+    shared.wait_until_open();
+    let far = TcpStream::connect_timeout(&to, CONNECT_TIMEOUT)?;
+    near.set_nodelay(true)?;
+    far.set_nodelay(true)?;
+    let Some(id) = shared.opened(&near, &far)? else {
+        return Ok(());
+    };
+    thread::scope(|scope| {
+        scope.spawn(|| pump(&near, &far, shared));
+        pump(&far, &near, shared);
+    });
+    shared.closed(id);
+    Ok(())
+}
+
+/// Passes bytes on in one direction until the connection ends.
+fn pump(from: &TcpStream, to: &TcpStream, shared: &Shared) {
+    let (sender, receiver) = mpsc::sync_channel(CHUNKS_HELD);
+    thread::scope(|scope| {
+        scope.spawn(move || write_chunks(to, receiver, shared));
+        read_chunks(from, sender);
+    });
+    // The other direction goes on until its own end.
+    if let Err(err) = to.shutdown(Shutdown::Write) {
+        log::debug!("the connection had ended: {err}");
+    }
+}
+
+fn read_chunks(mut from: &TcpStream, sender: SyncSender<(Instant, Vec<u8>)>) {
+    let mut buffer = vec![0; CHUNK_BYTES];
+    loop {
+        match from.read(&mut buffer) {
+            Ok(0) | Err(_) => return,
+            Ok(count) => {
+                let chunk = (Instant::now(), buffer[..count].to_vec());
+                if sender.send(chunk).is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn write_chunks(mut to: &TcpStream, receiver: Receiver<(Instant, Vec<u8>)>, shared: &Shared) {
+    while let Ok((read, chunk)) = receiver.recv() {
+        let delay = Duration::from_millis(shared.wait_until_open());
+        thread::sleep((read + delay).saturating_duration_since(Instant::now()));
+        // Counted first: whoever has received a byte sees it counted.
+        shared.lock().counts.bytes += chunk.len() as u64;
+        if to.write_all(&chunk).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrouter-lab/src/load/check.rs
@@ -0,0 +1,85 @@
+//! Whether an answer keeps what the tier promises.
+
+use std::collections::BTreeSet;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+/// A promise that an answer breaks.
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// A result is for another query.
+    #[display("foreign_result")]
+    ForeignResult,
+    /// A result is of another snapshot than the answer names.
+    #[display("mixed_snapshots")]
+    MixedSnapshots,
+    /// The coverage does not agree with the results.
+    #[display("false_coverage")]
+    FalseCoverage,
+    /// A refusal lacks its code, whether anything ran, or when to come back.
+    #[display("unclear_refusal")]
+    UnclearRefusal,
+    /// A run's answer is not one of the outcomes.
+    #[display("unclear_outcome")]
+    UnclearOutcome,
+}
+
+/// Checks the answer to the search whose query has the id `id`.
+pub(super) fn search(id: &str, body: &Value) -> BTreeSet<Fault> {
+    let mut faults = BTreeSet::new();
+    let empty = Vec::new();
+    let results = body["results"].as_array().unwrap_or(&empty);
+    if results.iter().any(|result| result["for"] != id) {
+        faults.insert(Fault::ForeignResult);
+    }
+    if results
+        .iter()
+        .any(|result| result["snapshot"] != body["snapshot"])
+    {
+        faults.insert(Fault::MixedSnapshots);
+    }
+    if !covers(results, &body["coverage"]) {
+        faults.insert(Fault::FalseCoverage);
+    }
+    faults
+}
+
+/// Returns whether the coverage states exactly the shards of the results.
+fn covers(results: &[Value], coverage: &Value) -> bool {
+    let names = |value: &Value| value.as_str().map(str::to_owned);
+    let answered: Vec<String> = results.iter().filter_map(|r| names(&r["shard"])).collect();
+    let missing = coverage["missing"].as_array();
+    let missing: Vec<String> = missing.into_iter().flatten().filter_map(names).collect();
+    let all: BTreeSet<&String> = answered.iter().chain(&missing).collect();
+    // Doubled results and shards that are both answered and missing make the set smaller.
+    let total = answered.len() + missing.len();
+    coverage["shards_answered"] == answered.len()
+        && coverage["shards_total"] == total
+        && all.len() == total
+}
+
+/// Checks the answer to the run whose request has the id `id`.
+pub(super) fn run(id: &str, body: &Value) -> BTreeSet<Fault> {
+    let fault = match body["outcome"].as_str() {
+        Some("done") if body["result"]["for"] != id => Some(Fault::ForeignResult),
+        Some("done" | "unknown" | "conflict") => None,
+        Some("not_run") if body["retry_after_ms"].is_u64() => None,
+        Some("not_run") => Some(Fault::UnclearRefusal),
+        _ => Some(Fault::UnclearOutcome),
+    };
+    fault.into_iter().collect()
+}
+
+/// Checks a refusal.
+pub(super) fn refusal(body: &Value) -> BTreeSet<Fault> {
+    let ran = &body["ran"];
+    let clear = body["code"].is_string()
+        && (*ran == false || *ran == "unknown")
+        && body["retry_after_ms"].is_u64();
+    let fault = (!clear).then_some(Fault::UnclearRefusal);
+    fault.into_iter().collect()
+}
--- /dev/null
+++ b/hemlockrouter-lab/src/load/plan.rs
@@ -0,0 +1,60 @@
+//! What is sent when, drawn from the seed.
+
+use rand::rngs::SmallRng;
+use rand::RngExt;
+use rand::SeedableRng;
+
+use super::LoadOptions;
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Task {
+    Search,
+    Run,
+}
+
+/// One request that falls due.
+#[derive(Clone, Debug)]
+pub(super) struct Arrival {
+    /// Counts the requests.
+    pub(super) number: u64,
+    /// Due time after the start, in milliseconds.
+    pub(super) at_ms: u64,
+    pub(super) task: Task,
+    seed: u64,
+}
+
+impl Arrival {
+    /// Returns the id that the request carries, which is unique among loads of different seeds.
+    pub(super) fn id(&self) -> String {
+        format!("load-{}-{}", self.seed, self.number)
+    }
+}
+
+/// Draws the requests: the gaps between them are exponential, as of many independent callers.
+pub(super) fn arrivals(options: &LoadOptions) -> Vec<Arrival> {
+    let mut rng = SmallRng::seed_from_u64(options.seed);
+    let mean_gap_ms = 1_000.0 / f64::from(options.rate.max(1));
+    let mut arrivals = Vec::new();
+    let mut at_ms = 0.0;
+    loop {
+        let uniform: f64 = rng.random();
+        at_ms -= mean_gap_ms * (1.0 - uniform).ln();
+        if at_ms >= options.duration_ms as f64 {
+            return arrivals;
+        }
+        let runs_per_mille = match (&options.search, &options.operation) {
+            (Some(_), Some(_)) => options.runs_per_mille,
+            (Some(_), None) => 0,
+            (None, Some(_)) => 1_000,
+            (None, None) => panic!("load needs a search or an operation"),
+        };
+        let run = rng.random_range(0..1_000) < runs_per_mille;
+        arrivals.push(Arrival {
+            number: arrivals.len() as u64,
+            at_ms: at_ms as u64,
+            task: if run { Task::Run } else { Task::Search },
+            seed: options.seed,
+        });
+    }
+}
--- a/hemlockrouter-lab/src/upstream/counts.rs
+++ b/hemlockrouter-lab/src/upstream/counts.rs
@@ -20,6 +20,8 @@
     pub cold_bound_passed: u64,
     /// How often each run took effect.
     pub runs: BTreeMap<String, u64>,
+    /// How often each request of a run took effect, by the `id` field of the request.
+    pub requests: BTreeMap<String, u64>,
     /// Connections that were opened.
     pub connections: u64,
     /// Most connections open at once.
@@ -43,9 +45,8 @@
 }
 
 impl Counts {
-    /// Returns the runs that took effect more than once.
-    pub fn repeated_runs(&self) -> Vec<&str> {
-        let runs = self.runs.iter().filter(|(_, times)| **times > 1);
-        runs.map(|(run, _)| run.as_str()).collect()
+    /// Returns how often the run whose request has this `id` field took effect.
+    pub fn effects(&self, request: &str) -> u64 {
+        self.requests.get(request).copied().unwrap_or(0)
     }
 }
--- a/hemlockrouter-lab/src/upstream/model.rs
+++ b/hemlockrouter-lab/src/upstream/model.rs
@@ -315,6 +315,10 @@
             self.started += 1;
             if let Some(run) = &begun.work.run_id {
                 *self.counts.runs.entry(run.clone()).or_default() += 1;
+                if let Some(request) = begun.work.request["id"].as_str() {
+                    let requests = &mut self.counts.requests;
+                    *requests.entry(request.to_owned()).or_default() += 1;
+                }
             }
             commands.push(Command::Finish { ticket, after_ms });
         }
--- /dev/null
+++ b/hemlockrouter-lab/tests/link.rs
@@ -0,0 +1,70 @@
+//! The link passes bytes on, or doesn't, as it is told.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use hemlockrouter_lab::link::Condition;
+use hemlockrouter_lab::link::Link;
+
+/// Starts a server that sends back every byte, behind a link.
+fn start() -> Link {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let to = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || std::io::copy(&mut &stream, &mut &stream));
+        }
+    });
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    Link::start(listen, to, Condition::default()).expect("a free port")
+}
+
+fn connect(link: &Link) -> TcpStream {
+    TcpStream::connect(link.addr()).expect("the link listens")
+}
+
+fn echo(stream: &mut TcpStream) -> std::io::Result<u8> {
+    stream.write_all(b"x")?;
+    let mut byte = [0];
+    stream.read_exact(&mut byte)?;
+    Ok(byte[0])
+}
+
+#[test]
+fn a_cut_ends_connections_and_heals() {
+    let link = start();
+    let mut stream = connect(&link);
+    assert_eq!(echo(&mut stream).expect("an echo"), b'x');
+    link.set(Condition {
+        cut: true,
+        ..Condition::default()
+    });
+    assert!(echo(&mut stream).is_err());
+    assert!(echo(&mut connect(&link)).is_err());
+    link.set(Condition::default());
+    assert_eq!(echo(&mut connect(&link)).expect("an echo"), b'x');
+    assert_eq!(link.counts().bytes, 4);
+}
+
+#[test]
+fn half_open_holds_bytes_back_until_it_heals() {
+    let link = start();
+    let mut stream = connect(&link);
+    assert_eq!(echo(&mut stream).expect("an echo"), b'x');
+    link.set(Condition {
+        half_open: true,
+        ..Condition::default()
+    });
+    let silence = Some(Duration::from_millis(100));
+    stream.set_read_timeout(silence).expect("a socket");
+    assert!(echo(&mut stream).is_err());
+    link.set(Condition::default());
+    stream.set_read_timeout(None).expect("a socket");
+    let mut byte = [0];
+    stream.read_exact(&mut byte).expect("the byte held back");
+    assert_eq!(byte, *b"x");
+}
--- /dev/null
+++ b/hemlockrouter-lab/tests/load.rs
@@ -0,0 +1,68 @@
+//! The load tool detects answers that break a promise, and repeats only what broke off.
+
+use hemlockrouter_lab::load::Fault;
+use hemlockrouter_lab::load::Load;
+use hemlockrouter_lab::load::LoadOptions;
+use hemlockrouter_lab::load::Report;
+use hemlockrouter_lab::server::Answer;
+use hemlockrouter_lab::server::Server;
+use hemlockrouter_lab::server::ServerOptions;
+use serde_json::json;
+use serde_json::Value;
+
+/// Loads a tier that answers each request with what `answer` makes of its id.
+fn load(answer: fn(&str) -> Value) -> Report {
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let server = Server::start(listen, ServerOptions::default(), move |exchange| {
+        let body: Value = exchange.json().expect("JSON");
+        let id = body["query"]["id"]
+            .as_str()
+            .or(body["request"]["id"].as_str());
+        let body = answer(id.expect("an id"));
+        exchange.answer(Answer::json(200, &body));
+    })
+    .expect("a free port");
+    let mut options = LoadOptions::new(vec![server.addr()], "key");
+    options.search = Some("halls".to_owned());
+    options.operation = Some("book".to_owned());
+    options.rate = 500;
+    options.duration_ms = 200;
+    options.deadline_ms = 5_000;
+    Load::start(options).finish()
+}
+
+fn result(shard: &str, snapshot: u64, id: &str) -> Value {
+    json!({"shard": shard, "snapshot": snapshot, "for": id})
+}
+
+fn answer(results: Vec<Value>, answered: u64, missing: &[&str]) -> Value {
+    json!({
+        "outcome": "done",
+        "result": results[0],
+        "results": results,
+        "snapshot": 4,
+        "coverage": {"shards_answered": answered, "shards_total": 3, "missing": missing},
+    })
+}
+
+#[test]
+fn true_answers_pass() {
+    let report = load(|id| answer(vec![result("a", 4, id), result("b", 4, id)], 2, &["c"]));
+    assert!(report.faults.is_empty(), "{:?}", report.faulty);
+    assert_eq!(report.answered, report.sent);
+    assert_eq!(report.outcome("done") + report.searched, report.sent);
+    assert_eq!((report.lost, report.coverage_per_mille), (0, 666));
+}
+
+#[test]
+fn broken_promises_are_found() {
+    let found = |report: Report| report.faults.into_keys().collect::<Vec<Fault>>();
+    let foreign = load(|_| answer(vec![result("a", 4, "x")], 1, &["b", "c"]));
+    assert_eq!(found(foreign), [Fault::ForeignResult]);
+    let mixed = load(|id| answer(vec![result("a", 3, id)], 1, &["b", "c"]));
+    assert_eq!(found(mixed), [Fault::MixedSnapshots]);
+    let counted_twice = load(|id| answer(vec![result("a", 4, id); 2], 2, &["c"]));
+    assert_eq!(found(counted_twice), [Fault::FalseCoverage]);
+    let overstated = load(|id| answer(vec![result("a", 4, id)], 2, &["c"]));
+    assert_eq!(found(overstated), [Fault::FalseCoverage]);
+}
