--- /dev/null
+++ b/hemlockrouter-route/src/choose.rs
@@ -0,0 +1,367 @@
+//! Which replica a sub-request goes to.
+//!
+//! A replica of the own zone is taken unless it is slow: crossing zones costs a delay and, where
+//! zones lie in several regions, much of the deadline. Among replicas that are equally near, two
+//! are drawn at random and the better is taken ("The Power of Two Choices in Randomized Load
+//! Balancing"), since instances that all took the best one by their own lagging view would
+//! overload it together. Nothing here reads the upstreams' own health reports: they lag and may
+//! mislead. What counts is how they answered this instance.
+
+use hemlockrouter_types::prelude::*;
+use rand::rngs::StdRng;
+use rand::RngExt;
+
+use crate::latency::Latency;
+
+/// The latency that is assumed of an upstream that has not answered yet, in milliseconds.
+const UNKNOWN_MS: u64 = 10;
+
+/// An upstream of another zone must be better than one of the own zone by this factor.
+const FAR_FACTOR: f64 = 1.5;
+
+/// An upstream that was not asked for this long loses half of what counts against it.
+const FORGET_MS: u64 = 5_000;
+
+/// An upstream whose last answer lies back by this many medians while it works is held for slow.
+const SILENT_MEDIANS: u64 = 4;
+
+/// How long an upstream that failed is passed over at first, in milliseconds.
+const FAILED_BACKOFF_MS: u64 = 50;
+
+/// How long an upstream that failed is passed over at most, in milliseconds.
+const FAILED_BACKOFF_MAX_MS: u64 = 2_000;
+
+/// What this instance knows of one upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct State {
+    key: UpstreamKey,
+    zone: ZoneKey,
+    slots: u32,
+    in_service: bool,
+    in_flight: u32,
+    latency: Latency,
+    busy_since: Time,
+    asked_at: Time,
+    backoff_until: Time,
+    troubles: u32,
+    serves: Option<SnapshotRange>,
+}
+
+/// Why a replica can't be taken now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Barred {
+    /// It is not in the catalogue, or operators took it or its zone out of service.
+    OutOfService,
+    /// It refused or failed and is to be left alone until then.
+    Backoff(Time),
+}
+
+/// All upstreams of the catalogue.
+#[derive(Clone, Debug)]
+pub(crate) struct Upstreams {
+    own_zone: Option<ZoneKey>,
+    high_quantile: f64,
+    states: Vec<Option<State>>,
+    serves_changes: u64,
+}
+
+impl Upstreams {
+    /// Makes an empty table whose records work out `high_quantile` of the latencies.
+    pub(crate) fn new(high_quantile: f64) -> Upstreams {
+        Upstreams {
+            own_zone: None,
+            high_quantile,
+            states: Vec::new(),
+            serves_changes: 0,
+        }
+    }
+
+    /// Takes over the upstreams of `catalog` and keeps what is known of those that stay.
+    pub(crate) fn configure(&mut self, catalog: &Catalog, own_zone: &str) {
+        self.own_zone = catalog.find_zone(own_zone);
+        let mut old = std::mem::take(&mut self.states);
+        for (key, upstream) in catalog.upstreams.iter() {
+            let slot = key.slot();
+            let known = old.get_mut(slot).and_then(Option::take);
+            let mut state = known
+                .filter(|state| state.key == key)
+                .unwrap_or_else(|| State::new(key, upstream.zone, self.high_quantile));
+            state.zone = upstream.zone;
+            state.slots = upstream.slots.max(1);
+            state.in_service = catalog.in_service(key);
+            if self.states.len() <= slot {
+                self.states.resize_with(slot + 1, || None);
+            }
+            self.states[slot] = Some(state);
+        }
+        self.serves_changes += 1;
+    }
+
+    /// Returns what is known of `key`.
+    pub(crate) fn get(&self, key: UpstreamKey) -> Option<&State> {
+        let state = self.states.get(key.slot())?.as_ref()?;
+        (state.key == key).then_some(state)
+    }
+
+    fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut State> {
+        let state = self.states.get_mut(key.slot())?.as_mut()?;
+        (state.key == key).then_some(state)
+    }
+
+    /// Counts the changes of what upstreams can serve.
+    pub(crate) fn serves_changes(&self) -> u64 {
+        self.serves_changes
+    }
+
+    /// Returns the snapshots that `key` is known to serve.
+    pub(crate) fn serves(&self, key: UpstreamKey) -> Option<SnapshotRange> {
+        self.get(key)?.serves
+    }
+
+    /// Notes what `key` can serve.
+    pub(crate) fn learn_serves(&mut self, key: UpstreamKey, serves: SnapshotRange) {
+        let Some(state) = self.get_mut(key) else {
+            return;
+        };
+        if state.serves == Some(serves) {
+            return;
+        }
+        state.serves = Some(serves);
+        self.serves_changes += 1;
+    }
+
+    /// Notes that a sub-request goes to `key`.
+    pub(crate) fn sent(&mut self, now: Time, key: UpstreamKey) {
+        if let Some(state) = self.get_mut(key) {
+            if state.in_flight == 0 {
+                state.busy_since = now;
+            }
+            state.in_flight += 1;
+            state.asked_at = now;
+        }
+    }
+
+    /// Notes that `key` answered a sub-request that was sent at `sent_at`.
+    pub(crate) fn answered(&mut self, now: Time, key: UpstreamKey, sent_at: Time) {
+        if let Some(state) = self.get_mut(key) {
+            state.end(now);
+            state.latency.record(now.since(sent_at));
+            state.troubles = 0;
+            state.backoff_until = state.backoff_until.min(now);
+        }
+    }
+
+    /// Notes that a sub-request to `key` was cancelled. It took at least as long as it was waited
+    /// for, which must count: else an upstream that always loses against hedges looks fast.
+    pub(crate) fn cancelled(&mut self, now: Time, key: UpstreamKey, sent_at: Time) {
+        if let Some(state) = self.get_mut(key) {
+            let busy_since = state.busy_since;
+            state.end(now);
+            state.busy_since = busy_since;
+            let waited_ms = now.since(sent_at);
+            if state
+                .latency
+                .median_ms()
+                .is_none_or(|median_ms| waited_ms > median_ms)
+            {
+                state.latency.record(waited_ms);
+            }
+        }
+    }
+
+    /// Notes that `key` did not run a sub-request for a reason that says nothing about its load.
+    pub(crate) fn declined(&mut self, now: Time, key: UpstreamKey) {
+        if let Some(state) = self.get_mut(key) {
+            state.end(now);
+        }
+    }
+
+    /// Notes that a sub-request to `key` did not run.
+    pub(crate) fn not_run(&mut self, now: Time, key: UpstreamKey, refusal: Refusal) {
+        match refusal.reason {
+            Reason::Unreachable | Reason::NotOwner => self.failed(now, key),
+            _ => self.refused(now, key, refusal.retry_after_ms),
+        }
+    }
+
+    /// Notes that `key` refused a sub-request and is to be left alone for a time.
+    fn refused(&mut self, now: Time, key: UpstreamKey, retry_after_ms: u32) {
+        if let Some(state) = self.get_mut(key) {
+            state.end(now);
+            state.troubles += 1;
+            let until = now + u64::from(retry_after_ms.max(1));
+            state.backoff_until = state.backoff_until.max(until);
+        }
+    }
+
+    /// Notes that `key` failed or can't be reached.
+    pub(crate) fn failed(&mut self, now: Time, key: UpstreamKey) {
+        if let Some(state) = self.get_mut(key) {
+            state.end(now);
+            let backoff_ms = FAILED_BACKOFF_MS << state.troubles.min(10);
+            state.troubles += 1;
+            let until = now + backoff_ms.min(FAILED_BACKOFF_MAX_MS);
+            state.backoff_until = state.backoff_until.max(until);
+        }
+    }
+
+    /// Returns why `key` can't be taken now, or `None` if it can.
+    pub(crate) fn barred(&self, now: Time, key: UpstreamKey) -> Option<Barred> {
+        let Some(state) = self.get(key) else {
+            return Some(Barred::OutOfService);
+        };
+        if !state.in_service {
+            return Some(Barred::OutOfService);
+        }
+        if state.backoff_until > now {
+            return Some(Barred::Backoff(state.backoff_until));
+        }
+        None
+    }
+
+    /// Chooses among `replicas`, of which `allowed` tells which may be taken by their position.
+    pub(crate) fn choose<F>(
+        &self,
+        now: Time,
+        replicas: &[UpstreamKey],
+        rng: &mut StdRng,
+        allowed: F,
+    ) -> Option<usize>
+    where
+        F: Fn(usize) -> bool,
+    {
+        let mut near = Pair::default();
+        let mut far = Pair::default();
+        for (index, key) in replicas.iter().enumerate() {
+            if !allowed(index) || self.barred(now, *key).is_some() {
+                continue;
+            }
+            let pair = match self.is_near(*key) {
+                true => &mut near,
+                false => &mut far,
+            };
+            pair.draw(index, rng);
+        }
+        let near = near.better(|index| self.weighted_cost(now, replicas[index]));
+        let far = far.better(|index| self.weighted_cost(now, replicas[index]));
+        match (near, far) {
+            (Some(near), Some(far)) if far.cost < near.cost => Some(far.index),
+            (Some(near), _) => Some(near.index),
+            (None, far) => far.map(|far| far.index),
+        }
+    }
+
+    /// Returns whether `key` lies in the own zone.
+    pub(crate) fn is_near(&self, key: UpstreamKey) -> bool {
+        let zone = self.get(key).map(|state| state.zone);
+        zone.is_some() && zone == self.own_zone
+    }
+
+    /// Returns the expected latency of a further sub-request to `key`, in milliseconds.
+    pub(crate) fn cost(&self, now: Time, key: UpstreamKey) -> f64 {
+        self.get(key).map_or(f64::MAX, |state| state.cost(now))
+    }
+
+    /// Returns the cost of `key`, weighed by whether it lies in the own zone.
+    pub(crate) fn weighted_cost(&self, now: Time, key: UpstreamKey) -> f64 {
+        let cost = self.cost(now, key);
+        match self.is_near(key) {
+            true => cost,
+            false => cost * FAR_FACTOR,
+        }
+    }
+
+    /// Returns the high quantile of the latencies of `key` in milliseconds, if it rests on at least
+    /// `samples` of them.
+    pub(crate) fn high_ms(&self, key: UpstreamKey, samples: u32) -> Option<u64> {
+        let latency = &self.get(key)?.latency;
+        (latency.samples() >= samples).then(|| latency.high_ms())?
+    }
+
+    /// Returns how many sub-requests of this instance are at `key`.
+    pub(crate) fn in_flight(&self, key: UpstreamKey) -> u32 {
+        self.get(key).map_or(0, |state| state.in_flight)
+    }
+}
+
+impl State {
+    fn new(key: UpstreamKey, zone: ZoneKey, high_quantile: f64) -> State {
+        State {
+            key,
+            zone,
+            slots: 1,
+            in_service: false,
+            in_flight: 0,
+            latency: Latency::new(high_quantile),
+            busy_since: Time::ZERO,
+            asked_at: Time::ZERO,
+            backoff_until: Time::ZERO,
+            troubles: 0,
+            serves: None,
+        }
+    }
+
+    fn end(&mut self, now: Time) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.busy_since = now;
+    }
+
+    fn cost(&self, now: Time) -> f64 {
+        let mut latency_ms = self.latency.median_ms().unwrap_or(UNKNOWN_MS).max(1);
+        if self.in_flight > 0 {
+            let silent_ms = now.since(self.busy_since);
+            if silent_ms > SILENT_MEDIANS * latency_ms {
+                latency_ms = silent_ms;
+            }
+        }
+        // Without this an upstream that was slow once would never be asked again.
+        let halvings = (now.since(self.asked_at) / FORGET_MS).min(10);
+        let latency_ms = (latency_ms >> halvings).max(1);
+        let load = 1.0 + f64::from(self.in_flight) / f64::from(self.slots);
+        latency_ms as f64 * load
+    }
+}
+
+/// Two replicas that were drawn at random.
+#[derive(Default)]
+struct Pair {
+    seen: usize,
+    drawn: [Option<usize>; 2],
+}
+
+/// A replica and what it is expected to cost.
+struct Costed {
+    index: usize,
+    cost: f64,
+}
+
+impl Pair {
+    fn draw(&mut self, index: usize, rng: &mut StdRng) {
+        let place = match self.seen {
+            0 | 1 => self.seen,
+            _ => rng.random_range(0..=self.seen),
+        };
+        if let Some(drawn) = self.drawn.get_mut(place) {
+            *drawn = Some(index);
+        }
+        self.seen += 1;
+    }
+
+    fn better<F>(&self, cost: F) -> Option<Costed>
+    where
+        F: Fn(usize) -> f64,
+    {
+        let costed = |index| Costed {
+            index,
+            cost: cost(index),
+        };
+        let first = costed(self.drawn[0]?);
+        let Some(second) = self.drawn[1].map(costed) else {
+            return Some(first);
+        };
+        match second.cost < first.cost {
+            true => Some(second),
+            false => Some(first),
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrouter-route/src/latency.rs
@@ -0,0 +1,123 @@
+//! Quantiles of recent latencies.
+//!
+//! A moving average would mix the body of a distribution with its stragglers: one answer that
+//! takes twenty times as long would double the average and send the next requests elsewhere. A
+//! histogram keeps the two apart: replicas are compared by their median, and a hedge is sent at a
+//! high quantile. Counts are halved now and then, so old latencies fade.
+
+/// Latencies below this have a bucket for each millisecond.
+const LINEAR_MS: u64 = 16;
+
+/// Buckets for each power of two above [`LINEAR_MS`].
+const PER_OCTAVE: u64 = 8;
+
+/// Powers of two above [`LINEAR_MS`] that are told apart.
+const OCTAVES: u64 = 12;
+
+const BUCKETS: usize = (LINEAR_MS + PER_OCTAVE * OCTAVES) as usize;
+
+/// Counts are halved when they reach this sum.
+const WINDOW: u32 = 1_024;
+
+/// Quantiles are worked out again after this many latencies.
+const REFRESH: u32 = 8;
+
+/// Recent latencies of one upstream or of one search.
+#[derive(Clone, Debug)]
+pub(crate) struct Latency {
+    counts: Box<[u16; BUCKETS]>,
+    total: u32,
+    unseen: u32,
+    high_quantile: f64,
+    median_ms: u64,
+    high_ms: u64,
+}
+
+impl Latency {
+    /// Makes an empty record that works out the median and `high_quantile`.
+    pub(crate) fn new(high_quantile: f64) -> Latency {
+        Latency {
+            counts: Box::new([0; BUCKETS]),
+            total: 0,
+            unseen: 0,
+            high_quantile,
+            median_ms: 0,
+            high_ms: 0,
+        }
+    }
+
+    /// Records a latency in milliseconds.
+    pub(crate) fn record(&mut self, latency_ms: u64) {
+        self.counts[bucket(latency_ms)] += 1;
+        self.total += 1;
+        self.unseen += 1;
+        if self.total >= WINDOW {
+            self.halve();
+        }
+        if self.unseen >= REFRESH || self.total <= REFRESH {
+            self.refresh();
+        }
+    }
+
+    /// Returns how many latencies the record rests on.
+    pub(crate) fn samples(&self) -> u32 {
+        self.total
+    }
+
+    /// Returns the median in milliseconds, or `None` if nothing was recorded.
+    pub(crate) fn median_ms(&self) -> Option<u64> {
+        (self.total > 0).then_some(self.median_ms)
+    }
+
+    /// Returns the high quantile in milliseconds, or `None` if nothing was recorded.
+    pub(crate) fn high_ms(&self) -> Option<u64> {
+        (self.total > 0).then_some(self.high_ms)
+    }
+
+    fn halve(&mut self) {
+        self.total = 0;
+        for count in self.counts.iter_mut() {
+            *count /= 2;
+            self.total += u32::from(*count);
+        }
+    }
+
+    fn refresh(&mut self) {
+        self.unseen = 0;
+        self.median_ms = self.quantile_ms(0.5);
+        self.high_ms = self.quantile_ms(self.high_quantile);
+    }
+
+    fn quantile_ms(&self, quantile: f64) -> u64 {
+        let rank = (f64::from(self.total) * quantile).ceil() as u32;
+        let mut below = 0;
+        for (index, count) in self.counts.iter().enumerate() {
+            below += u32::from(*count);
+            if below >= rank {
+                return upper_ms(index as u64);
+            }
+        }
+        upper_ms(BUCKETS as u64 - 1)
+    }
+}
+
+/// Returns the bucket of a latency.
+fn bucket(latency_ms: u64) -> usize {
+    if latency_ms < LINEAR_MS {
+        return latency_ms as usize;
+    }
+    let octave = u64::from(latency_ms.ilog2() - LINEAR_MS.ilog2());
+    let step = (latency_ms >> (octave + 1)) - PER_OCTAVE;
+    let index = LINEAR_MS + octave * PER_OCTAVE + step;
+    (index as usize).min(BUCKETS - 1)
+}
+
+/// Returns the largest latency of a bucket.
+fn upper_ms(index: u64) -> u64 {
+    if index < LINEAR_MS {
+        return index;
+    }
+    let octave = (index - LINEAR_MS) / PER_OCTAVE;
+    let step = (index - LINEAR_MS) % PER_OCTAVE;
+    ((PER_OCTAVE + step + 1) << (octave + 1)) - 1
+}
--- /dev/null
+++ b/hemlockrouter-route/src/run/config.rs
@@ -0,0 +1,127 @@
+//! Configuration of a [`Runner`](super::Runner).
+
+/// Configuration of a [`Runner`](super::Runner), with chained setters.
+///
+/// # Examples
+///
+/// ```
+/// use hemlockrouter_route::RunConfig;
+///
+/// let config = RunConfig::new().zone("north").remember_ms(300_000);
+/// # let _ = config;
+/// ```
+#[derive(Clone, Debug)]
+pub struct RunConfig {
+    pub(crate) zone: String,
+    pub(crate) ticket_ms: u64,
+    pub(crate) remember_ms: u64,
+    pub(crate) max_remembered: usize,
+    pub(crate) max_remembered_per_customer: usize,
+    pub(crate) max_body_bytes: usize,
+    pub(crate) max_forwards: usize,
+    pub(crate) max_callers_per_request: usize,
+    pub(crate) max_tries: u8,
+    pub(crate) margin_ms: u64,
+    pub(crate) retry_after_min_ms: u32,
+    pub(crate) retry_after_max_ms: u32,
+}
+
+impl RunConfig {
+    /// Makes the default configuration.
+    pub fn new() -> RunConfig {
+        RunConfig {
+            zone: String::new(),
+            ticket_ms: 600_000,
+            remember_ms: 600_000,
+            max_remembered: 100_000,
+            max_remembered_per_customer: 20_000,
+            max_body_bytes: 32 << 20,
+            max_forwards: 4_096,
+            max_callers_per_request: 16,
+            max_tries: 8,
+            margin_ms: 10,
+            retry_after_min_ms: 50,
+            retry_after_max_ms: 5_000,
+        }
+    }
+
+    /// Names the availability zone of this instance, whose upstreams are preferred. Default: none.
+    pub fn zone(mut self, name: &str) -> RunConfig {
+        self.zone = name.to_owned();
+        self
+    }
+
+    /// Sets how long a ticket is good for, in milliseconds. Default: 600,000.
+    pub fn ticket_ms(mut self, ticket_ms: u64) -> RunConfig {
+        self.ticket_ms = ticket_ms;
+        self
+    }
+
+    /// Sets how long the outcome of a request is remembered, in milliseconds. Default: 600,000. A
+    /// request with a ticket is remembered at least as long as the ticket is good for.
+    pub fn remember_ms(mut self, remember_ms: u64) -> RunConfig {
+        self.remember_ms = remember_ms;
+        self
+    }
+
+    /// Sets how many requests are remembered at most; further ones are refused. Default: 100,000.
+    pub fn max_remembered(mut self, requests: usize) -> RunConfig {
+        self.max_remembered = requests;
+        self
+    }
+
+    /// Sets how many requests of one customer are remembered at most. Default: 20,000.
+    pub fn max_remembered_per_customer(mut self, requests: usize) -> RunConfig {
+        self.max_remembered_per_customer = requests;
+        self
+    }
+
+    /// Sets how many bytes of answers are remembered at most. Default: 32 MiB. Beyond it the oldest
+    /// answers are dropped, and a repeat of their request is told
+    /// [`Unknown`](hemlockrouter_wire::run::RunOutcome::Unknown).
+    pub fn max_body_bytes(mut self, bytes: usize) -> RunConfig {
+        self.max_body_bytes = bytes;
+        self
+    }
+
+    /// Sets how many requests may be at other instances at once. Default: 4,096.
+    pub fn max_forwards(mut self, requests: usize) -> RunConfig {
+        self.max_forwards = requests;
+        self
+    }
+
+    /// Sets how many callers may wait for the same request. Default: 16.
+    pub fn max_callers_per_request(mut self, callers: usize) -> RunConfig {
+        self.max_callers_per_request = callers;
+        self
+    }
+
+    /// Sets how many upstreams are tried one after the other while each says that it did not run
+    /// the request. Default: 8.
+    pub fn max_tries(mut self, tries: u8) -> RunConfig {
+        self.max_tries = tries.max(1);
+        self
+    }
+
+    /// Sets how long before the deadline the caller is answered, in milliseconds; an upstream's
+    /// owner gets its deadline earlier by as much again, so that its refusal is back in time.
+    /// Default: 10, and at most a tenth of the time that the caller gave.
+    pub fn margin_ms(mut self, margin_ms: u64) -> RunConfig {
+        self.margin_ms = margin_ms;
+        self
+    }
+
+    /// Sets the bounds of the time after which a refused caller is told to come back, in
+    /// milliseconds. Default: 50 to 5,000.
+    pub fn retry_after_ms(mut self, min_ms: u32, max_ms: u32) -> RunConfig {
+        self.retry_after_min_ms = min_ms.min(max_ms);
+        self.retry_after_max_ms = max_ms;
+        self
+    }
+}
+
+impl Default for RunConfig {
+    fn default() -> RunConfig {
+        RunConfig::new()
+    }
+}
--- /dev/null
+++ b/hemlockrouter-route/src/run/dispatch.rs
@@ -0,0 +1,248 @@
+//! Sending a request to an upstream, and what its reply means.
+
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::run::RunOutcome;
+use hemlockrouter_wire::SubOutcome;
+
+use super::memory::Name;
+use super::memory::State;
+use super::Due;
+use super::RunCommand;
+use super::Runner;
+use super::Sub;
+use crate::choose::Barred;
+
+/// Upstreams of an operation beyond this are not used: positions are held in a mask of bits.
+const MAX_UPSTREAMS: usize = 64;
+
+impl Runner {
+    /// Dispatches a request that has not run to the best upstream. Without one it waits for the
+    /// first that ends its back-off in time, or its callers are refused.
+    pub(super) fn dispatch(&mut self, now: Time, name: Name, out: &mut Vec<RunCommand>) {
+        let entry = self.entry(name);
+        assert!(
+            !matches!(entry.state, State::Running(_) | State::Ended(_)) && !entry.told_unknown,
+            "a request that may have run is never dispatched again"
+        );
+        let last = entry.callers.iter().map(|caller| caller.answer_at).max();
+        let last = last.expect("a request is dispatched for a caller");
+        let margin_ms = self.config.margin_ms.min(last.left(now) / 10);
+        let deadline = last.before(margin_ms);
+        let entry = self.entry(name);
+        let (operation, tries, asked) = (entry.operation, entry.tries, entry.asked);
+        let Some(operation) = self.catalog.operations.get(operation) else {
+            let refusal = self.refusal(Reason::NotConfigured, self.config.retry_after_max_ms);
+            return self.end_not_run(now, name, refusal, "the operation was withdrawn", out);
+        };
+        let upstreams = operation.upstreams.clone();
+        if tries >= self.config.max_tries || deadline <= now {
+            return self.refuse_all(now, name, &upstreams, out);
+        }
+        let Some(place) = self.choose(now, &upstreams, asked) else {
+            return self.wait_or_refuse(now, name, &upstreams, deadline, out);
+        };
+        self.send(now, name, place, upstreams[place], deadline, out);
+    }
+
+    /// Chooses an upstream: one that was not tried before if there is one.
+    fn choose(&mut self, now: Time, upstreams: &[UpstreamKey], asked: u64) -> Option<usize> {
+        let mut fresh = 0_u64;
+        for (index, key) in upstreams.iter().enumerate().take(MAX_UPSTREAMS) {
+            if asked & 1 << index == 0 && self.upstreams.barred(now, *key).is_none() {
+                fresh |= 1 << index;
+            }
+        }
+        let allowed = match fresh {
+            0 => u64::MAX,
+            _ => fresh,
+        };
+        let may = |index: usize| index < MAX_UPSTREAMS && allowed & (1 << index) != 0;
+        self.upstreams.choose(now, upstreams, &mut self.rng, may)
+    }
+
+    fn send(
+        &mut self,
+        now: Time,
+        name: Name,
+        place: usize,
+        upstream: UpstreamKey,
+        deadline: Time,
+        out: &mut Vec<RunCommand>,
+    ) {
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        let entry = self.entry(name);
+        entry.state = State::Running(seq);
+        entry.tries += 1;
+        entry.asked |= 1 << place;
+        let query = entry.callers[0].id;
+        let sub = Sub {
+            name,
+            upstream,
+            sent_at: now,
+        };
+        self.subs.insert(seq, sub);
+        self.upstreams.sent(now, upstream);
+        out.push(RunCommand::Dispatch {
+            id: SubId {
+                origin: self.origin,
+                seq,
+            },
+            query,
+            upstream,
+            run_id: self.run_id(name),
+            config: self.catalog.number,
+            deadline,
+        });
+    }
+
+    fn run_id(&self, name: Name) -> String {
+        match name {
+            Name::Ticket(nonce) => format!("t-{}-{nonce:016x}", self.origin),
+            Name::Claim(claim) => format!("k-{}", claim.text()),
+        }
+    }
+
+    fn wait_or_refuse(
+        &mut self,
+        now: Time,
+        name: Name,
+        upstreams: &[UpstreamKey],
+        deadline: Time,
+        out: &mut Vec<RunCommand>,
+    ) {
+        match self.back_at(now, upstreams) {
+            Some(at) if at < deadline => {
+                self.entry(name).state = State::Waiting(at);
+                self.timers.set(at, Due::Retry(name));
+            }
+            _ => self.refuse_all(now, name, upstreams, out),
+        }
+    }
+
+    /// Returns when the first of `upstreams` ends its back-off.
+    fn back_at(&self, now: Time, upstreams: &[UpstreamKey]) -> Option<Time> {
+        let mut first: Option<Time> = None;
+        for key in upstreams {
+            if let Some(Barred::Backoff(until)) = self.upstreams.barred(now, *key) {
+                first = Some(first.map_or(until, |first| first.min(until)));
+            }
+        }
+        first
+    }
+
+    /// Refuses all callers of a request that no upstream takes.
+    fn refuse_all(
+        &mut self,
+        now: Time,
+        name: Name,
+        upstreams: &[UpstreamKey],
+        out: &mut Vec<RunCommand>,
+    ) {
+        let back_at = self.back_at(now, upstreams);
+        let wait_ms = back_at.map_or(0, |at| at.left(now));
+        let in_service =
+            |key: &UpstreamKey| self.upstreams.barred(now, *key) != Some(Barred::OutOfService);
+        let reason = match upstreams.iter().any(in_service) {
+            true => Reason::Overloaded,
+            false => Reason::Leaving,
+        };
+        let refusal = self.refusal(reason, u32::try_from(wait_ms).unwrap_or(u32::MAX));
+        self.end_not_run(now, name, refusal, "no upstream takes it", out);
+    }
+
+    pub(super) fn retry_due(&mut self, now: Time, name: Name, out: &mut Vec<RunCommand>) {
+        let Some(entry) = self.memory.get(name) else {
+            return;
+        };
+        if matches!(entry.state, State::Waiting(at) if at <= now) {
+            self.dispatch(now, name, out);
+        }
+    }
+
+    /// Takes how the dispatch `sub` ended.
+    pub(super) fn take_outcome(
+        &mut self,
+        now: Time,
+        sub: Sub,
+        outcome: SubOutcome,
+        out: &mut Vec<RunCommand>,
+    ) {
+        let name = sub.name;
+        match outcome {
+            SubOutcome::Answered { body, .. } => {
+                self.upstreams.answered(now, sub.upstream, sub.sent_at);
+                self.end(now, name, RunOutcome::Done { body }, "it ran", out);
+            }
+            SubOutcome::Failed => {
+                self.upstreams.failed(now, sub.upstream);
+                self.end(now, name, RunOutcome::Unknown, "its answer was lost", out);
+            }
+            SubOutcome::NotRun(refusal) => {
+                self.upstreams.not_run(now, sub.upstream, refusal);
+                self.try_again(now, name, refusal, out);
+            }
+            SubOutcome::WrongSnapshot { .. } | SubOutcome::WrongMap { .. } => {
+                self.upstreams.declined(now, sub.upstream);
+                let wait_ms = self.config.retry_after_min_ms;
+                let refusal = self.refusal(Reason::NotConfigured, wait_ms);
+                self.try_again(now, name, refusal, out);
+            }
+        }
+    }
+
+    /// Tries a request again of which an upstream truly said that it did not run.
+    fn try_again(&mut self, now: Time, name: Name, refusal: Refusal, out: &mut Vec<RunCommand>) {
+        let entry = self.entry(name);
+        if entry.told_unknown {
+            let outcome = RunOutcome::NotRun(refusal);
+            return self.end(now, name, outcome, "it did not run, too late", out);
+        }
+        entry.state = State::Idle;
+        if entry.callers.is_empty() {
+            return;
+        }
+        self.dispatch(now, name, out);
+    }
+
+    /// Ends a request for good and tells all that wait for it.
+    fn end(
+        &mut self,
+        now: Time,
+        name: Name,
+        outcome: RunOutcome,
+        why: &'static str,
+        out: &mut Vec<RunCommand>,
+    ) {
+        let callers = std::mem::take(&mut self.entry(name).callers);
+        for caller in callers {
+            self.calls.remove(&caller.id);
+            self.answer(now, &caller, outcome.clone(), why, out);
+        }
+        self.memory.end(name, outcome);
+        let keep_until = now + self.config.remember_ms;
+        let entry = self.entry(name);
+        entry.keep_until = entry.keep_until.max(keep_until);
+        let forget_at = entry.keep_until;
+        self.timers.set(forget_at, Due::Forget(name));
+    }
+
+    /// Tells all that wait for a request that it did not run. A repeat may run it.
+    pub(super) fn end_not_run(
+        &mut self,
+        now: Time,
+        name: Name,
+        refusal: Refusal,
+        why: &'static str,
+        out: &mut Vec<RunCommand>,
+    ) {
+        let entry = self.entry(name);
+        debug_assert!(!matches!(entry.state, State::Running(_) | State::Ended(_)));
+        entry.state = State::Idle;
+        let callers = std::mem::take(&mut entry.callers);
+        for caller in callers {
+            self.calls.remove(&caller.id);
+            self.answer(now, &caller, RunOutcome::NotRun(refusal), why, out);
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrouter-route/src/run/ticket.rs
@@ -0,0 +1,132 @@
+//! Tickets: names of requests that one instance gives out and alone may run.
+//!
+//! A ticket carries its issuer, its expiry and a random nonce, and a code over these, the customer
+//! and the operation that only the issuer can make. So an instance holds nothing for a ticket until
+//! it is used: a customer that asks for many tickets takes no memory from others. Whoever forwards
+//! a ticket reads the issuer from it; only the issuer can check the code.
+
+use std::fmt::Write;
+
+use hemlockrouter_types::prelude::*;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// Bytes of the code that travel in a ticket.
+const CODE_LEN: usize = 16;
+
+/// A ticket, taken apart.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Ticket {
+    pub(super) issuer: InstanceId,
+    pub(super) nonce: u64,
+    pub(super) expires: Time,
+    code: [u8; CODE_LEN],
+}
+
+/// What makes and checks the codes of one instance's tickets.
+#[derive(Clone)]
+pub(super) struct Secret([u8; 32]);
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret")
+    }
+}
+
+impl Secret {
+    pub(super) fn new(bytes: [u8; 32]) -> Secret {
+        Secret(bytes)
+    }
+
+    /// Makes a ticket.
+    pub(super) fn issue(
+        &self,
+        issuer: InstanceId,
+        nonce: u64,
+        expires: Time,
+        customer: CustomerKey,
+        operation: OperationKey,
+    ) -> Ticket {
+        let mut ticket = Ticket {
+            issuer,
+            nonce,
+            expires,
+            code: [0; CODE_LEN],
+        };
+        ticket.code = self.code(&ticket, customer, operation);
+        ticket
+    }
+
+    /// Returns whether `ticket` was made here for `customer` and `operation`.
+    pub(super) fn made(
+        &self,
+        ticket: &Ticket,
+        customer: CustomerKey,
+        operation: OperationKey,
+    ) -> bool {
+        let expected = self.code(ticket, customer, operation);
+        // Looks at all bytes, so that the time tells nothing of how many are right.
+        let differing = expected.iter().zip(&ticket.code).map(|(a, b)| a ^ b);
+        differing.fold(0, |all, bits| all | bits) == 0
+    }
+
+    /// All fields have a fixed length, so a plain hash after the secret is a sound code.
+    fn code(
+        &self,
+        ticket: &Ticket,
+        customer: CustomerKey,
+        operation: OperationKey,
+    ) -> [u8; CODE_LEN] {
+        let hash = Sha256::new()
+            .chain_update(self.0)
+            .chain_update(ticket.issuer.0.to_be_bytes())
+            .chain_update(ticket.nonce.to_be_bytes())
+            .chain_update(ticket.expires.as_ms().to_be_bytes())
+            .chain_update(customer.raw().to_be_bytes())
+            .chain_update(operation.raw().to_be_bytes())
+            .finalize();
+        let mut code = [0; CODE_LEN];
+        code.copy_from_slice(&hash[..CODE_LEN]);
+        code
+    }
+}
+
+impl Ticket {
+    /// Reads a ticket, or returns `None` if `text` is none.
+    pub(super) fn parse(text: &str) -> Option<Ticket> {
+        let mut fields = text.strip_prefix("t-")?.split('-');
+        let ticket = Ticket {
+            issuer: InstanceId(hex_u64(fields.next()?)?),
+            nonce: hex_u64(fields.next()?)?,
+            expires: Time::from_ms(hex_u64(fields.next()?)?),
+            code: hex_u128(fields.next()?)?.to_be_bytes(),
+        };
+        fields.next().is_none().then_some(ticket)
+    }
+
+    /// Returns the ticket as callers see it.
+    pub(super) fn text(&self) -> String {
+        let mut text = format!(
+            "t-{}-{:016x}-{:016x}-",
+            self.issuer,
+            self.nonce,
+            self.expires.as_ms()
+        );
+        for byte in self.code {
+            write!(text, "{byte:02x}").expect("writing to a string succeeds");
+        }
+        text
+    }
+}
+
+/// Reads exactly 16 hexadecimal digits.
+pub(super) fn hex_u64(text: &str) -> Option<u64> {
+    let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    digits.then(|| u64::from_str_radix(text, 16).ok())?
+}
+
+/// Reads exactly 32 hexadecimal digits.
+fn hex_u128(text: &str) -> Option<u128> {
+    let digits = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    digits.then(|| u128::from_str_radix(text, 16).ok())?
+}
--- /dev/null
+++ b/hemlockrouter-route/src/search.rs
@@ -0,0 +1,403 @@
+//! Searches: a fan-out over shards that is answered from one snapshot.
+//!
+//! A plan names one snapshot and one shard map, and every sub-request carries both. An answer from
+//! another snapshot or map is never merged: the plan moves to a snapshot that all shards can serve
+//! if time allows, or else leaves the shards out and says so. The slowest shard sets the latency of
+//! the whole, so a straggler is hedged: asked for again at another replica, within a budget of extra
+//! load ("The Tail at Scale").
+//!
+//! - `plan`: the state of one query.
+//! - `snapshot`: which snapshot a query asks for.
+//! - `dispatch`: sending to a replica, first and again.
+//! - `hedge`: when a straggler is asked for again.
+//! - `replan`: moving to another snapshot or shard map.
+//! - `answer`: what the caller gets.
+
+mod answer;
+mod config;
+mod dispatch;
+mod event;
+mod explain;
+mod hedge;
+mod plan;
+mod replan;
+mod snapshot;
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::hash::BuildHasherDefault;
+use std::hash::DefaultHasher;
+use std::sync::Arc;
+
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::SubOutcome;
+use hemlockrouter_wire::SubReply;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+
+pub use self::config::Config;
+pub use self::event::Answer;
+pub use self::event::PassedOver;
+pub use self::event::Query;
+pub use self::event::SearchCommand;
+pub use self::event::ShardAnswer;
+pub use self::event::ShardChoice;
+use self::hedge::Delays;
+use self::plan::Held;
+use self::plan::Plan;
+use self::plan::Progress;
+use self::snapshot::Cache;
+use crate::budget::Budget;
+use crate::choose::Upstreams;
+use crate::timer::Timers;
+
+/// Decides the searches that one entry instance accepted.
+#[derive(Debug)]
+pub struct Searcher {
+    config: Config,
+    origin: InstanceId,
+    catalog: Arc<Catalog>,
+    upstreams: Upstreams,
+    rng: StdRng,
+    plans: BTreeMap<QueryId, Box<Plan>>,
+    // Only looked up by key, so its order can't show; the hasher is fixed all the same.
+    subs: HashMap<u64, Sub, BuildHasherDefault<DefaultHasher>>,
+    next_seq: u64,
+    timers: Timers<Due>,
+    delays: Delays,
+    snapshots: Cache,
+    hedge_budget: Budget,
+    retry_budget: Budget,
+    late_replies: u64,
+    sent: u64,
+    extra: u64,
+}
+
+/// What is due.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Due {
+    /// The sub-request of this sequence number counts as a straggler.
+    Hedge(u64),
+    /// A shard that had no replica to go to may have one now.
+    Retry(QueryId, ShardNo),
+    /// The query must be answered.
+    Deadline(QueryId),
+}
+
+/// A sub-request that is waited for.
+#[derive(Clone, Copy, Debug)]
+struct Sub {
+    query: QueryId,
+    shard: ShardNo,
+    upstream: UpstreamKey,
+    /// The position of `upstream` among the replicas of the shard.
+    replica: usize,
+    sent_at: Time,
+    hedge: bool,
+}
+
+impl Searcher {
+    /// Makes a searcher for the instance `origin` that draws its random numbers from `seed`.
+    pub fn new(config: Config, origin: InstanceId, seed: u64) -> Searcher {
+        let upstreams = Upstreams::new(config.hedge_quantile);
+        let hedge_budget = Budget::new(config.hedge_share, config.hedge_burst);
+        let retry_budget = Budget::new(config.retry_share, config.retry_burst);
+        let delays = Delays::new(config.hedge_quantile, config.hedge_start_ms);
+        Searcher {
+            config,
+            origin,
+            catalog: Arc::new(Catalog::default()),
+            upstreams,
+            rng: StdRng::seed_from_u64(seed),
+            plans: BTreeMap::new(),
+            subs: HashMap::default(),
+            next_seq: 0,
+            timers: Timers::new(),
+            delays,
+            snapshots: Cache::default(),
+            hedge_budget,
+            retry_budget,
+            late_replies: 0,
+            sent: 0,
+            extra: 0,
+        }
+    }
+
+    /// Takes a catalogue into force. Upstreams that it takes out of service get no further
+    /// sub-request; what runs there is still waited for.
+    pub fn configure(&mut self, _now: Time, catalog: Arc<Catalog>, _out: &mut Vec<SearchCommand>) {
+        self.upstreams.configure(&catalog, &self.config.zone);
+        self.delays.configure(&catalog);
+        self.catalog = catalog;
+    }
+
+    /// Starts a query.
+    pub fn start(&mut self, now: Time, query: Query, out: &mut Vec<SearchCommand>) {
+        if let Some(refusal) = self.refusal_at_start(now, &query) {
+            refuse_at_start(query.id, refusal, out);
+            return;
+        }
+        let left_ms = query.deadline.left(now);
+        let answer_at = query
+            .deadline
+            .before(self.config.margin_ms.min(left_ms / 10));
+        let mut plan = Box::new(Plan::new(query, self.catalog.clone(), now, answer_at));
+        plan.snapshot = self.current_snapshot(now, query.search);
+        self.timers.set(answer_at, Due::Deadline(query.id));
+        self.place_all(now, &mut plan, out);
+        self.settle(now, plan, out);
+    }
+
+    /// Takes the reply to a sub-request. One that is not waited for is counted and dropped.
+    pub fn reply(&mut self, now: Time, reply: SubReply, out: &mut Vec<SearchCommand>) {
+        let ours = reply.id.origin == self.origin;
+        let Some(sub) = ours.then(|| self.subs.remove(&reply.id.seq)).flatten() else {
+            self.late_replies += 1;
+            return;
+        };
+        let mut plan = self
+            .plans
+            .remove(&sub.query)
+            .expect("a sub-request that is waited for belongs to a query under way");
+        let part = &mut plan.parts[usize::from(sub.shard.0)];
+        part.subs.retain(|seq| *seq != reply.id.seq);
+        self.take_outcome(now, &mut plan, sub, reply.outcome, out);
+        self.settle(now, plan, out);
+        self.drop_stale_timers();
+    }
+
+    /// Ends a query whose caller went away.
+    pub fn abandon(&mut self, now: Time, id: QueryId, out: &mut Vec<SearchCommand>) {
+        let Some(mut plan) = self.plans.remove(&id) else {
+            return;
+        };
+        self.cancel_all(now, &mut plan, out);
+        let why = Cow::Borrowed("the caller went away");
+        let decision = answer::decision(&plan, now, "nothing".to_owned(), why);
+        out.push(SearchCommand::Decision(decision));
+    }
+
+    /// Does what is due at `now`.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<SearchCommand>) {
+        let mut stragglers = Vec::new();
+        while let Some(due) = self.timers.take(now) {
+            match due {
+                Due::Hedge(seq) => stragglers.push(seq),
+                Due::Retry(id, shard) => self.retry_due(now, id, shard, out),
+                Due::Deadline(id) => self.deadline_due(now, id, out),
+            }
+        }
+        self.hedge_stragglers(now, stragglers, out);
+        self.drop_stale_timers();
+    }
+
+    /// Returns when [`tick`](Searcher::tick) must be called next.
+    pub fn next_wake(&self) -> Option<Time> {
+        self.timers.first().map(|(at, _)| at)
+    }
+
+    /// Returns how many queries are under way.
+    pub fn in_flight(&self) -> usize {
+        self.plans.len()
+    }
+
+    /// Returns how many replies came that were not waited for.
+    pub fn late_replies(&self) -> u64 {
+        self.late_replies
+    }
+
+    /// Returns how many sub-requests were sent, and how many of them were extra: hedges, retries
+    /// and what a move to another snapshot cost.
+    pub fn extra_load(&self) -> (u64, u64) {
+        (self.sent, self.extra)
+    }
+
+    fn refusal_at_start(&self, now: Time, query: &Query) -> Option<Refusal> {
+        let min_ms = self.config.retry_after_min_ms;
+        let refusal = |reason, retry_after_ms| {
+            Some(Refusal {
+                reason,
+                retry_after_ms,
+            })
+        };
+        let search = self.catalog.searches.get(query.search);
+        let search = search.filter(|search| search.customer == query.customer);
+        if search.is_none_or(|search| search.shards.is_empty()) {
+            return refusal(Reason::NotConfigured, self.config.retry_after_max_ms);
+        }
+        if query.deadline <= now {
+            return refusal(Reason::Deadline, min_ms);
+        }
+        if self.plans.len() >= self.config.max_in_flight || self.plans.contains_key(&query.id) {
+            return refusal(Reason::Overloaded, min_ms);
+        }
+        None
+    }
+
+    fn take_outcome(
+        &mut self,
+        now: Time,
+        plan: &mut Plan,
+        sub: Sub,
+        outcome: SubOutcome,
+        out: &mut Vec<SearchCommand>,
+    ) {
+        match outcome {
+            SubOutcome::Answered {
+                snapshot,
+                map,
+                serves,
+                body,
+            } => {
+                plan.ran = true;
+                self.upstreams.answered(now, sub.upstream, sub.sent_at);
+                self.upstreams.learn_serves(sub.upstream, serves);
+                if map != plan.map {
+                    return self.wrong_map(now, plan, sub, map, out);
+                }
+                if plan.snapshot.is_some_and(|wanted| wanted != snapshot) {
+                    return self.wrong_snapshot(now, plan, sub, out);
+                }
+                self.hold(now, plan, sub, Held { snapshot, body }, out);
+            }
+            SubOutcome::WrongSnapshot { serves } => {
+                self.upstreams.declined(now, sub.upstream);
+                self.upstreams.learn_serves(sub.upstream, serves);
+                self.wrong_snapshot(now, plan, sub, out);
+            }
+            SubOutcome::WrongMap { map } => {
+                self.upstreams.declined(now, sub.upstream);
+                self.wrong_map(now, plan, sub, map, out);
+            }
+            SubOutcome::NotRun(refusal) => {
+                self.upstreams.not_run(now, sub.upstream, refusal);
+                plan.last_refusal = Some(refusal.reason);
+                self.retry(now, plan, sub.shard, out);
+            }
+            SubOutcome::Failed => {
+                plan.ran = true;
+                self.upstreams.failed(now, sub.upstream);
+                self.retry(now, plan, sub.shard, out);
+            }
+        }
+    }
+
+    fn hold(
+        &mut self,
+        now: Time,
+        plan: &mut Plan,
+        sub: Sub,
+        answer: Held,
+        out: &mut Vec<SearchCommand>,
+    ) {
+        if plan.parts[usize::from(sub.shard.0)].progress != Progress::Open {
+            return;
+        }
+        self.delays
+            .record(plan.query.search, now.since(sub.sent_at));
+        plan.tally.hedges_won += u32::from(sub.hedge);
+        plan.hold(sub.shard, answer);
+        self.cancel_part(now, plan, sub.shard, out);
+    }
+
+    fn deadline_due(&mut self, now: Time, id: QueryId, out: &mut Vec<SearchCommand>) {
+        let Some(plan) = self.plans.remove(&id) else {
+            return;
+        };
+        match plan.answer_at <= now {
+            true => self.finish(now, plan, "the deadline came", out),
+            // The timer was that of an earlier query with the same id.
+            false => drop(self.plans.insert(id, plan)),
+        }
+    }
+
+    /// Ends the query if nothing more can come of it, or else keeps it.
+    fn settle(&mut self, now: Time, mut plan: Box<Plan>, out: &mut Vec<SearchCommand>) {
+        if plan.open == 0 && plan.snapshot.is_none() {
+            self.fix_snapshot(now, &mut plan, out);
+        }
+        if plan.open == 0 {
+            return self.finish(now, plan, "every shard was settled", out);
+        }
+        let hopeful = plan.parts.len() - plan.given_up;
+        if !plan.suffices(hopeful) {
+            return self.finish(now, plan, "too many shards were given up", out);
+        }
+        self.plans.insert(plan.query.id, plan);
+    }
+
+    fn finish(
+        &mut self,
+        now: Time,
+        mut plan: Box<Plan>,
+        why: &'static str,
+        out: &mut Vec<SearchCommand>,
+    ) {
+        plan.ran |= plan.parts.iter().any(|part| !part.subs.is_empty());
+        self.cancel_all(now, &mut plan, out);
+        let query = plan.query.id;
+        let snapshot = plan
+            .snapshot
+            .or_else(|| answer::most_common_snapshot(&plan));
+        let covered = snapshot.map_or(0, |snapshot| answer::count(&plan, snapshot));
+        let total = plan.parts.len();
+        let chosen = match snapshot {
+            Some(snapshot) => format!("{covered} of {total} shards at snapshot {snapshot}"),
+            None => format!("{covered} of {total} shards"),
+        };
+        let decision = answer::decision(&plan, now, chosen, Cow::Borrowed(why));
+        match snapshot {
+            Some(snapshot) if covered > 0 && plan.suffices(covered) => {
+                let answer = answer::build(&mut plan, snapshot, now);
+                out.push(SearchCommand::Answer { query, answer });
+            }
+            _ => {
+                let refusal = self.refusal_at_end(now, &plan);
+                out.push(SearchCommand::Refuse { query, refusal });
+            }
+        }
+        out.push(SearchCommand::Decision(decision));
+    }
+
+    fn refusal_at_end(&self, now: Time, plan: &Plan) -> Refusal {
+        let reason = match (plan.ran, plan.last_refusal) {
+            (true, _) => Reason::Coverage,
+            (false, Some(reason)) => reason,
+            (false, None) => Reason::Leaving,
+        };
+        let wait_ms = u32::try_from(self.wait_ms(now, plan)).unwrap_or(u32::MAX);
+        let min_ms = self.config.retry_after_min_ms;
+        let max_ms = self.config.retry_after_max_ms;
+        Refusal {
+            reason,
+            retry_after_ms: wait_ms.clamp(min_ms, max_ms),
+        }
+    }
+
+    /// Drops timers at the front whose matter has ended, so that they wake nobody.
+    fn drop_stale_timers(&mut self) {
+        while let Some((_, due)) = self.timers.first() {
+            let live = match due {
+                Due::Hedge(seq) => self.subs.contains_key(&seq),
+                Due::Retry(id, _) | Due::Deadline(id) => self.plans.contains_key(&id),
+            };
+            if live {
+                return;
+            }
+            self.timers.drop_first();
+        }
+    }
+}
+
+fn refuse_at_start(query: QueryId, refusal: Refusal, out: &mut Vec<SearchCommand>) {
+    out.push(SearchCommand::Refuse { query, refusal });
+    out.push(SearchCommand::Decision(Decision {
+        what: "search",
+        subject: query.to_string(),
+        chosen: "nothing".to_owned(),
+        passed_over: "nothing".to_owned(),
+        why: Cow::Owned(format!("refused at the start: {refusal}")),
+        took_ms: 0,
+    }));
+}
--- /dev/null
+++ b/hemlockrouter-route/src/search/config.rs
@@ -0,0 +1,149 @@
+//! Configuration of a [`Searcher`](super::Searcher).
+
+/// Configuration of a [`Searcher`](super::Searcher), with chained setters.
+///
+/// # Examples
+///
+/// ```
+/// use hemlockrouter_route::Config;
+///
+/// let config = Config::new().zone("north").hedge_share(0.03);
+/// # let _ = config;
+/// ```
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub(crate) zone: String,
+    pub(crate) hedge_quantile: f64,
+    pub(crate) hedge_share: f64,
+    pub(crate) hedge_burst: u32,
+    pub(crate) hedges_per_shard: u8,
+    pub(crate) hedge_tail: f64,
+    pub(crate) hedge_start_ms: u64,
+    pub(crate) retry_share: f64,
+    pub(crate) retry_burst: u32,
+    pub(crate) tries_per_shard: u8,
+    pub(crate) replans: u8,
+    pub(crate) margin_ms: u64,
+    pub(crate) retry_after_min_ms: u32,
+    pub(crate) retry_after_max_ms: u32,
+    pub(crate) max_in_flight: usize,
+}
+
+impl Config {
+    /// Makes the default configuration.
+    pub fn new() -> Config {
+        Config {
+            zone: String::new(),
+            hedge_quantile: 0.98,
+            hedge_share: 0.05,
+            hedge_burst: 32,
+            hedges_per_shard: 2,
+            hedge_tail: 0.1,
+            hedge_start_ms: 50,
+            retry_share: 0.05,
+            retry_burst: 540,
+            tries_per_shard: 4,
+            replans: 2,
+            margin_ms: 5,
+            retry_after_min_ms: 50,
+            retry_after_max_ms: 5_000,
+            max_in_flight: 4_096,
+        }
+    }
+
+    /// Names the availability zone of this instance, whose upstreams are preferred. Default: none.
+    pub fn zone(mut self, name: &str) -> Config {
+        self.zone = name.to_owned();
+        self
+    }
+
+    /// Sets the quantile of an upstream's latency after which a sub-request is hedged.
+    /// Default: 0.98.
+    pub fn hedge_quantile(mut self, quantile: f64) -> Config {
+        self.hedge_quantile = quantile.clamp(0.5, 1.0);
+        self
+    }
+
+    /// Sets the hedges that may be sent, as a share of the first tries. Default: 0.05. With 0 no
+    /// hedge is sent.
+    pub fn hedge_share(mut self, share: f64) -> Config {
+        self.hedge_share = share.clamp(0.0, 1.0);
+        self
+    }
+
+    /// Sets how many hedges may be sent at once when none was sent for a while. Default: 32.
+    pub fn hedge_burst(mut self, hedges: u32) -> Config {
+        self.hedge_burst = hedges;
+        self
+    }
+
+    /// Sets how often one shard of a query may be hedged. Default: 2.
+    pub fn hedges_per_shard(mut self, hedges: u8) -> Config {
+        self.hedges_per_shard = hedges;
+        self
+    }
+
+    /// Sets the share of its shards that a query may still wait for when it hedges, so that the
+    /// budget goes to stragglers and not to a fan-out that is slow as a whole. Default: 0.1.
+    pub fn hedge_tail(mut self, share: f64) -> Config {
+        self.hedge_tail = share.clamp(0.0, 1.0);
+        self
+    }
+
+    /// Sets the delay before a hedge while no latency is known, in milliseconds. Default: 50.
+    pub fn hedge_start_ms(mut self, delay_ms: u64) -> Config {
+        self.hedge_start_ms = delay_ms.max(1);
+        self
+    }
+
+    /// Sets the retries that may be sent, as a share of the first tries. Default: 0.05.
+    pub fn retry_share(mut self, share: f64) -> Config {
+        self.retry_share = share.clamp(0.0, 1.0);
+        self
+    }
+
+    /// Sets how many retries may be sent at once when none was sent for a while. Default: 540.
+    pub fn retry_burst(mut self, retries: u32) -> Config {
+        self.retry_burst = retries;
+        self
+    }
+
+    /// Sets how many sub-requests one shard may cost at one snapshot, hedges included. Default: 4.
+    pub fn tries_per_shard(mut self, tries: u8) -> Config {
+        self.tries_per_shard = tries.max(1);
+        self
+    }
+
+    /// Sets how often one query may move to another snapshot or shard map. Default: 2.
+    pub fn replans(mut self, replans: u8) -> Config {
+        self.replans = replans;
+        self
+    }
+
+    /// Sets how long before the deadline the answer goes out, in milliseconds. Default: 5, and at
+    /// most a tenth of the time that the caller gave.
+    pub fn margin_ms(mut self, margin_ms: u64) -> Config {
+        self.margin_ms = margin_ms;
+        self
+    }
+
+    /// Sets the bounds of the time after which a refused caller is told to come back, in
+    /// milliseconds. Default: 50 to 5,000.
+    pub fn retry_after_ms(mut self, min_ms: u32, max_ms: u32) -> Config {
+        self.retry_after_min_ms = min_ms.min(max_ms);
+        self.retry_after_max_ms = max_ms;
+        self
+    }
+
+    /// Sets how many queries may be under way at once. Default: 4,096.
+    pub fn max_in_flight(mut self, queries: usize) -> Config {
+        self.max_in_flight = queries;
+        self
+    }
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config::new()
+    }
+}
--- /dev/null
+++ b/hemlockrouter-route/src/search/dispatch.rs
@@ -0,0 +1,293 @@
+//! Sending sub-requests to replicas, first and again, and cancelling them.
+
+use hemlockrouter_types::prelude::*;
+
+use super::plan::Plan;
+use super::plan::Progress;
+use super::plan::MAX_REPLICAS;
+use super::Due;
+use super::SearchCommand;
+use super::Searcher;
+use super::Sub;
+use crate::choose::Barred;
+
+/// Why a sub-request is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Try {
+    /// It is the first of its shard.
+    First,
+    /// An earlier one refused or failed.
+    Retry,
+    /// An earlier one is slow.
+    Hedge,
+    /// The query moved to another snapshot or shard map.
+    Replan,
+}
+
+impl Searcher {
+    /// Sends a first sub-request for every open shard.
+    pub(super) fn place_all(&mut self, now: Time, plan: &mut Plan, out: &mut Vec<SearchCommand>) {
+        for index in 0..plan.parts.len() {
+            if plan.parts[index].progress == Progress::Open {
+                let kind = match plan.replans {
+                    0 => Try::First,
+                    _ => Try::Replan,
+                };
+                self.place(now, plan, ShardNo(index as u16), kind, out);
+            }
+        }
+    }
+
+    /// Sends again for a shard whose sub-request refused or failed, unless another is under way.
+    pub(super) fn retry(
+        &mut self,
+        now: Time,
+        plan: &mut Plan,
+        shard: ShardNo,
+        out: &mut Vec<SearchCommand>,
+    ) {
+        let part = &plan.parts[usize::from(shard.0)];
+        if part.progress != Progress::Open || !part.subs.is_empty() {
+            return;
+        }
+        self.place(now, plan, shard, Try::Retry, out);
+    }
+
+    pub(super) fn retry_due(
+        &mut self,
+        now: Time,
+        id: QueryId,
+        shard: ShardNo,
+        out: &mut Vec<SearchCommand>,
+    ) {
+        let Some(mut plan) = self.plans.remove(&id) else {
+            return;
+        };
+        // The plan may have moved to a shard map with fewer shards since.
+        if usize::from(shard.0) < plan.parts.len() {
+            self.retry(now, &mut plan, shard, out);
+        }
+        self.settle(now, plan, out);
+    }
+
+    /// Sends a sub-request for `shard` to the best replica. Without one the shard waits for the
+    /// first that ends its back-off in time, or is given up.
+    pub(super) fn place(
+        &mut self,
+        now: Time,
+        plan: &mut Plan,
+        shard: ShardNo,
+        kind: Try,
+        out: &mut Vec<SearchCommand>,
+    ) {
+        let part = &plan.parts[usize::from(shard.0)];
+        if part.tries >= self.config.tries_per_shard || now >= plan.answer_at {
+            return plan.give_up(shard);
+        }
+        let again = kind == Try::Retry && part.tries > 0;
+        let Some(replica) = self.choose(now, plan, shard) else {
+            return self.wait_or_give_up(now, plan, shard);
+        };
+        if again && !self.retry_budget.spend() {
+            return plan.give_up(shard);
+        }
+        self.send(now, plan, shard, replica, kind, out);
+    }
+
+    /// Sends a sub-request for `shard` to one of its replicas.
+    pub(super) fn send(
+        &mut self,
+        now: Time,
+        plan: &mut Plan,
+        shard: ShardNo,
+        replica: usize,
+        kind: Try,
+        out: &mut Vec<SearchCommand>,
+    ) {
+        let upstream = plan.shards()[usize::from(shard.0)].upstreams[replica];
+        self.next_seq += 1;
+        let seq = self.next_seq;
+        let sub = Sub {
+            query: plan.query.id,
+            shard,
+            upstream,
+            replica,
+            sent_at: now,
+            hedge: kind == Try::Hedge,
+        };
+        let part = &mut plan.parts[usize::from(shard.0)];
+        let first = part.tries == 0 && kind != Try::Replan;
+        part.tries += 1;
+        part.asked |= 1 << replica;
+        part.subs.push(seq);
+        plan.tally.sent += 1;
+        plan.tally.hedges += u32::from(kind == Try::Hedge);
+        plan.tally.retries += u32::from(kind == Try::Retry && !first);
+        self.sent += 1;
+        match first {
+            true => {
+                self.hedge_budget.earn(1);
+                self.retry_budget.earn(1);
+            }
+            false => self.extra += 1,
+        }
+        self.subs.insert(seq, sub);
+        self.upstreams.sent(now, upstream);
+        let delay_ms = self.hedge_delay_ms(plan.query.search, upstream);
+        self.timers.set(now + delay_ms, Due::Hedge(seq));
+        out.push(SearchCommand::Send {
+            query: plan.query.id,
+            seq,
+            upstream,
+            shard,
+            snapshot: plan.snapshot,
+            map: plan.map,
+            config: plan.catalog.number,
+            deadline: plan.answer_at,
+        });
+    }
+
+    /// Chooses a replica for `shard`: one that was not asked before if there is one.
+    pub(super) fn choose(&mut self, now: Time, plan: &mut Plan, shard: ShardNo) -> Option<usize> {
+        let part = &plan.parts[usize::from(shard.0)];
+        let replicas = &plan.shards()[usize::from(shard.0)].upstreams;
+        let mut fresh = 0_u64;
+        let mut possible = 0_u64;
+        let mut out_of_service = 0;
+        let mut backing_off = 0;
+        for (index, key) in replicas.iter().enumerate().take(MAX_REPLICAS) {
+            match self.upstreams.barred(now, *key) {
+                Some(Barred::OutOfService) => {
+                    out_of_service += 1;
+                    continue;
+                }
+                Some(Barred::Backoff(_)) => {
+                    backing_off += 1;
+                    continue;
+                }
+                None => (),
+            }
+            let bit = 1 << index;
+            let serving = self.serving(*key, plan.snapshot);
+            if part.wrong & bit != 0 || serving == Serving::TooOld {
+                continue;
+            }
+            possible |= bit;
+            if part.asked & bit == 0 && serving == Serving::Yes {
+                fresh |= bit;
+            }
+        }
+        let allowed = match fresh {
+            0 => possible,
+            _ => fresh,
+        };
+        let chosen = self
+            .upstreams
+            .choose(now, replicas, &mut self.rng, |index| {
+                index < MAX_REPLICAS && allowed & (1 << index) != 0
+            });
+        plan.tally.out_of_service += out_of_service;
+        plan.tally.backing_off += backing_off;
+        chosen
+    }
+
+    /// Returns whether `key` can serve `snapshot`, by what it said last.
+    pub(super) fn serving(&self, key: UpstreamKey, snapshot: Option<Snapshot>) -> Serving {
+        let (Some(snapshot), Some(serves)) = (snapshot, self.upstreams.serves(key)) else {
+            return Serving::Yes;
+        };
+        if snapshot < serves.oldest {
+            return Serving::TooOld;
+        }
+        match serves.contains(snapshot) {
+            true => Serving::Yes,
+            false => Serving::NotYet,
+        }
+    }
+
+    fn wait_or_give_up(&mut self, now: Time, plan: &mut Plan, shard: ShardNo) {
+        let back_at = self.back_at(now, plan, shard);
+        let delay_ms = self.delays.median_ms(plan.query.search);
+        match back_at {
+            Some(back_at) if back_at + delay_ms < plan.answer_at => {
+                self.timers.set(back_at, Due::Retry(plan.query.id, shard));
+            }
+            _ => plan.give_up(shard),
+        }
+    }
+
+    /// Returns when the first replica of `shard` that may serve the plan ends its back-off.
+    fn back_at(&self, now: Time, plan: &Plan, shard: ShardNo) -> Option<Time> {
+        let part = &plan.parts[usize::from(shard.0)];
+        let replicas = &plan.shards()[usize::from(shard.0)].upstreams;
+        let mut first: Option<Time> = None;
+        for (index, key) in replicas.iter().enumerate().take(MAX_REPLICAS) {
+            let wrong = part.wrong & 1 << index != 0;
+            if wrong || self.serving(*key, plan.snapshot) == Serving::TooOld {
+                continue;
+            }
+            if let Some(Barred::Backoff(until)) = self.upstreams.barred(now, *key) {
+                first = Some(first.map_or(until, |first| first.min(until)));
+            }
+        }
+        first
+    }
+
+    /// Returns how long it takes until each shard without an answer has a replica that takes work,
+    /// in milliseconds.
+    pub(super) fn wait_ms(&self, now: Time, plan: &Plan) -> u64 {
+        let mut longest_ms = 0;
+        for (index, part) in plan.parts.iter().enumerate() {
+            if part.answer.is_some() {
+                continue;
+            }
+            let back_at = self.back_at(now, plan, ShardNo(index as u16));
+            longest_ms = longest_ms.max(back_at.map_or(0, |at| at.left(now)));
+        }
+        longest_ms
+    }
+
+    /// Cancels what is still under way for `shard`.
+    pub(super) fn cancel_part(
+        &mut self,
+        now: Time,
+        plan: &mut Plan,
+        shard: ShardNo,
+        out: &mut Vec<SearchCommand>,
+    ) {
+        let part = &mut plan.parts[usize::from(shard.0)];
+        for seq in part.subs.drain(..) {
+            let sub = self
+                .subs
+                .remove(&seq)
+                .expect("a plan names only sub-requests that are waited for");
+            self.upstreams.cancelled(now, sub.upstream, sub.sent_at);
+            let id = SubId {
+                origin: self.origin,
+                seq,
+            };
+            out.push(SearchCommand::Cancel {
+                id,
+                upstream: sub.upstream,
+            });
+        }
+    }
+
+    /// Cancels all that is still under way.
+    pub(super) fn cancel_all(&mut self, now: Time, plan: &mut Plan, out: &mut Vec<SearchCommand>) {
+        for index in 0..plan.parts.len() {
+            self.cancel_part(now, plan, ShardNo(index as u16), out);
+        }
+    }
+}
+
+/// Whether an upstream can serve a snapshot, by what it said last.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Serving {
+    /// It can, or nothing is known.
+    Yes,
+    /// It could not yet.
+    NotYet,
+    /// It has dropped the snapshot already.
+    TooOld,
+}
--- /dev/null
+++ b/hemlockrouter-route/src/search/explain.rs
@@ -0,0 +1,91 @@
+//! Which upstreams a search would use now, for operators.
+
+use hemlockrouter_types::prelude::*;
+
+use super::dispatch::Serving;
+use super::snapshot;
+use super::PassedOver;
+use super::Searcher;
+use super::ShardChoice;
+use crate::choose::Barred;
+
+impl Searcher {
+    /// Returns, for each shard, which upstream a query of `customer` would go to now, and why.
+    ///
+    /// Where a query would draw between replicas that are equally near, the better one by this
+    /// instance's view is named. The list is empty if the customer has no such search.
+    pub fn explain(&self, now: Time, customer: CustomerKey, search: SearchKey) -> Vec<ShardChoice> {
+        let entry = self.catalog.searches.get(search);
+        let Some(entry) = entry.filter(|entry| entry.customer == customer) else {
+            return Vec::new();
+        };
+        let best = snapshot::best(&self.upstreams, now, &entry.shards);
+        let snapshot = best.map(|best| best.snapshot);
+        let mut choices = Vec::with_capacity(entry.shards.len());
+        for (index, shard) in entry.shards.iter().enumerate() {
+            let mut choice = ShardChoice {
+                shard: ShardNo(index as u16),
+                name: shard.name.clone(),
+                snapshot,
+                chosen: None,
+                why: "no upstream can be asked".to_owned(),
+                passed_over: Vec::new(),
+            };
+            self.explain_shard(now, &shard.upstreams, &mut choice);
+            choices.push(choice);
+        }
+        choices
+    }
+
+    fn explain_shard(&self, now: Time, replicas: &[UpstreamKey], choice: &mut ShardChoice) {
+        let mut best: Option<(UpstreamKey, f64)> = None;
+        let mut others = Vec::new();
+        for key in replicas {
+            if let Some(why) = self.obstacle(now, *key, choice.snapshot) {
+                let upstream = *key;
+                choice.passed_over.push(PassedOver { upstream, why });
+                continue;
+            }
+            let cost = self.upstreams.weighted_cost(now, *key);
+            match best {
+                Some((_, least)) if least <= cost => others.push(*key),
+                _ => others.extend(best.replace((*key, cost)).map(|(key, _)| key)),
+            }
+        }
+        let Some((chosen, _)) = best else {
+            return;
+        };
+        choice.chosen = Some(chosen);
+        choice.why = self.describe(now, chosen);
+        for upstream in others {
+            let why = format!("costs more: {}", self.describe(now, upstream));
+            choice.passed_over.push(PassedOver { upstream, why });
+        }
+    }
+
+    fn obstacle(&self, now: Time, key: UpstreamKey, snapshot: Option<Snapshot>) -> Option<String> {
+        match self.upstreams.barred(now, key) {
+            Some(Barred::OutOfService) => return Some("out of service".to_owned()),
+            Some(Barred::Backoff(until)) => {
+                let left_ms = until.left(now);
+                return Some(format!("backing off for {left_ms} ms"));
+            }
+            None => (),
+        }
+        match self.serving(key, snapshot) {
+            Serving::Yes => None,
+            Serving::NotYet => Some("does not have the snapshot yet".to_owned()),
+            Serving::TooOld => Some("has dropped the snapshot".to_owned()),
+        }
+    }
+
+    fn describe(&self, now: Time, key: UpstreamKey) -> String {
+        let place = match self.upstreams.is_near(key) {
+            true => "own zone",
+            false => "another zone",
+        };
+        let cost_ms = self.upstreams.cost(now, key);
+        let in_flight = self.upstreams.in_flight(key);
+        format!("{place}, {cost_ms:.0} ms expected, {in_flight} in flight")
+    }
+}
--- /dev/null
+++ b/hemlockrouter-route/src/search/hedge.rs
@@ -0,0 +1,194 @@
+//! When a straggler is asked for again at another replica.
+//!
+//! The slowest shard of a query sets its latency, so a hedge helps only a query that waits for few
+//! shards. While many are outstanding the fan-out is slow as a whole, and hedges would add load
+//! where there is too much. Where the budget does not reach for all stragglers that are due, those
+//! of the queries that wait for the fewest shards come first.
+
+use hemlockrouter_types::prelude::*;
+
+use super::dispatch::Try;
+use super::plan::Plan;
+use super::plan::Progress;
+use super::Due;
+use super::SearchCommand;
+use super::Searcher;
+use crate::latency::Latency;
+
+/// Latencies of an upstream that its quantile must rest on; below, the search's own is taken.
+const UPSTREAM_SAMPLES: u32 = 64;
+
+/// Latencies of a search that its quantile must rest on.
+const SEARCH_SAMPLES: u32 = 32;
+
+/// A hedge is not sent later than this many medians, however long the tail is.
+const MAX_MEDIANS: u64 = 4;
+
+/// A straggler that is this many delays old is hedged even while the query waits for many shards.
+const OVERDUE_DELAYS: u64 = 3;
+
+/// The median that is assumed while none is known, in milliseconds.
+const UNKNOWN_MS: u64 = 10;
+
+/// The latencies of each search, over all its upstreams.
+#[derive(Debug)]
+pub(super) struct Delays {
+    quantile: f64,
+    start_ms: u64,
+    searches: Vec<Option<(SearchKey, Latency)>>,
+}
+
+impl Delays {
+    pub(super) fn new(quantile: f64, start_ms: u64) -> Delays {
+        Delays {
+            quantile,
+            start_ms,
+            searches: Vec::new(),
+        }
+    }
+
+    /// Takes over the searches of `catalog` and keeps what is known of those that stay.
+    pub(super) fn configure(&mut self, catalog: &Catalog) {
+        let mut old = std::mem::take(&mut self.searches);
+        for (key, _) in catalog.searches.iter() {
+            let slot = key.slot();
+            let known = old.get_mut(slot).and_then(Option::take);
+            let known = known.filter(|(known, _)| *known == key);
+            if self.searches.len() <= slot {
+                self.searches.resize_with(slot + 1, || None);
+            }
+            let new = || (key, Latency::new(self.quantile));
+            self.searches[slot] = Some(known.unwrap_or_else(new));
+        }
+    }
+
+    /// Records a latency of `search`.
+    pub(super) fn record(&mut self, search: SearchKey, latency_ms: u64) {
+        let entry = self
+            .searches
+            .get_mut(search.slot())
+            .and_then(Option::as_mut);
+        if let Some((key, latency)) = entry {
+            if *key == search {
+                latency.record(latency_ms);
+            }
+        }
+    }
+
+    /// Returns the median of `search`, in milliseconds.
+    pub(super) fn median_ms(&self, search: SearchKey) -> u64 {
+        let latency = self.get(search);
+        latency.and_then(Latency::median_ms).unwrap_or(UNKNOWN_MS)
+    }
+
+    fn get(&self, search: SearchKey) -> Option<&Latency> {
+        let (key, latency) = self.searches.get(search.slot())?.as_ref()?;
+        (*key == search).then_some(latency)
+    }
+}
+
+impl Searcher {
+    /// Returns how long a sub-request may take before it counts as a straggler, in milliseconds.
+    pub(super) fn hedge_delay_ms(&self, search: SearchKey, upstream: UpstreamKey) -> u64 {
+        let of_search = self.delays.get(search);
+        let of_search = of_search.filter(|latency| latency.samples() >= SEARCH_SAMPLES);
+        let own_ms = self.upstreams.high_ms(upstream, UPSTREAM_SAMPLES);
+        let high_ms = own_ms.or_else(|| of_search?.high_ms());
+        let Some(high_ms) = high_ms else {
+            return self.delays.start_ms;
+        };
+        let most_ms = MAX_MEDIANS * self.delays.median_ms(search).max(1);
+        high_ms.min(most_ms) + 1
+    }
+
+    /// Hedges the sub-requests `seqs`, as far as the budget reaches.
+    pub(super) fn hedge_stragglers(
+        &mut self,
+        now: Time,
+        seqs: Vec<u64>,
+        out: &mut Vec<SearchCommand>,
+    ) {
+        let mut due: Vec<Straggler> = Vec::with_capacity(seqs.len());
+        for seq in seqs {
+            let Some(sub) = self.subs.get(&seq) else {
+                continue;
+            };
+            let plan = &self.plans[&sub.query];
+            due.push(Straggler {
+                open: plan.open,
+                seq,
+            });
+        }
+        due.sort_unstable();
+        for straggler in due {
+            self.hedge(now, straggler.seq, out);
+        }
+    }
+
+    fn hedge(&mut self, now: Time, seq: u64, out: &mut Vec<SearchCommand>) {
+        let Some(sub) = self.subs.get(&seq).copied() else {
+            return;
+        };
+        let mut plan = self
+            .plans
+            .remove(&sub.query)
+            .expect("a sub-request that is waited for belongs to a query under way");
+        match self.may_hedge(now, &plan, sub) {
+            Hedge::Now => self.send_hedge(now, &mut plan, seq, out),
+            Hedge::Later => self.look_again(now, &plan, seq),
+            Hedge::Never => (),
+        }
+        self.plans.insert(plan.query.id, plan);
+    }
+
+    fn may_hedge(&self, now: Time, plan: &Plan, sub: super::Sub) -> Hedge {
+        let part = &plan.parts[usize::from(sub.shard.0)];
+        let spent = part.hedges >= self.config.hedges_per_shard;
+        let tried = part.tries >= self.config.tries_per_shard;
+        if part.progress != Progress::Open || spent || tried || self.config.hedge_share == 0.0 {
+            return Hedge::Never;
+        }
+        let delay_ms = self.hedge_delay_ms(plan.query.search, sub.upstream);
+        let overdue = now.since(sub.sent_at) >= OVERDUE_DELAYS * delay_ms;
+        let tail = (plan.parts.len() as f64 * self.config.hedge_tail) as usize;
+        let in_tail = plan.open <= tail.max(1);
+        match (in_tail || overdue) && self.hedge_budget.has_token() {
+            true => Hedge::Now,
+            false => Hedge::Later,
+        }
+    }
+
+    fn send_hedge(&mut self, now: Time, plan: &mut Plan, seq: u64, out: &mut Vec<SearchCommand>) {
+        let shard = self.subs[&seq].shard;
+        let Some(replica) = self.choose(now, plan, shard) else {
+            return self.look_again(now, plan, seq);
+        };
+        if self.hedge_budget.spend() {
+            plan.parts[usize::from(shard.0)].hedges += 1;
+            self.send(now, plan, shard, replica, Try::Hedge, out);
+        }
+    }
+
+    fn look_again(&mut self, now: Time, plan: &Plan, seq: u64) {
+        let upstream = self.subs[&seq].upstream;
+        let delay_ms = self.hedge_delay_ms(plan.query.search, upstream);
+        let at = now + (delay_ms / 2).max(1);
+        if at < plan.answer_at {
+            self.timers.set(at, Due::Hedge(seq));
+        }
+    }
+}
+
+/// A sub-request that is held for a straggler, in the order in which hedges are given out.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Straggler {
+    open: usize,
+    seq: u64,
+}
+
+/// Whether a straggler is hedged.
+enum Hedge {
+    Now,
+    Later,
+    Never,
+}
--- /dev/null
+++ b/hemlockrouter-route/src/search/plan.rs
@@ -0,0 +1,168 @@
+//! The state of one query: its snapshot, its shard map and what became of each shard.
+
+use std::sync::Arc;
+
+use hemlockrouter_types::catalog::Shard;
+use hemlockrouter_types::prelude::*;
+
+use super::Query;
+
+/// Replicas of a shard beyond this are not used: positions are held in a mask of bits.
+pub(super) const MAX_REPLICAS: usize = 64;
+
+/// A query under way.
+#[derive(Debug)]
+pub(super) struct Plan {
+    pub(super) query: Query,
+    /// The catalogue whose shard map the plan follows, which may since have been superseded.
+    pub(super) catalog: Arc<Catalog>,
+    pub(super) map: MapVersion,
+    /// The only snapshot whose answers count, or `None` until one is known.
+    pub(super) snapshot: Option<Snapshot>,
+    pub(super) started: Time,
+    pub(super) answer_at: Time,
+    pub(super) parts: Vec<Part>,
+    /// How many parts are open.
+    pub(super) open: usize,
+    pub(super) given_up: usize,
+    pub(super) replans: u8,
+    pub(super) tally: Tally,
+    /// Whether any upstream may have worked on the query.
+    pub(super) ran: bool,
+    pub(super) last_refusal: Option<Reason>,
+}
+
+/// One shard of a query.
+#[derive(Debug, Default)]
+pub(super) struct Part {
+    pub(super) progress: Progress,
+    pub(super) tries: u8,
+    pub(super) hedges: u8,
+    /// Replicas, by position, that can't serve the plan's snapshot and map.
+    pub(super) wrong: u64,
+    /// Replicas, by position, that were asked.
+    pub(super) asked: u64,
+    /// The sub-requests that are waited for.
+    pub(super) subs: Vec<u64>,
+    pub(super) answer: Option<Held>,
+}
+
+/// What became of a shard.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum Progress {
+    /// It may still be answered.
+    #[default]
+    Open,
+    /// Its answer is held.
+    Answered,
+    /// No replica can answer it in time.
+    GivenUp,
+}
+
+/// An answer that is held until the query ends.
+#[derive(Debug)]
+pub(super) struct Held {
+    pub(super) snapshot: Snapshot,
+    pub(super) body: Vec<u8>,
+}
+
+/// What a query cost, for its decision.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Tally {
+    pub(super) sent: u32,
+    pub(super) hedges: u32,
+    pub(super) hedges_won: u32,
+    pub(super) retries: u32,
+    pub(super) out_of_service: u32,
+    pub(super) backing_off: u32,
+}
+
+impl Plan {
+    pub(super) fn new(query: Query, catalog: Arc<Catalog>, started: Time, answer_at: Time) -> Plan {
+        let search = catalog.searches.get(query.search);
+        let map = search.map(|search| search.map).unwrap_or_default();
+        let count = search.map_or(0, |search| search.shards.len());
+        let parts = new_parts(count);
+        Plan {
+            query,
+            catalog,
+            map,
+            snapshot: None,
+            started,
+            answer_at,
+            parts,
+            open: count,
+            given_up: 0,
+            replans: 0,
+            tally: Tally::default(),
+            ran: false,
+            last_refusal: None,
+        }
+    }
+
+    /// Returns the shards of the plan's shard map.
+    pub(super) fn shards(&self) -> &[Shard] {
+        let search = self.catalog.searches.get(self.query.search);
+        search.map_or(&[], |search| search.shards.as_slice())
+    }
+
+    /// Moves to the shard map of `catalog` and begins anew.
+    pub(super) fn remap(&mut self, catalog: Arc<Catalog>) {
+        let search = catalog.searches.get(self.query.search);
+        self.map = search.map(|search| search.map).unwrap_or_default();
+        let count = search.map_or(0, |search| search.shards.len());
+        self.catalog = catalog;
+        self.parts = new_parts(count);
+        self.open = count;
+        self.given_up = 0;
+    }
+
+    /// Moves to `snapshot`: keeps the answers that are from it and opens every other shard.
+    pub(super) fn move_to(&mut self, snapshot: Snapshot) {
+        self.snapshot = Some(snapshot);
+        self.open = 0;
+        self.given_up = 0;
+        for part in &mut self.parts {
+            if part
+                .answer
+                .as_ref()
+                .is_some_and(|held| held.snapshot == snapshot)
+            {
+                continue;
+            }
+            *part = Part::default();
+            self.open += 1;
+        }
+    }
+
+    /// Holds the answer of a shard, which closes it.
+    pub(super) fn hold(&mut self, shard: ShardNo, answer: Held) {
+        let part = &mut self.parts[usize::from(shard.0)];
+        debug_assert_eq!(part.progress, Progress::Open);
+        part.progress = Progress::Answered;
+        part.answer = Some(answer);
+        self.open -= 1;
+    }
+
+    /// Gives a shard up.
+    pub(super) fn give_up(&mut self, shard: ShardNo) {
+        let part = &mut self.parts[usize::from(shard.0)];
+        debug_assert_eq!(part.progress, Progress::Open);
+        part.progress = Progress::GivenUp;
+        self.open -= 1;
+        self.given_up += 1;
+    }
+
+    /// Returns whether `answered` shards are as many as the caller asked for.
+    pub(super) fn suffices(&self, answered: usize) -> bool {
+        let Some(share) = self.query.min_coverage else {
+            return true;
+        };
+        // The slack forgives a share such as 0.7 that binary fractions can't hold.
+        answered as f64 + 1e-6 >= share * self.parts.len() as f64
+    }
+}
+
+fn new_parts(count: usize) -> Vec<Part> {
+    std::iter::repeat_with(Part::default).take(count).collect()
+}
--- /dev/null
+++ b/hemlockrouter-route/src/search/replan.rs
@@ -0,0 +1,117 @@
+//! Moving a query to another snapshot or shard map.
+
+use hemlockrouter_types::prelude::*;
+
+use super::answer;
+use super::dispatch::Try;
+use super::plan::Plan;
+use super::plan::Progress;
+use super::snapshot;
+use super::SearchCommand;
+use super::Searcher;
+use super::Sub;
+
+/// A move needs this many medians of the search's latency until the answer is due.
+const MOVE_MEDIANS: u64 = 2;
+
+impl Searcher {
+    /// Returns the snapshot that a new query of `search` asks for.
+    pub(super) fn current_snapshot(&mut self, now: Time, search: SearchKey) -> Option<Snapshot> {
+        let shards = &self.catalog.searches.get(search)?.shards;
+        self.snapshots.best(&self.upstreams, now, search, shards)
+    }
+
+    /// Takes that the upstream of `sub` can't serve the plan's snapshot.
+    pub(super) fn wrong_snapshot(
+        &mut self,
+        now: Time,
+        plan: &mut Plan,
+        sub: Sub,
+        out: &mut Vec<SearchCommand>,
+    ) {
+        self.rule_out(now, plan, sub, out);
+        let part = &plan.parts[usize::from(sub.shard.0)];
+        if part.progress != Progress::GivenUp || !self.may_move(now, plan) {
+            return;
+        }
+        let Some(best) = snapshot::best(&self.upstreams, now, plan.shards()) else {
+            return;
+        };
+        let hopeful = plan.parts.len() - plan.given_up;
+        if plan.snapshot != Some(best.snapshot) && best.shards > hopeful {
+            plan.replans += 1;
+            self.cancel_all(now, plan, out);
+            plan.move_to(best.snapshot);
+            self.place_all(now, plan, out);
+        }
+    }
+
+    /// Takes that the upstream of `sub` has the shard map `map`, not the plan's.
+    pub(super) fn wrong_map(
+        &mut self,
+        now: Time,
+        plan: &mut Plan,
+        sub: Sub,
+        map: MapVersion,
+        out: &mut Vec<SearchCommand>,
+    ) {
+        let current = self.catalog.searches.get(plan.query.search);
+        let newer = current.is_some_and(|search| search.map > plan.map && map > plan.map);
+        if !newer || !self.may_move(now, plan) {
+            return self.rule_out(now, plan, sub, out);
+        }
+        plan.replans += 1;
+        self.cancel_all(now, plan, out);
+        plan.remap(self.catalog.clone());
+        plan.snapshot = self.current_snapshot(now, plan.query.search);
+        self.place_all(now, plan, out);
+    }
+
+    /// Settles on a snapshot for a query that started without one: every shard has answered at
+    /// the newest of its upstream, or was given up.
+    pub(super) fn fix_snapshot(
+        &mut self,
+        now: Time,
+        plan: &mut Plan,
+        out: &mut Vec<SearchCommand>,
+    ) {
+        let best = snapshot::best(&self.upstreams, now, plan.shards());
+        let held = answer::most_common_snapshot(plan);
+        let held_count = held.map_or(0, |snapshot| answer::count(plan, snapshot));
+        let chosen = match best {
+            Some(best) if best.shards > held_count && self.may_move(now, plan) => {
+                Some(best.snapshot)
+            }
+            _ => held,
+        };
+        let Some(chosen) = chosen else {
+            return;
+        };
+        let missing = plan.parts.len() - answer::count(plan, chosen);
+        if missing == 0 || Some(chosen) == held && missing == plan.given_up {
+            plan.snapshot = Some(chosen);
+            return;
+        }
+        if !self.may_move(now, plan) {
+            plan.snapshot = Some(chosen);
+            return;
+        }
+        plan.replans += 1;
+        plan.move_to(chosen);
+        self.place_all(now, plan, out);
+    }
+
+    fn may_move(&self, now: Time, plan: &Plan) -> bool {
+        let needs_ms = MOVE_MEDIANS * self.delays.median_ms(plan.query.search);
+        plan.replans < self.config.replans && plan.answer_at.left(now) > needs_ms
+    }
+
+    /// Rules the replica of `sub` out for the plan and tries another.
+    fn rule_out(&mut self, now: Time, plan: &mut Plan, sub: Sub, out: &mut Vec<SearchCommand>) {
+        let part = &mut plan.parts[usize::from(sub.shard.0)];
+        part.wrong |= 1 << sub.replica;
+        if part.progress == Progress::Open && part.subs.is_empty() {
+            self.place(now, plan, sub.shard, Try::Replan, out);
+        }
+    }
+}
