limit: judge a cold start against its own answers, charge turns by time

Cause: the first ramp took the slow answers of a cold start for late ones and stayed at one request, or, for an unknown upstream, for usual ones. Turns were charged alike, so slow queries of one customer took more than its share of the slots. Change: a cold start has a mean of its own; its end shows by the usual time, a drop, or a long steady time that doubles if it was wrong.

--- a/hemlockrouter-limit/src/config.rs
+++ b/hemlockrouter-limit/src/config.rs
@@ -3,6 +3,32 @@
 //! Every field has a default that suits both small and large installations, so a caller names only
 //! what it wants otherwise.
 
+/// How the limit of an upstream grows after a window of timely answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Growth {
+    /// It doubles.
+    Double,
+    /// It grows by one.
+    Add,
+    /// It goes to the bound at once.
+    Jump,
+}
+
+/// Whose turn it is when work waits for an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// Customers take turns, each turn charged with the time that the upstream spends on it, and
+    /// within a customer the earliest deadline is first.
+    FairByTime,
+    /// Customers take turns, each turn charged alike, and within a customer the earliest deadline is
+    /// first.
+    FairByCount,
+    /// The earliest deadline of all is first.
+    EarliestDeadline,
+    /// What came first is first.
+    FirstIn,
+}
+
 /// Settings of a [`Limiter`](crate::Limiter).
 ///
 /// # Examples
@@ -20,6 +46,9 @@
     pub(crate) window: u32,
     pub(crate) warm_after: u32,
     pub(crate) settle_ms: u32,
+    pub(crate) slower_ms: u32,
+    pub(crate) growth: Growth,
+    pub(crate) order: Order,
     pub(crate) backoff_min_ms: u32,
     pub(crate) backoff_max_ms: u32,
     pub(crate) leaving_ms: u32,
@@ -35,9 +64,12 @@
             queue_max: 256,
             late_after: 3,
             late_slack_ms: 5,
-            window: 4,
+            window: 6,
             warm_after: 8,
             settle_ms: 2_000,
+            slower_ms: 10_000,
+            growth: Growth::Double,
+            order: Order::FairByTime,
             backoff_min_ms: 50,
             backoff_max_ms: 1_000,
             leaving_ms: 10_000,
@@ -67,26 +99,45 @@
         self
     }
 
-    /// Sets how many answers at least are looked at before the limit changes. The default is 4.
+    /// Sets how many answers at least are looked at before the limit changes. The default is 6.
     pub fn window(mut self, answers: u32) -> Config {
         self.window = answers.max(1);
         self
     }
 
-    /// Sets how many timely answers in a row end a cold start. The default is 8.
+    /// Sets after how many answers without a late or refused one it is judged whether a cold start is
+    /// over. The default is 8.
     pub fn warm_after(mut self, answers: u32) -> Config {
         self.warm_after = answers.max(1);
         self
     }
 
-    /// Sets how long an upstream whose usual time is unknown stays under its cold bound at least, in
-    /// milliseconds, and after how long steadily slower answers become the usual ones. The default
-    /// is 2,000.
+    /// Sets how long answers must take the same time to end the cold start of an upstream whose usual
+    /// time is unknown, in milliseconds. The default is 2,000.
     pub fn settle_ms(mut self, ms: u32) -> Config {
         self.settle_ms = ms;
         self
     }
 
+    /// Sets how long answers must take the same time, but longer than they used to, to end a cold
+    /// start, in milliseconds. The default is 10,000.
+    pub fn slower_ms(mut self, ms: u32) -> Config {
+        self.slower_ms = ms;
+        self
+    }
+
+    /// Sets how the limit grows. The default is [`Growth::Double`].
+    pub fn growth(mut self, growth: Growth) -> Config {
+        self.growth = growth;
+        self
+    }
+
+    /// Sets whose turn it is when work waits. The default is [`Order::FairByTime`].
+    pub fn order(mut self, order: Order) -> Config {
+        self.order = order;
+        self
+    }
+
     /// Sets the pauses after a refused connection, in milliseconds: the first, and the longest to
     /// which repeated ones double. The defaults are 50 and 1,000.
     pub fn backoff_ms(mut self, min: u32, max: u32) -> Config {
--- a/hemlockrouter-limit/src/lib.rs
+++ b/hemlockrouter-limit/src/lib.rs
@@ -38,6 +38,7 @@
 //! - `upstream`: the state of one upstream: lease, ramp, queue, pauses.
 //! - `ramp`: the cold-start ramp.
 //! - `queue`: the weighted fair queue over customers.
+//! - `mean`: means of durations.
 //! - `timers`: when upstreams need attention.
 //! - `admission`: the limits of customers at the entry.
 //! - `work`: events and commands.
@@ -46,6 +47,7 @@
 mod admission;
 mod config;
 mod limiter;
+mod mean;
 mod queue;
 mod ramp;
 mod timers;
@@ -54,6 +56,8 @@
 
 pub use crate::admission::Admission;
 pub use crate::config::Config;
+pub use crate::config::Growth;
+pub use crate::config::Order;
 pub use crate::limiter::Limiter;
 pub use crate::work::Command;
 pub use crate::work::Ended;
--- a/hemlockrouter-limit/src/limiter.rs
+++ b/hemlockrouter-limit/src/limiter.rs
@@ -13,6 +13,7 @@
 use hemlockrouter_types::prelude::*;
 
 use crate::config::Config;
+use crate::queue::Turn;
 use crate::queue::Waiting;
 use crate::timers::Timers;
 use crate::upstream::Flight;
@@ -94,9 +95,11 @@
             self.customers.resize(key.slot() + 1, None);
             self.customers[key.slot()] = Some(key);
         }
+        let order = self.config.order;
         for (key, entry) in catalog.upstreams.iter() {
             let upstream = self.upstreams.entry(key).or_insert_with(|| {
-                Upstream::new(now, entry.name.clone(), entry.slots, entry.cold_slots)
+                let name = entry.name.clone();
+                Upstream::new(now, name, entry.slots, entry.cold_slots, order)
             });
             upstream.resize(entry.slots, entry.cold_slots);
             upstream.in_service = catalog.in_service(key);
@@ -126,7 +129,7 @@
     /// upstream is taken for cold.
     pub fn hold(&mut self, now: Time, upstream: UpstreamKey, until: Time, out: &mut Vec<Command>) {
         if let Some(state) = self.upstreams.get_mut(&upstream) {
-            state.hold(now, until, out);
+            state.hold(now, until, &self.config, out);
             self.pump(now, upstream, out);
         }
     }
@@ -149,11 +152,19 @@
         out: &mut Vec<Command>,
     ) {
         if let Some(state) = self.upstreams.get_mut(&upstream) {
-            state.mark_leaving(now, leaving, out);
+            state.mark_leaving(now, leaving, &self.config, out);
             self.pump(now, upstream, out);
         }
     }
 
+    /// Takes note that `upstream` answered others in `usual_ms` while it was warm. It makes the end of
+    /// a first cold start show sooner, and is passed over once the upstream's own answers tell.
+    pub fn hint(&mut self, upstream: UpstreamKey, usual_ms: u32) {
+        if let Some(state) = self.upstreams.get_mut(&upstream) {
+            state.hint(usual_ms);
+        }
+    }
+
     /// Takes in work: it is dispatched, waits, or is refused at once. An id that was offered before
     /// is passed over.
     pub fn offer(&mut self, now: Time, work: Work, out: &mut Vec<Command>) {
@@ -322,17 +333,13 @@
         if queue.len() < queue_max {
             return true;
         }
-        let (most, customer) = queue.longest().expect("a full queue has a longest");
-        if queue.len_of(work.customer) + 1 >= most {
+        let Some(spare) = queue.pop_spare(work.customer) else {
             let drain_ms = queue.drain_ms(work.customer);
             let refusal = self.refusal(Reason::Overloaded, drain_ms);
             self.refuse_offer(now, work, refusal, out);
             return false;
-        }
-        let drain_ms = queue.drain_ms(customer);
-        let spare = queue
-            .pop_spare(customer)
-            .expect("the longest queue is not empty");
+        };
+        let drain_ms = queue.drain_ms(spare.customer);
         let refusal = self.refusal(Reason::Overloaded, drain_ms);
         self.refuse(now, spare.id, refusal, out);
         true
@@ -401,10 +408,10 @@
             .get_mut(&upstream)
             .expect("only known upstreams are pumped");
         while state.may_dispatch(now) {
-            let Some(waiting) = state.queue.pop(now) else {
+            let Some(Turn { waiting, charge }) = state.queue.pop(now) else {
                 return;
             };
-            let flight = state.dispatch(now, waiting.customer);
+            let flight = state.dispatch(now, charge);
             let item = self
                 .items
                 .get_mut(&waiting.id)
--- a/hemlockrouter-limit/src/queue.rs
+++ b/hemlockrouter-limit/src/queue.rs
@@ -2,7 +2,8 @@
 //!
 //! Customers take turns by start-time fair queueing (Goyal, Vin and Cheng, 1996): each dispatch moves
 //! its customer's tag on by the cost of the work divided by its weight, and the customer with the
-//! lowest tag is next. Within a customer the earliest deadline goes first. A customer's queue is a
+//! lowest tag is next. The cost is the time for which the work keeps a slot. It is estimated at the
+//! dispatch and settled at the end, so that a few slow queries weigh as much as many quick ones. Within a customer the earliest deadline goes first. A customer's queue is a
 //! sorted ring: deadlines mostly come in order, so an insert is mostly a push at its end.
 //!
 //! Waiting times are estimated from the customer's own queue and own dispatches alone, so that what
@@ -13,7 +14,10 @@
 
 use hemlockrouter_types::prelude::*;
 
-/// The cost of one dispatch, in units of tags, before division by the weight.
+use crate::config::Order;
+use crate::mean::Mean;
+
+/// The cost of one millisecond in a slot, in units of tags, before division by the weight.
 const COST: u64 = 1 << 16;
 
 /// What was observed of a customer longer ago than this tells nothing any more, in milliseconds.
@@ -31,9 +35,25 @@
     pub(crate) since: Time,
 }
 
+/// A sub-request that was taken out to be dispatched.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Turn {
+    pub(crate) waiting: Waiting,
+    pub(crate) charge: Charge,
+}
+
+/// What a customer was charged for a dispatch.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Charge {
+    pub(crate) customer: CustomerKey,
+    weight: u64,
+    estimate_ms: u64,
+}
+
 /// The queue of one upstream.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Queue {
+    order: Order,
     /// By the slot of the customer's key.
     flows: Vec<Option<Box<Flow>>>,
     /// Customers that wait, by tag.
@@ -53,10 +73,10 @@
     customer: CustomerKey,
     tag: u64,
     waiting: VecDeque<Waiting>,
-    /// Mean time that its work took at the upstream, in eighths of a millisecond.
-    served_x8: u64,
-    /// Mean gap between its dispatches while more of it waited, in eighths of a millisecond.
-    gap_x8: u64,
+    /// How long its work took at the upstream.
+    served: Mean,
+    /// The gap between its dispatches while more of it waited.
+    gap: Mean,
     last_dispatch: Option<Time>,
     last_served: Time,
     listed: Option<Listed>,
@@ -65,12 +85,25 @@
 /// The places of a customer in the sets of its queue.
 #[derive(Clone, Copy, Debug)]
 struct Listed {
-    tag: u64,
+    turn: u64,
     start_by: Time,
     len: usize,
 }
 
 impl Queue {
+    /// Makes an empty queue.
+    pub(crate) fn new(order: Order) -> Queue {
+        Queue {
+            order,
+            flows: Vec::new(),
+            turns: BTreeSet::new(),
+            heads: BTreeSet::new(),
+            lengths: BTreeSet::new(),
+            len: 0,
+            turn: 0,
+        }
+    }
+
     /// Returns how many sub-requests wait.
     pub(crate) fn len(&self) -> usize {
         self.len
@@ -85,40 +118,61 @@
     pub(crate) fn push(&mut self, now: Time, waiting: Waiting) {
         let customer = waiting.customer;
         let turn = self.turn;
+        let order = self.order;
         self.unlist(customer);
         let flow = self.flow_mut(customer);
         if flow.waiting.is_empty() {
             flow.tag = flow.tag.max(turn);
             flow.forget_gap(now);
         }
-        let at = flow.rank(waiting.deadline, waiting.seq);
+        let at = flow.rank(order, waiting.deadline, waiting.seq);
         flow.waiting.insert(at, waiting);
         self.len += 1;
         self.list(customer);
     }
 
-    /// Takes out the sub-request whose turn it is.
-    pub(crate) fn pop(&mut self, now: Time) -> Option<Waiting> {
-        let &(tag, customer) = self.turns.first()?;
-        self.turn = tag;
+    /// Takes out the sub-request whose turn it is, and charges its customer.
+    pub(crate) fn pop(&mut self, now: Time) -> Option<Turn> {
+        let &(_, customer) = self.turns.first()?;
         self.unlist(customer);
+        let by_time = self.order == Order::FairByTime;
         let flow = self.flow_mut(customer);
+        let tag = flow.tag;
         let waiting = flow
             .waiting
             .pop_front()
             .expect("a listed customer has work waiting");
-        flow.tag += COST / u64::from(waiting.weight.max(1));
+        let charge = Charge {
+            customer,
+            weight: u64::from(waiting.weight.max(1)),
+            estimate_ms: if by_time { flow.served_ms(now) } else { 0 },
+        };
+        flow.tag += charge.cost(charge.estimate_ms);
         flow.observe_dispatch(now);
+        self.turn = self.turn.max(tag);
         self.len -= 1;
         self.list(customer);
-        Some(waiting)
+        Some(Turn { waiting, charge })
+    }
+
+    /// Charges the customer with the time for which its work kept a slot, in place of the estimate.
+    pub(crate) fn settle(&mut self, charge: Charge, took_ms: u64) {
+        if self.order != Order::FairByTime {
+            return;
+        }
+        self.unlist(charge.customer);
+        let flow = self.flow_mut(charge.customer);
+        let charged = charge.cost(charge.estimate_ms);
+        flow.tag = (flow.tag + charge.cost(took_ms)).saturating_sub(charged);
+        self.list(charge.customer);
     }
 
     /// Removes a sub-request.
     pub(crate) fn remove(&mut self, customer: CustomerKey, deadline: Time, seq: u64) {
+        let order = self.order;
         self.unlist(customer);
         let flow = self.flow_mut(customer);
-        let at = flow.rank(deadline, seq);
+        let at = flow.rank(order, deadline, seq);
         let removed = flow.waiting.remove(at);
         debug_assert!(removed.is_some_and(|waiting| waiting.seq == seq));
         self.len -= 1;
@@ -143,21 +197,19 @@
         self.heads.first().map(|&(start_by, _)| start_by)
     }
 
-    /// Returns the customer that has most waiting, and how much.
-    pub(crate) fn longest(&self) -> Option<(usize, CustomerKey)> {
-        self.lengths.last().copied()
-    }
-
-    /// Returns how many sub-requests of `customer` wait.
-    pub(crate) fn len_of(&self, customer: CustomerKey) -> usize {
-        self.flow(customer).map_or(0, |flow| flow.waiting.len())
-    }
-
-    /// Takes out the sub-request of `customer` with the latest deadline.
+    /// Takes out what must make room in a full queue for work of `customer`: the latest deadline of
+    /// the customer that has most waiting. Returns `None` if that would be `customer` itself.
     pub(crate) fn pop_spare(&mut self, customer: CustomerKey) -> Option<Waiting> {
-        let flow = self.flow(customer)?;
-        let back = *flow.waiting.back()?;
-        self.remove(customer, back.deadline, back.seq);
+        if matches!(self.order, Order::EarliestDeadline | Order::FirstIn) {
+            return None;
+        }
+        let &(most, longest) = self.lengths.last()?;
+        let own = self.flow(customer).map_or(0, |flow| flow.waiting.len());
+        if own + 1 >= most {
+            return None;
+        }
+        let back = *self.flow(longest)?.waiting.back()?;
+        self.remove(longest, back.deadline, back.seq);
         Some(back)
     }
 
@@ -214,14 +266,15 @@
         let Some(flow) = self.flow(customer) else {
             return 0;
         };
-        flow.rank(deadline, u64::MAX) as u64 * flow.gap_x8 / 8
+        flow.gap
+            .times_ms(flow.rank(self.order, deadline, u64::MAX) as u64)
     }
 
     /// Estimates how long it takes until all that `customer` has waiting is dispatched, in
     /// milliseconds.
     pub(crate) fn drain_ms(&self, customer: CustomerKey) -> u64 {
         self.flow(customer)
-            .map_or(0, |flow| flow.waiting.len() as u64 * flow.gap_x8 / 8)
+            .map_or(0, |flow| flow.gap.times_ms(flow.waiting.len() as u64))
     }
 
     fn flow(&self, customer: CustomerKey) -> Option<&Flow> {
@@ -246,23 +299,29 @@
         let Some(listed) = self.flow_mut(customer).listed.take() else {
             return;
         };
-        self.turns.remove(&(listed.tag, customer));
+        self.turns.remove(&(listed.turn, customer));
         self.heads.remove(&(listed.start_by, customer));
         self.lengths.remove(&(listed.len, customer));
     }
 
     fn list(&mut self, customer: CustomerKey) {
+        let order = self.order;
         let flow = self.flow_mut(customer);
         let Some(head) = flow.waiting.front() else {
             return;
         };
+        let turn = match order {
+            Order::FairByTime | Order::FairByCount => flow.tag,
+            Order::EarliestDeadline => head.deadline.as_ms(),
+            Order::FirstIn => head.seq,
+        };
         let listed = Listed {
-            tag: flow.tag,
-            start_by: head.deadline.before(flow.served_x8 / 8),
+            turn,
+            start_by: head.deadline.before(flow.served.ms().unwrap_or(0)),
             len: flow.waiting.len(),
         };
         flow.listed = Some(listed);
-        self.turns.insert((listed.tag, customer));
+        self.turns.insert((listed.turn, customer));
         self.heads.insert((listed.start_by, customer));
         self.lengths.insert((listed.len, customer));
     }
@@ -274,8 +333,8 @@
             customer,
             tag: 0,
             waiting: VecDeque::new(),
-            served_x8: 0,
-            gap_x8: 0,
+            served: Mean::default(),
+            gap: Mean::default(),
             last_dispatch: None,
             last_served: Time::ZERO,
             listed: None,
@@ -283,19 +342,16 @@
     }
 
     /// Returns how many sub-requests go before one with `deadline` and `seq`.
-    fn rank(&self, deadline: Time, seq: u64) -> usize {
+    fn rank(&self, order: Order, deadline: Time, seq: u64) -> usize {
+        if order == Order::FirstIn {
+            return self.waiting.partition_point(|other| other.seq < seq);
+        }
         self.waiting
             .partition_point(|other| (other.deadline, other.seq) < (deadline, seq))
     }
 
-    /// Falls fast and rises slowly: refusing what could have been done costs more than trying.
     fn observe_served(&mut self, now: Time, served_ms: u32) {
-        let sample_x8 = u64::from(served_ms) * 8;
-        self.served_x8 = if sample_x8 < self.served_x8 {
-            (self.served_x8 + sample_x8) / 2
-        } else {
-            mean_x8(self.served_x8, u64::from(served_ms))
-        };
+        self.served.observe(u64::from(served_ms));
         self.last_served = now;
     }
 
@@ -304,12 +360,12 @@
         if now.since(self.last_served) > MEMORY_MS {
             return 0;
         }
-        self.served_x8 / 8
+        self.served.ms().unwrap_or(0)
     }
 
     fn observe_dispatch(&mut self, now: Time) {
         if let Some(last) = self.last_dispatch {
-            self.gap_x8 = mean_x8(self.gap_x8, now.since(last));
+            self.gap.observe(now.since(last));
         }
         self.last_dispatch = (!self.waiting.is_empty()).then_some(now);
     }
@@ -319,19 +375,17 @@
             .last_dispatch
             .is_none_or(|last| now.since(last) > MEMORY_MS);
         if stale {
-            self.gap_x8 = 0;
+            self.gap = Mean::default();
         }
         if now.since(self.last_served) > MEMORY_MS {
-            self.served_x8 = 0;
+            self.served = Mean::default();
         }
         self.last_dispatch = None;
     }
 }
 
-/// Moves a mean in eighths of a millisecond by a sample in milliseconds.
-fn mean_x8(mean_x8: u64, sample_ms: u64) -> u64 {
-    if mean_x8 == 0 {
-        return sample_ms * 8;
+impl Charge {
+    fn cost(&self, took_ms: u64) -> u64 {
+        COST * took_ms.max(1) / self.weight
     }
-    mean_x8 - mean_x8 / 8 + sample_ms
 }
--- a/hemlockrouter-limit/src/upstream.rs
+++ b/hemlockrouter-limit/src/upstream.rs
@@ -8,6 +8,8 @@
 use hemlockrouter_types::prelude::*;
 
 use crate::config::Config;
+use crate::config::Order;
+use crate::queue::Charge;
 use crate::queue::Queue;
 use crate::ramp::Change;
 use crate::ramp::Ramp;
@@ -45,20 +47,26 @@
 /// What is remembered of a sub-request in flight.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Flight {
-    pub(crate) customer: CustomerKey,
-    pub(crate) since: Time,
-    pub(crate) epoch: u32,
-    pub(crate) round: u32,
+    charge: Charge,
+    since: Time,
+    epoch: u32,
+    round: u32,
 }
 
 impl Upstream {
     /// Makes the state of an upstream that is not held yet.
-    pub(crate) fn new(now: Time, name: String, slots: u32, cold_slots: u32) -> Upstream {
+    pub(crate) fn new(
+        now: Time,
+        name: String,
+        slots: u32,
+        cold_slots: u32,
+        order: Order,
+    ) -> Upstream {
         Upstream {
             name,
             in_service: true,
             withdrawn: false,
-            queue: Queue::default(),
+            queue: Queue::new(order),
             in_flight: 0,
             wake: None,
             ramp: Ramp::new(now, slots, cold_slots),
@@ -80,16 +88,21 @@
     }
 
     /// Extends the lease. After a gap another instance may have owned the upstream, so it is cold.
-    pub(crate) fn hold(&mut self, now: Time, until: Time, out: &mut Vec<Command>) {
+    pub(crate) fn hold(&mut self, now: Time, until: Time, config: &Config, out: &mut Vec<Command>) {
         match self.held_until {
             Some(held) if held > now => self.held_until = Some(held.max(until)),
             _ => {
                 self.held_until = Some(until);
-                self.cool(now, "the lease is new", out);
+                self.cool(now, "the lease is new", config, out);
             }
         }
     }
 
+    /// Takes a usual time that was learned elsewhere.
+    pub(crate) fn hint(&mut self, usual_ms: u32) {
+        self.ramp.hint(usual_ms);
+    }
+
     /// Ends the lease.
     pub(crate) fn release(&mut self) {
         self.held_until = None;
@@ -132,11 +145,11 @@
     }
 
     /// Counts a request that goes to the upstream.
-    pub(crate) fn dispatch(&mut self, now: Time, customer: CustomerKey) -> Flight {
+    pub(crate) fn dispatch(&mut self, now: Time, charge: Charge) -> Flight {
         self.in_flight += 1;
         self.progress = now;
         Flight {
-            customer,
+            charge,
             since: now,
             epoch: self.epoch,
             round: self.round,
@@ -156,6 +169,7 @@
             .in_flight
             .checked_sub(1)
             .expect("every request in flight was counted");
+        self.queue.settle(flight.charge, now.since(flight.since));
         match ended {
             Ended::Answered {
                 served_ms,
@@ -163,8 +177,9 @@
                 leaving,
             } => {
                 self.backoff_ms = 0;
-                self.queue.observe_served(now, flight.customer, served_ms);
-                self.observe_start(now, flight, start, out);
+                self.queue
+                    .observe_served(now, flight.charge.customer, served_ms);
+                self.observe_start(now, flight, start, config, out);
                 self.observe(now, flight, served_ms, config, out);
                 if leaving {
                     self.leave(now, config, out);
@@ -175,7 +190,7 @@
                 start,
             } => {
                 self.backoff_ms = 0;
-                self.observe_start(now, flight, start, out);
+                self.observe_start(now, flight, start, config, out);
                 self.halve(flight, "the upstream sheds load", out);
                 let pause_ms = retry_after_ms.min(config.backoff_max_ms);
                 self.pause_until = self.pause_until.max(now + u64::from(pause_ms));
@@ -196,7 +211,7 @@
     /// Takes the upstream for cold if nothing moved for so long that all in flight is late.
     pub(crate) fn check_progress(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
         if self.stalls_at(config).is_some_and(|at| at <= now) {
-            self.cool(now, "all in flight is late", out);
+            self.cool(now, "all in flight is late", config, out);
         }
     }
 
@@ -221,13 +236,24 @@
     }
 
     /// Takes in whether another source calls the upstream leaving.
-    pub(crate) fn mark_leaving(&mut self, now: Time, leaving: bool, out: &mut Vec<Command>) {
+    pub(crate) fn mark_leaving(
+        &mut self,
+        now: Time,
+        leaving: bool,
+        config: &Config,
+        out: &mut Vec<Command>,
+    ) {
         if leaving == self.marked_leaving {
             return;
         }
         self.marked_leaving = leaving;
         self.leaving_until = None;
-        self.cool(now, "the upstream was marked as leaving or staying", out);
+        self.cool(
+            now,
+            "the upstream was marked as leaving or staying",
+            config,
+            out,
+        );
     }
 
     fn leave(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
@@ -236,7 +262,7 @@
         }
         self.leaving_until = Some(now + u64::from(config.leaving_ms));
         // Whatever answers at this address afterwards is another start.
-        self.cool(now, "the upstream is leaving", out);
+        self.cool(now, "the upstream is leaving", config, out);
     }
 
     fn observe_start(
@@ -244,6 +270,7 @@
         now: Time,
         flight: Flight,
         start: Option<StartId>,
+        config: &Config,
         out: &mut Vec<Command>,
     ) {
         // An answer to work from before may be late and name a start that is gone.
@@ -251,7 +278,7 @@
             return;
         }
         if self.start.is_some() && self.start != start {
-            self.cool(now, "the upstream restarted", out);
+            self.cool(now, "the upstream restarted", config, out);
         }
         self.start = start;
     }
@@ -295,7 +322,7 @@
     }
 
     fn observe_unreachable(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
-        self.cool(now, "the connection was refused", out);
+        self.cool(now, "the connection was refused", config, out);
         if self.pause_until > now && self.backoff_ms > 0 {
             return;
         }
@@ -312,8 +339,8 @@
         self.record(change, why, out);
     }
 
-    fn cool(&mut self, now: Time, why: &'static str, out: &mut Vec<Command>) {
-        let change = self.ramp.cool(now);
+    fn cool(&mut self, now: Time, why: &'static str, config: &Config, out: &mut Vec<Command>) {
+        let change = self.ramp.cool(now, config);
         self.epoch = self.epoch.wrapping_add(1);
         if change == Change::Cold {
             self.record_limit(why, out);
