--- a/hemlockrouter-lab/src/bin/hemlock-lab.rs
+++ b/hemlockrouter-lab/src/bin/hemlock-lab.rs
@@ -11,6 +11,7 @@
 use hemlockrouter_lab::link::Link;
 use hemlockrouter_lab::load::Load;
 use hemlockrouter_lab::load::LoadOptions;
+use hemlockrouter_lab::ports::Ports;
 use hemlockrouter_lab::store::Faults;
 use hemlockrouter_lab::store::Store;
 use hemlockrouter_lab::store::StoreOptions;
@@ -41,6 +42,8 @@
             --target ADDR[,ADDR...] --key-env NAME --search NAME [--run OPERATION]
             [--runs-per-mille N] [--rate N] [--seconds N] [--seed N] [--deadline-ms N]
             [--threads N] [--new-connections] [--json]
+  ports     Free ports on the loopback interface, kept for the caller until it is stopped
+            --count N
   --help    This text
 
 Each stand-in prints the addresses that it listens on, one a line, and runs until it is stopped.
@@ -55,6 +58,7 @@
             "upstream" => upstream(args),
             "link" => link(args),
             "load" => load(args),
+            "ports" => ports(args),
             other => bail!("unknown command {other:?}; see hemlock-lab --help"),
         },
         Some(Short('h') | Long("help")) => {
@@ -186,6 +190,21 @@
     bail!("{} lost, broken promises: {:?}", report.lost, report.faults)
 }
 
+fn ports(mut args: Parser) -> eyre::Result<()> {
+    let mut count = 1;
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("count") => count = args.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let mut block = Ports::take()?;
+    for _ in 0..count {
+        println!("{}", block.next_free());
+    }
+    run_until_stopped()
+}
+
 fn required<T>(value: Option<T>, option: &str) -> eyre::Result<T> {
     value.ok_or_else(|| eyre::eyre!("{option} is needed"))
 }
--- a/hemlockrouter-lab/src/lib.rs
+++ b/hemlockrouter-lab/src/lib.rs
@@ -26,11 +26,13 @@
 //! - [`upstream`]: upstreams with slots, cold starts, snapshots and stragglers.
 //! - [`link`]: a TCP relay that can be cut, delayed or left half open.
 //! - [`load`]: open-loop load that checks every answer.
+//! - [`ports`]: ports for processes that can't be asked which one they got.
 //! - [`server`]: the HTTP server under them.
 //! - [`timer`]: actions at a later time.
 
 pub mod link;
 pub mod load;
+pub mod ports;
 pub mod server;
 pub mod store;
 pub mod timer;
