--- /dev/null
+++ b/hemlockrouter-member/src/directory.rs
@@ -0,0 +1,37 @@
+//! The owners of the upstreams of all zones, worked out when a zone's members change, so that
+//! looking one up on the data path costs one access.
+
+use hemlockrouter_types::prelude::*;
+
+use crate::ownership::rank;
+use crate::ownership::rank::Candidate;
+
+/// The preferred owner of each upstream, by the slot of its key.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    owners: Vec<Option<(UpstreamKey, InstanceId)>>,
+}
+
+impl Directory {
+    /// Works out the owners of the upstreams of one zone.
+    pub(crate) fn see(&mut self, catalog: &Catalog, zone: &str, candidates: &[Candidate]) {
+        let Some(zone) = catalog.find_zone(zone) else {
+            return;
+        };
+        for (key, upstream) in catalog.upstreams.iter() {
+            if upstream.zone != zone {
+                continue;
+            }
+            if self.owners.len() <= key.slot() {
+                self.owners.resize(key.slot() + 1, None);
+            }
+            let owner = rank::preferred(key, candidates);
+            self.owners[key.slot()] = owner.map(|owner| (key, owner));
+        }
+    }
+
+    pub(crate) fn owner_of(&self, upstream: UpstreamKey) -> Option<InstanceId> {
+        let (key, owner) = (*self.owners.get(upstream.slot())?)?;
+        (key == upstream).then_some(owner)
+    }
+}
--- a/hemlockrouter-member/src/lib.rs
+++ b/hemlockrouter-member/src/lib.rs
@@ -1,1 +1,48 @@
-//! Membership of a zone, ownership of upstreams and configuration relay.
+//! Membership of zones, ownership of upstreams and configuration relay.
+//!
+//! Every instance drives one [`Member`]. It answers three questions: which instances are there, which
+//! one of them alone dispatches to an upstream, and how do accepted release notes reach all of them?
+//! It does no I/O: the daemon tells it what happened and the current time, and executes the
+//! [`Command`]s that it returns.
+//!
+//! # Examples
+//!
+//! ```
+//! use hemlockrouter_member::Config;
+//! use hemlockrouter_member::Member;
+//! use hemlockrouter_types::prelude::*;
+//! use hemlockrouter_wire::member::Peer;
+//!
+//! let me = Peer {
+//!     id: InstanceId(1),
+//!     address: "127.0.0.1:7001".parse().unwrap(),
+//!     zone: "north-a".to_owned(),
+//! };
+//! let mut out = Vec::new();
+//! let mut member = Member::new(Config::default(), me, Vec::new(), Time::ZERO, 42);
+//! member.tick(Time::from_ms(10), &mut out);
+//! assert!(member.owner_of(UpstreamKey::from(0)).is_none());
+//! ```
+//!
+//! # Modules
+//!
+//! - `membership`: probes, rumours, joining, proof of an end, contacts between zones.
+//! - `ownership`: guards, promises, leases and their hand-over.
+//! - `relay`: notes down a tree, pulls by whoever lags.
+//! - `directory`: the owners of all zones' upstreams, for the data path.
+
+mod command;
+mod config;
+mod directory;
+mod member;
+mod membership;
+mod ownership;
+mod relay;
+
+pub use crate::command::Command;
+pub use crate::command::ListState;
+pub use crate::command::Listed;
+pub use crate::command::PeerStatus;
+pub use crate::command::To;
+pub use crate::config::Config;
+pub use crate::member::Member;
--- /dev/null
+++ b/hemlockrouter-member/src/member.rs
@@ -0,0 +1,375 @@
+//! The facade that the daemon drives.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::lease::LeaseMessage;
+use hemlockrouter_wire::member::Condition;
+use hemlockrouter_wire::member::MemberMessage;
+use hemlockrouter_wire::member::Peer;
+use hemlockrouter_wire::relay::RelayMessage;
+use rand::rngs::SmallRng;
+use rand::RngExt;
+use rand::SeedableRng;
+
+use crate::command::Command;
+use crate::command::Listed;
+use crate::command::PeerStatus;
+use crate::config::Config;
+use crate::directory::Directory;
+use crate::membership::Membership;
+use crate::ownership::rank::Candidate;
+use crate::ownership::Ownership;
+use crate::ownership::View;
+use crate::relay::Relay;
+
+/// How many instances of a zone follow the store.
+const WATCHERS: usize = 2;
+
+/// How long after its start an instance decides whether it is a watcher, in milliseconds, with a
+/// jitter of the same size: it should know its peers by then.
+const WATCH_AFTER_MS: u64 = 500;
+
+/// One instance's part in membership, ownership and configuration relay.
+///
+/// Every method that takes `out` appends commands to it, to be executed in order.
+#[derive(Debug)]
+pub struct Member {
+    config: Config,
+    membership: Membership,
+    ownership: Ownership,
+    relay: Relay,
+    directory: Directory,
+    catalog: Arc<Catalog>,
+    now: Time,
+    watch_at: Time,
+    ranks_as_watcher: bool,
+    is_watcher: bool,
+    leaving_at: Option<Time>,
+    has_ended: bool,
+    /// The versions of the table that the other parts have seen.
+    seen: BTreeMap<String, u64>,
+    seen_version: u64,
+    seen_standing: Standing,
+}
+
+impl Member {
+    /// Makes the member of a new start of an instance.
+    ///
+    /// `seeds` are addresses of instances that may run already; `seed` seeds its random numbers.
+    pub fn new(config: Config, me: Peer, seeds: Vec<SocketAddr>, now: Time, seed: u64) -> Member {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let watch_at = now + WATCH_AFTER_MS + rng.random_range(0..WATCH_AFTER_MS);
+        let relay_rng = SmallRng::seed_from_u64(rng.random());
+        let ownership = Ownership::new(config.clone(), me.id, me.zone.clone(), now);
+        let relay = Relay::new(config.clone(), me.id, relay_rng);
+        let membership = Membership::new(config.clone(), me, seeds, now, rng);
+        let mut member = Member {
+            config,
+            membership,
+            ownership,
+            relay,
+            directory: Directory::default(),
+            catalog: Arc::new(Catalog::default()),
+            now,
+            watch_at,
+            ranks_as_watcher: false,
+            is_watcher: false,
+            leaving_at: None,
+            has_ended: false,
+            seen: BTreeMap::new(),
+            seen_version: 0,
+            seen_standing: Standing::default(),
+        };
+        member.settle(&mut Vec::new());
+        member
+    }
+
+    /// Takes in the catalogue after the daemon has applied a note or a base document to it.
+    pub fn configure(&mut self, now: Time, catalog: Arc<Catalog>, out: &mut Vec<Command>) {
+        self.begin(now);
+        if catalog.number < self.catalog.number {
+            return;
+        }
+        self.catalog = Arc::clone(&catalog);
+        self.membership.set_number(catalog.number);
+        self.relay.configure(catalog.number);
+        self.ownership.configure(now, catalog, out);
+        self.seen.clear();
+        self.seen_version = 0;
+        self.settle(out);
+    }
+
+    /// Takes in the platform's list of instances, which lags.
+    pub fn listed(&mut self, now: Time, list: Vec<Listed>, out: &mut Vec<Command>) {
+        self.begin(now);
+        self.membership.listed(now, list);
+        self.settle(out);
+    }
+
+    /// Takes in a message of the membership.
+    pub fn receive(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        message: MemberMessage,
+        out: &mut Vec<Command>,
+    ) {
+        self.begin(now);
+        self.relay.heard_number(now, from, message.config);
+        self.membership.receive(now, from, message, out);
+        self.settle(out);
+    }
+
+    /// Takes in a message about leases.
+    pub fn receive_lease(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        message: LeaseMessage,
+        out: &mut Vec<Command>,
+    ) {
+        self.begin(now);
+        self.membership.heard(now, from, out);
+        self.settle(out);
+        self.ownership.receive(now, from, message, out);
+    }
+
+    /// Takes in a message of the configuration relay.
+    pub fn receive_relay(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        message: RelayMessage,
+        out: &mut Vec<Command>,
+    ) {
+        self.begin(now);
+        self.membership.heard(now, from, out);
+        let sender = self.membership.table().get(from);
+        let is_own_zone = sender.is_none_or(|entry| entry.peer.zone == self.membership.me().zone);
+        self.relay.receive(now, from, is_own_zone, message, out);
+        self.settle(out);
+    }
+
+    /// Notes that anything else was received from `from`, which counts as a heartbeat.
+    pub fn heard(&mut self, now: Time, from: InstanceId) {
+        self.begin(now);
+        self.membership.note_heard(now, from);
+    }
+
+    /// Notes that a connection to `to` was refused.
+    pub fn undeliverable(&mut self, now: Time, to: InstanceId, out: &mut Vec<Command>) {
+        self.begin(now);
+        self.membership.undeliverable(now, to);
+        self.settle(out);
+    }
+
+    /// Notes that a connection to an address at which nobody is known yet was refused.
+    pub fn address_refused(&mut self, now: Time, address: SocketAddr) {
+        self.begin(now);
+        self.membership.address_refused(now, address);
+    }
+
+    /// Takes in notes and the base document that were read from the store.
+    pub fn stored(
+        &mut self,
+        now: Time,
+        notes: Vec<(ConfigNumber, Vec<u8>)>,
+        base: Option<(ConfigNumber, Vec<u8>)>,
+        out: &mut Vec<Command>,
+    ) {
+        self.begin(now);
+        self.relay.stored(notes, base, out);
+        self.settle(out);
+    }
+
+    /// Starts a graceful shutdown: owned upstreams are handed over.
+    pub fn leave(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.begin(now);
+        if self.leaving_at.is_some() {
+            return;
+        }
+        self.leaving_at = Some(now);
+        self.membership.leave(now, out);
+        self.settle(out);
+        self.ownership.leave(now, out);
+    }
+
+    /// Returns whether nothing is owned any more after [`leave`](Member::leave).
+    pub fn left(&self) -> bool {
+        self.leaving_at.is_some() && self.ownership.is_empty()
+    }
+
+    /// Probes every known instance once, to learn its configuration number.
+    pub fn probe_all(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.begin(now);
+        self.membership.probe_all(out);
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.begin(now);
+        self.membership.tick(now, out);
+        self.settle(out);
+        self.ownership.tick(now, out);
+        self.relay.tick(now, out);
+        self.tick_leave(out);
+    }
+
+    fn tick_leave(&mut self, out: &mut Vec<Command>) {
+        let Some(leaving_at) = self.leaving_at else {
+            return;
+        };
+        if self.now.since(leaving_at) >= self.config.lease_ms {
+            self.ownership.abandon(self.now, out);
+        }
+        if self.left() && !self.has_ended {
+            self.has_ended = true;
+            self.membership.end(self.now, out);
+        }
+    }
+
+    /// Returns when [`tick`](Member::tick) is due next.
+    pub fn next_wake(&self) -> Option<Time> {
+        let watch_at = (self.watch_at > self.now).then_some(self.watch_at);
+        let wake = self
+            .membership
+            .next_wake()
+            .min(self.ownership.next_wake())
+            .min(self.relay.next_wake())
+            .min(watch_at.unwrap_or(Time::MAX));
+        Some(wake)
+    }
+
+    /// Returns the owner of an upstream of any zone, in this instance's view.
+    pub fn owner_of(&self, upstream: UpstreamKey) -> Option<InstanceId> {
+        self.directory.owner_of(upstream)
+    }
+
+    /// Returns the end of this instance's own lease on an upstream.
+    pub fn lease_until(&self, upstream: UpstreamKey) -> Option<Time> {
+        self.ownership.lease_until(upstream)
+    }
+
+    /// Returns the peer with an id.
+    pub fn peer(&self, id: InstanceId) -> Option<&Peer> {
+        self.membership.table().get(id).map(|entry| &entry.peer)
+    }
+
+    /// Returns what is believed of every known instance, this one included.
+    pub fn table(&self) -> impl Iterator<Item = PeerStatus> + '_ {
+        let now = self.now;
+        self.membership.table().iter().map(move |entry| PeerStatus {
+            peer: entry.peer.clone(),
+            condition: entry.condition,
+            established: entry.established,
+            config: entry.config,
+            heard_ms_ago: entry.heard_at.map(|heard_at| now.since(heard_at)),
+        })
+    }
+
+    /// Returns whether this instance shall follow the store.
+    pub fn is_watcher(&self) -> bool {
+        self.is_watcher
+    }
+
+    fn begin(&mut self, now: Time) {
+        self.now = self.now.max(now);
+        self.membership.wake(now);
+    }
+
+    /// Lets the other parts see what changed in the table.
+    fn settle(&mut self, out: &mut Vec<Command>) {
+        let standing = Standing {
+            is_established: self.membership.is_established(),
+            may_grant: self.membership.may_grant(),
+            is_leaving: self.leaving_at.is_some(),
+        };
+        let version = self.membership.table().version();
+        if version != self.seen_version || standing != self.seen_standing {
+            let has_new_standing = standing != self.seen_standing;
+            self.seen_version = version;
+            self.seen_standing = standing;
+            self.see_changes(has_new_standing, out);
+        }
+        if self.now >= self.watch_at {
+            self.watch(out);
+        }
+    }
+
+    fn see_changes(&mut self, has_new_standing: bool, out: &mut Vec<Command>) {
+        let versions = self.membership.table().versions();
+        let changed: Vec<String> = versions
+            .iter()
+            .filter(|(zone, version)| self.seen.get(*zone) != Some(*version))
+            .map(|(zone, _)| zone.clone())
+            .collect();
+        self.seen = versions.clone();
+        for zone in &changed {
+            let candidates = self.candidates(zone);
+            self.directory.see(&self.catalog, zone, &candidates);
+        }
+        let zone = self.membership.me().zone.clone();
+        if has_new_standing || changed.contains(&zone) {
+            self.ranks_as_watcher = self.membership.ranks_for("watcher", WATCHERS);
+            self.see_own_zone(&zone, out);
+        }
+    }
+
+    fn see_own_zone(&mut self, zone: &str, out: &mut Vec<Command>) {
+        let candidates = self.candidates(zone);
+        let living = candidates
+            .iter()
+            .filter(|candidate| candidate.is_living)
+            .map(|candidate| candidate.id)
+            .collect();
+        self.relay.see(living);
+        let view = View {
+            is_established: self.seen_standing.is_established,
+            may_grant: self.seen_standing.may_grant,
+            is_leaving: self.seen_standing.is_leaving,
+            candidates,
+        };
+        self.ownership.see(self.now, view, out);
+    }
+
+    fn candidates(&self, zone: &str) -> Vec<Candidate> {
+        self.membership
+            .table()
+            .zone(zone)
+            .map(|entry| Candidate {
+                id: entry.peer.id,
+                is_living: entry.is_living(),
+                is_established: entry.established,
+            })
+            .collect()
+    }
+
+    fn watch(&mut self, out: &mut Vec<Command>) {
+        let is_watcher = self.ranks_as_watcher;
+        if is_watcher == self.is_watcher {
+            return;
+        }
+        self.is_watcher = is_watcher;
+        out.push(if is_watcher {
+            Command::Watch
+        } else {
+            Command::Unwatch
+        });
+    }
+
+    /// Returns the condition of an instance in this instance's view.
+    pub fn condition(&self, id: InstanceId) -> Option<Condition> {
+        self.membership.table().get(id).map(|entry| entry.condition)
+    }
+}
+
+/// What this instance may do in its zone.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct Standing {
+    is_established: bool,
+    may_grant: bool,
+    is_leaving: bool,
+}
--- /dev/null
+++ b/hemlockrouter-member/src/membership/join.rs
@@ -0,0 +1,240 @@
+//! How a newcomer becomes a member that quorums count.
+//!
+//! It introduces itself to every member of its zone that it knows or hears of, and each of them
+//! counts it among the *joining* members from then on: it seeks the grants of a quorum both with and
+//! without the newcomer. When all have answered, and a lease later, when no lease from before is in
+//! force, the newcomer is *established*. So no two members ever rely on quorums of which one has
+//! the newcomer and the other has not heard of it. This is the joint step of changes of membership
+//! in Raft (Ongaro and Ousterhout 2014), without a log: members do not agree on an order of joins,
+//! they require quorums for each subset of the joining ones.
+//!
+//! The very first instances have no member to ask. They rely on the platform's list once it shows
+//! themselves, since whoever registered before them is on it too, or on their seeds, each of which
+//! must answer or refuse the connection.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::member::MemberKind;
+use rand::RngExt;
+
+use crate::command::Command;
+use crate::command::ListState;
+use crate::command::To;
+use crate::membership::Membership;
+
+/// How often a joining instance takes a step, in milliseconds, with a jitter of the same size.
+const STEP_MS: u64 = 100;
+
+/// How many introductions one step makes.
+const INTRODUCTIONS: usize = 2;
+
+/// How long an answer is waited for before the question is repeated, in milliseconds.
+const RETRY_MS: u64 = 1_000;
+
+/// The state of joining.
+#[derive(Debug)]
+pub(crate) struct Join {
+    seeds: Vec<SocketAddr>,
+    is_first: bool,
+    is_over: bool,
+    acknowledged: BTreeSet<InstanceId>,
+    /// When the last established member answered.
+    complete_at: Option<Time>,
+    asked_at: BTreeMap<InstanceId, Time>,
+    joined_at: BTreeMap<SocketAddr, Time>,
+    next_at: Time,
+}
+
+impl Join {
+    pub(crate) fn new(now: Time, seeds: Vec<SocketAddr>) -> Join {
+        Join {
+            seeds,
+            is_first: true,
+            is_over: false,
+            acknowledged: BTreeSet::new(),
+            complete_at: None,
+            asked_at: BTreeMap::new(),
+            joined_at: BTreeMap::new(),
+            next_at: now,
+        }
+    }
+
+    /// Returns whether the instance was never established before.
+    pub(crate) fn is_first(&self) -> bool {
+        self.is_first
+    }
+
+    pub(crate) fn next_wake(&self) -> Time {
+        self.next_at
+    }
+}
+
+impl Membership {
+    /// Starts to join again.
+    pub(crate) fn rejoin(&mut self, now: Time) {
+        if !self.join.is_over {
+            self.join.acknowledged.clear();
+            self.join.complete_at = None;
+            return;
+        }
+        let seeds = std::mem::take(&mut self.join.seeds);
+        self.join = Join::new(now, seeds);
+        self.join.is_first = false;
+        self.table.set_established(self.me.id, false);
+    }
+
+    pub(crate) fn tick_join(&mut self, now: Time, out: &mut Vec<Command>) {
+        if now < self.join.next_at {
+            return;
+        }
+        let step_ms = if self.join.is_over {
+            RETRY_MS * 5
+        } else {
+            STEP_MS
+        };
+        self.join.next_at = now + step_ms + self.rng.random_range(0..step_ms);
+        self.ask_addresses(now, out);
+        if self.join.is_over || self.leaving {
+            return;
+        }
+        self.introduce(now, out);
+        self.finish(now);
+    }
+
+    /// Asks one address at which nobody is known yet for its table.
+    fn ask_addresses(&mut self, now: Time, out: &mut Vec<Command>) {
+        let retry_ms = RETRY_MS * if self.join.is_over { 10 } else { 1 };
+        let address = self.open_addresses(now).into_iter().find(|address| {
+            let joined_at = self.join.joined_at.get(address);
+            joined_at.is_none_or(|joined_at| now.since(*joined_at) >= retry_ms)
+        });
+        let Some(address) = address else {
+            return;
+        };
+        self.join.joined_at.insert(address, now);
+        let message = self.message(MemberKind::Join, vec![self.own().rumour()]);
+        let to = To::Address(address);
+        out.push(Command::Send { to, message });
+    }
+
+    /// Returns the seeds and listed addresses at which nobody is known.
+    fn open_addresses(&self, _now: Time) -> Vec<SocketAddr> {
+        let listed = self
+            .list
+            .iter()
+            .filter(|listed| listed.state != ListState::Critical)
+            .map(|listed| listed.address);
+        self.join
+            .seeds
+            .iter()
+            .copied()
+            .chain(listed)
+            .filter(|address| !self.table.knows_address(*address))
+            .collect()
+    }
+
+    fn is_open(&self, address: SocketAddr) -> bool {
+        !self.table.knows_address(address) && !self.refused.contains_key(&address)
+    }
+
+    /// Notes that nothing listens at an address.
+    pub(crate) fn address_refused(&mut self, now: Time, address: SocketAddr) {
+        self.refused.insert(address, now);
+    }
+
+    /// Returns the members that have not answered yet and may still act.
+    fn unacquainted(&self) -> Vec<InstanceId> {
+        self.others()
+            .filter(|entry| entry.proved_at.is_none())
+            .filter(|entry| !self.join.acknowledged.contains(&entry.peer.id))
+            .map(|entry| entry.peer.id)
+            .collect()
+    }
+
+    fn introduce(&mut self, now: Time, out: &mut Vec<Command>) {
+        let digest = self.table.digest(&self.me.zone);
+        let mut left = INTRODUCTIONS;
+        for id in self.unacquainted() {
+            let asked_at = self.join.asked_at.get(&id);
+            if left == 0 || asked_at.is_some_and(|asked_at| now.since(*asked_at) < RETRY_MS) {
+                continue;
+            }
+            left -= 1;
+            self.join.asked_at.insert(id, now);
+            self.send(id, MemberKind::Introduce { digest }, out);
+        }
+    }
+
+    /// Answers an introduction. The rumours that came with it have put the sender in the table.
+    pub(crate) fn introduced_by(&mut self, from: InstanceId, digest: u64, out: &mut Vec<Command>) {
+        if self.table.removed(from).is_some() {
+            self.table.readmit(from);
+            return;
+        }
+        if self.table.get(from).is_none() {
+            return;
+        }
+        // Two that join at once know each other when one has introduced itself to the other.
+        if !self.table.get(from).is_some_and(|entry| entry.established) {
+            self.join.acknowledged.insert(from);
+        }
+        if self.table.digest(&self.me.zone) == digest {
+            self.send(from, MemberKind::Introduced, out);
+            return;
+        }
+        let zone = self.me.zone.clone();
+        self.send_table(from, Some(&zone), MemberKind::Introduced, out);
+    }
+
+    pub(crate) fn introduced_to(&mut self, now: Time, from: InstanceId) {
+        if self.join.is_over || !self.join.acknowledged.insert(from) {
+            return;
+        }
+        let is_established = self.table.get(from).is_some_and(|entry| entry.established);
+        if is_established || self.join.complete_at.is_none() {
+            self.join.complete_at = Some(now);
+        }
+    }
+
+    fn finish(&mut self, now: Time) {
+        if !self.unacquainted().is_empty() || !self.has_ground() {
+            return;
+        }
+        let complete_at = *self.join.complete_at.get_or_insert(now);
+        if now.since(complete_at) < self.config.lease_ms {
+            return;
+        }
+        self.join.is_over = true;
+        self.table.set_established(self.me.id, true);
+        self.gossip.add(self.me.id, self.zone_size());
+    }
+
+    /// Returns whether this instance can know of everyone who is established in its zone.
+    fn has_ground(&self) -> bool {
+        let has_met_member = self
+            .others()
+            .any(|entry| entry.established && self.join.acknowledged.contains(&entry.peer.id));
+        has_met_member || self.is_listed_among_known() || self.have_seeds_answered()
+    }
+
+    /// Returns whether the list shows this instance, and nobody of its zone who is unknown.
+    fn is_listed_among_known(&self) -> bool {
+        let mut shows_me = false;
+        for listed in &self.list {
+            shows_me |= listed.address == self.me.address;
+            let counts = listed.zone == self.me.zone && listed.state != ListState::Critical;
+            if counts && self.is_open(listed.address) {
+                return false;
+            }
+        }
+        shows_me
+    }
+
+    fn have_seeds_answered(&self) -> bool {
+        let seeds = &self.join.seeds;
+        !seeds.is_empty() && !seeds.iter().any(|seed| self.is_open(*seed))
+    }
+}
--- /dev/null
+++ b/hemlockrouter-member/src/membership/mod.rs
@@ -0,0 +1,420 @@
+//! Who is there: the instances of the own zone in detail, those of other zones from hearsay.
+//!
+//! Within a zone this is SWIM (Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent
+//! Infection-style Process Group Membership Protocol", 2002): one probe a second, indirect probes
+//! before suspicion, suspicion before death, refutation by the suspect. What SWIM calls dead only
+//! stops an instance from being chosen as an owner. It stays a member that quorums count until its
+//! end is proved ([`proof`]), and a newcomer counts only once every member knows it ([`join`]).
+
+mod contact;
+mod gossip;
+mod join;
+mod probe;
+mod proof;
+pub(crate) mod table;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::member::Condition;
+use hemlockrouter_wire::member::MemberKind;
+use hemlockrouter_wire::member::MemberMessage;
+use hemlockrouter_wire::member::Peer;
+use hemlockrouter_wire::member::Rumour;
+use hemlockrouter_wire::Message;
+use rand::rngs::SmallRng;
+use rand::RngExt;
+
+use crate::command::Command;
+use crate::command::Listed;
+use crate::command::To;
+use crate::config::Config;
+use crate::membership::contact::Contact;
+use crate::membership::gossip::Gossip;
+use crate::membership::join::Join;
+use crate::membership::probe::Prober;
+use crate::membership::table::Entry;
+use crate::membership::table::Merged;
+use crate::membership::table::Table;
+
+/// How often an instance that others call suspect or dead is told so, in milliseconds.
+const TELL_EVERY_MS: u64 = 500;
+
+/// How often one instance answers a comparison with a whole table, in milliseconds.
+const TABLE_EVERY_MS: u64 = 500;
+
+/// The membership of this instance.
+#[derive(Debug)]
+pub(crate) struct Membership {
+    config: Config,
+    me: Peer,
+    rng: SmallRng,
+    table: Table,
+    gossip: Gossip,
+    prober: Prober,
+    join: Join,
+    contact: Contact,
+    list: Vec<Listed>,
+    list_at: Option<Time>,
+    refused: BTreeMap<SocketAddr, Time>,
+    number: ConfigNumber,
+    leaving: bool,
+    told_at: BTreeMap<InstanceId, Time>,
+    table_at: Option<Time>,
+    /// When a member of the own zone was last heard from.
+    zone_heard_at: Time,
+    last_event_at: Time,
+}
+
+impl Membership {
+    pub(crate) fn new(
+        config: Config,
+        me: Peer,
+        seeds: Vec<SocketAddr>,
+        now: Time,
+        mut rng: SmallRng,
+    ) -> Membership {
+        let mut table = Table::default();
+        let own = Rumour {
+            peer: me.clone(),
+            condition: Condition::Alive,
+            refutations: 0,
+            established: false,
+        };
+        table.merge(now, &own);
+        let prober = Prober::new(now + rng.random_range(0..config.probe_every_ms));
+        let contact = Contact::new(now + rng.random_range(0..config.contact_every_ms));
+        let seeds = seeds
+            .into_iter()
+            .filter(|seed| *seed != me.address)
+            .collect();
+        Membership {
+            join: Join::new(now, seeds),
+            config,
+            me,
+            rng,
+            table,
+            gossip: Gossip::default(),
+            prober,
+            contact,
+            list: Vec::new(),
+            list_at: None,
+            refused: BTreeMap::new(),
+            number: ConfigNumber(0),
+            leaving: false,
+            told_at: BTreeMap::new(),
+            table_at: None,
+            zone_heard_at: now,
+            last_event_at: now,
+        }
+    }
+
+    pub(crate) fn table(&self) -> &Table {
+        &self.table
+    }
+
+    pub(crate) fn me(&self) -> &Peer {
+        &self.me
+    }
+
+    pub(crate) fn set_number(&mut self, number: ConfigNumber) {
+        self.number = number;
+    }
+
+    /// Returns whether this instance counts in the quorums of its zone.
+    pub(crate) fn is_established(&self) -> bool {
+        self.own().established
+    }
+
+    /// Returns whether this instance may promise anything: not while it joins anew after it may
+    /// have been removed, since some may still count it and others not.
+    pub(crate) fn may_grant(&self) -> bool {
+        self.is_established() || self.join.is_first()
+    }
+
+    fn own(&self) -> &Entry {
+        self.table
+            .get(self.me.id)
+            .expect("this instance is in its own table")
+    }
+
+    /// Notes that time has passed. An instance that did nothing, or heard nobody of its zone, for a
+    /// whole lease may have been removed meanwhile: it joins anew.
+    pub(crate) fn wake(&mut self, now: Time) {
+        let slept = now.since(self.last_event_at) >= self.config.lease_ms / 2;
+        self.last_event_at = now;
+        if slept || self.is_cut_off(now) {
+            self.rejoin(now);
+        }
+    }
+
+    /// Returns whether nobody of the zone was heard from for a lease, though some may run.
+    fn is_cut_off(&self, now: Time) -> bool {
+        now.since(self.zone_heard_at) >= self.config.lease_ms
+            && self.others().any(|entry| entry.proved_at.is_none())
+    }
+
+    /// Returns the other members of the own zone.
+    pub(crate) fn others(&self) -> impl Iterator<Item = &Entry> {
+        self.table
+            .zone(&self.me.zone)
+            .filter(|entry| entry.peer.id != self.me.id)
+    }
+
+    fn zone_size(&self) -> usize {
+        self.table.zone(&self.me.zone).count()
+    }
+
+    pub(crate) fn receive(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        message: MemberMessage,
+        out: &mut Vec<Command>,
+    ) {
+        for rumour in &message.rumours {
+            self.learn(now, rumour);
+        }
+        self.heard(now, from, out);
+        if let Some(entry) = self.table.get_mut(from) {
+            entry.config = entry.config.max(Some(message.config));
+        }
+        match message.kind {
+            MemberKind::Probe { seq } => self.send(from, MemberKind::Ack { seq }, out),
+            MemberKind::Ack { seq } => self.acknowledged(from, seq, out),
+            MemberKind::ProbeFor { seq, target } => self.probe_for(now, from, seq, target, out),
+            MemberKind::Join => self.send_table(from, None, MemberKind::Table, out),
+            MemberKind::Table => {}
+            MemberKind::News => {}
+            MemberKind::Introduce { digest } => self.introduced_by(from, digest, out),
+            MemberKind::Introduced => self.introduced_to(now, from),
+            MemberKind::Compare { zone, digest } => self.compare(now, from, &zone, digest, out),
+        }
+    }
+
+    /// Takes one rumour in.
+    fn learn(&mut self, now: Time, rumour: &Rumour) {
+        if rumour.peer.id == self.me.id {
+            self.refute(now, rumour);
+            return;
+        }
+        let merged = self.table.merge(now, rumour);
+        if merged == Merged::Known {
+            return;
+        }
+        if rumour.refutations == Rumour::FINAL {
+            self.prove(now, rumour.peer.id);
+        } else if rumour.condition == Condition::Dead {
+            self.doubt(rumour.peer.id);
+        }
+        self.gossip.add(rumour.peer.id, self.zone_size());
+    }
+
+    /// Answers a rumour that calls this instance anything but alive.
+    fn refute(&mut self, now: Time, rumour: &Rumour) {
+        if rumour.condition == Condition::Dead && !rumour.established {
+            // The teller has removed this instance.
+            self.rejoin(now);
+        }
+        if self.leaving || rumour.condition == Condition::Alive {
+            return;
+        }
+        let own = self
+            .table
+            .get_mut(self.me.id)
+            .expect("this instance is in its own table");
+        if rumour.refutations < own.refutations || rumour.refutations == Rumour::FINAL {
+            return;
+        }
+        own.refutations = rumour.refutations + 1;
+        self.gossip.add(self.me.id, self.zone_size());
+    }
+
+    /// Notes that `from` sent something. One that is called suspect or dead is told, to refute it.
+    pub(crate) fn heard(&mut self, now: Time, from: InstanceId, out: &mut Vec<Command>) {
+        let Some(condition) = self.note_heard(now, from) else {
+            self.tell_removed(now, from, out);
+            return;
+        };
+        let is_doubted = matches!(condition, Condition::Suspect | Condition::Dead);
+        if is_doubted && self.may_tell(now, from) {
+            self.send(from, MemberKind::News, out);
+        }
+    }
+
+    /// Notes that `from` sent something, and returns its condition if it is known.
+    pub(crate) fn note_heard(&mut self, now: Time, from: InstanceId) -> Option<Condition> {
+        let entry = self.table.get_mut(from)?;
+        entry.heard_at = Some(now);
+        if entry.peer.zone == self.me.zone {
+            self.zone_heard_at = now;
+        }
+        self.prober.heard(from);
+        Some(entry.condition)
+    }
+
+    fn may_tell(&mut self, now: Time, id: InstanceId) -> bool {
+        let told_at = self.told_at.get(&id);
+        if told_at.is_some_and(|told_at| now.since(*told_at) < TELL_EVERY_MS) {
+            return false;
+        }
+        self.told_at.insert(id, now);
+        true
+    }
+
+    /// Tells an instance that was removed and turns out to run that it has to join anew.
+    fn tell_removed(&mut self, now: Time, id: InstanceId, out: &mut Vec<Command>) {
+        let Some(entry) = self.table.removed(id) else {
+            return;
+        };
+        if entry.refutations == Rumour::FINAL {
+            return;
+        }
+        let mut rumour = entry.rumour();
+        rumour.condition = Condition::Dead;
+        rumour.established = false;
+        let to = To::Address(rumour.peer.address);
+        if self.may_tell(now, id) {
+            let message = self.message(MemberKind::News, vec![rumour]);
+            out.push(Command::Send { to, message });
+        }
+    }
+
+    fn message(&self, kind: MemberKind, rumours: Vec<Rumour>) -> Message {
+        Message::Member(MemberMessage {
+            config: self.number,
+            rumours,
+            kind,
+        })
+    }
+
+    /// Sends a message with as many rumours as one message carries.
+    fn send(&mut self, to: InstanceId, kind: MemberKind, out: &mut Vec<Command>) {
+        let mut ids = self.gossip.take(self.config.rumours_per_message);
+        let receiver = self.table.get(to);
+        let is_doubted = receiver.is_some_and(|entry| entry.condition >= Condition::Suspect);
+        if is_doubted && !ids.contains(&to) {
+            ids.push(to);
+        }
+        let is_stranger = receiver.is_some_and(|entry| entry.peer.zone != self.me.zone)
+            || matches!(kind, MemberKind::Introduce { .. });
+        if is_stranger && !ids.contains(&self.me.id) {
+            ids.push(self.me.id);
+        }
+        let rumours = ids
+            .into_iter()
+            .filter_map(|id| self.table.get(id))
+            .map(Entry::rumour)
+            .collect();
+        let message = self.message(kind, rumours);
+        let to = To::Instance(to);
+        out.push(Command::Send { to, message });
+    }
+
+    /// Sends the whole table, or that of one zone.
+    fn send_table(
+        &mut self,
+        to: InstanceId,
+        zone: Option<&str>,
+        kind: MemberKind,
+        out: &mut Vec<Command>,
+    ) {
+        let rumours = self
+            .table
+            .iter()
+            .filter(|entry| zone.is_none_or(|zone| entry.peer.zone == zone))
+            .map(Entry::rumour)
+            .collect();
+        let message = self.message(kind, rumours);
+        let to = To::Instance(to);
+        out.push(Command::Send { to, message });
+    }
+
+    fn compare(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        zone: &str,
+        digest: u64,
+        out: &mut Vec<Command>,
+    ) {
+        if self.table.digest(zone) == digest {
+            return;
+        }
+        let table_at = self.table_at;
+        if table_at.is_some_and(|table_at| now.since(table_at) < TABLE_EVERY_MS) {
+            return;
+        }
+        self.table_at = Some(now);
+        self.send_table(from, Some(zone), MemberKind::Table, out);
+    }
+
+    /// Starts to leave: others choose owners without this instance from now on.
+    pub(crate) fn leave(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.leaving = true;
+        self.declare(now, Condition::Leaving, 0, out);
+    }
+
+    /// Tells the zone that this instance ends, which nothing outweighs.
+    pub(crate) fn end(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.declare(now, Condition::Dead, Rumour::FINAL, out);
+    }
+
+    fn declare(
+        &mut self,
+        now: Time,
+        condition: Condition,
+        refutations: u32,
+        out: &mut Vec<Command>,
+    ) {
+        let id = self.me.id;
+        let own = self
+            .table
+            .get_mut(id)
+            .expect("this instance is in its own table");
+        own.refutations = refutations.max(own.refutations);
+        self.table.set_condition(now, id, condition);
+        self.gossip.add(id, self.zone_size());
+        let told = self.pick(DIRECT_NEWS, |entry| entry.is_living());
+        for id in told {
+            self.gossip.add(self.me.id, self.zone_size());
+            self.send(id, MemberKind::News, out);
+        }
+    }
+
+    /// Picks at most `max` random other members of the zone.
+    fn pick<F>(&mut self, max: usize, wanted: F) -> Vec<InstanceId>
+    where
+        F: Fn(&Entry) -> bool,
+    {
+        let mut ids: Vec<InstanceId> = self
+            .others()
+            .filter(|entry| wanted(entry))
+            .map(|entry| entry.peer.id)
+            .collect();
+        let mut picked = Vec::new();
+        while picked.len() < max && !ids.is_empty() {
+            let index = self.rng.random_range(0..ids.len());
+            picked.push(ids.swap_remove(index));
+        }
+        picked
+    }
+
+    pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.tick_probe(now, out);
+        self.tick_proof(now, out);
+        self.tick_join(now, out);
+        self.tick_contact(now, out);
+    }
+
+    pub(crate) fn next_wake(&self) -> Time {
+        self.prober
+            .next_wake(self.config.probe_timeout_ms)
+            .min(self.join.next_wake())
+            .min(self.contact.next_wake())
+    }
+}
+
+/// How many members hear of a departure at once; the others hear it from them.
+const DIRECT_NEWS: usize = 8;
--- /dev/null
+++ b/hemlockrouter-member/src/membership/proof.rs
@@ -0,0 +1,139 @@
+//! Proof that an instance has ended.
+//!
+//! A quorum may only shrink by members that can't act any more, so death in the eyes of the prober
+//! is not enough. Proof is one of: the instance said so itself, another instance runs at its
+//! address, its address refuses connections, or the platform's list, where it once stood, does not
+//! show it as passing any more. A lease after the proof it is removed: by then no promise that it
+//! gave or received is in force.
+
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::member::Condition;
+use hemlockrouter_wire::member::Rumour;
+
+use crate::command::Command;
+use crate::command::ListState;
+use crate::command::Listed;
+use crate::membership::table::Entry;
+use crate::membership::Membership;
+
+/// How long a refused connection counts, in milliseconds.
+const REFUSED_MS: u64 = 10_000;
+
+/// How long a dead instance of another zone is kept, in milliseconds. It counts in no quorum here.
+const OTHER_ZONE_MS: u64 = 60_000;
+
+impl Membership {
+    /// Takes in the platform's list.
+    pub(crate) fn listed(&mut self, now: Time, list: Vec<Listed>) {
+        self.list = list;
+        self.list_at = Some(now);
+        for listed in &self.list {
+            let ids: Vec<InstanceId> = self
+                .table
+                .iter()
+                .filter(|entry| entry.peer.address == listed.address)
+                .map(|entry| entry.peer.id)
+                .collect();
+            for id in ids {
+                if let Some(entry) = self.table.get_mut(id) {
+                    entry.was_listed = true;
+                }
+            }
+        }
+    }
+
+    /// Takes in that a connection to `id` was refused: nothing listens there.
+    pub(crate) fn undeliverable(&mut self, now: Time, id: InstanceId) {
+        let Some(entry) = self.table.get(id) else {
+            return;
+        };
+        // Whether an instance of another zone lives is for its own zone to say.
+        if entry.peer.zone != self.me.zone || id == self.me.id {
+            return;
+        }
+        self.refused.insert(entry.peer.address, now);
+        if entry.condition == Condition::Dead {
+            return;
+        }
+        self.table.set_condition(now, id, Condition::Dead);
+        self.gossip.add(id, self.zone_size());
+    }
+
+    /// Notes that the end of `id` is proved.
+    pub(crate) fn prove(&mut self, now: Time, id: InstanceId) {
+        if let Some(entry) = self.table.get_mut(id) {
+            entry.proved_at.get_or_insert(now);
+        }
+    }
+
+    /// Looks for proofs and removes instances whose end was proved a lease ago.
+    pub(crate) fn tick_proof(&mut self, now: Time, _out: &mut Vec<Command>) {
+        self.refused
+            .retain(|_, refused_at| now.since(*refused_at) < REFUSED_MS);
+        self.table.forget(now);
+        let dead: Vec<InstanceId> = self
+            .table
+            .iter()
+            .filter(|entry| entry.condition == Condition::Dead)
+            .map(|entry| entry.peer.id)
+            .collect();
+        for id in dead {
+            self.judge(now, id);
+        }
+    }
+
+    fn judge(&mut self, now: Time, id: InstanceId) {
+        let Some(entry) = self.table.get(id) else {
+            return;
+        };
+        if id == self.me.id {
+            return;
+        }
+        if entry.proved_at.is_none() && self.has_ended(now, entry) {
+            self.prove(now, id);
+            return;
+        }
+        let is_over = match entry.proved_at {
+            Some(proved_at) => now.since(proved_at) >= self.config.lease_ms,
+            None => entry.peer.zone != self.me.zone && now.since(entry.since) >= OTHER_ZONE_MS,
+        };
+        if is_over {
+            self.table.remove(now, id);
+        }
+    }
+
+    fn has_ended(&self, now: Time, entry: &Entry) -> bool {
+        entry.refutations == Rumour::FINAL
+            || self.is_replaced(entry)
+            || self.is_refused(entry)
+            || self.is_unlisted(now, entry)
+    }
+
+    /// Returns whether another instance was heard from at the address later.
+    fn is_replaced(&self, entry: &Entry) -> bool {
+        self.table.iter().any(|other| {
+            other.peer.address == entry.peer.address
+                && other.peer.id != entry.peer.id
+                && (other.heard_at > entry.heard_at || other.peer.id == self.me.id)
+        })
+    }
+
+    fn is_refused(&self, entry: &Entry) -> bool {
+        let refused_at = self.refused.get(&entry.peer.address).copied();
+        self.config.refusal_is_proof && refused_at.is_some() && refused_at > entry.heard_at
+    }
+
+    fn is_unlisted(&self, now: Time, entry: &Entry) -> bool {
+        if self.list_at.is_none_or(|list_at| list_at <= entry.since) {
+            return false;
+        }
+        let listed = self
+            .list
+            .iter()
+            .find(|listed| listed.address == entry.peer.address);
+        match listed {
+            Some(listed) => listed.state == ListState::Critical,
+            None => entry.was_listed || now.since(entry.since) >= self.config.list_lag_ms,
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrouter-member/src/membership/table.rs
@@ -0,0 +1,233 @@
+//! The table of instances.
+//!
+//! An instance leaves the table only when it is dead *and* its end is proved, since a quorum may
+//! only shrink by members that can't act any more. Until then it stays as a member that does not
+//! answer.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::member::Condition;
+use hemlockrouter_wire::member::Peer;
+use hemlockrouter_wire::member::Rumour;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How long a removed instance is remembered, so that late rumours do not bring it back.
+const TOMBSTONE_MS: u64 = 600_000;
+
+/// What is known of one instance.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) peer: Peer,
+    pub(crate) condition: Condition,
+    pub(crate) refutations: u32,
+    pub(crate) established: bool,
+    /// When the condition last changed.
+    pub(crate) since: Time,
+    /// When it last was heard from directly.
+    pub(crate) heard_at: Option<Time>,
+    /// The configuration number last heard from it.
+    pub(crate) config: Option<ConfigNumber>,
+    /// Whether the platform's list ever contained it.
+    pub(crate) was_listed: bool,
+    /// When the proof of its end was found.
+    pub(crate) proved_at: Option<Time>,
+}
+
+impl Entry {
+    /// Returns whether it may own upstreams.
+    pub(crate) fn is_living(&self) -> bool {
+        matches!(self.condition, Condition::Alive | Condition::Suspect)
+    }
+
+    pub(crate) fn rumour(&self) -> Rumour {
+        Rumour {
+            peer: self.peer.clone(),
+            condition: self.condition,
+            refutations: self.refutations,
+            established: self.established,
+        }
+    }
+}
+
+/// What merging a rumour changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Merged {
+    /// Nothing.
+    Known,
+    /// The instance was not known.
+    Added,
+    /// Its condition or standing changed.
+    Changed,
+}
+
+/// All known instances, this one included.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    entries: BTreeMap<InstanceId, Entry>,
+    removed: BTreeMap<InstanceId, (Time, Entry)>,
+    /// Counts, for each zone, the changes that matter to ranking: who is known, living and
+    /// established.
+    versions: BTreeMap<String, u64>,
+    version: u64,
+}
+
+impl Table {
+    pub(crate) fn versions(&self) -> &BTreeMap<String, u64> {
+        &self.versions
+    }
+
+    /// Counts the changes in all zones.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
+    fn touch(&mut self, zone: &str) {
+        self.version += 1;
+        match self.versions.get_mut(zone) {
+            Some(version) => *version += 1,
+            None => {
+                self.versions.insert(zone.to_owned(), 1);
+            }
+        }
+    }
+
+    pub(crate) fn get(&self, id: InstanceId) -> Option<&Entry> {
+        self.entries.get(&id)
+    }
+
+    pub(crate) fn get_mut(&mut self, id: InstanceId) -> Option<&mut Entry> {
+        self.entries.get_mut(&id)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    pub(crate) fn zone<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a Entry> {
+        self.iter().filter(move |entry| entry.peer.zone == zone)
+    }
+
+    pub(crate) fn zones(&self) -> Vec<String> {
+        let mut zones: Vec<String> = self.iter().map(|entry| entry.peer.zone.clone()).collect();
+        zones.sort();
+        zones.dedup();
+        zones
+    }
+
+    pub(crate) fn knows_address(&self, address: SocketAddr) -> bool {
+        self.iter().any(|entry| entry.peer.address == address)
+    }
+
+    /// Returns the removed instance of this id, if it is still remembered.
+    pub(crate) fn removed(&self, id: InstanceId) -> Option<&Entry> {
+        self.removed.get(&id).map(|(_, entry)| entry)
+    }
+
+    /// Takes a rumour in. News of a higher count of refutations wins, then the worse condition.
+    pub(crate) fn merge(&mut self, now: Time, rumour: &Rumour) -> Merged {
+        let id = rumour.peer.id;
+        if let Some((_, removed)) = self.removed.get(&id) {
+            let is_back =
+                rumour.condition < Condition::Leaving && rumour.refutations > removed.refutations;
+            if !is_back {
+                return Merged::Known;
+            }
+            self.removed.remove(&id);
+        }
+        let Some(entry) = self.entries.get_mut(&id) else {
+            self.insert(now, rumour);
+            return Merged::Added;
+        };
+        let mut merged = Merged::Known;
+        if rumour.established && !entry.established {
+            entry.established = true;
+            merged = Merged::Changed;
+        }
+        if (rumour.refutations, rumour.condition) > (entry.refutations, entry.condition) {
+            entry.refutations = rumour.refutations;
+            self.set_condition(now, id, rumour.condition);
+            merged = Merged::Changed;
+        }
+        if merged == Merged::Changed {
+            self.touch(&rumour.peer.zone);
+        }
+        merged
+    }
+
+    fn insert(&mut self, now: Time, rumour: &Rumour) {
+        let entry = Entry {
+            peer: rumour.peer.clone(),
+            condition: rumour.condition,
+            refutations: rumour.refutations,
+            established: rumour.established,
+            since: now,
+            heard_at: None,
+            config: None,
+            was_listed: false,
+            proved_at: None,
+        };
+        self.entries.insert(rumour.peer.id, entry);
+        self.touch(&rumour.peer.zone);
+    }
+
+    /// Changes the condition of an instance.
+    pub(crate) fn set_condition(&mut self, now: Time, id: InstanceId, condition: Condition) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        if entry.condition == condition {
+            return;
+        }
+        entry.condition = condition;
+        entry.since = now;
+        entry.proved_at = None;
+        let zone = entry.peer.zone.clone();
+        self.touch(&zone);
+    }
+
+    /// Sets whether an instance counts in quorums.
+    pub(crate) fn set_established(&mut self, id: InstanceId, established: bool) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        entry.established = established;
+        let zone = entry.peer.zone.clone();
+        self.touch(&zone);
+    }
+
+    /// Removes an instance whose end is proved.
+    pub(crate) fn remove(&mut self, now: Time, id: InstanceId) {
+        let Some(entry) = self.entries.remove(&id) else {
+            return;
+        };
+        let zone = entry.peer.zone.clone();
+        self.removed.insert(id, (now, entry));
+        self.touch(&zone);
+    }
+
+    /// Lets a removed instance come back as one that is joining.
+    pub(crate) fn readmit(&mut self, id: InstanceId) {
+        self.removed.remove(&id);
+    }
+
+    /// Forgets instances that were removed long ago.
+    pub(crate) fn forget(&mut self, now: Time) {
+        self.removed
+            .retain(|_, (removed_at, _)| now.since(*removed_at) < TOMBSTONE_MS);
+    }
+
+    /// Returns a digest of who is in a zone and counts in its quorums.
+    pub(crate) fn digest(&self, zone: &str) -> u64 {
+        let mut bytes = Vec::new();
+        for entry in self.zone(zone) {
+            if entry.condition == Condition::Dead {
+                continue;
+            }
+            bytes.extend_from_slice(&entry.peer.id.0.to_le_bytes());
+            bytes.push(u8::from(entry.established));
+        }
+        xxh3_64(&bytes)
+    }
+}
--- /dev/null
+++ b/hemlockrouter-member/src/ownership/rank.rs
@@ -0,0 +1,135 @@
+//! Who may own an upstream, and whose grants its owner needs.
+//!
+//! The three highest-ranked members of the upstream's zone by rendezvous hashing (Thaler and
+//! Ravishankar 1998) are its guards. An owner needs grants from a majority of them. While newcomers
+//! join, it needs a majority of the guards for each subset of the newcomers that may count already
+//! in the view of some member.
+
+use hemlockrouter_types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How many guards an upstream has.
+const GUARDS: usize = 3;
+
+/// For how many joining members quorums are worked out by subset.
+const MAX_JOINING: usize = 3;
+
+/// One member of the upstream's zone.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) id: InstanceId,
+    pub(crate) is_living: bool,
+    pub(crate) is_established: bool,
+}
+
+/// Returns the rank of an instance for an upstream; the highest comes first.
+pub(crate) fn score(upstream: UpstreamKey, id: InstanceId) -> u64 {
+    let mut bytes = [0; 12];
+    bytes[..4].copy_from_slice(&upstream.raw().to_le_bytes());
+    bytes[4..].copy_from_slice(&id.0.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
+/// Returns whether `a` ranks before `b`.
+pub(crate) fn is_before(upstream: UpstreamKey, a: InstanceId, b: InstanceId) -> bool {
+    (score(upstream, a), a) > (score(upstream, b), b)
+}
+
+/// Returns the highest-ranked living member that is established.
+pub(crate) fn preferred(upstream: UpstreamKey, candidates: &[Candidate]) -> Option<InstanceId> {
+    candidates
+        .iter()
+        .filter(|candidate| candidate.is_living && candidate.is_established)
+        .map(|candidate| (score(upstream, candidate.id), candidate.id))
+        .max()
+        .map(|(_, id)| id)
+}
+
+/// Sets of instances; an owner needs grants from a majority of each.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Quorums {
+    sets: Vec<Vec<InstanceId>>,
+}
+
+impl Quorums {
+    /// Works out the sets for one upstream.
+    pub(crate) fn new(upstream: UpstreamKey, candidates: &[Candidate]) -> Quorums {
+        let established = ranked(upstream, candidates, true);
+        let mut joining = ranked(upstream, candidates, false);
+        if let Some(last) = established.get(GUARDS - 1) {
+            joining.retain(|id| is_before(upstream, *id, *last));
+        }
+        let base: Vec<InstanceId> = established.into_iter().take(GUARDS).collect();
+        if joining.len() > MAX_JOINING {
+            return Quorums::all_of(base, joining);
+        }
+        let mut sets = Vec::new();
+        for subset in 0..1_u32 << joining.len() {
+            let newcomers = joining
+                .iter()
+                .enumerate()
+                .filter(|(index, _)| subset & (1 << index) != 0)
+                .map(|(_, id)| *id);
+            let mut set: Vec<InstanceId> = base.iter().copied().chain(newcomers).collect();
+            sort(upstream, &mut set);
+            set.truncate(GUARDS);
+            if !sets.contains(&set) {
+                sets.push(set);
+            }
+        }
+        Quorums { sets }
+    }
+
+    /// Asks for the grant of every guard and every newcomer, which meets all subsets.
+    fn all_of(base: Vec<InstanceId>, joining: Vec<InstanceId>) -> Quorums {
+        let sets = base.into_iter().chain(joining).map(|id| vec![id]).collect();
+        Quorums { sets }
+    }
+
+    /// Returns whether there is but one set, so that one more grant than the owner's own is enough.
+    pub(crate) fn is_simple(&self) -> bool {
+        self.sets.len() == 1
+    }
+
+    /// Returns everyone whose grant can count, each once.
+    pub(crate) fn members(&self) -> Vec<InstanceId> {
+        let mut members: Vec<InstanceId> = self.sets.iter().flatten().copied().collect();
+        members.sort();
+        members.dedup();
+        members
+    }
+
+    /// Returns the latest instant up to which a majority of every set has granted.
+    pub(crate) fn end<F>(&self, granted_until: F) -> Time
+    where
+        F: Fn(InstanceId) -> Time,
+    {
+        self.sets
+            .iter()
+            .map(|set| {
+                let mut ends: Vec<Time> = set.iter().map(|id| granted_until(*id)).collect();
+                ends.sort_by(|a, b| b.cmp(a));
+                ends.get(set.len() / 2).copied().unwrap_or(Time::ZERO)
+            })
+            .min()
+            .unwrap_or(Time::ZERO)
+    }
+}
+
+fn ranked(
+    upstream: UpstreamKey,
+    candidates: &[Candidate],
+    is_established: bool,
+) -> Vec<InstanceId> {
+    let mut ids: Vec<InstanceId> = candidates
+        .iter()
+        .filter(|candidate| candidate.is_established == is_established)
+        .map(|candidate| candidate.id)
+        .collect();
+    sort(upstream, &mut ids);
+    ids
+}
+
+fn sort(upstream: UpstreamKey, ids: &mut [InstanceId]) {
+    ids.sort_by_cached_key(|id| std::cmp::Reverse((score(upstream, *id), *id)));
+}
--- a/hemlockrouter-wire/src/lease.rs
+++ b/hemlockrouter-wire/src/lease.rs
@@ -27,14 +27,25 @@
         config: ConfigNumber,
         /// The upstreams for which the promise is given.
         granted: Vec<UpstreamKey>,
-        /// The upstreams for which it is not.
-        refused: Vec<UpstreamKey>,
+        /// The upstreams for which it is not, and to whom they are promised.
+        refused: Vec<Refused>,
     },
     /// Tells that the sender has stopped dispatching to `upstreams` and gives up its leases.
     Release {
+        /// The sender's clock when it sent this; it does not undo a promise that was asked for later.
+        sent_at: Time,
         /// The configuration that the keys belong to.
         config: ConfigNumber,
         /// The upstreams.
         upstreams: Vec<UpstreamKey>,
     },
 }
+
+/// An upstream for which a promise is not given.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Refused {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// The instance that it is promised to, or that holds it.
+    pub holder: InstanceId,
+}
--- a/hemlockrouter-wire/src/member.rs
+++ b/hemlockrouter-wire/src/member.rs
@@ -44,6 +44,21 @@
     Table,
     /// Carries only rumours.
     News,
+    /// Introduces the sender, which is joining its zone, to one member of it.
+    Introduce {
+        /// The digest of the members of the zone that the sender knows.
+        digest: u64,
+    },
+    /// Answers an introduction: the sender counts the receiver among the joining members. Its
+    /// rumours tell the members of the zone if the digests differ.
+    Introduced,
+    /// Asks for a [`Table`](MemberKind::Table) of one zone if the receiver's digest of it differs.
+    Compare {
+        /// The name of the zone.
+        zone: String,
+        /// The sender's digest of its members.
+        digest: u64,
+    },
 }
 
 /// What the sender believes of an instance.
@@ -55,6 +70,13 @@
     pub condition: Condition,
     /// Counts how often the instance refuted a suspicion; a higher count outweighs a lower one.
     pub refutations: u32,
+    /// Whether all members of its zone know it, so that it counts in their quorums.
+    pub established: bool,
+}
+
+impl Rumour {
+    /// The count of refutations with which an instance tells its own end, which nothing outweighs.
+    pub const FINAL: u32 = u32::MAX;
 }
 
 /// An instance of the tier, as others know it.
--- a/hemlockrouter-wire/src/relay.rs
+++ b/hemlockrouter-wire/src/relay.rs
@@ -10,6 +10,9 @@
 pub enum RelayMessage {
     /// Accepted notes, in order.
     Notes {
+        /// The instance that the notes spread from in the receiver's zone, to be passed on down its
+        /// tree; `None` in an answer to a pull.
+        root: Option<InstanceId>,
         /// The number of the first.
         first: ConfigNumber,
         /// The notes.
@@ -22,6 +25,8 @@
     },
     /// A whole catalogue, for an instance that lacks more notes than its peer keeps.
     Base {
+        /// The last release note that the document contains.
+        number: ConfigNumber,
         /// The document.
         #[serde(with = "serde_bytes")]
         document: Vec<u8>,
