limit: judge answers by customer, wait after a take-over, refuse what can't wait

Cause: three faults found while reading. A customer with slow or failing queries could alone make the upstream look cold to all; work that the owner before had in flight was not counted; work that could not outlast a pause stayed in the queue until its deadline. Change: the usual time is kept by customer, late answers of one customer are excused while another is served in time, a new owner waits 250 ms before its first dispatch (dispatched searches end within that time after the lease), and a pause refuses at once what can't wait for its end.

--- a/hemlockrouter-limit/src/config.rs
+++ b/hemlockrouter-limit/src/config.rs
@@ -51,6 +51,7 @@
     pub(crate) order: Order,
     pub(crate) backoff_min_ms: u32,
     pub(crate) backoff_max_ms: u32,
+    pub(crate) quiet_ms: u32,
     pub(crate) leaving_ms: u32,
     pub(crate) retry_min_ms: u32,
     pub(crate) retry_max_ms: u32,
@@ -72,6 +73,7 @@
             order: Order::FairByTime,
             backoff_min_ms: 50,
             backoff_max_ms: 1_000,
+            quiet_ms: 250,
             leaving_ms: 10_000,
             retry_min_ms: 10,
             retry_max_ms: 5_000,
@@ -146,6 +148,14 @@
         self
     }
 
+    /// Sets how long a new owner waits before its first dispatch, in milliseconds. What the owner
+    /// before it sent may still be in flight, and ends within this time after that owner's lease. The
+    /// default is 250.
+    pub fn quiet_ms(mut self, ms: u32) -> Config {
+        self.quiet_ms = ms;
+        self
+    }
+
     /// Sets how long an upstream that said it is leaving gets no work before one sub-request is tried
     /// again, in milliseconds. The default is 10,000.
     pub fn leaving_ms(mut self, ms: u32) -> Config {
--- a/hemlockrouter-limit/src/lib.rs
+++ b/hemlockrouter-limit/src/lib.rs
@@ -37,6 +37,8 @@
 //! - `limiter`: the [`Limiter`], which finds the upstream of each event.
 //! - `upstream`: the state of one upstream: lease, ramp, queue, pauses.
 //! - `ramp`: the cold-start ramp.
+//! - `history`: how long the work of each customer takes at an upstream.
+//! - `window`: the answers since a limit changed.
 //! - `queue`: the weighted fair queue over customers.
 //! - `mean`: means of durations.
 //! - `timers`: when upstreams need attention.
@@ -46,12 +48,14 @@
 
 mod admission;
 mod config;
+mod history;
 mod limiter;
 mod mean;
 mod queue;
 mod ramp;
 mod timers;
 mod upstream;
+mod window;
 mod work;
 
 pub use crate::admission::Admission;
--- a/hemlockrouter-limit/src/limiter.rs
+++ b/hemlockrouter-limit/src/limiter.rs
@@ -157,14 +157,6 @@
         }
     }
 
-    /// Takes note that `upstream` answered others in `usual_ms` while it was warm. It makes the end of
-    /// a first cold start show sooner, and is passed over once the upstream's own answers tell.
-    pub fn hint(&mut self, upstream: UpstreamKey, usual_ms: u32) {
-        if let Some(state) = self.upstreams.get_mut(&upstream) {
-            state.hint(usual_ms);
-        }
-    }
-
     /// Takes in work: it is dispatched, waits, or is refused at once. An id that was offered before
     /// is passed over.
     pub fn offer(&mut self, now: Time, work: Work, out: &mut Vec<Command>) {
@@ -305,17 +297,16 @@
         if state.is_leaving(now) {
             return Err(self.leaving_refusal(now, state));
         }
-        if state.is_unreachable(now) {
-            return Err(self.refusal(Reason::Unreachable, state.pause_ms(now)));
-        }
         let left_ms = work.deadline.left(now);
         let served_ms = state.queue.served_ms(now, work.customer);
         if left_ms == 0 || served_ms > left_ms {
             return Err(self.refusal(Reason::Deadline, 0));
         }
-        let pause_ms = state.pause_ms(now);
-        if pause_ms + served_ms > left_ms {
-            return Err(self.refusal(Reason::Shed, pause_ms));
+        if let Some(pause) = state.pause(now) {
+            let pause_ms = pause.until.left(now);
+            if pause.reason == Reason::Unreachable || pause_ms + served_ms > left_ms {
+                return Err(self.refusal(pause.reason, pause_ms));
+            }
         }
         let wait_ms = state.queue.wait_ms(work.customer, work.deadline);
         if wait_ms + served_ms > left_ms {
@@ -368,8 +359,6 @@
             self.refusal(Reason::NotOwner, 0)
         } else if state.is_leaving(now) {
             self.leaving_refusal(now, state)
-        } else if state.is_unreachable(now) {
-            self.refusal(Reason::Unreachable, state.pause_ms(now))
         } else {
             return;
         };
@@ -378,12 +367,22 @@
         }
     }
 
-    /// Refuses what can't be done any more by its deadline.
+    /// Refuses what can't be done any more by its deadline, or can't wait for the end of a pause.
     fn refuse_due(&mut self, now: Time, upstream: UpstreamKey, out: &mut Vec<Command>) {
-        while let Some(waiting) = self.upstream_mut(upstream).queue.pop_due(now) {
-            let queue = &self.upstreams[&upstream].queue;
-            let drain_ms = queue.drain_ms(waiting.customer);
-            let refusal = self.refusal(Reason::Deadline, drain_ms);
+        let pause = self.upstreams[&upstream].pause(now);
+        let earliest = match pause {
+            None => now,
+            Some(pause) if pause.reason == Reason::Unreachable => Time::MAX,
+            Some(pause) => pause.until,
+        };
+        while let Some(waiting) = self.upstream_mut(upstream).queue.pop_due(earliest) {
+            let refusal = match pause {
+                Some(pause) => self.refusal(pause.reason, pause.until.left(now)),
+                None => {
+                    let queue = &self.upstreams[&upstream].queue;
+                    self.refusal(Reason::Deadline, queue.drain_ms(waiting.customer))
+                }
+            };
             self.refuse(now, waiting.id, refusal, out);
         }
     }
@@ -411,7 +410,7 @@
             let Some(Turn { waiting, charge }) = state.queue.pop(now) else {
                 return;
             };
-            let flight = state.dispatch(now, charge);
+            let flight = state.dispatch(now, charge, &self.config);
             let item = self
                 .items
                 .get_mut(&waiting.id)
@@ -423,26 +422,33 @@
             let lease_until = state
                 .lease_until(now)
                 .expect("work is dispatched under a lease");
+            // The next owner waits for so long after the lease. Work that must not be repeated is
+            // not cut short for it, since that would leave its outcome unknown.
+            let quiet_from = lease_until + u64::from(self.config.quiet_ms);
+            let deadline = if item.once {
+                waiting.deadline
+            } else {
+                waiting.deadline.min(quiet_from)
+            };
             out.push(Command::Dispatch {
                 id: waiting.id,
                 upstream,
                 lease_until,
-                deadline: waiting.deadline,
+                deadline,
             });
         }
     }
 
     /// Lists the upstream under the next instant at which something can change without an event.
     fn set_timer(&mut self, now: Time, upstream: UpstreamKey) {
-        let config = &self.config;
         let state = self
             .upstreams
             .get_mut(&upstream)
             .expect("only known upstreams are pumped");
-        let mut next = state.stalls_at(config);
+        let mut next = state.stalls_at();
         if let Some(start_by) = state.queue.start_by() {
             let lease_until = state.lease_until(now);
-            let pause = Some(now + state.pause_ms(now)).filter(|&at| at > now);
+            let pause = state.pause(now).map(|pause| pause.until);
             let due = [next, Some(start_by + 1), lease_until, pause];
             next = due.into_iter().flatten().min();
         }
--- a/hemlockrouter-limit/src/mean.rs
+++ b/hemlockrouter-limit/src/mean.rs
@@ -1,10 +1,9 @@
-//! Means of durations in whole milliseconds.
+//! Means of whole numbers, such as durations in milliseconds.
 
-/// An exponentially weighted mean. It falls fast and rises slowly: an estimate that is too high
-/// refuses or delays work that could have been done, and would correct itself late.
+/// An exponentially weighted mean in which each sample counts one eighth.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Mean {
-    /// In eighths of a millisecond; `None` before the first sample.
+    /// In eighths; `None` before the first sample.
     mean_x8: Option<u64>,
 }
 
@@ -12,7 +11,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Run {
     count: u32,
-    sum_ms: u64,
+    sum: u64,
 }
 
 impl Mean {
@@ -27,26 +26,32 @@
     }
 
     /// Takes in a sample.
-    pub(crate) fn observe(&mut self, sample_ms: u64) {
-        let sample_x8 = sample_ms * 8;
+    pub(crate) fn observe(&mut self, sample: u64) {
         self.mean_x8 = Some(match self.mean_x8 {
-            None => sample_x8,
-            Some(mean_x8) if sample_x8 * 2 < mean_x8 => (mean_x8 + sample_x8) / 2,
-            Some(mean_x8) => mean_x8 - mean_x8 / 8 + sample_ms,
+            None => sample * 8,
+            Some(mean_x8) => mean_x8 - mean_x8 / 8 + sample,
         });
     }
 
-    /// Forgets all samples but `sample_ms`.
-    pub(crate) fn reset(&mut self, sample_ms: u64) {
-        self.mean_x8 = Some(sample_ms * 8);
+    /// Takes in a sample, and moves half the way to one that is below half of the mean.
+    ///
+    /// An estimate that is too high refuses work that could have been done, and would then be
+    /// corrected by few samples.
+    pub(crate) fn observe_falling(&mut self, sample: u64) {
+        match self.mean_x8 {
+            Some(mean_x8) if sample * 16 < mean_x8 => {
+                self.mean_x8 = Some((mean_x8 + sample * 8) / 2);
+            }
+            _ => self.observe(sample),
+        }
     }
 }
 
 impl Run {
     /// Takes in a sample.
-    pub(crate) fn observe(&mut self, sample_ms: u64) {
+    pub(crate) fn observe(&mut self, sample: u64) {
         self.count += 1;
-        self.sum_ms += sample_ms;
+        self.sum += sample;
     }
 
     /// Returns the number of samples.
@@ -54,8 +59,8 @@
         self.count
     }
 
-    /// Returns the mean in milliseconds, or 0 without samples.
-    pub(crate) fn mean_ms(&self) -> u64 {
-        self.sum_ms / u64::from(self.count.max(1))
+    /// Returns the mean, or 0 without samples.
+    pub(crate) fn mean(&self) -> u64 {
+        self.sum / u64::from(self.count.max(1))
     }
 }
--- a/hemlockrouter-limit/src/queue.rs
+++ b/hemlockrouter-limit/src/queue.rs
@@ -351,7 +351,7 @@
     }
 
     fn observe_served(&mut self, now: Time, served_ms: u32) {
-        self.served.observe(u64::from(served_ms));
+        self.served.observe_falling(u64::from(served_ms));
         self.last_served = now;
     }
 
--- a/hemlockrouter-limit/src/ramp.rs
+++ b/hemlockrouter-limit/src/ramp.rs
@@ -6,20 +6,31 @@
 //! window are late, and falls back to one when the upstream looks cold again.
 //!
 //! That a cold start is over shows in one of three ways. Where the usual time of the warm upstream is
-//! known, answers take about that again. Where it is not, they take less than half of what they took
-//! at first. Failing both, they have been equally slow for so long that this is the usual time now.
-//! If the upstream turns cold again soon afterwards, the last way was wrong and needs twice the time.
+//! known, answers take about that again. Where it is not, they take little more than half of what
+//! they took before. Failing both, they have been equally slow for so long that this is the usual
+//! time now. If the upstream turns cold again soon afterwards, the last way was wrong and needs twice
+//! the time.
 
 use hemlockrouter_types::prelude::*;
 
 use crate::config::Config;
 use crate::config::Growth;
-use crate::mean::Mean;
+use crate::history::History;
 use crate::mean::Run;
+use crate::window::Window;
 
 /// The longest time to which the settling time doubles, in milliseconds.
 const SETTLE_MAX_MS: u64 = 60_000;
 
+/// Up to how many per cent of the usual time the answers of a warm upstream take on average.
+const USUAL_PERCENT: u64 = 150;
+
+/// Up to how many per cent of the time in a cold start so far answers take once it is over.
+const FASTER_PERCENT: u64 = 60;
+
+/// From how many per cent on of the time in a cold start so far answers do not get faster.
+const STEADY_PERCENT: u64 = 80;
+
 /// What an event did to the ramp.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Change {
@@ -39,10 +50,9 @@
     limit: u32,
     slots: u32,
     cold_slots: u32,
-    /// How long answers take when the upstream is warm. It outlives a cold start.
-    usual: Mean,
     phase: Phase,
     window: Window,
+    history: History,
     /// How often the settling time is doubled.
     doublings: u32,
 }
@@ -57,18 +67,21 @@
 #[derive(Debug)]
 struct Cold {
     since: Time,
-    /// How long answers take in this cold start.
-    usual: Mean,
-    run: Run,
-    first_ms: Option<u64>,
-    last_ms: Option<u64>,
+    /// Answers in per cent of the customer's usual time, where that is known.
+    of_usual: Run,
+    /// Answers in per cent of the customer's time in this cold start so far.
+    of_cold: Run,
 }
 
-/// Answers since the limit changed.
-#[derive(Debug, Default)]
-struct Window {
-    timely: u32,
-    late: u32,
+/// What showed that a cold start is over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Warmed {
+    /// Answers take about the usual time.
+    AsUsual,
+    /// Answers became faster.
+    Faster,
+    /// Answers have taken the same time for long.
+    Settled,
 }
 
 impl Ramp {
@@ -78,9 +91,9 @@
             limit: 1,
             slots: 1,
             cold_slots: 1,
-            usual: Mean::default(),
             phase: Phase::Cold(Cold::new(now)),
             window: Window::default(),
+            history: History::default(),
             doublings: 0,
         };
         ramp.resize(slots, cold_slots);
@@ -94,13 +107,6 @@
         self.limit = self.limit.min(self.bound());
     }
 
-    /// Takes a usual time that was learned elsewhere, unless one is known.
-    pub(crate) fn hint(&mut self, usual_ms: u32) {
-        if self.usual.ms().is_none() {
-            self.usual.observe(u64::from(usual_ms));
-        }
-    }
-
     /// Returns how many requests may be in flight.
     pub(crate) fn limit(&self) -> u32 {
         self.limit
@@ -111,11 +117,11 @@
         matches!(self.phase, Phase::Cold(_))
     }
 
-    /// Returns the time in milliseconds above which an answer is late, if the usual time is known.
-    pub(crate) fn late_above_ms(&self, config: &Config) -> Option<u64> {
+    /// Returns the milliseconds after which an answer to `customer` is late, if that is known.
+    pub(crate) fn late_after_ms(&self, customer: CustomerKey, config: &Config) -> Option<u64> {
         let usual_ms = match &self.phase {
-            Phase::Cold(cold) => cold.usual.ms()?,
-            Phase::Warm { .. } => self.usual.ms()?,
+            Phase::Cold(_) => self.history.cold_ms(customer)?,
+            Phase::Warm { .. } => self.history.usual_ms(customer)?,
         };
         let by_factor = usual_ms * u64::from(config.late_after);
         Some(by_factor.max(usual_ms + u64::from(config.late_slack_ms)))
@@ -130,6 +136,7 @@
         self.limit = 1;
         self.phase = Phase::Cold(Cold::new(now));
         self.window = Window::default();
+        self.history.begin_cold_start();
         if was_cold {
             Change::None
         } else {
@@ -140,7 +147,7 @@
     /// Halves the limit.
     pub(crate) fn halve(&mut self) -> Change {
         if let Phase::Cold(cold) = &mut self.phase {
-            cold.run = Run::default();
+            cold.restart_runs();
         }
         self.window = Window::default();
         if self.limit == 1 {
@@ -150,72 +157,85 @@
         Change::Halved
     }
 
-    /// Takes in an answer, or a wait without one, of `served_ms`.
-    pub(crate) fn observe(&mut self, now: Time, served_ms: u32, config: &Config) -> Change {
-        let served_ms = u64::from(served_ms);
-        let above_ms = self.late_above_ms(config);
-        if above_ms.is_some_and(|above_ms| served_ms > above_ms) {
-            return self.observe_late(now, served_ms, config);
+    /// Takes in an answer to `customer`, or a wait without one, of `served_ms`.
+    pub(crate) fn observe(
+        &mut self,
+        now: Time,
+        customer: CustomerKey,
+        served_ms: u64,
+        config: &Config,
+    ) -> Change {
+        let late_after_ms = self.late_after_ms(customer, config);
+        if late_after_ms.is_some_and(|late_after_ms| served_ms > late_after_ms) {
+            self.window.add_late(customer);
+            return self.observe_trouble(now, config);
         }
-        self.window.timely += 1;
+        self.window.add_timely(customer);
         match &mut self.phase {
-            Phase::Cold(cold) => {
-                cold.usual.observe(served_ms);
-                cold.run.observe(served_ms);
-            }
-            Phase::Warm { .. } => self.usual.observe(served_ms),
+            Phase::Cold(cold) => cold.observe(customer, served_ms, &mut self.history),
+            Phase::Warm { .. } => self.history.observe_warm(customer, served_ms),
         }
-        if let Some(warm) = self.warmed(now, config) {
-            return self.warm(now, warm);
+        if let Some(warmed) = self.end_run(now, config) {
+            return self.warm(now, warmed);
         }
         self.end_window(config)
     }
 
-    fn observe_late(&mut self, now: Time, served_ms: u64, config: &Config) -> Change {
-        self.window.late += 1;
-        if let Phase::Cold(cold) = &mut self.phase {
-            // Slowly, lest one early answer that was quick by chance makes all others late.
-            cold.usual.observe(served_ms);
+    /// Takes in that work of `customer` failed or was not answered in time.
+    pub(crate) fn observe_failure(
+        &mut self,
+        now: Time,
+        customer: CustomerKey,
+        config: &Config,
+    ) -> Change {
+        self.window.add_failed(customer);
+        self.observe_trouble(now, config)
+    }
+
+    fn observe_trouble(&mut self, now: Time, config: &Config) -> Change {
+        if self.is_cold() {
+            if self.window.is_excused() {
+                return Change::None;
+            }
             return self.halve();
         }
-        if self.window.late * 2 > self.window_size(config) {
+        if self.window.is_mostly_late(self.window_size(config)) {
             return self.cool(now, config);
         }
         self.end_window(config)
     }
 
     /// Ends a run of answers in a cold start. Returns what shows that the cold start is over.
-    fn warmed(&mut self, now: Time, config: &Config) -> Option<Warmed> {
-        let settle_ms = self.settle_ms(config);
-        let known_ms = self.usual.ms();
+    fn end_run(&mut self, now: Time, config: &Config) -> Option<Warmed> {
         let Phase::Cold(cold) = &mut self.phase else {
             return None;
         };
-        if cold.run.count() < config.warm_after || self.limit < self.cold_slots {
+        let enough = config.warm_after;
+        if self.limit < self.cold_slots || cold.of_cold.count() < enough {
             return None;
         }
-        let run_ms = std::mem::take(&mut cold.run).mean_ms();
-        let first_ms = *cold.first_ms.get_or_insert(run_ms);
-        let last_ms = cold.last_ms.replace(run_ms);
-        if known_ms.is_some_and(|known_ms| run_ms <= known_ms + known_ms / 2 + 1) {
+        let known = cold.of_usual.count() >= enough.div_ceil(2);
+        let as_usual = known && cold.of_usual.mean() <= USUAL_PERCENT;
+        let of_cold_percent = cold.of_cold.mean();
+        let cold_ms = now.since(cold.since);
+        cold.restart_runs();
+        if as_usual {
             return Some(Warmed::AsUsual);
         }
-        if known_ms.is_none() && run_ms * 2 < first_ms {
-            return Some(Warmed::Faster { run_ms });
+        if !known && of_cold_percent <= FASTER_PERCENT {
+            return Some(Warmed::Faster);
         }
-        let steady = last_ms.is_some_and(|last_ms| run_ms * 4 >= last_ms * 3);
-        if steady && now.since(cold.since) >= settle_ms {
-            return Some(Warmed::Settled { run_ms });
+        if of_cold_percent >= STEADY_PERCENT && cold_ms >= self.settle_ms(known, config) {
+            return Some(Warmed::Settled);
         }
         None
     }
 
     fn warm(&mut self, now: Time, warmed: Warmed) -> Change {
-        match warmed {
-            Warmed::AsUsual => {}
-            Warmed::Faster { run_ms } | Warmed::Settled { run_ms } => self.usual.reset(run_ms),
+        let settled = warmed == Warmed::Settled;
+        if settled {
+            self.history.forget_usual();
         }
-        let settled = matches!(warmed, Warmed::Settled { .. });
         self.phase = Phase::Warm {
             since: now,
             settled,
@@ -225,15 +245,13 @@
     }
 
     fn end_window(&mut self, config: &Config) -> Change {
-        let seen = self.window.timely + self.window.late;
-        if seen < self.window_size(config) {
+        if !self.window.is_full(self.window_size(config)) {
             return Change::None;
         }
-        let too_late = self.window.late * 4 >= seen;
-        self.window = Window::default();
-        if too_late {
+        if self.window.is_partly_late() {
             return self.halve();
         }
+        self.window = Window::default();
         let grown = match config.growth {
             Growth::Double => self.limit * 2,
             Growth::Add => self.limit + 1,
@@ -245,19 +263,25 @@
 
     /// Lengthens the settling time if it ended the last cold start wrongly.
     fn judge_settling(&mut self, warm_ms: u64, settled: bool, config: &Config) {
-        if settled && warm_ms < self.settle_ms(config) {
+        if !settled {
+            self.doublings = 0;
+            return;
+        }
+        // What was learned since may come from the cold start.
+        self.history.forget_usual();
+        if warm_ms < self.settle_ms(false, config) {
             self.doublings += 1;
-            self.usual = Mean::default();
         } else {
             self.doublings = 0;
         }
     }
 
     /// Returns how long equally slow answers must last to be taken for usual, in milliseconds.
-    fn settle_ms(&self, config: &Config) -> u64 {
-        let base_ms = match self.usual.ms() {
-            Some(_) => config.slower_ms,
-            None => config.settle_ms,
+    fn settle_ms(&self, known: bool, config: &Config) -> u64 {
+        let base_ms = if known {
+            config.slower_ms
+        } else {
+            config.settle_ms
         };
         let doubled_ms = u64::from(base_ms) << self.doublings.min(16);
         doubled_ms.min(SETTLE_MAX_MS)
@@ -276,24 +300,28 @@
     }
 }
 
-/// What showed that a cold start is over.
-enum Warmed {
-    /// Answers take about the usual time.
-    AsUsual,
-    /// Answers take less than half of what they took at first.
-    Faster { run_ms: u64 },
-    /// Answers have taken the same time for long.
-    Settled { run_ms: u64 },
-}
-
 impl Cold {
     fn new(now: Time) -> Cold {
         Cold {
             since: now,
-            usual: Mean::default(),
-            run: Run::default(),
-            first_ms: None,
-            last_ms: None,
+            of_usual: Run::default(),
+            of_cold: Run::default(),
+        }
+    }
+
+    fn observe(&mut self, customer: CustomerKey, served_ms: u64, history: &mut History) {
+        // A millisecond more on both sides keeps times near zero comparable.
+        if let Some(usual_ms) = history.usual_ms(customer) {
+            self.of_usual
+                .observe((served_ms + 1) * 100 / (usual_ms + 1));
         }
+        let cold_ms = history.cold_ms(customer).unwrap_or(served_ms);
+        self.of_cold.observe((served_ms + 1) * 100 / (cold_ms + 1));
+        history.observe_cold(customer, served_ms);
+    }
+
+    fn restart_runs(&mut self) {
+        self.of_usual = Run::default();
+        self.of_cold = Run::default();
     }
 }
--- a/hemlockrouter-limit/src/upstream.rs
+++ b/hemlockrouter-limit/src/upstream.rs
@@ -17,6 +17,9 @@
 use crate::work::Ended;
 use crate::work::Status;
 
+/// After how long a request is late whose customer's usual time is unknown, in milliseconds.
+const LATE_UNKNOWN_MS: u64 = 1_000;
+
 /// One upstream.
 #[derive(Debug)]
 pub(crate) struct Upstream {
@@ -33,22 +36,31 @@
     start: Option<StartId>,
     leaving_until: Option<Time>,
     marked_leaving: bool,
-    pause_until: Time,
+    pause: Pause,
     /// The last pause after a refused connection, or 0 if the upstream could be connected to.
     backoff_ms: u32,
-    /// When work last went out or came back in time.
-    progress: Time,
+    /// When everything in flight is late, at the earliest.
+    all_late_at: Time,
     /// Counts how often the upstream was taken for cold.
     epoch: u32,
     /// Counts how often the limit was lowered.
     round: u32,
 }
 
+/// A time in which nothing is dispatched.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pause {
+    pub(crate) until: Time,
+    /// Why work that can't wait for its end is refused.
+    pub(crate) reason: Reason,
+}
+
 /// What is remembered of a sub-request in flight.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Flight {
     charge: Charge,
     since: Time,
+    late_at: Time,
     epoch: u32,
     round: u32,
 }
@@ -74,9 +86,12 @@
             start: None,
             leaving_until: None,
             marked_leaving: false,
-            pause_until: Time::ZERO,
+            pause: Pause {
+                until: Time::ZERO,
+                reason: Reason::NotReady,
+            },
             backoff_ms: 0,
-            progress: now,
+            all_late_at: now,
             epoch: 0,
             round: 0,
         }
@@ -94,15 +109,11 @@
             _ => {
                 self.held_until = Some(until);
                 self.cool(now, "the lease is new", config, out);
+                self.pause_for(now, config.quiet_ms, Reason::NotReady);
             }
         }
     }
 
-    /// Takes a usual time that was learned elsewhere.
-    pub(crate) fn hint(&mut self, usual_ms: u32) {
-        self.ramp.hint(usual_ms);
-    }
-
     /// Ends the lease.
     pub(crate) fn release(&mut self) {
         self.held_until = None;
@@ -121,14 +132,9 @@
             || self.leaving_until.is_some_and(|until| until > now)
     }
 
-    /// Returns whether connections were refused so lately that none is tried.
-    pub(crate) fn is_unreachable(&self, now: Time) -> bool {
-        self.backoff_ms > 0 && self.pause_until > now
-    }
-
-    /// Returns what is left of a pause, in milliseconds.
-    pub(crate) fn pause_ms(&self, now: Time) -> u64 {
-        self.pause_until.left(now)
+    /// Returns the pause that is on.
+    pub(crate) fn pause(&self, now: Time) -> Option<Pause> {
+        (self.pause.until > now).then_some(self.pause)
     }
 
     /// Returns what is left of the time for which it is leaving, in milliseconds.
@@ -140,17 +146,23 @@
     pub(crate) fn may_dispatch(&self, now: Time) -> bool {
         self.lease_until(now).is_some()
             && !self.is_leaving(now)
-            && self.pause_until <= now
+            && self.pause(now).is_none()
             && self.in_flight < self.ramp.limit()
     }
 
     /// Counts a request that goes to the upstream.
-    pub(crate) fn dispatch(&mut self, now: Time, charge: Charge) -> Flight {
+    pub(crate) fn dispatch(&mut self, now: Time, charge: Charge, config: &Config) -> Flight {
         self.in_flight += 1;
-        self.progress = now;
+        let late_after_ms = self
+            .ramp
+            .late_after_ms(charge.customer, config)
+            .unwrap_or(LATE_UNKNOWN_MS);
+        let late_at = now + late_after_ms;
+        self.all_late_at = self.all_late_at.max(late_at);
         Flight {
             charge,
             since: now,
+            late_at,
             epoch: self.epoch,
             round: self.round,
         }
@@ -193,35 +205,33 @@
                 self.observe_start(now, flight, start, config, out);
                 self.halve(flight, "the upstream sheds load", out);
                 let pause_ms = retry_after_ms.min(config.backoff_max_ms);
-                self.pause_until = self.pause_until.max(now + u64::from(pause_ms));
+                self.pause_for(now, pause_ms, Reason::Shed);
             }
             Ended::Leaving => {
                 self.backoff_ms = 0;
                 self.leave(now, config, out);
             }
             Ended::Unreachable => self.observe_unreachable(now, config, out),
-            Ended::TimedOut | Ended::Failed => {
-                self.halve(flight, "the upstream did not answer", out);
-            }
+            Ended::TimedOut | Ended::Failed => self.observe_failure(now, flight, config, out),
             Ended::Cancelled => self.observe_cancelled(now, flight, config, out),
             Ended::NotSent => {}
         }
     }
 
-    /// Takes the upstream for cold if nothing moved for so long that all in flight is late.
+    /// Takes the upstream for cold if all that is in flight is late.
     pub(crate) fn check_progress(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
-        if self.stalls_at(config).is_some_and(|at| at <= now) {
+        if self.stalls_at().is_some_and(|at| at <= now) {
             self.cool(now, "all in flight is late", config, out);
         }
     }
 
-    /// Returns when the upstream looks cold if nothing moves until then.
-    pub(crate) fn stalls_at(&self, config: &Config) -> Option<Time> {
+    /// Returns when the upstream looks cold if nothing goes out or comes back until then. One request
+    /// alone may just be a straggler.
+    pub(crate) fn stalls_at(&self) -> Option<Time> {
         if self.ramp.is_cold() || self.in_flight < 2 {
             return None;
         }
-        let above_ms = self.ramp.late_above_ms(config)?;
-        Some(self.progress + above_ms + 1)
+        Some(self.all_late_at + 1)
     }
 
     /// Returns the condition.
@@ -291,18 +301,32 @@
         config: &Config,
         out: &mut Vec<Command>,
     ) {
-        // Answers to work from before the limit was lowered tell of the load before.
-        if flight.epoch != self.epoch || flight.round != self.round {
+        if self.is_outdated(flight) {
             return;
         }
-        let above_ms = self.ramp.late_above_ms(config);
-        if above_ms.is_none_or(|above_ms| u64::from(served_ms) <= above_ms) {
-            self.progress = now;
-        }
-        let change = self.ramp.observe(now, served_ms, config);
+        let customer = flight.charge.customer;
+        let change = self
+            .ramp
+            .observe(now, customer, u64::from(served_ms), config);
         self.record(change, "answers", out);
     }
 
+    fn observe_failure(
+        &mut self,
+        now: Time,
+        flight: Flight,
+        config: &Config,
+        out: &mut Vec<Command>,
+    ) {
+        if self.is_outdated(flight) {
+            return;
+        }
+        let customer = flight.charge.customer;
+        let change = self.ramp.observe_failure(now, customer, config);
+        self.record(change, "failures", out);
+    }
+
+    /// A request that was cancelled when it was late already counts as a late answer.
     fn observe_cancelled(
         &mut self,
         now: Time,
@@ -310,29 +334,40 @@
         config: &Config,
         out: &mut Vec<Command>,
     ) {
-        let waited_ms = now.since(flight.since);
-        let late = self
-            .ramp
-            .late_above_ms(config)
-            .is_some_and(|above_ms| waited_ms > above_ms);
-        if late {
-            let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
+        if now > flight.late_at {
+            let waited_ms = u32::try_from(now.since(flight.since)).unwrap_or(u32::MAX);
             self.observe(now, flight, waited_ms, config, out);
         }
     }
 
+    /// Returns whether the limit was lowered since the request went out. Its end tells of the load
+    /// before.
+    fn is_outdated(&self, flight: Flight) -> bool {
+        flight.epoch != self.epoch || flight.round != self.round
+    }
+
     fn observe_unreachable(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
         self.cool(now, "the connection was refused", config, out);
-        if self.pause_until > now && self.backoff_ms > 0 {
+        if self
+            .pause(now)
+            .is_some_and(|pause| pause.reason == Reason::Unreachable)
+        {
             return;
         }
         let doubled = self.backoff_ms.saturating_mul(2);
         self.backoff_ms = doubled.clamp(config.backoff_min_ms, config.backoff_max_ms);
-        self.pause_until = now + u64::from(self.backoff_ms);
+        self.pause_for(now, self.backoff_ms, Reason::Unreachable);
+    }
+
+    fn pause_for(&mut self, now: Time, ms: u32, reason: Reason) {
+        let until = now + u64::from(ms);
+        if until > self.pause.until {
+            self.pause = Pause { until, reason };
+        }
     }
 
     fn halve(&mut self, flight: Flight, why: &'static str, out: &mut Vec<Command>) {
-        if flight.epoch != self.epoch || flight.round != self.round {
+        if self.is_outdated(flight) {
             return;
         }
         let change = self.ramp.halve();
--- a/hemlockrouter-limit/tests/limit/common.rs
+++ b/hemlockrouter-limit/tests/limit/common.rs
@@ -65,9 +65,10 @@
     }
 }
 
-/// Holds the lease of the first upstream for ever.
+/// Holds the lease of the first upstream for ever, since so long that the first wait is over.
 pub(crate) fn hold(limiter: &mut Limiter, now: Time, out: &mut Vec<Command>) {
     limiter.hold(now, upstream(0), Time::MAX, out);
+    limiter.tick(now + 250, out);
 }
 
 /// Returns what was dispatched, in order.
