--- /dev/null
+++ b/hemlockrouter-cli/src/bin/hemlockd/args.rs
@@ -0,0 +1,67 @@
+//! The command line of `hemlockd`.
+
+use eyre::eyre;
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+
+/// The text of `--help`.
+pub(crate) const HELP: &str = "\
+Runs one instance of the hemlockrouter query tier.
+
+Usage: hemlockd --settings FILE [--check]
+
+Options:
+  --settings FILE  the settings of this instance, JSON with comments
+  --check          check the settings and the keys, then exit
+  --help           show this text
+  --version        show the version
+
+Signals:
+  SIGTERM, SIGINT  shut down gracefully: readiness off, hand over, finish what was accepted
+  SIGHUP           ignored; settings are read once, at the start
+
+Exit codes:
+  0  shut down gracefully, or the settings are in order
+  1  the time for the shutdown ran out with work under way
+  2  wrong usage
+  3  the settings or the keys are not in order
+  4  a port can't be bound, or a thread can't be started
+";
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub(crate) enum Args {
+    Help,
+    Version,
+    Run { settings: String },
+    Check { settings: String },
+}
+
+impl Args {
+    /// Parses the command line.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with it.
+    pub(crate) fn parse() -> eyre::Result<Args> {
+        let mut settings = None;
+        let mut check = false;
+        let mut parser = Parser::from_env();
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Long("help") | Arg::Short('h') => return Ok(Args::Help),
+                Arg::Long("version") | Arg::Short('V') => return Ok(Args::Version),
+                Arg::Long("settings") => settings = Some(parser.value()?.string()?),
+                Arg::Long("check") => check = true,
+                _ => return Err(eyre!("{}; see --help", arg.unexpected())),
+            }
+        }
+        let settings = settings.ok_or_else(|| eyre!("--settings is missing; see --help"))?;
+        Ok(if check {
+            Args::Check { settings }
+        } else {
+            Args::Run { settings }
+        })
+    }
+}
--- a/hemlockrouter-wire/src/envelope.rs
+++ b/hemlockrouter-wire/src/envelope.rs
@@ -47,6 +47,8 @@
     Lease(LeaseMessage),
     /// Configuration.
     Relay(RelayMessage),
+    /// An operator asks the receiver to shut down gracefully.
+    Drain,
 }
 
 /// Why bytes are not an envelope that this version can take.
--- /dev/null
+++ b/src/edge/callers.rs
@@ -0,0 +1,275 @@
+//! The callers' port.
+//!
+//! It is served by `hyper`, since callers are not trusted: the size and the time of a request's
+//! header, the size and the time of its body and the number of connections are bounded here before
+//! anything of a request is looked at. The decisions are made by the [`Node`](crate::node::Node);
+//! a request waits for its answer without holding a thread.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+use crate::edge::request;
+use crate::edge::request::CallerError;
+use crate::node::CallerAnswer;
+use crate::node::CallerRequest;
+use crate::node::Mailbox;
+
+/// Threads that serve all connections together.
+const WORKER_THREADS: usize = 2;
+
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    pub(crate) connections: usize,
+    pub(crate) header_max_bytes: usize,
+    pub(crate) header_timeout_ms: u64,
+    pub(crate) body_max_bytes: usize,
+    pub(crate) body_timeout_ms: u64,
+}
+
+/// The running server of the callers' port.
+pub(crate) struct CallersServer {
+    runtime: Runtime,
+    address: SocketAddr,
+    phase: watch::Sender<Phase>,
+    connections: Arc<Semaphore>,
+    bounds: Bounds,
+}
+
+/// How far the shutdown has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    /// Connections are kept alive.
+    Serving,
+    /// Every answer closes its connection, so that callers move to other instances.
+    Draining,
+    /// No connection is accepted, idle ones are closed, the others end with their answer.
+    Closing,
+}
+
+impl CallersServer {
+    /// Binds `address` and serves it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket or of starting the threads.
+    pub(crate) fn start(
+        address: SocketAddr,
+        bounds: Bounds,
+        mailbox: Mailbox,
+    ) -> io::Result<CallersServer> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(WORKER_THREADS)
+            .thread_name("callers")
+            .enable_all()
+            .build()?;
+        let listener = runtime.block_on(TcpListener::bind(address))?;
+        let address = listener.local_addr()?;
+        let connections = Arc::new(Semaphore::new(bounds.connections));
+        let (phase, phase_rx) = watch::channel(Phase::Serving);
+        let permits = Arc::clone(&connections);
+        runtime.spawn(accept(listener, bounds, mailbox, permits, phase_rx));
+        Ok(CallersServer {
+            runtime,
+            address,
+            phase,
+            connections,
+            bounds,
+        })
+    }
+
+    /// Returns the address that it is bound to.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Makes every further answer close its connection.
+    pub(crate) fn drain(&self) {
+        self.phase.send_replace(Phase::Draining);
+    }
+
+    /// Stops accepting, lets requests under way end and returns whether they did within
+    /// `timeout_ms`.
+    pub(crate) fn close(self, timeout_ms: u64) -> bool {
+        self.phase.send_replace(Phase::Closing);
+        let all = u32::try_from(self.bounds.connections).unwrap_or(u32::MAX);
+        let ended = self.runtime.block_on(async {
+            let wait = self.connections.acquire_many(all);
+            timeout(Duration::from_millis(timeout_ms), wait)
+                .await
+                .is_ok()
+        });
+        self.runtime.shutdown_background();
+        ended
+    }
+}
+
+/// Accepts connections while permits are free.
+async fn accept(
+    listener: TcpListener,
+    bounds: Bounds,
+    mailbox: Mailbox,
+    permits: Arc<Semaphore>,
+    mut phase: watch::Receiver<Phase>,
+) {
+    loop {
+        let permit = Arc::clone(&permits).acquire_owned().await;
+        let permit = permit.expect("the semaphore is never closed");
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Out of file descriptors, most likely: let some connections end first.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let mailbox = mailbox.clone();
+        let phase = phase.clone();
+        tokio::spawn(async move {
+            serve_connection(stream, bounds, mailbox, phase).await;
+            drop(permit);
+        });
+    }
+}
+
+/// Serves one connection until it ends.
+async fn serve_connection(
+    stream: TcpStream,
+    bounds: Bounds,
+    mailbox: Mailbox,
+    mut phase: watch::Receiver<Phase>,
+) {
+    // The option only saves time; a connection without it still works.
+    let _ = stream.set_nodelay(true);
+    let answers_phase = phase.clone();
+    let service = service_fn(move |request| {
+        let mailbox = mailbox.clone();
+        let phase = answers_phase.clone();
+        async move {
+            let mut response = respond(request, bounds, &mailbox).await;
+            if *phase.borrow() != Phase::Serving {
+                let close = header::HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(bounds.header_timeout_ms))
+        .max_buf_size(bounds.header_max_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let closing = async {
+        // An error means that the server is gone, which closes connections as well.
+        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+    };
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = closing => connection.as_mut().graceful_shutdown(),
+    }
+    // How a connection ends is its caller's matter.
+    let _ = connection.await;
+}
+
+/// Answers one request.
+async fn respond(
+    request: Request<Incoming>,
+    bounds: Bounds,
+    mailbox: &Mailbox,
+) -> Response<Full<Bytes>> {
+    match answer(request, bounds, mailbox).await {
+        Ok(answer) => request::render(&answer),
+        Err(error) => request::render_error(&error),
+    }
+}
+
+/// Reads one request, hands it to the node and waits for its answer.
+async fn answer(
+    request: Request<Incoming>,
+    bounds: Bounds,
+    mailbox: &Mailbox,
+) -> Result<CallerAnswer, CallerError> {
+    let (head, body) = request.into_parts();
+    if head.method != Method::POST {
+        return Err(CallerError::new(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "method_not_allowed",
+            "use POST",
+        ));
+    }
+    let bearer = request::bearer(&head)?;
+    let body = read_body(body, bounds).await?;
+    let parsed = request::parse(&head, &body)?;
+    let (sender, receiver) = oneshot::channel();
+    let guard = mailbox
+        .submit(CallerRequest {
+            bearer,
+            kind: parsed,
+            answer: sender,
+        })
+        .map_err(|_| CallerError::overloaded())?;
+    let answer = receiver.await;
+    guard.answered();
+    answer.map_err(|_| CallerError::unknown())
+}
+
+/// Reads the body within the bounds.
+async fn read_body(body: Incoming, bounds: Bounds) -> Result<Bytes, CallerError> {
+    let limited = Limited::new(body, bounds.body_max_bytes);
+    let wait = Duration::from_millis(bounds.body_timeout_ms);
+    let Ok(read) = timeout(wait, limited.collect()).await else {
+        let text = format!(
+            "the body was not received within {} ms",
+            bounds.body_timeout_ms
+        );
+        return Err(CallerError::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_timeout",
+            text,
+        ));
+    };
+    match read {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let text = format!("the body exceeds {} bytes", bounds.body_max_bytes);
+            Err(CallerError::new(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_large",
+                text,
+            ))
+        }
+        Err(_) => Err(CallerError::new(
+            StatusCode::BAD_REQUEST,
+            "body_broken",
+            "the body could not be read",
+        )),
+    }
+}
--- /dev/null
+++ b/src/edge/instances.rs
@@ -0,0 +1,60 @@
+//! The port for other instances: envelopes of the inner protocol.
+//!
+//! An envelope is answered as soon as the node has taken it. What it asks for is answered by
+//! messages of their own.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hemlockrouter_config::SecretKey;
+use hemlockrouter_wire::Envelope;
+
+use crate::edge::tiny::Answer;
+use crate::edge::tiny::Call;
+use crate::edge::tiny::TinyServer;
+use crate::metrics::Metrics;
+use crate::node::Event;
+use crate::node::Mailbox;
+
+/// The path that envelopes are posted to.
+pub(crate) const ENVELOPE_PATH: &str = "/v1/envelope";
+
+/// The largest envelope, in bytes.
+const ENVELOPE_MAX_BYTES: u64 = 16 << 20;
+
+/// Serves the port.
+///
+/// # Errors
+///
+/// Returns the error of the socket or of starting a thread.
+pub(crate) fn start(
+    address: SocketAddr,
+    threads: usize,
+    key: SecretKey,
+    mailbox: Mailbox,
+    metrics: Arc<Metrics>,
+) -> io::Result<TinyServer> {
+    let handler = move |call| handle(&call, &key, &mailbox, &metrics);
+    TinyServer::start("instances", address, threads, ENVELOPE_MAX_BYTES, handler)
+}
+
+fn handle(call: &Call, key: &SecretKey, mailbox: &Mailbox, metrics: &Metrics) -> Answer {
+    if !call.is_authorized(key) {
+        return Answer::text(401, "the instances' key is missing or wrong");
+    }
+    if call.path != ENVELOPE_PATH || call.method != "POST" {
+        return Answer::text(404, format!("post envelopes to {ENVELOPE_PATH}"));
+    }
+    match Envelope::decode(&call.body) {
+        Ok(envelope) => {
+            let count = envelope.messages.len() as u64;
+            if !mailbox.offer(Event::Envelope(envelope)) {
+                return Answer::text(503, "the node is behind; nothing of the envelope was taken");
+            }
+            metrics.messages(count);
+            Answer::empty(204)
+        }
+        Err(error) => Answer::text(400, error.to_string()),
+    }
+}
--- /dev/null
+++ b/src/edge/mod.rs
@@ -0,0 +1,7 @@
+//! What an instance serves: callers, operators and other instances.
+
+pub(crate) mod callers;
+pub(crate) mod instances;
+pub(crate) mod operators;
+pub(crate) mod request;
+pub(crate) mod tiny;
--- /dev/null
+++ b/src/edge/operators.rs
@@ -0,0 +1,228 @@
+//! The operators' port.
+//!
+//! Probes of the platform (`/livez`, `/readyz`, `/metrics`) need no key; everything else needs the
+//! operators' key. Calls of operators may wait for the platform: they hold a thread of this port
+//! meanwhile, and nothing of the node.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::mpsc::sync_channel;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use hemlockrouter_config::Note;
+use hemlockrouter_config::SecretKey;
+use hemlockrouter_platform::notes;
+use hemlockrouter_platform::notes::Submission;
+use hemlockrouter_platform::Store;
+use hemlockrouter_types::prelude::*;
+use serde_json::json;
+
+use crate::edge::tiny::Answer;
+use crate::edge::tiny::Call;
+use crate::edge::tiny::TinyServer;
+use crate::metrics::Metrics;
+use crate::node::operator::OperatorCall;
+use crate::node::operator::OperatorReply;
+use crate::node::operator::Question;
+use crate::node::status::Shared;
+use crate::node::Event;
+use crate::node::Mailbox;
+use crate::outbound::platform::PlatformHandle;
+
+/// Threads of this port.
+const THREADS: usize = 4;
+
+/// The largest body: a release note, with room for the check to tell that it is too large.
+const BODY_MAX_BYTES: u64 = 2 << 20;
+
+/// How long the node may take to answer.
+const NODE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// How long other instances get to tell their configuration numbers before the status is given.
+const PROBE_WAIT: Duration = Duration::from_millis(200);
+
+/// When to come back while the store is down, in milliseconds.
+const STORE_RETRY_MS: u32 = 2_000;
+
+/// What the port needs.
+pub(crate) struct Operators {
+    pub(crate) key: SecretKey,
+    pub(crate) mailbox: Mailbox,
+    pub(crate) platform: PlatformHandle,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+/// Serves the port.
+///
+/// # Errors
+///
+/// Returns the error of the socket or of starting a thread.
+pub(crate) fn start(address: SocketAddr, operators: Operators) -> io::Result<TinyServer> {
+    let handler = move |call: Call| operators.handle(&call);
+    TinyServer::start("operators", address, THREADS, BODY_MAX_BYTES, handler)
+}
+
+impl Operators {
+    fn handle(&self, call: &Call) -> Answer {
+        let path = call.path.split('?').next().unwrap_or_default();
+        match (call.method.as_str(), path) {
+            ("GET", "/livez") => return Answer::text(200, "alive\n"),
+            ("GET", "/readyz") => return self.readyz(),
+            ("GET", "/metrics") => return Answer::text(200, self.metrics.text()),
+            _ => {}
+        }
+        if !call.is_authorized(&self.key) {
+            return error(
+                401,
+                "unauthorized",
+                "the operators' key is missing or wrong",
+            );
+        }
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        match (call.method.as_str(), parts.as_slice()) {
+            ("POST", ["v1", "notes", "check"]) => self.check(&call.body),
+            ("POST", ["v1", "notes"]) => self.submit(&call.body),
+            ("GET", ["v1", "notes"]) => self.list_notes(),
+            ("GET", ["v1", "notes", name]) => self.show_note(name),
+            ("GET", ["v1", "status"]) => self.status(),
+            ("GET", ["v1", "explain", customer, search]) => self.ask(Question::Explain {
+                customer: (*customer).to_owned(),
+                search: (*search).to_owned(),
+            }),
+            ("POST", ["v1", "drain", instance]) => self.ask(Question::Drain {
+                instance: (*instance).to_owned(),
+            }),
+            _ => error(
+                404,
+                "unknown_path",
+                "no such path or method on the operators' port",
+            ),
+        }
+    }
+
+    fn readyz(&self) -> Answer {
+        match self.shared.not_ready() {
+            None => Answer::text(
+                200,
+                format!("ready: configuration {}\n", self.shared.config()),
+            ),
+            Some(why) => Answer::text(503, format!("not ready: {why}\n")),
+        }
+    }
+
+    fn status(&self) -> Answer {
+        self.ask(Question::Probe);
+        thread::sleep(PROBE_WAIT);
+        self.ask(Question::Status)
+    }
+
+    /// Asks the node and waits for its answer.
+    fn ask(&self, question: Question) -> Answer {
+        let (sender, receiver) = sync_channel(1);
+        let reply = OperatorReply::new(sender);
+        let call = OperatorCall { question, reply };
+        if !self.mailbox.offer(Event::Operator(call)) {
+            return error(503, "overloaded", "the instance is behind; try again");
+        }
+        let answer = receiver.recv_timeout(NODE_TIMEOUT);
+        answer.unwrap_or_else(|_| error(504, "timeout", "the instance did not answer in time"))
+    }
+
+    fn check(&self, body: &[u8]) -> Answer {
+        let catalog = self.platform.catalog();
+        let checked = Note::from_bytes(body, "note").and_then(|note| notes::check(&note, &catalog));
+        match checked {
+            Ok(()) => Answer::json(200, &json!({ "number": catalog.number })),
+            Err(err) => invalid(&err),
+        }
+    }
+
+    fn submit(&self, body: &[u8]) -> Answer {
+        let note = match Note::from_bytes(body, "note") {
+            Ok(note) => note,
+            Err(err) => return invalid(&err),
+        };
+        let catalog = self.platform.catalog();
+        match notes::submit(self.platform.store(), &note, &catalog) {
+            Submission::Accepted { number } => {
+                self.platform.accepted(number, note.bytes().to_vec());
+                Answer::json(200, &json!({ "number": number }))
+            }
+            Submission::Refused(err) => invalid(&err),
+            Submission::Conflict { number, id, author } => {
+                let body = json!({
+                    "code": "conflict",
+                    "message": format!("note {number} ({id}, by {author}) came first"),
+                    "number": number,
+                    "id": id,
+                    "author": author,
+                });
+                Answer::json(409, &body)
+            }
+            Submission::Unavailable { maybe } => {
+                let body = json!({
+                    "code": "store_down",
+                    "message": "the store does not answer; submitting the same file again is safe",
+                    "maybe": maybe,
+                    "retry_after_ms": STORE_RETRY_MS,
+                });
+                Answer::json(503, &body)
+            }
+        }
+    }
+
+    fn list_notes(&self) -> Answer {
+        let catalog = self.platform.catalog();
+        let notes: Vec<serde_json::Value> = catalog
+            .recent
+            .iter()
+            .map(|head| json!({ "number": head.number, "id": head.id, "author": head.author }))
+            .collect();
+        Answer::json(200, &json!({ "config": catalog.number, "notes": notes }))
+    }
+
+    fn show_note(&self, name: &str) -> Answer {
+        let catalog = self.platform.catalog();
+        let by_id = catalog.find_note(name).map(|head| head.number);
+        let number = by_id.or_else(|| name.parse().ok().map(ConfigNumber));
+        let head = number.and_then(|number| catalog.recent.iter().find(|h| h.number == number));
+        let Some(head) = head else {
+            return error(
+                404,
+                "unknown_note",
+                "no accepted note has this number or id",
+            );
+        };
+        let Ok(read) = self.platform.store().get(&notes::note_key(head.number)) else {
+            return error(503, "store_down", "the store does not answer");
+        };
+        let document = read
+            .entry
+            .and_then(|entry| Note::from_bytes(&entry.value, "note").ok());
+        let document = document.map(|note| String::from_utf8_lossy(note.bytes()).into_owned());
+        let body = json!({
+            "number": head.number,
+            "id": head.id,
+            "author": head.author,
+            "document": document,
+        });
+        Answer::json(200, &body)
+    }
+}
+
+fn invalid(err: &hemlockrouter_config::Error) -> Answer {
+    let body = json!({
+        "code": "invalid",
+        "message": format!("{}: {}", err.field(), err.message()),
+        "line": err.line(),
+        "field": err.field(),
+    });
+    Answer::json(422, &body)
+}
+
+fn error(status: u16, code: &str, message: &str) -> Answer {
+    Answer::json(status, &json!({ "code": code, "message": message }))
+}
--- /dev/null
+++ b/src/edge/tiny.rs
@@ -0,0 +1,213 @@
+//! The HTTP server for trusted callers: operators and other instances.
+//!
+//! It is `tiny_http` with two corrections. Without `TCP_NODELAY` an answer that is written in
+//! pieces waits 40 ms for the peer's delayed acknowledgement, so the option is set on the listening
+//! socket, whose accepted sockets inherit it. And `tiny_http` can leave a connection waiting while
+//! all its threads wait on idle ones; a short connection to itself makes it start another thread,
+//! which then takes the waiting connection. Callers are not served here: the library bounds neither
+//! its threads nor a header line, and callers are not trusted.
+
+use std::io;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use hemlockrouter_config::SecretKey;
+use socket2::SockRef;
+use tiny_http::Header;
+use tiny_http::Request;
+use tiny_http::Response;
+use tiny_http::Server;
+
+/// How often the server connects to itself, so that no connection waits for longer.
+const NUDGE_EVERY: Duration = Duration::from_millis(10);
+
+/// How long a nudge may take to connect.
+const NUDGE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// What a handler answers.
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) content_type: &'static str,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Answer {
+    /// An answer without a body.
+    pub(crate) fn empty(status: u16) -> Answer {
+        Answer {
+            status,
+            content_type: "text/plain",
+            body: Vec::new(),
+        }
+    }
+
+    /// A text answer.
+    pub(crate) fn text<S>(status: u16, body: S) -> Answer
+    where
+        S: Into<String>,
+    {
+        Answer {
+            status,
+            content_type: "text/plain; charset=utf-8",
+            body: body.into().into_bytes(),
+        }
+    }
+
+    /// A JSON answer.
+    pub(crate) fn json(status: u16, body: &serde_json::Value) -> Answer {
+        Answer {
+            status,
+            content_type: "application/json",
+            body: body.to_string().into_bytes(),
+        }
+    }
+}
+
+/// What a handler is given.
+pub(crate) struct Call {
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) bearer: Option<String>,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Call {
+    /// Returns whether the call carries `key` as its bearer key.
+    pub(crate) fn is_authorized(&self, key: &SecretKey) -> bool {
+        key.matches(self.bearer.as_deref().unwrap_or(""))
+    }
+}
+
+/// A running server.
+pub(crate) struct TinyServer {
+    server: Arc<Server>,
+    stopping: Arc<AtomicBool>,
+    address: SocketAddr,
+}
+
+impl TinyServer {
+    /// Binds `address` and serves it with `threads` handler threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket, or of starting a thread.
+    pub(crate) fn start<H>(
+        name: &str,
+        address: SocketAddr,
+        threads: usize,
+        body_max_bytes: u64,
+        handler: H,
+    ) -> io::Result<TinyServer>
+    where
+        H: Fn(Call) -> Answer + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind(address)?;
+        SockRef::from(&listener).set_tcp_nodelay(true)?;
+        let address = listener.local_addr()?;
+        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let server = Arc::new(server);
+        let handler = Arc::new(handler);
+        for n in 0..threads {
+            let server = Arc::clone(&server);
+            let handler = Arc::clone(&handler);
+            thread::Builder::new()
+                .name(format!("{name}-{n}"))
+                .spawn(move || serve(&server, handler.as_ref(), body_max_bytes))?;
+        }
+        let stopping = Arc::new(AtomicBool::new(false));
+        let stop = Arc::clone(&stopping);
+        thread::Builder::new()
+            .name(format!("{name}-nudge"))
+            .spawn(move || nudge(address, &stop))?;
+        Ok(TinyServer {
+            server,
+            stopping,
+            address,
+        })
+    }
+
+    /// Returns the address that it is bound to.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for TinyServer {
+    fn drop(&mut self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.server.unblock();
+    }
+}
+
+/// Connects to `address` again and again until `stop` is set.
+fn nudge(address: SocketAddr, stop: &AtomicBool) {
+    let mut target = address;
+    if target.ip().is_unspecified() {
+        target.set_ip(std::net::Ipv4Addr::LOCALHOST.into());
+    }
+    while !stop.load(Ordering::Relaxed) {
+        drop(TcpStream::connect_timeout(&target, NUDGE_TIMEOUT));
+        thread::sleep(NUDGE_EVERY);
+    }
+}
+
+/// Handles requests until the server is unblocked.
+fn serve<H>(server: &Server, handler: &H, body_max_bytes: u64)
+where
+    H: Fn(Call) -> Answer,
+{
+    while let Ok(mut request) = server.recv() {
+        let answer = match read_call(&mut request, body_max_bytes) {
+            Ok(call) => handler(call),
+            Err(answer) => answer,
+        };
+        // The caller may be gone; there is nobody left to tell.
+        let _ = request.respond(response(answer));
+    }
+}
+
+/// Reads what the handler needs of `request`.
+fn read_call(request: &mut Request, body_max_bytes: u64) -> Result<Call, Answer> {
+    let mut body = Vec::new();
+    let read = request
+        .as_reader()
+        .take(body_max_bytes + 1)
+        .read_to_end(&mut body);
+    if read.is_err() {
+        return Err(Answer::text(400, "the body could not be read"));
+    }
+    if body.len() as u64 > body_max_bytes {
+        return Err(Answer::text(
+            413,
+            format!("the body exceeds {body_max_bytes} bytes"),
+        ));
+    }
+    let bearer = request
+        .headers()
+        .iter()
+        .find(|header| header.field.equiv("Authorization"))
+        .and_then(|header| header.value.as_str().strip_prefix("Bearer "))
+        .map(str::to_owned);
+    Ok(Call {
+        method: request.method().to_string(),
+        path: request.url().to_owned(),
+        bearer,
+        body,
+    })
+}
+
+/// Makes the library's response of `answer`.
+fn response(answer: Answer) -> Response<io::Cursor<Vec<u8>>> {
+    let content_type = Header::from_bytes("Content-Type", answer.content_type)
+        .expect("content types are valid header values");
+    Response::from_data(answer.body)
+        .with_status_code(answer.status)
+        .with_header(content_type)
+}
--- /dev/null
+++ b/src/instance.rs
@@ -0,0 +1,426 @@
+//! One instance of the tier: starts every part, runs the node, and shuts down gracefully.
+
+use std::net::SocketAddr;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use eyre::WrapErr;
+use hemlockrouter_config::settings::Keys;
+use hemlockrouter_config::Settings;
+use hemlockrouter_limit::Admission;
+use hemlockrouter_limit::Limiter;
+use hemlockrouter_member::Member;
+use hemlockrouter_route::Runner;
+use hemlockrouter_route::Searcher;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::member::Peer;
+use log::info;
+use log::warn;
+use stakker::actor;
+use stakker::call;
+use stakker::ret_nop;
+use stakker::ActorOwn;
+use stakker::Stakker;
+
+use crate::edge::callers::Bounds;
+use crate::edge::callers::CallersServer;
+use crate::edge::instances;
+use crate::edge::operators;
+use crate::edge::operators::Operators;
+use crate::edge::tiny::TinyServer;
+use crate::metrics::Metrics;
+use crate::node::control::Control;
+use crate::node::control::ControlParts;
+use crate::node::control::Links;
+use crate::node::entry::Entry;
+use crate::node::owner::Owner;
+use crate::node::shutdown::Shutdown;
+use crate::node::status::Shared;
+use crate::node::Event;
+use crate::node::Mailbox;
+use crate::outbound::peers::Peers;
+use crate::outbound::platform::Platform;
+use crate::outbound::upstreams::Upstreams;
+
+/// Threads that take envelopes of other instances.
+const INSTANCES_THREADS: usize = 8;
+
+/// How long the node waits for an event before it looks at its timers.
+const IDLE_WAIT: Duration = Duration::from_millis(100);
+
+/// How many events are taken before timers are looked at.
+const EVENTS_AT_ONCE: usize = 256;
+
+/// How an instance ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// Everything that it had accepted was answered.
+    Finished,
+    /// The time for the shutdown ran out with work under way.
+    TimedOut,
+}
+
+/// One instance of the tier.
+pub struct Instance {
+    settings: Settings,
+    id: InstanceId,
+    clock: Clock,
+    stakker: Stakker,
+    events: Receiver<Event>,
+    mailbox: Mailbox,
+    shared: Arc<Shared>,
+    actors: Actors,
+    peers: Peers,
+    callers: Option<CallersServer>,
+    callers_address: SocketAddr,
+    operators: TinyServer,
+    instances: TinyServer,
+}
+
+struct Actors {
+    control: ActorOwn<Control>,
+    entry: ActorOwn<Entry>,
+    owner: ActorOwn<Owner>,
+}
+
+/// Asks a running instance to shut down, from another thread.
+#[derive(Clone)]
+pub struct Stopper {
+    mailbox: Mailbox,
+}
+
+impl Stopper {
+    /// Asks for a graceful shutdown. Asking again changes nothing.
+    pub fn stop(&self) {
+        self.mailbox.put(Event::Shutdown);
+    }
+}
+
+impl Instance {
+    /// Binds all ports and starts every part.
+    ///
+    /// # Errors
+    ///
+    /// Returns which port can't be bound, or that a thread can't be started.
+    pub fn start(settings: Settings, keys: Keys) -> eyre::Result<Instance> {
+        let id = InstanceId::random();
+        let clock = Clock::new();
+        let (mailbox, events) = Mailbox::new(id);
+        let shared = Arc::new(Shared::default());
+        let metrics = Arc::new(Metrics::new());
+        let mut stakker = Stakker::new(Instant::now());
+
+        let inner_key = keys.instances.clone();
+        let instances = instances::start(
+            settings.instances_listen,
+            INSTANCES_THREADS,
+            inner_key,
+            mailbox.clone(),
+            Arc::clone(&metrics),
+        )
+        .wrap_err_with(|| cannot_listen("instances_listen", settings.instances_listen))?;
+        let peers = Peers::start(
+            id,
+            keys.instances,
+            settings.limits.peer_threads,
+            mailbox.clone(),
+        )
+        .wrap_err("can't start the threads that call other instances")?;
+        let platform = Platform::start(
+            settings.platform.clone(),
+            settings.timing.clone(),
+            mailbox.clone(),
+            Arc::clone(&shared),
+        )
+        .wrap_err("can't start the threads that call the platform")?;
+        let operators = operators::start(
+            settings.operators_listen,
+            Operators {
+                key: keys.operators,
+                mailbox: mailbox.clone(),
+                platform: platform.operators(),
+                shared: Arc::clone(&shared),
+                metrics: Arc::clone(&metrics),
+            },
+        )
+        .wrap_err_with(|| cannot_listen("operators_listen", settings.operators_listen))?;
+        let threads = settings.limits.upstream_threads;
+        let upstreams = Upstreams::start(threads, clock, mailbox.clone())
+            .wrap_err("can't start the threads that call upstreams")?;
+        let me = Peer {
+            id,
+            address: advertised(&settings, instances.address()),
+            zone: settings.zone.clone(),
+        };
+        let seed = id.0;
+        let member = Member::new(
+            crate::tuning::member(&settings),
+            me,
+            settings.seeds.clone(),
+            clock.now(),
+            seed,
+        );
+        let parts = Parts {
+            clock,
+            id,
+            member,
+            platform,
+            upstreams,
+            metrics,
+        };
+        let actors = parts.link(&mut stakker, &settings, &peers, &shared, &mailbox);
+        let callers =
+            CallersServer::start(settings.callers_listen, bounds(&settings), mailbox.clone())
+                .wrap_err_with(|| cannot_listen("callers_listen", settings.callers_listen))?;
+        Ok(Instance {
+            id,
+            clock,
+            stakker,
+            events,
+            mailbox,
+            shared,
+            actors,
+            peers,
+            callers_address: callers.address(),
+            callers: Some(callers),
+            operators,
+            instances,
+            settings,
+        })
+    }
+
+    /// Returns the id of this start.
+    pub fn id(&self) -> InstanceId {
+        self.id
+    }
+
+    /// Returns the address of the callers' port.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers_address
+    }
+
+    /// Returns the address of the operators' port.
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Returns the address of the port for other instances.
+    pub fn instances_address(&self) -> SocketAddr {
+        self.instances.address()
+    }
+
+    /// Returns what asks this instance to shut down.
+    pub fn stopper(&self) -> Stopper {
+        Stopper {
+            mailbox: self.mailbox.clone(),
+        }
+    }
+
+    /// Runs the instance until it has shut down.
+    pub fn run(mut self) -> Ended {
+        let mut shutdown: Option<Shutdown> = None;
+        self.stakker.run(Instant::now(), false);
+        loop {
+            self.wait();
+            if shutdown.is_none() && self.shared.is_leaving() {
+                shutdown = Some(self.start_shutdown());
+            }
+            if let Some(state) = &mut shutdown {
+                if let Some(ended) = self.advance_shutdown(state) {
+                    return ended;
+                }
+            }
+        }
+    }
+
+    /// Waits for events and timers, and lets the actors take them.
+    fn wait(&mut self) {
+        let wait = self.stakker.next_wait_max(Instant::now(), IDLE_WAIT, false);
+        match self.events.recv_timeout(wait) {
+            Ok(event) => self.take(event),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => {
+                unreachable!("the instance holds a mailbox itself")
+            }
+        }
+        for _ in 1..EVENTS_AT_ONCE {
+            let Ok(event) = self.events.try_recv() else {
+                break;
+            };
+            self.take(event);
+        }
+        self.stakker.run(Instant::now(), false);
+    }
+
+    fn take(&mut self, event: Event) {
+        let Actors {
+            control,
+            entry,
+            owner,
+        } = &self.actors;
+        match event {
+            Event::Request(id, request) => call!([entry], request(id, request)),
+            Event::Abandoned(id) => call!([entry], abandoned(id)),
+            Event::Envelope(envelope) => call!([control], envelope(envelope)),
+            Event::Undeliverable(lost) => call!([control], undeliverable(lost)),
+            Event::CallEnded(ended) => call!([owner], call_ended(ended)),
+            Event::Claimed(id, result) => call!([entry], claimed(id, result)),
+            Event::StoreRead(read) => call!([control], store_read(read)),
+            Event::Listed(list) => call!([control], listed(list)),
+            Event::Operator(question) => call!([control], operator(question)),
+            Event::Shutdown => self.shared.set_leaving(),
+            Event::CallersClosed => self.shared.set_callers_closed(),
+        }
+    }
+
+    /// Turns readiness off and starts to hand over; callers are still served.
+    fn start_shutdown(&mut self) -> Shutdown {
+        info!(target: "decision", instance = self.id.to_string(); "shutting down");
+        if let Some(callers) = &self.callers {
+            callers.drain();
+        }
+        call!([self.actors.control], leave());
+        Shutdown::new(self.clock.now(), &self.settings.timing)
+    }
+
+    /// Goes on with the shutdown; returns how it ended once it has.
+    fn advance_shutdown(&mut self, state: &mut Shutdown) -> Option<Ended> {
+        let now = self.clock.now();
+        if state.is_over(now) {
+            warn!(instance = self.id.to_string(); "the time for the shutdown ran out");
+            return Some(Ended::TimedOut);
+        }
+        if state.closes_callers(now) {
+            if let Some(callers) = self.callers.take() {
+                let mailbox = self.mailbox.clone();
+                let wait_ms = state.left_ms(now);
+                thread::spawn(move || {
+                    callers.close(wait_ms);
+                    mailbox.put(Event::CallersClosed);
+                });
+            }
+        }
+        if !self.shared.callers_closed() {
+            return None;
+        }
+        let (control, entry, owner) =
+            (&self.actors.control, &self.actors.entry, &self.actors.owner);
+        let stakker = &mut self.stakker;
+        let shared = &self.shared;
+        call!([entry], tell_pending(Arc::clone(shared)));
+        call!([owner], tell_pending(Arc::clone(shared)));
+        call!([control], tell_left(Arc::clone(shared)));
+        stakker.run(Instant::now(), false);
+        if shared.is_idle() && self.peers.pending() == 0 {
+            info!(target: "decision", instance = self.id.to_string(); "shut down");
+            return Some(Ended::Finished);
+        }
+        None
+    }
+}
+
+/// What the actors are made of.
+struct Parts {
+    clock: Clock,
+    id: InstanceId,
+    member: Member,
+    platform: Platform,
+    upstreams: Upstreams,
+    metrics: Arc<Metrics>,
+}
+
+impl Parts {
+    /// Makes the actors and links them to each other.
+    fn link(
+        self,
+        stakker: &mut Stakker,
+        settings: &Settings,
+        peers: &Peers,
+        shared: &Arc<Shared>,
+        mailbox: &Mailbox,
+    ) -> Actors {
+        let Parts {
+            clock,
+            id,
+            member,
+            platform,
+            upstreams,
+            metrics,
+        } = self;
+        let control = actor!(
+            stakker,
+            Control::init(ControlParts {
+                clock,
+                me: id,
+                zone: settings.zone.clone(),
+                member,
+                peers: peers.clone(),
+                platform,
+                shared: Arc::clone(shared),
+                mailbox: mailbox.clone(),
+            }),
+            ret_nop!()
+        );
+        let limiter = Limiter::new(crate::tuning::limiter(settings));
+        let owner = actor!(
+            stakker,
+            Owner::init(
+                clock,
+                limiter,
+                upstreams,
+                control.clone(),
+                Arc::clone(&metrics)
+            ),
+            ret_nop!()
+        );
+        let searcher = Searcher::new(crate::tuning::searcher(settings), id, id.0);
+        let runner = Runner::new(crate::tuning::runner(settings), id, rand::random());
+        let entry = actor!(
+            stakker,
+            Entry::init(
+                clock,
+                Admission::new(),
+                searcher,
+                runner,
+                control.clone(),
+                Arc::clone(&metrics)
+            ),
+            ret_nop!()
+        );
+        let links = Links {
+            entry: entry.clone(),
+            owner: owner.clone(),
+        };
+        call!([control], link(links));
+        Actors {
+            control,
+            entry,
+            owner,
+        }
+    }
+}
+
+fn cannot_listen(field: &str, address: SocketAddr) -> String {
+    format!("can't listen on {address}, which the settings give as {field}")
+}
+
+/// Returns the address under which others reach this instance. A port of 0 in the settings stands
+/// for the one that was bound.
+fn advertised(settings: &Settings, bound: SocketAddr) -> SocketAddr {
+    settings.instances_advertise.unwrap_or(bound)
+}
+
+fn bounds(settings: &Settings) -> Bounds {
+    let limits = &settings.limits;
+    Bounds {
+        connections: limits.callers_connections,
+        header_max_bytes: limits.header_max_bytes,
+        header_timeout_ms: limits.header_timeout_ms,
+        body_max_bytes: limits.body_max_bytes,
+        body_timeout_ms: limits.body_timeout_ms,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,43 @@
-//! Root.
+//! A query tier over many shards.
+//!
+//! Callers send a search or a request that must not be repeated to any instance. The instance fans
+//! a search out over the customer's shards, gathers one consistent answer and states its coverage.
+//! Upstreams are never overloaded: each has one owner at a time, an instance of its own availability
+//! zone that alone dispatches to it. Operators steer all instances by release notes.
+//!
+//! This package builds an instance out of the decision packages, which do no I/O themselves.
+//!
+//! # Examples
+//!
+//! ```no_run
+//! use hemlockrouter::Instance;
+//! use hemlockrouter_config::Settings;
+//!
+//! let text = std::fs::read_to_string("settings.jsonc").unwrap();
+//! let settings = Settings::parse(&text, "settings.jsonc").unwrap();
+//! let keys = settings.load_keys().unwrap();
+//! let instance = Instance::start(settings, keys).unwrap();
+//! println!("serving callers at {}", instance.callers_address());
+//! instance.run();
+//! ```
+//!
+//! # Modules
+//!
+//! - `instance`: starts every part, runs the node, and shuts down gracefully.
+//! - `node`: the actors that drive the decision packages.
+//! - `edge`: what the instance serves: callers, operators and other instances.
+//! - `outbound`: what the instance calls: other instances, upstreams and the platform.
+//! - `tuning`: what the settings say to each decision package.
+//! - `metrics` and `log_line`: what operators see.
+
+mod edge;
+mod instance;
+mod log_line;
+mod metrics;
+mod node;
+mod outbound;
+mod tuning;
+
+pub use crate::instance::Ended;
+pub use crate::instance::Instance;
+pub use crate::instance::Stopper;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,101 @@
+//! Metrics by `opentelemetry`, in the text format of Prometheus.
+//!
+//! No metric carries the name of a customer: a customer's load is its own matter, and the number of
+//! customers must not bound the size of the metrics.
+
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// The metrics of an instance.
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Keeps the instruments registered.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    request_ms: Histogram<u64>,
+    dispatches: Counter<u64>,
+    sub_requests: Counter<u64>,
+    messages: Counter<u64>,
+}
+
+impl Metrics {
+    /// Makes the metrics of a new instance.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a metric is defined twice, which is an error of this module.
+    pub(crate) fn new() -> Metrics {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("the registry is new");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("hemlockrouter");
+        Metrics {
+            requests: meter
+                .u64_counter("requests")
+                .with_description("Requests of callers, by kind and how they ended")
+                .build(),
+            request_ms: meter
+                .u64_histogram("request_ms")
+                .with_description("How long requests took, in milliseconds")
+                .with_boundaries(vec![
+                    1., 2., 5., 10., 20., 50., 100., 200., 500., 1e3, 5e3, 6e4,
+                ])
+                .build(),
+            dispatches: meter
+                .u64_counter("dispatches")
+                .with_description("Calls to upstreams, by how they ended")
+                .build(),
+            sub_requests: meter
+                .u64_counter("sub_requests")
+                .with_description("Sub-requests sent by this instance, first tries and extra ones")
+                .build(),
+            messages: meter
+                .u64_counter("messages")
+                .with_description("Messages from other instances")
+                .build(),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Counts a request of a caller that ended.
+    pub(crate) fn request(&self, kind: &'static str, ended: &'static str, took_ms: u64) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("ended", ended)];
+        self.requests.add(1, &labels);
+        self.request_ms.record(took_ms, &labels[..1]);
+    }
+
+    /// Counts a call to an upstream that ended.
+    pub(crate) fn dispatch(&self, ended: &'static str) {
+        self.dispatches.add(1, &[KeyValue::new("ended", ended)]);
+    }
+
+    /// Counts sub-requests that this instance sent.
+    pub(crate) fn sub_requests(&self, first: u64, extra: u64) {
+        self.sub_requests
+            .add(first, &[KeyValue::new("try", "first")]);
+        self.sub_requests
+            .add(extra, &[KeyValue::new("try", "extra")]);
+    }
+
+    /// Counts messages from other instances.
+    pub(crate) fn messages(&self, count: u64) {
+        self.messages.add(count, &[]);
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    pub(crate) fn text(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/node/owner.rs
@@ -0,0 +1,385 @@
+//! The owner of upstreams: takes sub-requests, lets the limiter decide and calls upstreams.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockrouter_limit::Command;
+use hemlockrouter_limit::Ended;
+use hemlockrouter_limit::Limiter;
+use hemlockrouter_limit::Work;
+use hemlockrouter_types::catalog::Customer;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::RunSub;
+use hemlockrouter_wire::SearchBatch;
+use hemlockrouter_wire::SubOutcome;
+use hemlockrouter_wire::SubReply;
+use stakker::call;
+use stakker::timer_min;
+use stakker::Actor;
+use stakker::MinTimerKey;
+use stakker::CX;
+
+use crate::log_line;
+use crate::metrics::Metrics;
+use crate::node::control::Control;
+use crate::node::operator::OperatorReply;
+use crate::node::status::Shared;
+use crate::node::status::Status;
+use crate::node::status::UpstreamLimits;
+use crate::outbound::upstreams::CallEnded;
+use crate::outbound::upstreams::CallKind;
+use crate::outbound::upstreams::UpstreamCall;
+use crate::outbound::upstreams::Upstreams;
+
+/// When to come back after an instance could not take a sub-request, in milliseconds.
+const RETRY_MS: u32 = 200;
+
+/// The actor that owns upstreams.
+pub(crate) struct Owner {
+    clock: Clock,
+    catalog: Arc<Catalog>,
+    limiter: Limiter,
+    upstreams: Upstreams,
+    control: Actor<Control>,
+    metrics: Arc<Metrics>,
+    /// Sub-requests that were offered and have not ended.
+    subs: BTreeMap<SubId, Sub>,
+    commands: Vec<Command>,
+    timer: MinTimerKey,
+}
+
+/// A sub-request that was offered and has not ended.
+struct Sub {
+    offered_at: Time,
+    dispatched_at: Option<Time>,
+    /// What to ask the upstream; taken when it is dispatched.
+    kind: Option<CallKind>,
+}
+
+impl Owner {
+    /// Makes the actor.
+    pub(crate) fn init(
+        _: CX![],
+        clock: Clock,
+        limiter: Limiter,
+        upstreams: Upstreams,
+        control: Actor<Control>,
+        metrics: Arc<Metrics>,
+    ) -> Option<Owner> {
+        Some(Owner {
+            clock,
+            catalog: Arc::default(),
+            limiter,
+            upstreams,
+            control,
+            metrics,
+            subs: BTreeMap::new(),
+            commands: Vec::new(),
+            timer: MinTimerKey::default(),
+        })
+    }
+
+    /// Takes a new catalogue.
+    pub(crate) fn configure(&mut self, cx: CX![], catalog: Arc<Catalog>) {
+        let now = self.clock.now();
+        self.limiter.configure(now, &catalog, &mut self.commands);
+        self.catalog = catalog;
+        self.execute(cx, now);
+    }
+
+    /// Notes that the lease on `upstream` is held until `until`.
+    pub(crate) fn hold(&mut self, cx: CX![], upstream: UpstreamKey, until: Time) {
+        let now = self.clock.now();
+        self.limiter.hold(now, upstream, until, &mut self.commands);
+        self.execute(cx, now);
+    }
+
+    /// Notes that the lease on `upstream` is given up.
+    pub(crate) fn release(&mut self, cx: CX![], upstream: UpstreamKey) {
+        let now = self.clock.now();
+        self.limiter.release(now, upstream, &mut self.commands);
+        self.execute(cx, now);
+    }
+
+    /// Takes the sub-requests of a search.
+    pub(crate) fn search(&mut self, cx: CX![], batch: SearchBatch) {
+        let now = self.clock.now();
+        let refusal = self.check_search(&batch);
+        let query: Arc<[u8]> = Arc::from(&batch.body[..]);
+        for sub in &batch.subs {
+            let id = SubId {
+                origin: batch.query.origin,
+                seq: sub.seq,
+            };
+            if let Some(outcome) = &refusal {
+                self.reply(cx, id, outcome.clone(), 0, 0);
+                continue;
+            }
+            let Some((kind, weight)) = self.search_kind(&batch, sub.shard, &query) else {
+                self.reply(cx, id, refuse(Reason::NotConfigured), 0, 0);
+                continue;
+            };
+            let work = Work {
+                id,
+                customer: batch.customer,
+                upstream: sub.upstream,
+                weight,
+                deadline: now + u64::from(batch.deadline_in_ms),
+                once: false,
+            };
+            self.offer(now, work, kind);
+        }
+        self.execute(cx, now);
+    }
+
+    /// Returns why no sub-request of `batch` can be taken, if so.
+    fn check_search(&self, batch: &SearchBatch) -> Option<SubOutcome> {
+        if self.catalog.number < batch.config {
+            return Some(refuse(Reason::NotConfigured));
+        }
+        let search = self.catalog.searches.get(batch.search)?;
+        (search.map != batch.map).then_some(SubOutcome::WrongMap { map: search.map })
+    }
+
+    fn search_kind(
+        &self,
+        batch: &SearchBatch,
+        shard: ShardNo,
+        query: &Arc<[u8]>,
+    ) -> Option<(CallKind, u32)> {
+        let search = self.catalog.searches.get(batch.search)?;
+        let kind = CallKind::Search {
+            customer: self.customer(batch.customer)?.name.clone(),
+            search: search.name.clone(),
+            shard: search.shards.get(usize::from(shard.0))?.name.clone(),
+            snapshot: batch.snapshot,
+            map: batch.map,
+            query: Arc::clone(query),
+        };
+        Some((kind, search.weight))
+    }
+
+    fn customer(&self, key: CustomerKey) -> Option<&Customer> {
+        self.catalog.customers.get(key)
+    }
+
+    /// Takes a sub-request that must not be repeated.
+    pub(crate) fn run(&mut self, cx: CX![], sub: RunSub) {
+        let now = self.clock.now();
+        let id = sub.id;
+        let deadline = now + u64::from(sub.deadline_in_ms);
+        if self.catalog.number < sub.config {
+            self.reply(cx, id, refuse(Reason::NotConfigured), 0, 0);
+            return;
+        }
+        let names = self
+            .catalog
+            .operations
+            .get(sub.operation)
+            .zip(self.customer(sub.customer));
+        let Some((operation, customer)) = names else {
+            self.reply(cx, id, refuse(Reason::NotConfigured), 0, 0);
+            return;
+        };
+        let kind = CallKind::Run {
+            customer: customer.name.clone(),
+            operation: operation.name.clone(),
+            run_id: sub.run_id,
+            request: Arc::from(sub.body),
+        };
+        let work = Work {
+            id,
+            customer: sub.customer,
+            upstream: sub.upstream,
+            weight: operation.weight,
+            deadline,
+            once: true,
+        };
+        self.offer(now, work, kind);
+        self.execute(cx, now);
+    }
+
+    /// Offers work to the limiter, unless the same sub-request arrived before.
+    fn offer(&mut self, now: Time, work: Work, kind: CallKind) {
+        if self.subs.contains_key(&work.id) {
+            return;
+        }
+        let sub = Sub {
+            offered_at: now,
+            dispatched_at: None,
+            kind: Some(kind),
+        };
+        self.subs.insert(work.id, sub);
+        self.limiter.offer(now, work, &mut self.commands);
+    }
+
+    /// Cancels sub-requests that are not waited for any more.
+    pub(crate) fn cancel(&mut self, cx: CX![], ids: Vec<SubId>) {
+        let now = self.clock.now();
+        for id in ids {
+            if self.subs.contains_key(&id) {
+                self.limiter.cancel(now, id, &mut self.commands);
+            }
+        }
+        self.execute(cx, now);
+    }
+
+    /// Takes the end of a call to an upstream.
+    pub(crate) fn call_ended(&mut self, cx: CX![], call: CallEnded) {
+        let now = self.clock.now();
+        self.upstreams.ended();
+        self.end(cx, now, call);
+        self.execute(cx, now);
+    }
+
+    fn end(&mut self, cx: CX![], now: Time, call: CallEnded) {
+        let sub = self.subs.remove(&call.id).expect("a call ends once");
+        let dispatched_at = sub.dispatched_at.expect("only dispatched calls end");
+        let queued_ms = ms(dispatched_at.since(sub.offered_at));
+        self.metrics.dispatch(label(call.ended));
+        self.limiter
+            .finish(now, call.id, call.ended, &mut self.commands);
+        self.reply(cx, call.id, call.outcome, queued_ms, call.served_ms);
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self, cx: CX![]) {
+        let now = self.clock.now();
+        self.limiter.tick(now, &mut self.commands);
+        self.execute(cx, now);
+    }
+
+    /// Adds what limits each upstream that is owned here to an operator's answer.
+    pub(crate) fn add_status(&mut self, _: CX![], mut status: Status, reply: OperatorReply) {
+        for row in &mut status.upstreams {
+            if row.owned_here {
+                row.limits = self.limiter.status(row.key).map(UpstreamLimits::from);
+            }
+        }
+        reply.send(status.answer());
+    }
+
+    /// Tells how many sub-requests have not ended.
+    pub(crate) fn tell_pending(&mut self, _: CX![], shared: Arc<Shared>) {
+        shared.set_owner_pending(self.subs.len());
+    }
+
+    /// Carries out what the limiter decided.
+    fn execute(&mut self, cx: CX![], now: Time) {
+        while !self.commands.is_empty() {
+            for command in std::mem::take(&mut self.commands) {
+                self.execute_one(cx, now, command);
+            }
+        }
+        if let Some(at) = self.limiter.next_wake() {
+            let wait = Duration::from_millis(at.left(now).max(1));
+            timer_min!(&mut self.timer, Instant::now() + wait, [cx], tick());
+        }
+    }
+
+    fn execute_one(&mut self, cx: CX![], now: Time, command: Command) {
+        match command {
+            Command::Dispatch {
+                id,
+                upstream,
+                lease_until,
+                deadline,
+            } => self.dispatch(cx, now, id, upstream, lease_until, deadline),
+            Command::Refuse { id, refusal } => {
+                if let Some(sub) = self.subs.remove(&id) {
+                    let queued_ms = ms(now.since(sub.offered_at));
+                    self.reply(cx, id, SubOutcome::NotRun(refusal), queued_ms, 0);
+                }
+            }
+            Command::CancelUpstream { id, upstream } => {
+                if let Some(address) = self.address(upstream) {
+                    self.upstreams.cancel(UpstreamCall {
+                        id,
+                        address,
+                        kind: CallKind::Cancel,
+                        lease_until: Time::MAX,
+                        deadline: now + 1_000,
+                    });
+                }
+            }
+            Command::Decision(decision) => log_line::decision("owner", &decision),
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        cx: CX![],
+        now: Time,
+        id: SubId,
+        upstream: UpstreamKey,
+        lease_until: Time,
+        deadline: Time,
+    ) {
+        let address = self.address(upstream);
+        let sub = self
+            .subs
+            .get_mut(&id)
+            .expect("only offered work is dispatched");
+        sub.dispatched_at = Some(now);
+        let kind = sub.kind.take().expect("work is dispatched once");
+        let Some(address) = address else {
+            let outcome = CallEnded::not_sent(id, Reason::NotConfigured);
+            self.end(cx, now, outcome);
+            return;
+        };
+        let call = UpstreamCall {
+            id,
+            address,
+            kind,
+            lease_until,
+            deadline,
+        };
+        if !self.upstreams.call(call) {
+            self.end(cx, now, CallEnded::not_sent(id, Reason::Overloaded));
+        }
+    }
+
+    fn address(&self, upstream: UpstreamKey) -> Option<std::net::SocketAddr> {
+        self.catalog
+            .upstreams
+            .get(upstream)
+            .map(|upstream| upstream.address)
+    }
+
+    fn reply(&self, _: CX![], id: SubId, outcome: SubOutcome, queued_ms: u32, served_ms: u32) {
+        let reply = SubReply {
+            id,
+            outcome,
+            queued_ms,
+            served_ms,
+        };
+        call!([self.control], reply(reply));
+    }
+}
+
+/// The value of the metrics' label.
+fn label(ended: Ended) -> &'static str {
+    match ended {
+        Ended::Answered { .. } => "answered",
+        Ended::Shed { .. } => "shed",
+        Ended::Leaving => "leaving",
+        Ended::Unreachable => "unreachable",
+        Ended::TimedOut => "timed_out",
+        Ended::Failed => "failed",
+        Ended::NotSent => "not_sent",
+        Ended::Cancelled => "cancelled",
+    }
+}
+
+fn refuse(reason: Reason) -> SubOutcome {
+    SubOutcome::NotRun(Refusal {
+        reason,
+        retry_after_ms: RETRY_MS,
+    })
+}
+
+fn ms(ms: u64) -> u32 {
+    u32::try_from(ms).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/node/status.rs
@@ -0,0 +1,207 @@
+//! What an instance tells operators about itself, and the part of it that other threads read.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use hemlockrouter_member::Member;
+use hemlockrouter_types::prelude::*;
+use serde::Serialize;
+
+use crate::edge::tiny::Answer;
+
+/// What the ports' threads read without asking the node.
+#[derive(Debug, Default)]
+pub(crate) struct Shared {
+    config: AtomicU64,
+    leaving: AtomicBool,
+    store_up: AtomicBool,
+    callers_closed: AtomicBool,
+    left: AtomicBool,
+    entry_pending: AtomicUsize,
+    owner_pending: AtomicUsize,
+}
+
+impl Shared {
+    /// Notes the configuration in force.
+    pub(crate) fn set_config(&self, number: ConfigNumber) {
+        self.config.store(number.0, Ordering::Relaxed);
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn config(&self) -> ConfigNumber {
+        ConfigNumber(self.config.load(Ordering::Relaxed))
+    }
+
+    /// Notes that the instance is shutting down.
+    pub(crate) fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the instance is shutting down.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the callers' port is closed.
+    pub(crate) fn set_callers_closed(&self) {
+        self.callers_closed.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the callers' port is closed.
+    pub(crate) fn callers_closed(&self) -> bool {
+        self.callers_closed.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether all owned upstreams were handed over.
+    pub(crate) fn set_left(&self, left: bool) {
+        self.left.store(left, Ordering::Relaxed);
+    }
+
+    /// Notes how many requests have not been answered.
+    pub(crate) fn set_entry_pending(&self, pending: usize) {
+        self.entry_pending.store(pending, Ordering::Relaxed);
+    }
+
+    /// Notes how many sub-requests have not ended.
+    pub(crate) fn set_owner_pending(&self, pending: usize) {
+        self.owner_pending.store(pending, Ordering::Relaxed);
+    }
+
+    /// Returns whether nothing is under way any more.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.left.load(Ordering::Relaxed)
+            && self.entry_pending.load(Ordering::Relaxed) == 0
+            && self.owner_pending.load(Ordering::Relaxed) == 0
+    }
+
+    /// Notes whether the store answered the last call.
+    pub(crate) fn set_store_up(&self, up: bool) {
+        self.store_up.store(up, Ordering::Relaxed);
+    }
+
+    /// Returns whether the store answered the last call.
+    pub(crate) fn store_up(&self) -> bool {
+        self.store_up.load(Ordering::Relaxed)
+    }
+
+    /// Returns why the instance should get no new requests, if so.
+    pub(crate) fn not_ready(&self) -> Option<&'static str> {
+        if self.leaving.load(Ordering::Relaxed) {
+            return Some("leaving: the instance is shutting down");
+        }
+        if self.config() == ConfigNumber::default() {
+            return Some("no configuration: neither the store nor a peer has answered yet");
+        }
+        None
+    }
+}
+
+/// What an instance knows and does.
+#[derive(Debug, Serialize)]
+pub(crate) struct Status {
+    instance: String,
+    zone: String,
+    config: ConfigNumber,
+    ready: bool,
+    store: &'static str,
+    instances: Vec<InstanceRow>,
+    pub(crate) upstreams: Vec<UpstreamRow>,
+}
+
+#[derive(Debug, Serialize)]
+struct InstanceRow {
+    instance: String,
+    zone: String,
+    address: String,
+    condition: String,
+    /// Whether it counts in the quorums of its zone.
+    established: bool,
+    config: Option<ConfigNumber>,
+    heard_ms_ago: Option<u64>,
+}
+
+/// One upstream in a [`Status`].
+#[derive(Debug, Serialize)]
+pub(crate) struct UpstreamRow {
+    #[serde(skip)]
+    pub(crate) key: UpstreamKey,
+    name: String,
+    zone: String,
+    owner: Option<String>,
+    pub(crate) owned_here: bool,
+    #[serde(flatten)]
+    pub(crate) limits: Option<UpstreamLimits>,
+}
+
+/// What limits an upstream that is owned here.
+#[derive(Debug, Serialize)]
+pub(crate) struct UpstreamLimits {
+    limit: u32,
+    in_flight: u32,
+    queued: u32,
+    cold: bool,
+    leaving: bool,
+}
+
+impl From<hemlockrouter_limit::Status> for UpstreamLimits {
+    fn from(status: hemlockrouter_limit::Status) -> UpstreamLimits {
+        UpstreamLimits {
+            limit: status.limit,
+            in_flight: status.in_flight,
+            queued: status.queued,
+            cold: status.cold,
+            leaving: status.leaving,
+        }
+    }
+}
+
+impl Status {
+    /// Gathers what the member and the catalogue tell.
+    pub(crate) fn new(
+        me: InstanceId,
+        zone: &str,
+        member: &Member,
+        catalog: &Catalog,
+        shared: &Shared,
+        now: Time,
+    ) -> Status {
+        let instances = member.table().map(|row| InstanceRow {
+            instance: row.peer.id.to_string(),
+            zone: row.peer.zone.clone(),
+            address: row.peer.address.to_string(),
+            condition: format!("{:?}", row.condition).to_lowercase(),
+            established: row.established,
+            config: row.config,
+            heard_ms_ago: row.heard_ms_ago,
+        });
+        let upstreams = catalog.upstreams.iter().map(|(key, upstream)| UpstreamRow {
+            key,
+            name: upstream.name.clone(),
+            zone: catalog
+                .zones
+                .get(upstream.zone)
+                .map(|z| z.name.clone())
+                .unwrap_or_default(),
+            owner: member.owner_of(key).map(|owner| owner.to_string()),
+            owned_here: member.lease_until(key).is_some_and(|until| until > now),
+            limits: None,
+        });
+        Status {
+            instance: me.to_string(),
+            zone: zone.to_owned(),
+            config: catalog.number,
+            ready: shared.not_ready().is_none(),
+            store: if shared.store_up() { "up" } else { "down" },
+            instances: instances.collect(),
+            upstreams: upstreams.collect(),
+        }
+    }
+
+    /// Writes the status as JSON.
+    pub(crate) fn answer(&self) -> Answer {
+        let body = serde_json::to_value(self).expect("a status can be represented in JSON");
+        Answer::json(200, &body)
+    }
+}
--- /dev/null
+++ b/src/outbound/platform.rs
@@ -0,0 +1,409 @@
+//! Calls to the platform: its store and its instance list.
+//!
+//! Few instances call it in a steady state: those that the member names as watchers. The others get
+//! release notes from them. Every instance reads the configuration when it starts, unless a peer
+//! was faster, and writes the claims of its callers.
+
+use std::io;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use hemlockrouter_config::settings;
+use hemlockrouter_config::settings::Timing;
+use hemlockrouter_config::Base;
+use hemlockrouter_member::ListState;
+use hemlockrouter_member::Listed;
+use hemlockrouter_platform::claims;
+use hemlockrouter_platform::claims::Claimed;
+use hemlockrouter_platform::notes;
+use hemlockrouter_platform::notes::Followed;
+use hemlockrouter_platform::notes::Follower;
+use hemlockrouter_platform::notes::NumberedNote;
+use hemlockrouter_platform::Consul;
+use hemlockrouter_platform::List;
+use hemlockrouter_route::Claim;
+use hemlockrouter_route::ClaimResult;
+use hemlockrouter_types::prelude::*;
+use log::warn;
+use rand::RngExt;
+
+use crate::node::status::Shared;
+use crate::node::Event;
+use crate::node::Mailbox;
+
+/// Threads that settle claims.
+const CLAIM_THREADS: usize = 8;
+
+/// How many claims may wait for a thread.
+const CLAIMS_MAX: usize = 1_024;
+
+/// How many notes the base document in the store may lag before it is written again.
+const BASE_EVERY_NOTES: u64 = 64;
+
+/// The longest wait of a new instance before it first reads the store, in milliseconds, so that all
+/// instances can start at once without a burst of reads.
+const START_JITTER_MS: u64 = 1_000;
+
+/// How often a thread looks whether it is to stop, in milliseconds.
+const PAUSE_MS: u64 = 50;
+
+/// What was read from the store.
+#[derive(Debug)]
+pub(crate) struct StoreRead {
+    /// Accepted notes, in order.
+    pub(crate) notes: Vec<(ConfigNumber, Vec<u8>)>,
+    /// A whole catalogue with its number.
+    pub(crate) base: Option<(ConfigNumber, Vec<u8>)>,
+}
+
+/// A claim to settle.
+type ClaimJob = (QueryId, String, Claim);
+
+/// Calls the platform.
+pub(crate) struct Platform {
+    caller: Arc<Caller>,
+    claims: SyncSender<ClaimJob>,
+    /// Stops the watching threads when set.
+    watching: Option<Arc<AtomicBool>>,
+}
+
+/// What the calling threads share.
+struct Caller {
+    consul: Consul,
+    platform: settings::Platform,
+    timing: Timing,
+    mailbox: Mailbox,
+    shared: Arc<Shared>,
+    /// The catalogue in force, for base documents and for checking notes.
+    catalog: Mutex<Arc<Catalog>>,
+}
+
+impl Platform {
+    /// Starts the threads that settle claims and the one that reads the first configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of starting a thread.
+    pub(crate) fn start(
+        platform: settings::Platform,
+        timing: Timing,
+        mailbox: Mailbox,
+        shared: Arc<Shared>,
+    ) -> io::Result<Platform> {
+        let consul = Consul::new(platform.store_address, platform.timeout_ms);
+        let caller = Arc::new(Caller {
+            consul,
+            platform,
+            timing,
+            mailbox,
+            shared,
+            catalog: Mutex::default(),
+        });
+        let (claims, receiver) = std::sync::mpsc::sync_channel(CLAIMS_MAX);
+        let receiver = Arc::new(Mutex::new(receiver));
+        for n in 0..CLAIM_THREADS {
+            let caller = Arc::clone(&caller);
+            let receiver = Arc::clone(&receiver);
+            let work = move || caller.settle_claims(&receiver);
+            thread::Builder::new()
+                .name(format!("claims-{n}"))
+                .spawn(work)?;
+        }
+        let starter = Arc::clone(&caller);
+        let start = move || starter.first_read();
+        thread::Builder::new()
+            .name("first-read".to_owned())
+            .spawn(start)?;
+        Ok(Platform {
+            caller,
+            claims,
+            watching: None,
+        })
+    }
+
+    /// Has a claim settled.
+    ///
+    /// # Errors
+    ///
+    /// Returns how it ended if there is no room for it.
+    pub(crate) fn claim(&self, id: QueryId, key: String, claim: Claim) -> Result<(), ClaimResult> {
+        let sent = self.claims.try_send((id, key, claim));
+        sent.map_err(|_| ClaimResult::Unavailable)
+    }
+
+    /// Starts to follow the store and the instance list.
+    pub(crate) fn watch(&mut self, after: ConfigNumber) {
+        self.unwatch();
+        let stop = Arc::new(AtomicBool::new(false));
+        self.watching = Some(Arc::clone(&stop));
+        let caller = Arc::clone(&self.caller);
+        let follow_stop = Arc::clone(&stop);
+        let follow = move || caller.follow(after, &follow_stop);
+        let caller = Arc::clone(&self.caller);
+        let list = move || caller.follow_list(&stop);
+        let started = thread::Builder::new()
+            .name("follow".to_owned())
+            .spawn(follow)
+            .and_then(|_| thread::Builder::new().name("list".to_owned()).spawn(list));
+        if let Err(err) = started {
+            warn!(error = err.to_string(); "can't start to follow the platform");
+        }
+    }
+
+    /// Stops following.
+    pub(crate) fn unwatch(&mut self) {
+        if let Some(stop) = self.watching.take() {
+            stop.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Takes the catalogue in force.
+    pub(crate) fn configured(&self, catalog: &Arc<Catalog>) {
+        *self.caller.lock_catalog() = Arc::clone(catalog);
+    }
+
+    /// Returns what operators' calls use of the platform.
+    pub(crate) fn operators(&self) -> PlatformHandle {
+        PlatformHandle {
+            caller: Arc::clone(&self.caller),
+        }
+    }
+}
+
+/// The platform, for operators' calls.
+#[derive(Clone)]
+pub(crate) struct PlatformHandle {
+    caller: Arc<Caller>,
+}
+
+impl PlatformHandle {
+    /// Returns the store.
+    pub(crate) fn store(&self) -> &Consul {
+        &self.caller.consul
+    }
+
+    /// Returns the catalogue in force.
+    pub(crate) fn catalog(&self) -> Arc<Catalog> {
+        Arc::clone(&self.caller.lock_catalog())
+    }
+
+    /// Passes on a note that was accepted through this instance, so that it need not wait for the
+    /// watchers.
+    pub(crate) fn accepted(&self, number: ConfigNumber, note: Vec<u8>) {
+        self.caller.mailbox.put(Event::StoreRead(StoreRead {
+            notes: vec![(number, note)],
+            base: None,
+        }));
+    }
+}
+
+impl Caller {
+    fn lock_catalog(&self) -> std::sync::MutexGuard<'_, Arc<Catalog>> {
+        self.catalog.lock().expect("no thread panics with the lock")
+    }
+
+    fn number(&self) -> ConfigNumber {
+        self.lock_catalog().number
+    }
+
+    fn settle_claims(&self, receiver: &Mutex<Receiver<ClaimJob>>) {
+        loop {
+            let next = receiver
+                .lock()
+                .expect("no thread panics with the lock")
+                .recv();
+            let Ok((id, key, claim)) = next else { return };
+            let result = self.settle_claim(&key, &claim);
+            self.shared.set_store_up(result != ClaimResult::Unavailable);
+            self.mailbox.put(Event::Claimed(id, result));
+        }
+    }
+
+    fn settle_claim(&self, key: &str, claim: &Claim) -> ClaimResult {
+        let bytes = serde_json::to_vec(claim).expect("a claim can be represented in JSON");
+        match claims::claim(&self.consul, key, &bytes) {
+            Claimed::Won => ClaimResult::Won,
+            Claimed::Taken(other) => match serde_json::from_slice(&other) {
+                Ok(other) => ClaimResult::Taken(other),
+                // A claim that can't be read is somebody's all the same.
+                Err(_) => ClaimResult::Unavailable,
+            },
+            Claimed::Unavailable { .. } => ClaimResult::Unavailable,
+        }
+    }
+
+    /// Reads list and configuration until a configuration is in force, from here or from a peer.
+    fn first_read(&self) {
+        self.read_list();
+        let jitter = Duration::from_millis(rand::rng().random_range(0..START_JITTER_MS));
+        let mut backoff = Backoff::new(&self.timing);
+        if self.consul_is_first() {
+            thread::sleep(jitter);
+        }
+        while self.number() == ConfigNumber::default() {
+            if self.load() {
+                return;
+            }
+            thread::sleep(backoff.next());
+            self.read_list();
+        }
+    }
+
+    /// Returns whether the list has other instances, which may be quicker than the store.
+    fn consul_is_first(&self) -> bool {
+        let listed = self.consul.instances(&self.platform.service_name);
+        listed.is_ok_and(|listed| listed.len() > 1)
+    }
+
+    /// Reads the whole configuration; returns whether the store answered.
+    fn load(&self) -> bool {
+        match notes::load(&self.consul) {
+            Ok(loaded) => {
+                self.shared.set_store_up(true);
+                let number = loaded.catalog.number;
+                if number > self.number() {
+                    let base = Some((number, Base::encode(&loaded.catalog)));
+                    let notes = Vec::new();
+                    self.mailbox
+                        .put(Event::StoreRead(StoreRead { notes, base }));
+                }
+                number > ConfigNumber::default()
+            }
+            Err(err) => {
+                self.shared.set_store_up(false);
+                warn!(error = err.to_string(); "the configuration can't be read from the store");
+                false
+            }
+        }
+    }
+
+    /// Follows the store until it is told to stop.
+    fn follow(&self, after: ConfigNumber, stop: &AtomicBool) {
+        let mut follower = Follower::new(after);
+        let mut backoff = Backoff::new(&self.timing);
+        let mut base = ConfigNumber::default();
+        while !stop.load(Ordering::Relaxed) {
+            follower.skip_to(self.number());
+            match follower.follow(&self.consul, self.timing.watch_ms) {
+                Followed::Note(NumberedNote { number, bytes }) => {
+                    self.shared.set_store_up(true);
+                    let notes = vec![(number, bytes)];
+                    self.mailbox
+                        .put(Event::StoreRead(StoreRead { notes, base: None }));
+                    base = self.write_base(base);
+                }
+                Followed::Nothing => self.shared.set_store_up(true),
+                Followed::Behind => {
+                    if !self.load() {
+                        pause(backoff.next(), stop);
+                    }
+                    continue;
+                }
+                Followed::Down(down) => {
+                    self.shared.set_store_up(false);
+                    warn!(error = down.to_string(); "the store can't be followed");
+                    pause(backoff.next(), stop);
+                    continue;
+                }
+            }
+            backoff.reset();
+        }
+    }
+
+    /// Writes the base document if the last one, `base`, lags; returns the number of the last one.
+    fn write_base(&self, base: ConfigNumber) -> ConfigNumber {
+        let catalog = Arc::clone(&self.lock_catalog());
+        if catalog.number.0 < base.0 + BASE_EVERY_NOTES {
+            return base;
+        }
+        match notes::write_base(&self.consul, &catalog) {
+            notes::BaseWritten::Yes { before } => {
+                notes::prune(&self.consul, before, catalog.number);
+                catalog.number
+            }
+            notes::BaseWritten::Newer(number) => number,
+            notes::BaseWritten::No => base,
+            notes::BaseWritten::TooLarge { bytes } => {
+                warn!(bytes = bytes; "the base document is larger than the store holds");
+                catalog.number
+            }
+        }
+    }
+
+    /// Reads the instance list again and again until it is told to stop.
+    fn follow_list(&self, stop: &AtomicBool) {
+        while !stop.load(Ordering::Relaxed) {
+            self.read_list();
+            pause(Duration::from_millis(self.platform.list_every_ms), stop);
+        }
+    }
+
+    fn read_list(&self) {
+        match self.consul.instances(&self.platform.service_name) {
+            Ok(listed) => {
+                let listed = listed.into_iter().filter_map(listed_instance).collect();
+                self.mailbox.put(Event::Listed(listed));
+            }
+            Err(down) => warn!(error = down.to_string(); "the instance list can't be read"),
+        }
+    }
+}
+
+/// Returns what the member needs of an entry of the list; one without a zone is of no use to it.
+fn listed_instance(listed: hemlockrouter_platform::Listed) -> Option<Listed> {
+    let state = match (listed.leaving, listed.passing) {
+        (true, _) => ListState::Leaving,
+        (false, true) => ListState::Passing,
+        (false, false) => ListState::Critical,
+    };
+    Some(Listed {
+        address: listed.address,
+        zone: listed.zone?,
+        state,
+    })
+}
+
+/// Waits, but not for much longer than until `stop` is set.
+fn pause(wait: Duration, stop: &AtomicBool) {
+    let mut left = wait;
+    let step = Duration::from_millis(PAUSE_MS);
+    while !left.is_zero() && !stop.load(Ordering::Relaxed) {
+        let now = left.min(step);
+        thread::sleep(now);
+        left -= now;
+    }
+}
+
+/// Waits between failures: doubling, with jitter, so that instances do not call in step when the
+/// store comes back.
+struct Backoff {
+    min_ms: u64,
+    max_ms: u64,
+    next_ms: u64,
+}
+
+impl Backoff {
+    fn new(timing: &Timing) -> Backoff {
+        Backoff {
+            min_ms: timing.store_retry_min_ms,
+            max_ms: timing.store_retry_max_ms,
+            next_ms: timing.store_retry_min_ms,
+        }
+    }
+
+    fn next(&mut self) -> Duration {
+        let ms = self.next_ms;
+        self.next_ms = (ms * 2).min(self.max_ms);
+        Duration::from_millis(rand::rng().random_range(ms / 2..=ms))
+    }
+
+    fn reset(&mut self) {
+        self.next_ms = self.min_ms;
+    }
+}
--- /dev/null
+++ b/src/outbound/upstreams.rs
@@ -0,0 +1,502 @@
+//! Calls to upstreams.
+//!
+//! The threads are started as they are needed, up to a maximum. They check the ownership lease on
+//! the monotonic clock just before they write: an instance that was frozen between the decision and
+//! the call finds its lease over and sends nothing.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use hemlockrouter_limit::Ended;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::SubOutcome;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use crate::node::Event;
+use crate::node::Mailbox;
+use crate::outbound::peers::never_sent;
+
+/// How long connecting may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// The largest answer of an upstream, in bytes.
+const ANSWER_MAX_BYTES: u64 = 8 << 20;
+
+/// How long an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How many cancellations may wait.
+const CANCELS_MAX: usize = 1_024;
+
+/// When to come back after an upstream shed load without saying so, in milliseconds.
+const SHED_RETRY_MS: u32 = 200;
+
+/// One call to one upstream.
+#[derive(Debug)]
+pub(crate) struct UpstreamCall {
+    /// The sub-request.
+    pub(crate) id: SubId,
+    /// Where the upstream listens.
+    pub(crate) address: SocketAddr,
+    /// What is asked.
+    pub(crate) kind: CallKind,
+    /// The last instant at which it may be sent.
+    pub(crate) lease_until: Time,
+    /// When its answer is not waited for any more.
+    pub(crate) deadline: Time,
+}
+
+/// What an upstream is asked.
+#[derive(Debug)]
+pub(crate) enum CallKind {
+    /// A search on one shard.
+    Search {
+        customer: String,
+        search: String,
+        shard: String,
+        snapshot: Option<Snapshot>,
+        map: MapVersion,
+        query: Arc<[u8]>,
+    },
+    /// A request that must not be repeated.
+    Run {
+        customer: String,
+        operation: String,
+        run_id: String,
+        request: Arc<[u8]>,
+    },
+    /// The cancellation of an earlier call.
+    Cancel,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub(crate) struct CallEnded {
+    /// The sub-request.
+    pub(crate) id: SubId,
+    /// For the limiter.
+    pub(crate) ended: Ended,
+    /// For the entry instance.
+    pub(crate) outcome: SubOutcome,
+    /// How long the call took, in milliseconds.
+    pub(crate) served_ms: u32,
+}
+
+impl CallEnded {
+    /// The end of a call that was never started.
+    pub(crate) fn not_sent(id: SubId, reason: Reason) -> CallEnded {
+        not_run(id, Ended::NotSent, reason, SHED_RETRY_MS)
+    }
+}
+
+#[derive(Serialize)]
+struct SearchBody<'a> {
+    id: String,
+    customer: &'a str,
+    search: &'a str,
+    shard: &'a str,
+    snapshot: Option<Snapshot>,
+    map: MapVersion,
+    deadline_ms: u64,
+    query: &'a RawValue,
+}
+
+#[derive(Serialize)]
+struct RunBody<'a> {
+    id: String,
+    customer: &'a str,
+    operation: &'a str,
+    run_id: &'a str,
+    deadline_ms: u64,
+    request: &'a RawValue,
+}
+
+#[derive(Serialize)]
+struct CancelBody {
+    id: String,
+}
+
+#[derive(Deserialize)]
+struct SearchAnswer<'a> {
+    start: String,
+    snapshot: Snapshot,
+    map: MapVersion,
+    oldest: Snapshot,
+    newest: Snapshot,
+    #[serde(default)]
+    leaving: bool,
+    #[serde(borrow)]
+    results: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+struct RunAnswer<'a> {
+    start: String,
+    #[serde(default)]
+    leaving: bool,
+    #[serde(borrow)]
+    result: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+#[serde(tag = "code", rename_all = "snake_case")]
+enum RefusalAnswer {
+    WrongSnapshot {
+        oldest: Snapshot,
+        newest: Snapshot,
+        start: Option<String>,
+    },
+    WrongMap {
+        map: MapVersion,
+        start: Option<String>,
+    },
+    Shed {
+        retry_after_ms: Option<u32>,
+        start: Option<String>,
+    },
+    Leaving {},
+}
+
+/// Calls upstreams.
+pub(crate) struct Upstreams {
+    sender: SyncSender<UpstreamCall>,
+    receiver: Arc<Mutex<Receiver<UpstreamCall>>>,
+    caller: Arc<Caller>,
+    threads: usize,
+    threads_max: usize,
+    under_way: usize,
+    cancels: SyncSender<UpstreamCall>,
+}
+
+struct Caller {
+    agent: ureq::Agent,
+    clock: Clock,
+    mailbox: Mailbox,
+}
+
+impl Upstreams {
+    /// Prepares to call upstreams with at most `threads_max` threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of starting the thread for cancellations.
+    pub(crate) fn start(
+        threads_max: usize,
+        clock: Clock,
+        mailbox: Mailbox,
+    ) -> io::Result<Upstreams> {
+        let agent = ureq::Agent::config_builder()
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .max_idle_connections(threads_max * 2)
+            .max_idle_connections_per_host(threads_max)
+            .max_idle_age(IDLE_TIMEOUT)
+            .http_status_as_error(false)
+            .proxy(None)
+            .build()
+            .into();
+        let (sender, receiver) = std::sync::mpsc::sync_channel(threads_max * 4);
+        let caller = Caller {
+            agent,
+            clock,
+            mailbox,
+        };
+        let caller = Arc::new(caller);
+        let (cancels, cancels_receiver) = std::sync::mpsc::sync_channel(CANCELS_MAX);
+        let canceller = Arc::clone(&caller);
+        thread::Builder::new()
+            .name("cancels".to_owned())
+            .spawn(move || {
+                for cancel in cancels_receiver {
+                    // Whether it arrives in time does not matter: the call's end is waited for anyway.
+                    let _ = canceller.call(&cancel);
+                }
+            })?;
+        Ok(Upstreams {
+            sender,
+            receiver: Arc::new(Mutex::new(receiver)),
+            caller,
+            threads: 0,
+            threads_max,
+            under_way: 0,
+            cancels,
+        })
+    }
+
+    /// Tells an upstream that an earlier call is not waited for any more.
+    ///
+    /// One thread sends all cancellations, so that they take up one connection of an upstream and
+    /// none of the threads that calls need. One that finds no room is left out.
+    pub(crate) fn cancel(&self, call: UpstreamCall) {
+        let _ = self.cancels.try_send(call);
+    }
+
+    /// Starts a call, and returns whether there was room for it.
+    pub(crate) fn call(&mut self, call: UpstreamCall) -> bool {
+        self.under_way += 1;
+        if self.under_way > self.threads && self.threads < self.threads_max {
+            // Without another thread the call waits for one of those that run.
+            if self.start_thread().is_ok() {
+                self.threads += 1;
+            }
+        }
+        let sent = self.sender.try_send(call).is_ok();
+        if !sent {
+            self.under_way -= 1;
+        }
+        sent
+    }
+
+    /// Notes that a call was reported as ended.
+    pub(crate) fn ended(&mut self) {
+        self.under_way -= 1;
+    }
+
+    fn start_thread(&self) -> io::Result<()> {
+        let receiver = Arc::clone(&self.receiver);
+        let caller = Arc::clone(&self.caller);
+        thread::Builder::new()
+            .name(format!("upstreams-{}", self.threads))
+            .spawn(move || loop {
+                let next = receiver
+                    .lock()
+                    .expect("no thread panics with the lock")
+                    .recv();
+                let Ok(call) = next else { return };
+                let ended = caller.call(&call);
+                caller.mailbox.put(Event::CallEnded(ended));
+            })?;
+        Ok(())
+    }
+}
+
+impl Caller {
+    /// Makes one call and waits for its end.
+    fn call(&self, call: &UpstreamCall) -> CallEnded {
+        let now = self.clock.now();
+        let left_ms = call.deadline.left(now);
+        if now >= call.lease_until || left_ms == 0 {
+            return not_run(call.id, Ended::NotSent, Reason::NotOwner, 0);
+        }
+        let answer = self
+            .agent
+            .post(format!("http://{}{}", call.address, call.path()))
+            .config()
+            .timeout_global(Some(Duration::from_millis(left_ms)))
+            .build()
+            .content_type("application/json")
+            .send(&call.body(left_ms)[..]);
+        let read = answer.and_then(|mut answer| {
+            let status = answer.status().as_u16();
+            let body = answer
+                .body_mut()
+                .with_config()
+                .limit(ANSWER_MAX_BYTES)
+                .read_to_vec()?;
+            Ok((status, body))
+        });
+        let served_ms = u32::try_from(self.clock.now().since(now)).unwrap_or(u32::MAX);
+        match read {
+            Ok((200, body)) => answered(call, &body, served_ms),
+            Ok((409 | 503, body)) => refused(call, &body, served_ms),
+            Ok(_) => failed(call.id, Ended::Failed, served_ms),
+            Err(error) if never_sent(&error) => {
+                not_run(call.id, Ended::Unreachable, Reason::Unreachable, 0)
+            }
+            Err(ureq::Error::Timeout(_)) => failed(call.id, Ended::TimedOut, served_ms),
+            Err(_) => failed(call.id, Ended::Failed, served_ms),
+        }
+    }
+}
+
+impl UpstreamCall {
+    fn path(&self) -> &'static str {
+        match self.kind {
+            CallKind::Search { .. } => "/search",
+            CallKind::Run { .. } => "/run",
+            CallKind::Cancel => "/cancel",
+        }
+    }
+
+    fn body(&self, deadline_ms: u64) -> Vec<u8> {
+        let id = self.id.to_string();
+        let body = match &self.kind {
+            CallKind::Search {
+                customer,
+                search,
+                shard,
+                snapshot,
+                map,
+                query,
+            } => serde_json::to_vec(&SearchBody {
+                id,
+                customer,
+                search,
+                shard,
+                snapshot: *snapshot,
+                map: *map,
+                deadline_ms,
+                query: raw(query),
+            }),
+            CallKind::Run {
+                customer,
+                operation,
+                run_id,
+                request,
+            } => serde_json::to_vec(&RunBody {
+                id,
+                customer,
+                operation,
+                run_id,
+                deadline_ms,
+                request: raw(request),
+            }),
+            CallKind::Cancel => serde_json::to_vec(&CancelBody { id }),
+        };
+        body.expect("calls can be represented in JSON")
+    }
+}
+
+/// Returns the JSON that the callers' port checked, or `null` if another instance sent something
+/// else.
+fn raw(bytes: &[u8]) -> &RawValue {
+    serde_json::from_slice(bytes).unwrap_or(RawValue::NULL)
+}
+
+/// Reads an answer to work that ran.
+fn answered(call: &UpstreamCall, body: &[u8], served_ms: u32) -> CallEnded {
+    match &call.kind {
+        CallKind::Search { .. } => search_answered(call.id, body, served_ms),
+        CallKind::Run { .. } => run_answered(call.id, body, served_ms),
+        CallKind::Cancel => failed(call.id, Ended::Cancelled, served_ms),
+    }
+}
+
+fn search_answered(id: SubId, body: &[u8], served_ms: u32) -> CallEnded {
+    let Ok(answer) = serde_json::from_slice::<SearchAnswer<'_>>(body) else {
+        return failed(id, Ended::Failed, served_ms);
+    };
+    if serde_json::from_str::<Vec<&RawValue>>(answer.results.get()).is_err() {
+        return failed(id, Ended::Failed, served_ms);
+    }
+    let serves = SnapshotRange {
+        oldest: answer.oldest,
+        newest: answer.newest,
+    };
+    CallEnded {
+        id,
+        ended: Ended::Answered {
+            served_ms,
+            start: start_id(Some(&answer.start)),
+            leaving: answer.leaving,
+        },
+        outcome: SubOutcome::Answered {
+            snapshot: answer.snapshot,
+            map: answer.map,
+            serves,
+            body: answer.results.get().as_bytes().to_vec(),
+        },
+        served_ms,
+    }
+}
+
+fn run_answered(id: SubId, body: &[u8], served_ms: u32) -> CallEnded {
+    let Ok(answer) = serde_json::from_slice::<RunAnswer<'_>>(body) else {
+        return failed(id, Ended::Failed, served_ms);
+    };
+    CallEnded {
+        id,
+        ended: Ended::Answered {
+            served_ms,
+            start: start_id(Some(&answer.start)),
+            leaving: answer.leaving,
+        },
+        outcome: SubOutcome::Answered {
+            snapshot: Snapshot::default(),
+            map: MapVersion::default(),
+            serves: SnapshotRange::default(),
+            body: answer.result.get().as_bytes().to_vec(),
+        },
+        served_ms,
+    }
+}
+
+/// Reads an answer that says that the work did not run. A refusal in another form says nothing.
+fn refused(call: &UpstreamCall, body: &[u8], served_ms: u32) -> CallEnded {
+    let id = call.id;
+    let answered = |start: Option<String>| Ended::Answered {
+        served_ms,
+        start: start_id(start.as_deref()),
+        leaving: false,
+    };
+    match serde_json::from_slice::<RefusalAnswer>(body) {
+        Ok(RefusalAnswer::WrongSnapshot {
+            oldest,
+            newest,
+            start,
+        }) => CallEnded {
+            id,
+            ended: answered(start),
+            outcome: SubOutcome::WrongSnapshot {
+                serves: SnapshotRange { oldest, newest },
+            },
+            served_ms,
+        },
+        Ok(RefusalAnswer::WrongMap { map, start }) => CallEnded {
+            id,
+            ended: answered(start),
+            outcome: SubOutcome::WrongMap { map },
+            served_ms,
+        },
+        Ok(RefusalAnswer::Shed {
+            retry_after_ms,
+            start,
+        }) => {
+            let retry_after_ms = retry_after_ms.unwrap_or(SHED_RETRY_MS);
+            let start = start_id(start.as_deref());
+            let ended = Ended::Shed {
+                retry_after_ms,
+                start,
+            };
+            not_run(id, ended, Reason::Shed, retry_after_ms)
+        }
+        Ok(RefusalAnswer::Leaving {}) => {
+            not_run(id, Ended::Leaving, Reason::Leaving, SHED_RETRY_MS)
+        }
+        Err(_) => failed(id, Ended::Failed, served_ms),
+    }
+}
+
+fn not_run(id: SubId, ended: Ended, reason: Reason, retry_after_ms: u32) -> CallEnded {
+    let refusal = Refusal {
+        reason,
+        retry_after_ms,
+    };
+    CallEnded {
+        id,
+        ended,
+        outcome: SubOutcome::NotRun(refusal),
+        served_ms: 0,
+    }
+}
+
+fn failed(id: SubId, ended: Ended, served_ms: u32) -> CallEnded {
+    CallEnded {
+        id,
+        ended,
+        outcome: SubOutcome::Failed,
+        served_ms,
+    }
+}
+
+/// Reads the id of an upstream's start, which is hexadecimal.
+fn start_id(text: Option<&str>) -> Option<StartId> {
+    u64::from_str_radix(text?, 16).ok().map(StartId)
+}
