member: fuzz in virtual time against an oracle, and a take-over it found missing

Ruled out: a view that lags (all tables agreed in the dump). Change: it asks, and asks the holder too; its own grant counts once its promise has ended.

--- a/hemlockrouter-member/src/ownership/holding.rs
+++ b/hemlockrouter-member/src/ownership/holding.rs
@@ -39,12 +39,18 @@
         true
     }
 
-    /// Returns the end of the lease that the grants make up. The instance that asks counts as
-    /// granted: while it asks or holds, it promises the upstream to nobody.
-    pub(crate) fn lease_end(&self, now: Time, me: InstanceId, lease_ms: u64) -> Time {
+    /// Returns the end of the lease that the grants make up. The instance itself counts as granted
+    /// if it `grants_itself`: while it asks or holds, it promises the upstream to nobody.
+    pub(crate) fn lease_end(
+        &self,
+        now: Time,
+        me: InstanceId,
+        grants_itself: bool,
+        lease_ms: u64,
+    ) -> Time {
         let end = self.quorums.end(|id| {
             if id == me {
-                return Time::MAX;
+                return if grants_itself { Time::MAX } else { Time::ZERO };
             }
             match self.granted.get(&id) {
                 Some(sent_at) => *sent_at + lease_ms,
--- a/hemlockrouter-member/src/ownership/mod.rs
+++ b/hemlockrouter-member/src/ownership/mod.rs
@@ -186,15 +186,10 @@
     }
 
     /// Whether this instance should own an upstream that it does not hold.
-    fn wants(&self, now: Time, upstream: UpstreamKey) -> bool {
-        let holding = &self.holdings[&upstream];
+    fn wants(&self, upstream: UpstreamKey) -> bool {
         self.view.is_established
             && !self.view.is_leaving
-            && holding.preferred == Some(self.me)
-            && self
-                .promises
-                .holder(now, upstream)
-                .is_none_or(|to| to == self.me)
+            && self.holdings[&upstream].preferred == Some(self.me)
             && self.is_zone_in_service()
     }
 
@@ -209,13 +204,14 @@
         if self.holdings[&upstream].until.is_some() {
             return;
         }
-        if !self.wants(now, upstream) {
+        if !self.wants(upstream) {
             if self.holdings[&upstream].is_seeking {
                 self.give_up(now, upstream, "another ranks higher", out);
             }
             return;
         }
         let again_ms = self.config.ask_again_ms;
+        let promised_to = self.promises.holder(now, upstream);
         let holding = self
             .holdings
             .get_mut(&upstream)
@@ -229,6 +225,7 @@
             return;
         }
         holding.ask_at = now + again_ms;
+        holding.holder = promised_to.or(holding.holder);
         let mut asked = holding.quorums.members();
         asked.extend(holding.holder.filter(|holder| !asked.contains(holder)));
         for guard in asked {
@@ -313,10 +310,12 @@
     fn extend(&mut self, now: Time, upstream: UpstreamKey, out: &mut Vec<Command>) {
         let held_ms = self.held_ms();
         let me = self.me;
+        // This instance's own grant counts once it is bound by no promise to another.
+        let grants_itself = self.promises.holder(now, upstream).is_none();
         let Some(holding) = self.holdings.get_mut(&upstream) else {
             return;
         };
-        let end = holding.lease_end(now, me, held_ms);
+        let end = holding.lease_end(now, me, grants_itself, held_ms);
         if end <= now || holding.until.is_some_and(|until| until >= end) {
             return;
         }
--- /dev/null
+++ b/hemlockrouter-member/tests/member/measure.rs
@@ -0,0 +1,1 @@
+//! Figures in virtual time.
--- /dev/null
+++ b/hemlockrouter-member/tests/member/net.rs
@@ -0,0 +1,635 @@
+//! A loop that passes messages between members in virtual time, with faults, a store and a list.
+//!
+//! It is the oracle too: it panics as soon as two instances are within their leases for one upstream
+//! in true time, or a configuration goes backwards.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hemlockrouter_member::Command;
+use hemlockrouter_member::Config;
+use hemlockrouter_member::ListState;
+use hemlockrouter_member::Listed;
+use hemlockrouter_member::Member;
+use hemlockrouter_member::To;
+use hemlockrouter_types::catalog::Upstream;
+use hemlockrouter_types::catalog::Zone;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::member::Condition;
+use hemlockrouter_wire::member::MemberKind;
+use hemlockrouter_wire::member::MemberMessage;
+use hemlockrouter_wire::member::Peer;
+use hemlockrouter_wire::member::Rumour;
+use hemlockrouter_wire::relay::RelayMessage;
+use hemlockrouter_wire::Envelope;
+use hemlockrouter_wire::Message;
+use rand::rngs::SmallRng;
+use rand::RngExt;
+use rand::SeedableRng;
+
+/// What HTTP adds to one message, in bytes.
+const HTTP_BYTES: u64 = 250;
+
+/// How often the list and the store are read, in milliseconds.
+const POLL_MS: u64 = 1_000;
+
+/// One start of one instance.
+pub(crate) struct Node {
+    pub(crate) member: Member,
+    pub(crate) peer: Peer,
+    /// Instances of different groups can't talk.
+    pub(crate) group: u32,
+    pub(crate) is_up: bool,
+    pub(crate) frozen_until: u64,
+    pub(crate) applied: u64,
+    pub(crate) sent_bytes: u64,
+    pub(crate) sent_messages: u64,
+    offset_ms: u64,
+    drift_ppm: i64,
+    is_watching: bool,
+    wake_at: u64,
+}
+
+impl Node {
+    fn clock(&self, now: u64) -> Time {
+        let drift = now as i64 * self.drift_ppm / 1_000_000;
+        Time::from_ms(self.offset_ms + now.wrapping_add_signed(drift))
+    }
+
+    /// Returns the true time at which the node's clock has reached `time`.
+    fn true_time(&self, time: Time) -> u64 {
+        let own = time.as_ms().saturating_sub(self.offset_ms) as i64;
+        (own - own * self.drift_ppm / 1_000_000 + 1) as u64
+    }
+}
+
+enum Event {
+    Deliver {
+        from: InstanceId,
+        group: u32,
+        to: SocketAddr,
+        messages: Vec<Message>,
+    },
+    Refused {
+        node: usize,
+        to: To,
+    },
+    Wake(usize),
+    Poll,
+}
+
+/// Faults in force.
+pub(crate) struct Faults {
+    pub(crate) loss_percent: u32,
+    pub(crate) duplicate_percent: u32,
+    pub(crate) delay_ms: (u64, u64),
+    pub(crate) list_lag_ms: u64,
+    pub(crate) is_list_up: bool,
+    pub(crate) is_store_up: bool,
+    /// How many of the last notes the store leaves out of its answers.
+    pub(crate) stale_notes: usize,
+    /// Whether the host of a dead process refuses connections, or is silent.
+    pub(crate) refuses: bool,
+    /// The groups that do not reach the platform.
+    pub(crate) cut_from_platform: BTreeSet<u32>,
+}
+
+/// The instances and what is on its way between them.
+pub(crate) struct Net {
+    pub(crate) now: u64,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) faults: Faults,
+    pub(crate) notes: usize,
+    /// When each upstream was last taken over, and by which node.
+    pub(crate) holders: BTreeMap<UpstreamKey, (u64, usize)>,
+    /// Conditions that nodes were last seen to believe of others, counted when they turn dead.
+    config: Config,
+    catalog: Catalog,
+    catalogs: BTreeMap<u64, Arc<Catalog>>,
+    rng: SmallRng,
+    queue: BTreeMap<(u64, u64), Event>,
+    events: u64,
+    lists: Vec<(u64, Vec<Listed>)>,
+}
+
+impl Net {
+    /// Makes zones with upstreams and no instances.
+    pub(crate) fn new(config: Config, zones: usize, upstreams: usize, seed: u64) -> Net {
+        let mut net = Net {
+            now: 0,
+            nodes: Vec::new(),
+            faults: Faults {
+                loss_percent: 0,
+                duplicate_percent: 0,
+                delay_ms: (1, 3),
+                list_lag_ms: 2_000,
+                is_list_up: true,
+                is_store_up: true,
+                stale_notes: 0,
+                refuses: true,
+                cut_from_platform: BTreeSet::new(),
+            },
+            notes: 1,
+            holders: BTreeMap::new(),
+            config,
+            catalog: catalog(zones, upstreams),
+            catalogs: BTreeMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            events: 0,
+            lists: Vec::new(),
+        };
+        net.at(0, Event::Poll);
+        net
+    }
+
+    fn at(&mut self, time: u64, event: Event) {
+        self.events += 1;
+        self.queue.insert((time, self.events), event);
+    }
+
+    /// Starts an instance in a zone, at an address of its own or that of an earlier one.
+    pub(crate) fn start(&mut self, zone: usize, address: usize, seeds: &[usize]) -> usize {
+        let peer = Peer {
+            id: InstanceId(self.rng.random()),
+            address: address_of(address),
+            zone: zone_name(zone),
+        };
+        let group = self.group_at(peer.address);
+        let offset_ms = self.rng.random_range(0..100_000);
+        let drift_ppm = self.rng.random_range(-10_000..10_000);
+        let seeds = seeds.iter().map(|seed| address_of(*seed)).collect();
+        let mut node = Node {
+            member: Member::new(
+                self.config.clone(),
+                peer.clone(),
+                seeds,
+                Time::from_ms(
+                    offset_ms
+                        + self
+                            .now
+                            .wrapping_add_signed(self.now as i64 * drift_ppm / 1_000_000),
+                ),
+                self.rng.random(),
+            ),
+            peer,
+            group,
+            is_up: true,
+            frozen_until: 0,
+            applied: 0,
+            sent_bytes: 0,
+            sent_messages: 0,
+            offset_ms,
+            drift_ppm,
+            is_watching: false,
+            wake_at: u64::MAX,
+        };
+        let mut out = Vec::new();
+        let clock = node.clock(self.now);
+        node.member.tick(clock, &mut out);
+        self.nodes.push(node);
+        let index = self.nodes.len() - 1;
+        self.execute(index, out);
+        index
+    }
+
+    fn group_at(&self, address: SocketAddr) -> u32 {
+        let last = self
+            .nodes
+            .iter()
+            .rev()
+            .find(|node| node.peer.address == address);
+        last.map_or(0, |node| node.group)
+    }
+
+    /// Makes `count` instances in each zone that know each other and are established.
+    pub(crate) fn settle(&mut self, zones: usize, count: usize) {
+        for zone in 0..zones {
+            for index in 0..count {
+                self.start(zone, zone * count + index, &[]);
+            }
+        }
+        let rumours: Vec<Rumour> = self.nodes.iter().map(|node| rumour(&node.peer)).collect();
+        for index in 0..self.nodes.len() {
+            let zone = self.nodes[index].peer.zone.clone();
+            self.tell(
+                index,
+                rumours[0].peer.id,
+                MemberKind::Table,
+                rumours.clone(),
+            );
+            for rumour in rumours.iter().filter(|rumour| rumour.peer.zone == zone) {
+                self.tell(index, rumour.peer.id, MemberKind::Introduced, Vec::new());
+            }
+        }
+        self.run(30_000);
+        self.reset_counters();
+    }
+
+    fn tell(&mut self, node: usize, from: InstanceId, kind: MemberKind, rumours: Vec<Rumour>) {
+        let message = MemberMessage {
+            config: ConfigNumber(0),
+            rumours,
+            kind,
+        };
+        self.drive(node, |member, now, out| {
+            member.receive(now, from, message, out);
+        });
+    }
+
+    pub(crate) fn reset_counters(&mut self) {
+        for node in &mut self.nodes {
+            node.sent_bytes = 0;
+            node.sent_messages = 0;
+        }
+    }
+
+    /// Calls a member unless it is down, and executes its commands.
+    pub(crate) fn drive<F>(&mut self, index: usize, call: F)
+    where
+        F: FnOnce(&mut Member, Time, &mut Vec<Command>),
+    {
+        let node = &mut self.nodes[index];
+        if !node.is_up {
+            return;
+        }
+        let clock = node.clock(self.now);
+        let mut out = Vec::new();
+        call(&mut node.member, clock, &mut out);
+        self.execute(index, out);
+    }
+
+    fn execute(&mut self, index: usize, commands: Vec<Command>) {
+        let mut sends: BTreeMap<To, Vec<Message>> = BTreeMap::new();
+        let mut commands = std::collections::VecDeque::from(commands);
+        while let Some(command) = commands.pop_front() {
+            match command {
+                Command::Send { to, message } => sends.entry(to).or_default().push(message),
+                Command::Hold { upstream, until } => self.hold(index, upstream, until),
+                Command::Drop { .. } | Command::Decision(_) => {}
+                Command::Apply { number, .. } => {
+                    assert_eq!(number.0, self.nodes[index].applied + 1, "notes go in order");
+                    commands.extend(self.configure(index, number.0));
+                }
+                Command::ApplyBase { document } => {
+                    let number = document.len() as u64;
+                    assert!(
+                        number > self.nodes[index].applied,
+                        "a configuration reverts"
+                    );
+                    commands.extend(self.configure(index, number));
+                }
+                Command::SendBase { to } => {
+                    let number = self.nodes[index].applied;
+                    let message = Message::Relay(RelayMessage::Base {
+                        number: ConfigNumber(number),
+                        document: vec![0; number as usize],
+                    });
+                    sends.entry(To::Instance(to)).or_default().push(message);
+                }
+                Command::Watch => self.nodes[index].is_watching = true,
+                Command::Unwatch => self.nodes[index].is_watching = false,
+            }
+        }
+        for (to, messages) in sends {
+            self.post(index, to, messages);
+        }
+        self.plan_wake(index);
+    }
+
+    fn plan_wake(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let Some(wake) = node.member.next_wake() else {
+            return;
+        };
+        let wake_at = node.true_time(wake).max(self.now + 1);
+        if wake_at < node.wake_at {
+            node.wake_at = wake_at;
+            self.at(wake_at, Event::Wake(index));
+        }
+    }
+
+    fn configure(&mut self, index: usize, number: u64) -> Vec<Command> {
+        let catalog = self.catalogs.entry(number).or_insert_with(|| {
+            let mut catalog = self.catalog.clone();
+            catalog.number = ConfigNumber(number);
+            Arc::new(catalog)
+        });
+        let catalog = Arc::clone(catalog);
+        let node = &mut self.nodes[index];
+        node.applied = number;
+        let clock = node.clock(self.now);
+        let mut out = Vec::new();
+        node.member.configure(clock, catalog, &mut out);
+        out
+    }
+
+    /// Checks that nobody else is within its lease.
+    fn hold(&mut self, index: usize, upstream: UpstreamKey, until: Time) {
+        if until <= self.nodes[index].clock(self.now) {
+            return;
+        }
+        for (other, node) in self.nodes.iter().enumerate() {
+            let is_held = node
+                .member
+                .lease_until(upstream)
+                .is_some_and(|until| until > node.clock(self.now));
+            assert!(
+                other == index || !node.is_up || !is_held,
+                "at {} ms nodes {other} and {index} both hold upstream {upstream}",
+                self.now
+            );
+        }
+        if self
+            .holders
+            .get(&upstream)
+            .is_none_or(|(_, node)| *node != index)
+        {
+            self.holders.insert(upstream, (self.now, index));
+        }
+    }
+
+    fn post(&mut self, index: usize, to: To, messages: Vec<Message>) {
+        let node = &mut self.nodes[index];
+        let address = match to {
+            To::Address(address) => Some(address),
+            To::Instance(id) => node.member.peer(id).map(|peer| peer.address),
+        };
+        let Some(address) = address else {
+            return;
+        };
+        let from = node.peer.id;
+        let group = node.group;
+        let envelope = Envelope::new(from, messages);
+        node.sent_bytes += HTTP_BYTES + envelope.encode().len() as u64;
+        node.sent_messages += 1;
+        let messages = envelope.messages;
+        if self.group_at(address) != group {
+            return;
+        }
+        let target = self.node_at(address);
+        if target.is_none() && self.faults.refuses {
+            self.at(self.now + 1, Event::Refused { node: index, to });
+            return;
+        }
+        let copies = 1 + u32::from(self.chance(self.faults.duplicate_percent));
+        for _ in 0..copies {
+            if self.chance(self.faults.loss_percent) {
+                continue;
+            }
+            let (min, max) = self.faults.delay_ms;
+            let delay_ms = self.rng.random_range(min..=max);
+            let event = Event::Deliver {
+                from,
+                group,
+                to: address,
+                messages: messages.clone(),
+            };
+            self.at(self.now + delay_ms, event);
+        }
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        percent > 0 && self.rng.random_range(0..100) < percent
+    }
+
+    pub(crate) fn node_at(&self, address: SocketAddr) -> Option<usize> {
+        self.nodes
+            .iter()
+            .rposition(|node| node.is_up && node.peer.address == address)
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while let Some(entry) = self.queue.first_entry() {
+            let time = entry.key().0;
+            if time > end {
+                break;
+            }
+            let event = entry.remove();
+            self.now = self.now.max(time);
+            self.happen(event);
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Deliver {
+                from,
+                group,
+                to,
+                messages,
+            } => self.deliver(from, group, to, messages),
+            Event::Refused { node, to } => self.drive(node, |member, now, out| match to {
+                To::Instance(id) => member.undeliverable(now, id, out),
+                To::Address(address) => member.address_refused(now, address),
+            }),
+            Event::Wake(index) => self.wake(index),
+            Event::Poll => self.poll(),
+        }
+    }
+
+    fn deliver(&mut self, from: InstanceId, group: u32, to: SocketAddr, messages: Vec<Message>) {
+        let Some(index) = self.node_at(to) else {
+            return;
+        };
+        let node = &self.nodes[index];
+        if node.group != group {
+            return;
+        }
+        if node.frozen_until > self.now {
+            let event = Event::Deliver {
+                from,
+                group,
+                to,
+                messages,
+            };
+            self.at(node.frozen_until, event);
+            return;
+        }
+        for message in messages {
+            self.drive(index, |member, now, out| match message {
+                Message::Member(message) => member.receive(now, from, message, out),
+                Message::Lease(message) => member.receive_lease(now, from, message, out),
+                Message::Relay(message) => member.receive_relay(now, from, message, out),
+                _ => unreachable!("members send no messages of the data path"),
+            });
+        }
+    }
+
+    fn wake(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if node.wake_at != self.now {
+            return;
+        }
+        if node.frozen_until > self.now {
+            node.wake_at = node.frozen_until;
+            let wake_at = node.wake_at;
+            self.at(wake_at, Event::Wake(index));
+            return;
+        }
+        node.wake_at = u64::MAX;
+        self.drive(index, |member, now, out| member.tick(now, out));
+        self.plan_wake(index);
+    }
+
+    /// Reads the list for everyone and the store for the watchers.
+    fn poll(&mut self) {
+        self.at(self.now + POLL_MS, Event::Poll);
+        self.record_list();
+        for index in 0..self.nodes.len() {
+            let node = &self.nodes[index];
+            let is_cut = self.faults.cut_from_platform.contains(&node.group);
+            if !node.is_up || node.frozen_until > self.now || is_cut {
+                continue;
+            }
+            if self.faults.is_list_up {
+                let list = self.lagging_list();
+                self.drive(index, |member, now, out| member.listed(now, list, out));
+            }
+            self.read_store(index);
+        }
+    }
+
+    fn read_store(&mut self, index: usize) {
+        let node = &self.nodes[index];
+        let is_cut = self.faults.cut_from_platform.contains(&node.group);
+        if !self.faults.is_store_up || !node.is_watching || is_cut || !node.is_up {
+            return;
+        }
+        if node.frozen_until > self.now {
+            return;
+        }
+        let last = self.notes.saturating_sub(self.faults.stale_notes) as u64;
+        let base = last - last % 10;
+        let notes = (base + 1..=last).map(|number| (ConfigNumber(number), vec![7; 500]));
+        let notes = notes.collect();
+        let base = (base > 0).then(|| (ConfigNumber(base), vec![0; base as usize]));
+        self.drive(index, |member, now, out| {
+            member.stored(now, notes, base, out)
+        });
+    }
+
+    /// Accepts a note; the watchers' blocking reads return at once.
+    pub(crate) fn submit(&mut self) {
+        self.notes += 1;
+        for index in 0..self.nodes.len() {
+            self.read_store(index);
+        }
+    }
+
+    fn record_list(&mut self) {
+        let mut list = BTreeMap::new();
+        for node in &self.nodes {
+            let reaches = !self.faults.cut_from_platform.contains(&node.group);
+            let is_passing = node.is_up && reaches && node.frozen_until <= self.now;
+            let state = if is_passing {
+                ListState::Passing
+            } else {
+                ListState::Critical
+            };
+            let zone = node.peer.zone.clone();
+            let address = node.peer.address;
+            let listed = Listed {
+                address,
+                zone,
+                state,
+            };
+            list.insert(address, listed);
+        }
+        self.lists.push((self.now, list.into_values().collect()));
+    }
+
+    fn lagging_list(&self) -> Vec<Listed> {
+        let seen_at = self.now.saturating_sub(self.faults.list_lag_ms);
+        let seen = self.lists.iter().rev().find(|(time, _)| *time <= seen_at);
+        seen.map_or_else(Vec::new, |(_, list)| list.clone())
+    }
+
+    /// Prints what every living node believes, to explain a failure.
+    pub(crate) fn dump(&self) {
+        for (index, node) in self.nodes.iter().enumerate().filter(|(_, node)| node.is_up) {
+            let Peer { id, address, zone } = &node.peer;
+            println!(
+                "node {index} {id} {address} {zone} applied {}",
+                node.applied
+            );
+            for status in node.member.table() {
+                println!("    {status:?}");
+            }
+        }
+    }
+
+    /// Returns the node that is within its lease on an upstream.
+    pub(crate) fn holder(&self, upstream: UpstreamKey) -> Option<usize> {
+        self.nodes.iter().position(|node| {
+            let until = node.member.lease_until(upstream);
+            node.is_up && until.is_some_and(|until| until > node.clock(self.now))
+        })
+    }
+
+    pub(crate) fn upstreams(&self) -> Vec<UpstreamKey> {
+        self.catalog.upstreams.iter().map(|(key, _)| key).collect()
+    }
+
+    /// Returns how many living nodes believe that another living one is dead.
+    pub(crate) fn false_deaths(&self) -> usize {
+        let living: BTreeSet<InstanceId> = self
+            .nodes
+            .iter()
+            .filter(|node| node.is_up && node.frozen_until <= self.now)
+            .map(|node| node.peer.id)
+            .collect();
+        self.nodes
+            .iter()
+            .filter(|node| node.is_up)
+            .flat_map(|node| node.member.table())
+            .filter(|status| status.condition == Condition::Dead)
+            .filter(|status| living.contains(&status.peer.id))
+            .count()
+    }
+}
+
+fn rumour(peer: &Peer) -> Rumour {
+    Rumour {
+        peer: peer.clone(),
+        condition: Condition::Alive,
+        refutations: 0,
+        established: true,
+    }
+}
+
+pub(crate) fn zone_name(zone: usize) -> String {
+    format!("zone-{zone}")
+}
+
+fn address_of(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 7_000))
+}
+
+fn catalog(zones: usize, upstreams: usize) -> Catalog {
+    let mut catalog = Catalog::default();
+    for zone in 0..zones {
+        let zone = catalog.zones.insert(Zone {
+            name: zone_name(zone),
+            region: "region".to_owned(),
+            in_service: true,
+        });
+        for index in 0..upstreams {
+            catalog.upstreams.insert(Upstream {
+                name: format!("upstream-{zone}-{index}"),
+                address: address_of(index),
+                zone,
+                slots: 2,
+                cold_slots: 1,
+                connections: 25,
+                in_service: true,
+            });
+        }
+    }
+    catalog
+}
