--- a/hemlockrouter-lab/src/upstream/connections.rs
+++ b/hemlockrouter-lab/src/upstream/connections.rs
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Connections {
     known: BTreeSet<SocketAddr>,
+    /// Connections from before a restart, which can't be closed before something comes over them.
+    ended: BTreeSet<SocketAddr>,
 }
 
 /// What is to be done with a request, by its connection.
@@ -26,6 +28,8 @@
     First,
     /// Its connection is one too many.
     TooMany,
+    /// Its connection ended with a restart.
+    Ended,
 }
 
 impl Connections {
@@ -34,14 +38,23 @@
         self.known.len()
     }
 
+    /// Ends all connections.
+    pub(super) fn end_all(&mut self) {
+        self.ended.append(&mut self.known);
+    }
+
     /// Admits a request from `peer` to `port`, where at most `limit` connections may be open.
     pub(super) fn admit(&mut self, peer: SocketAddr, port: u16, limit: usize) -> Admission {
+        if self.ended.remove(&peer) {
+            return Admission::Ended;
+        }
         if self.known.contains(&peer) {
             return Admission::Known;
         }
         if let Ok(table) = fs::read_to_string("/proc/self/net/tcp") {
             let open = peers_of(&table, port);
             self.known.retain(|known| open.contains(known));
+            self.ended.retain(|ended| open.contains(ended));
         }
         if self.known.len() >= limit {
             return Admission::TooMany;
--- a/hemlockrouter-lab/src/upstream/counts.rs
+++ b/hemlockrouter-lab/src/upstream/counts.rs
@@ -16,7 +16,8 @@
     pub peak_in_flight: usize,
     /// Most requests in flight at once while it was cold.
     pub peak_cold_in_flight: usize,
-    /// How often more were in flight while it was cold than it can bear, so that it fell over.
+    /// How often more were in flight while it was cold than it can bear, so that it fell over. What
+    /// was sent before the other end could know that it turned cold does not count.
     pub cold_bound_passed: u64,
     /// How often each run took effect.
     pub runs: BTreeMap<String, u64>,
--- a/hemlockrouter-lab/tests/upstream.rs
+++ b/hemlockrouter-lab/tests/upstream.rs
@@ -115,3 +115,34 @@
     assert_eq!(post(&first, &upstream, "/search", search(3, None)).0, 200);
     assert_eq!(upstream.counts().connections, 1);
 }
+
+#[test]
+fn a_restart_is_told_before_the_cold_bound_counts() {
+    let upstream = start(|spec| {
+        spec.warm = true;
+        spec.cold_ms = 200;
+    });
+    let agents = [agent(), agent()];
+    let both = || {
+        thread::scope(|scope| {
+            let [first, second] = agents.each_ref().map(|agent| {
+                let upstream = &upstream;
+                scope.spawn(move || {
+                    let url = format!("http://{}/search", upstream.addr());
+                    let sent = agent.post(url).send_json(search(1, None));
+                    // A connection is used again only once its answer has been read.
+                    sent.and_then(|mut response| response.body_mut().read_to_string())
+                        .is_ok()
+                })
+            });
+            [first, second].map(|asked| asked.join().expect("an end"))
+        })
+    };
+    assert_eq!(both(), [true, true]);
+    upstream.restart();
+    assert_eq!(both(), [false, false], "the old connections have ended");
+    assert_eq!(upstream.counts().cold_bound_passed, 0);
+    thread::sleep(Duration::from_millis(100));
+    both();
+    assert_eq!(upstream.counts().cold_bound_passed, 1);
+}
