Add hemlockctl, the operators' client

Cause: operators need to check, submit, list and show notes, see status, ask where a search would go, and drain an instance, from scripts too. Change: the client, with an exit code of its own for a note that is accepted but not yet in force everywhere, and one for a submission whose answer was lost; both ask for different next steps than a refusal. Run: cargo test -p hemlockrouter-cli, 7 tests against a scripted port pass. Not run: against a daemon.

--- /dev/null
+++ b/hemlockrouter-cli/src/bin/hemlockctl/args.rs
@@ -0,0 +1,153 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use eyre::bail;
+use eyre::eyre;
+use eyre::Result;
+use eyre::WrapErr;
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+
+/// How long `note submit` waits until the note is in force everywhere, in milliseconds.
+const WAIT_DEFAULT_MS: u64 = 15_000;
+
+const HELP: &str = "\
+Usage: hemlockctl --instance ADDR [OPTIONS] COMMAND
+
+Commands:
+  note check FILE               check a release note without submitting it
+  note submit FILE [--wait-ms N]
+                                submit a release note; tells where it is in force
+  note list                     list the last accepted notes
+  note show NUMBER|ID           show an accepted note
+  status                        instances, upstreams, the configuration in force
+  explain CUSTOMER SEARCH       where a search would go now, and why
+  drain INSTANCE                shut an instance down gracefully
+
+Options:
+  --instance ADDR   the operators' port of any instance, such as 10.0.0.7:7101
+  --key-file FILE   file with the operators' key
+                    (default: the environment variable HEMLOCK_OPERATORS_KEY)
+  --timeout-ms N    how long one call may take (default: 10000)
+  --wait-ms N       how long 'note submit' waits until the note is in force
+                    everywhere (default: 15000)
+  --json            print JSON
+  --help            print this text
+  --version         print the version
+
+Exit codes:
+  0  done
+  1  refused: the note does not check or another came first, the key is wrong,
+     or there is no such thing
+  2  the command line, the key or the file can't be used; nothing was sent
+  3  the instance or the store did not answer; nothing was accepted
+  4  accepted, but not in force on every instance when the wait ended
+  5  may have been accepted; submit the same file again, which is safe
+";
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub(crate) enum Parsed {
+    /// To run a command.
+    Run(Args),
+    /// To print a text.
+    Print(String),
+}
+
+/// A command and its options.
+#[derive(Debug)]
+pub(crate) struct Args {
+    pub(crate) instance: SocketAddr,
+    pub(crate) key_file: Option<PathBuf>,
+    pub(crate) timeout_ms: u64,
+    pub(crate) json: bool,
+    pub(crate) command: Command,
+}
+
+/// What to do.
+#[derive(Debug)]
+pub(crate) enum Command {
+    NoteCheck { file: PathBuf },
+    NoteSubmit { file: PathBuf, wait_ms: u64 },
+    NoteList,
+    NoteShow { name: String },
+    Status,
+    Explain { customer: String, search: String },
+    Drain { instance: String },
+}
+
+/// Parses the process's arguments.
+pub(crate) fn parse() -> Result<Parsed> {
+    let mut parser = Parser::from_env();
+    let mut instance = None;
+    let mut key_file = None;
+    let mut timeout_ms = 10_000;
+    let mut wait_ms = WAIT_DEFAULT_MS;
+    let mut json = false;
+    let mut words: Vec<String> = Vec::new();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("help") | Arg::Short('h') => return Ok(Parsed::Print(String::from(HELP))),
+            Arg::Long("version") | Arg::Short('V') => {
+                let text = format!("hemlockctl {}\n", env!("CARGO_PKG_VERSION"));
+                return Ok(Parsed::Print(text));
+            }
+            Arg::Long("instance") => instance = Some(address(&parser.value()?.string()?)?),
+            Arg::Long("key-file") => key_file = Some(PathBuf::from(parser.value()?)),
+            Arg::Long("timeout-ms") => timeout_ms = parser.value()?.parse()?,
+            Arg::Long("wait-ms") => wait_ms = parser.value()?.parse()?,
+            Arg::Long("json") => json = true,
+            Arg::Value(word) => words.push(word.string()?),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    Ok(Parsed::Run(Args {
+        command: command(&words, wait_ms)?,
+        instance: instance.ok_or_else(|| eyre!("--instance is missing"))?,
+        key_file,
+        timeout_ms,
+        json,
+    }))
+}
+
+fn address(text: &str) -> Result<SocketAddr> {
+    text.parse()
+        .wrap_err_with(|| format!("--instance {text}: expected an IP address with a port"))
+}
+
+fn command(words: &[String], wait_ms: u64) -> Result<Command> {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    Ok(match words.as_slice() {
+        [] => bail!("a command is missing"),
+        ["note", "check", file] => Command::NoteCheck {
+            file: PathBuf::from(file),
+        },
+        ["note", "submit", file] => Command::NoteSubmit {
+            file: PathBuf::from(file),
+            wait_ms,
+        },
+        ["note", "list"] => Command::NoteList,
+        ["note", "show", name] => Command::NoteShow { name: plain(name)? },
+        ["status"] => Command::Status,
+        ["explain", customer, search] => Command::Explain {
+            customer: plain(customer)?,
+            search: plain(search)?,
+        },
+        ["drain", instance] => Command::Drain {
+            instance: plain(instance)?,
+        },
+        _ => bail!("unknown command: {}", words.join(" ")),
+    })
+}
+
+/// Checks a name that becomes part of a URL.
+fn plain(name: &str) -> Result<String> {
+    let fits = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'.' | b'_' | b'-');
+    if name.is_empty() || !name.bytes().all(fits) {
+        bail!("\"{name}\" is not a name: expected letters, digits, '.', '_' or '-'");
+    }
+    Ok(String::from(name))
+}
--- /dev/null
+++ b/hemlockrouter-cli/src/bin/hemlockctl/client.rs
@@ -0,0 +1,164 @@
+//! Calls of an instance's operators' port.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::eyre;
+use eyre::Result;
+use eyre::WrapErr;
+use hemlockrouter_config::SecretKey;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use ureq::http::Response;
+use ureq::Agent;
+use ureq::Body;
+
+use crate::answer::Refusal;
+use crate::args::Args;
+use crate::end::End;
+
+/// The environment variable that holds the operators' key.
+const KEY_VARIABLE: &str = "HEMLOCK_OPERATORS_KEY";
+
+/// The largest answer that is read, in bytes.
+const ANSWER_MAX_BYTES: u64 = 64 * 1_024 * 1_024;
+
+/// A client of one instance.
+pub(crate) struct Client {
+    agent: Agent,
+    instance: SocketAddr,
+    key: SecretKey,
+    json: bool,
+}
+
+/// An answer, whatever its status.
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) body: Value,
+}
+
+/// A call that got no usable answer.
+pub(crate) struct Lost {
+    /// Whether the instance may have received the request.
+    pub(crate) maybe: bool,
+    pub(crate) why: String,
+}
+
+impl Client {
+    pub(crate) fn new(args: &Args) -> Result<Client> {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .no_delay(true)
+            .proxy(None)
+            .timeout_global(Some(Duration::from_millis(args.timeout_ms)))
+            .build();
+        Ok(Client {
+            agent: config.new_agent(),
+            instance: args.instance,
+            key: key(args)?,
+            json: args.json,
+        })
+    }
+
+    /// Returns whether to print JSON.
+    pub(crate) fn json(&self) -> bool {
+        self.json
+    }
+
+    pub(crate) fn get(&self, path: &str) -> Result<Answer, Lost> {
+        let url = format!("http://{}{path}", self.instance);
+        let request = self.agent.get(url);
+        let request = request.header("Authorization", self.key.authorization());
+        read(request.call())
+    }
+
+    pub(crate) fn post(&self, path: &str, body: &[u8]) -> Result<Answer, Lost> {
+        let url = format!("http://{}{path}", self.instance);
+        let request = self.agent.post(url);
+        let request = request.header("Authorization", self.key.authorization());
+        read(request.content_type("application/json").send(body))
+    }
+
+    /// Reads the value of a good answer, or reports why there is none.
+    pub(crate) fn expect<T>(&self, answer: Result<Answer, Lost>) -> Result<T, End>
+    where
+        T: DeserializeOwned,
+    {
+        let answer = answer.map_err(|lost| self.unreachable(&lost))?;
+        if answer.status != 200 {
+            return Err(self.refused(&answer));
+        }
+        if self.json {
+            println!("{}", answer.body);
+        }
+        serde_json::from_value(answer.body).map_err(|err| {
+            eprintln!("hemlockctl: {} sent an odd answer: {err}", self.instance);
+            End::Unreachable
+        })
+    }
+
+    /// Reports that the instance did not answer.
+    pub(crate) fn unreachable(&self, lost: &Lost) -> End {
+        eprintln!(
+            "hemlockctl: {} does not answer: {}",
+            self.instance, lost.why
+        );
+        End::Unreachable
+    }
+
+    /// Reports a refusal.
+    pub(crate) fn refused(&self, answer: &Answer) -> End {
+        if self.json {
+            println!("{}", answer.body);
+        }
+        let refusal = Refusal::read(&answer.body);
+        eprintln!("hemlockctl: {}: {refusal}", answer.status);
+        match answer.status {
+            500..=599 => End::Unreachable,
+            _ => End::Refused,
+        }
+    }
+}
+
+fn key(args: &Args) -> Result<SecretKey> {
+    let text = match &args.key_file {
+        Some(file) => fs::read_to_string(file)
+            .wrap_err_with(|| format!("can't read the key file {}", file.display()))?,
+        None => std::env::var(KEY_VARIABLE)
+            .map_err(|_| eyre!("no key: give --key-file or set {KEY_VARIABLE}"))?,
+    };
+    SecretKey::new(&text).map_err(|weak| eyre!("the operators' key can't be used: {weak}"))
+}
+
+fn read(answer: Result<Response<Body>, ureq::Error>) -> Result<Answer, Lost> {
+    let mut answer = answer.map_err(|err| Lost {
+        maybe: !never_connected(&err),
+        why: err.to_string(),
+    })?;
+    let status = answer.status().as_u16();
+    let body = answer.body_mut().with_config().limit(ANSWER_MAX_BYTES);
+    let text = body.read_to_string().map_err(|err| Lost {
+        maybe: true,
+        why: err.to_string(),
+    })?;
+    let body = match text.trim() {
+        "" => Value::Null,
+        text => serde_json::from_str(text).map_err(|err| Lost {
+            maybe: true,
+            why: format!("status {status} and no JSON: {err}"),
+        })?,
+    };
+    Ok(Answer { status, body })
+}
+
+/// Returns whether no byte of the request can have reached the instance.
+fn never_connected(err: &ureq::Error) -> bool {
+    match err {
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => true,
+        ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => true,
+        ureq::Error::Io(err) => err.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/hemlockrouter-cli/src/bin/hemlockctl/explain.rs
@@ -0,0 +1,29 @@
+//! The `explain` command.
+
+use crate::answer::Explain;
+use crate::client::Client;
+use crate::end::End;
+
+pub(crate) fn show(client: &Client, customer: &str, search: &str) -> End {
+    let answer = client.get(&format!("/v1/explain/{customer}/{search}"));
+    let explain = match client.expect::<Explain>(answer) {
+        Ok(explain) => explain,
+        Err(end) => return end,
+    };
+    if client.json() {
+        return End::Done;
+    }
+    println!(
+        "{customer}/{search} under configuration {}:",
+        explain.config
+    );
+    for shard in explain.shards {
+        let upstream = shard.upstream.as_deref().unwrap_or("no upstream");
+        let owner = shard.owner.as_deref().unwrap_or("no owner");
+        println!("  {}: {upstream} by {owner}, {}", shard.shard, shard.why);
+        for other in shard.passed_over {
+            println!("    not {}: {}", other.upstream, other.why);
+        }
+    }
+    End::Done
+}
--- /dev/null
+++ b/hemlockrouter-cli/src/bin/hemlockctl/main.rs
@@ -0,0 +1,55 @@
+//! The operators' client of hemlockrouter.
+//!
+//! It talks to the operators' port of any one instance. What it prints goes to standard output,
+//! complaints go to standard error, and the exit code says how it ended, for scripts.
+
+mod answer;
+mod args;
+mod client;
+mod end;
+mod explain;
+mod note;
+mod status;
+
+use std::process::ExitCode;
+
+use crate::args::Args;
+use crate::args::Command;
+use crate::args::Parsed;
+use crate::client::Client;
+use crate::end::End;
+
+fn main() -> ExitCode {
+    let end = match args::parse() {
+        Ok(Parsed::Run(args)) => run(&args),
+        Ok(Parsed::Print(text)) => {
+            print!("{text}");
+            End::Done
+        }
+        Err(err) => {
+            eprintln!("hemlockctl: {err:#}");
+            eprintln!("Try 'hemlockctl --help'.");
+            End::Usage
+        }
+    };
+    ExitCode::from(end.code())
+}
+
+fn run(args: &Args) -> End {
+    let client = match Client::new(args) {
+        Ok(client) => client,
+        Err(err) => {
+            eprintln!("hemlockctl: {err:#}");
+            return End::Usage;
+        }
+    };
+    match &args.command {
+        Command::NoteCheck { file } => note::check(&client, file),
+        Command::NoteSubmit { file, wait_ms } => note::submit(&client, file, *wait_ms),
+        Command::NoteList => note::list(&client),
+        Command::NoteShow { name } => note::show(&client, name),
+        Command::Status => status::show(&client),
+        Command::Explain { customer, search } => explain::show(&client, customer, search),
+        Command::Drain { instance } => status::drain(&client, instance),
+    }
+}
--- /dev/null
+++ b/hemlockrouter-cli/src/bin/hemlockctl/status.rs
@@ -0,0 +1,97 @@
+//! The `status` and `drain` commands.
+
+use serde_json::Value;
+
+use crate::answer::InstanceRow;
+use crate::answer::Status;
+use crate::answer::UpstreamRow;
+use crate::client::Client;
+use crate::end::End;
+
+/// What stands in place of a value that the instance does not know.
+const UNKNOWN: &str = "-";
+
+pub(crate) fn show(client: &Client) -> End {
+    let status = match client.expect::<Status>(client.get("/v1/status")) {
+        Ok(status) => status,
+        Err(end) => return end,
+    };
+    if !client.json() {
+        print(&status);
+    }
+    End::Done
+}
+
+fn print(status: &Status) {
+    let ready = if status.ready { "ready" } else { "not ready" };
+    println!(
+        "instance {} in {}: {ready}, configuration {}, store {}",
+        status.instance, status.zone, status.config, status.store
+    );
+    println!("\ninstances:");
+    println!(
+        "  {:16}  {:12}  {:21}  {:9}  {:>6}  {:>8}",
+        "instance", "zone", "address", "condition", "config", "heard ms"
+    );
+    for row in &status.instances {
+        print_instance(row);
+    }
+    println!("\nupstreams:");
+    println!(
+        "  {:24}  {:12}  {:16}  {:>5}  {:>9}  {:>6}  state",
+        "upstream", "zone", "owner", "limit", "in flight", "queued"
+    );
+    for row in &status.upstreams {
+        print_upstream(row);
+    }
+}
+
+fn print_instance(row: &InstanceRow) {
+    println!(
+        "  {:16}  {:12}  {:21}  {:9}  {:>6}  {:>8}",
+        row.instance,
+        row.zone,
+        row.address,
+        row.condition,
+        shown(row.config),
+        shown(row.heard_ms_ago),
+    );
+}
+
+fn print_upstream(row: &UpstreamRow) {
+    let state = match row.cold {
+        Some(true) => "cold",
+        Some(false) => "warm",
+        None if row.owned_here => "owned here",
+        None => "owned elsewhere",
+    };
+    println!(
+        "  {:24}  {:12}  {:16}  {:>5}  {:>9}  {:>6}  {state}",
+        row.name,
+        row.zone,
+        row.owner.as_deref().unwrap_or(UNKNOWN),
+        shown(row.limit),
+        shown(row.in_flight),
+        shown(row.queued),
+    );
+}
+
+fn shown<T>(value: Option<T>) -> String
+where
+    T: ToString,
+{
+    value.map_or_else(|| String::from(UNKNOWN), |value| value.to_string())
+}
+
+pub(crate) fn drain(client: &Client, instance: &str) -> End {
+    let answer = client.post(&format!("/v1/drain/{instance}"), b"");
+    match client.expect::<Value>(answer) {
+        Ok(_) => {
+            if !client.json() {
+                println!("{instance} shuts down; what it accepted is finished first");
+            }
+            End::Done
+        }
+        Err(end) => end,
+    }
+}
--- /dev/null
+++ b/hemlockrouter-cli/tests/hemlockctl.rs
@@ -0,0 +1,197 @@
+//! What `hemlockctl` prints and how it ends, against a scripted operators' port.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::Command;
+use std::thread;
+
+use insta::assert_snapshot;
+use tiny_http::Header;
+use tiny_http::Response;
+use tiny_http::Server;
+
+const KEY: &str = "operators-key-of-the-test";
+const NOTE: &str = "../examples/note.jsonc";
+
+/// One expected request and its answer.
+type Exchange = (&'static str, u16, &'static str);
+
+const IN_FORCE_ON_TWO_OF_THREE: &str = r#"{
+    "instance": "a", "zone": "z1", "config": 7, "ready": true, "store": "up",
+    "instances": [
+        {"instance": "a", "zone": "z1", "address": "127.0.0.1:1", "condition": "alive",
+         "config": 7, "heard_ms_ago": 0},
+        {"instance": "b", "zone": "z1", "address": "127.0.0.1:2", "condition": "alive",
+         "config": 8, "heard_ms_ago": 40},
+        {"instance": "c", "zone": "z2", "address": "127.0.0.1:3", "condition": "suspect",
+         "config": 6, "heard_ms_ago": 900},
+        {"instance": "d", "zone": "z2", "address": "127.0.0.1:4", "condition": "dead",
+         "config": 1, "heard_ms_ago": null}
+    ],
+    "upstreams": [
+        {"name": "hall-finder-1a", "zone": "z1", "owner": "a", "owned_here": true,
+         "limit": 2, "in_flight": 1, "queued": 3, "cold": false},
+        {"name": "hall-finder-1b", "zone": "z2", "owner": null, "owned_here": false}
+    ]
+}"#;
+
+/// Serves the exchanges in order, and checks each request's line and key.
+fn serve(exchanges: Vec<Exchange>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    let server = Server::from_listener(listener, None).expect("a server");
+    thread::spawn(move || {
+        for (line, status, body) in exchanges {
+            let request = server.recv().expect("a request");
+            assert_eq!(format!("{} {}", request.method(), request.url()), line);
+            let key = request
+                .headers()
+                .iter()
+                .find(|header| header.field.equiv("Authorization"));
+            assert_eq!(key.expect("a key").value.as_str(), format!("Bearer {KEY}"));
+            let json = Header::from_bytes("Content-Type", "application/json").expect("a header");
+            let response = Response::from_string(body).with_status_code(status);
+            request
+                .respond(response.with_header(json))
+                .expect("a connection");
+        }
+    });
+    address
+}
+
+/// Runs the client and shows its exit code and what it printed.
+fn run(instance: SocketAddr, args: &[&str]) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_hemlockctl"))
+        .current_dir(Path::new(env!("CARGO_MANIFEST_DIR")))
+        .env("HEMLOCK_OPERATORS_KEY", KEY)
+        .args(["--instance", &instance.to_string()])
+        .args(args)
+        .output()
+        .expect("the client starts");
+    let code = output.status.code().expect("an exit code");
+    let printed = String::from_utf8_lossy(&output.stdout);
+    let complaints = String::from_utf8_lossy(&output.stderr);
+    let shown = format!("exit code {code}\n{printed}--\n{complaints}");
+    shown.replace(&instance.to_string(), "INSTANCE")
+}
+
+#[test]
+fn submit_tells_where_the_note_is_in_force() {
+    let instance = serve(vec![
+        ("POST /v1/notes", 200, r#"{"number": 7}"#),
+        ("GET /v1/status", 200, IN_FORCE_ON_TWO_OF_THREE),
+    ]);
+    assert_snapshot!(run(instance, &["note", "submit", NOTE, "--wait-ms", "0"]), @r#"
+    exit code 4
+    accepted as number 7
+    in force on 2 of 3 instances
+    --
+    "#);
+}
+
+#[test]
+fn a_conflict_says_what_came_first() {
+    let body = r#"{"code": "conflict", "number": 7, "id": "mill-two", "author": "lee"}"#;
+    let instance = serve(vec![("POST /v1/notes", 409, body)]);
+    assert_snapshot!(run(instance, &["note", "submit", NOTE]), @r#"
+    exit code 1
+    --
+    hemlockctl: not accepted: number 7, mill-two by lee, came first
+    See 'hemlockctl note show 7', then submit again if the note still fits.
+    "#);
+}
+
+#[test]
+fn a_lost_answer_is_told_from_a_refusal() {
+    let maybe = r#"{"code": "store_down", "maybe": true, "retry_after_ms": 1000}"#;
+    let never = r#"{"code": "store_down", "maybe": false, "retry_after_ms": 1000}"#;
+    let instance = serve(vec![
+        ("POST /v1/notes", 503, maybe),
+        ("POST /v1/notes", 503, never),
+    ]);
+    assert_snapshot!(run(instance, &["note", "submit", NOTE]), @r#"
+    exit code 5
+    --
+    hemlockctl: the platform's store did not answer
+    The note may have been accepted. Submit the same file again, which is safe:
+      hemlockctl note submit ../examples/note.jsonc
+    "#);
+    assert_snapshot!(run(instance, &["--json", "note", "submit", NOTE]), @r#"
+    exit code 3
+    {"code":"store_down","maybe":false,"retry_after_ms":1000}
+    --
+    hemlockctl: 503: store_down (come back in 1000 ms)
+    "#);
+    let closed = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    let shown = run(closed.expect("a free port"), &["note", "submit", NOTE]);
+    assert!(shown.starts_with("exit code 3\n"), "{shown}");
+}
+
+#[test]
+fn a_wrong_note_is_shown_by_file_and_line() {
+    let body = r#"{"code": "invalid", "message": "added.zones.daegu-1: the zone exists already",
+        "line": 9}"#;
+    let instance = serve(vec![("POST /v1/notes/check", 422, body)]);
+    assert_snapshot!(run(instance, &["note", "check", NOTE]), @r#"
+    exit code 1
+    --
+    ../examples/note.jsonc:9: added.zones.daegu-1: the zone exists already
+    "#);
+    let settings = "../examples/settings.jsonc";
+    assert_snapshot!(run(instance, &["note", "check", settings]), @r#"
+    exit code 1
+    --
+    ../examples/settings.jsonc:4: zone: unknown field; expected one of id, author, text, added, changed, withdrawn
+    "#);
+}
+
+#[test]
+fn status_lists_instances_and_upstreams() {
+    let instance = serve(vec![("GET /v1/status", 200, IN_FORCE_ON_TWO_OF_THREE)]);
+    assert_snapshot!(run(instance, &["status"]), @r#"
+    exit code 0
+    instance a in z1: ready, configuration 7, store up
+
+    instances:
+      instance          zone          address                condition  config  heard ms
+      a                 z1            127.0.0.1:1            alive           7         0
+      b                 z1            127.0.0.1:2            alive           8        40
+      c                 z2            127.0.0.1:3            suspect         6       900
+      d                 z2            127.0.0.1:4            dead            1         -
+
+    upstreams:
+      upstream                  zone          owner             limit  in flight  queued  state
+      hall-finder-1a            z1            a                     2          1       3  warm
+      hall-finder-1b            z2            -                     -          -       -  owned elsewhere
+    --
+    "#);
+}
+
+#[test]
+fn explain_tells_what_was_passed_over() {
+    let body = r#"{"config": 7, "shards": [{"shard": "halls-1", "upstream": "hall-finder-1a",
+        "owner": "a", "why": "fastest",
+        "passed_over": [{"upstream": "hall-finder-1b", "why": "cold"}]}]}"#;
+    let instance = serve(vec![("GET /v1/explain/teachers/halls", 200, body)]);
+    assert_snapshot!(run(instance, &["explain", "teachers", "halls"]), @r#"
+    exit code 0
+    teachers/halls under configuration 7:
+      halls-1: hall-finder-1a by a, fastest
+        not hall-finder-1b: cold
+    --
+    "#);
+}
+
+#[test]
+fn wrong_usage_sends_nothing() {
+    let instance = serve(Vec::new());
+    for args in [
+        vec!["frobnicate"],
+        vec!["explain", "a/b", "c"],
+        vec!["--key-file", "/none", "status"],
+    ] {
+        let shown = run(instance, &args);
+        assert!(shown.starts_with("exit code 2\n"), "{shown}");
+    }
+}
