--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -15,6 +15,7 @@
 use hemlockrouter_wire::SearchBatch;
 use hemlockrouter_wire::SubOutcome;
 use hemlockrouter_wire::SubReply;
+use log::debug;
 use stakker::call;
 use stakker::timer_min;
 use stakker::Actor;
@@ -238,7 +239,9 @@
         let sub = self.subs.remove(&call.id).expect("a call ends once");
         let dispatched_at = sub.dispatched_at.expect("only dispatched calls end");
         let queued_ms = ms(dispatched_at.since(sub.offered_at));
-        self.metrics.dispatch(label(call.ended));
+        let ended = label(call.ended);
+        self.metrics.dispatch(ended);
+        debug!(id = call.id.to_string(), ended = ended, served_ms = call.served_ms; "ended");
         self.limiter
             .finish(now, call.id, call.ended, &mut self.commands);
         self.reply(cx, call.id, call.outcome, queued_ms, call.served_ms);
@@ -329,6 +332,7 @@
             self.end(cx, now, outcome);
             return;
         };
+        debug!(id = id.to_string(), upstream = upstream.raw(); "dispatched");
         let call = UpstreamCall {
             id,
             address,
