Close the server's connections to itself by a reset

Cause: an instance connects to itself 200 times a second, so that tiny_http leaves no connection waiting; each left a socket in TIME_WAIT for a minute, 12,000 for each instance. On one machine 56,000 of them made an upstream's stand-in, which reads the table of sockets, answer its first request after 300 to 900 ms, and sub-requests ran into their deadlines.

Ruled out: the load of the machine (a call that does not read the table took 0.6 ms meanwhile); the ramp (its stand-in was at one request in flight).

Change: the socket is closed with a linger time of zero.

--- a/src/edge/tiny.rs
+++ b/src/edge/tiny.rs
@@ -153,7 +153,11 @@
         target.set_ip(std::net::Ipv4Addr::LOCALHOST.into());
     }
     while !stop.load(Ordering::Relaxed) {
-        drop(TcpStream::connect_timeout(&target, NUDGE_TIMEOUT));
+        if let Ok(stream) = TcpStream::connect_timeout(&target, NUDGE_TIMEOUT) {
+            // Closing by a reset leaves no socket in TIME_WAIT: at one for each nudge they would
+            // use up the ports of the machine.
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
         thread::sleep(NUDGE_EVERY);
     }
 }
