--- a/hemlockrouter-limit/src/limiter.rs
+++ b/hemlockrouter-limit/src/limiter.rs
@@ -13,6 +13,7 @@
 use hemlockrouter_types::prelude::*;
 
 use crate::config::Config;
+use crate::queue::Turn;
 use crate::queue::Waiting;
 use crate::timers::Timers;
 use crate::upstream::Flight;
@@ -94,9 +95,11 @@
             self.customers.resize(key.slot() + 1, None);
             self.customers[key.slot()] = Some(key);
         }
+        let order = self.config.order;
         for (key, entry) in catalog.upstreams.iter() {
             let upstream = self.upstreams.entry(key).or_insert_with(|| {
-                Upstream::new(now, entry.name.clone(), entry.slots, entry.cold_slots)
+                let name = entry.name.clone();
+                Upstream::new(now, name, entry.slots, entry.cold_slots, order)
             });
             upstream.resize(entry.slots, entry.cold_slots);
             upstream.in_service = catalog.in_service(key);
@@ -126,7 +129,7 @@
     /// upstream is taken for cold.
     pub fn hold(&mut self, now: Time, upstream: UpstreamKey, until: Time, out: &mut Vec<Command>) {
         if let Some(state) = self.upstreams.get_mut(&upstream) {
-            state.hold(now, until, out);
+            state.hold(now, until, &self.config, out);
             self.pump(now, upstream, out);
         }
     }
@@ -149,7 +152,7 @@
         out: &mut Vec<Command>,
     ) {
         if let Some(state) = self.upstreams.get_mut(&upstream) {
-            state.mark_leaving(now, leaving, out);
+            state.mark_leaving(now, leaving, &self.config, out);
             self.pump(now, upstream, out);
         }
     }
@@ -294,17 +297,16 @@
         if state.is_leaving(now) {
             return Err(self.leaving_refusal(now, state));
         }
-        if state.is_unreachable(now) {
-            return Err(self.refusal(Reason::Unreachable, state.pause_ms(now)));
-        }
         let left_ms = work.deadline.left(now);
         let served_ms = state.queue.served_ms(now, work.customer);
         if left_ms == 0 || served_ms > left_ms {
             return Err(self.refusal(Reason::Deadline, 0));
         }
-        let pause_ms = state.pause_ms(now);
-        if pause_ms + served_ms > left_ms {
-            return Err(self.refusal(Reason::Shed, pause_ms));
+        if let Some(pause) = state.pause(now) {
+            let pause_ms = pause.until.left(now);
+            if pause.reason == Reason::Unreachable || pause_ms + served_ms > left_ms {
+                return Err(self.refusal(pause.reason, pause_ms));
+            }
         }
         let wait_ms = state.queue.wait_ms(work.customer, work.deadline);
         if wait_ms + served_ms > left_ms {
@@ -322,17 +324,13 @@
         if queue.len() < queue_max {
             return true;
         }
-        let (most, customer) = queue.longest().expect("a full queue has a longest");
-        if queue.len_of(work.customer) + 1 >= most {
+        let Some(spare) = queue.pop_spare(work.customer) else {
             let drain_ms = queue.drain_ms(work.customer);
             let refusal = self.refusal(Reason::Overloaded, drain_ms);
             self.refuse_offer(now, work, refusal, out);
             return false;
-        }
-        let drain_ms = queue.drain_ms(customer);
-        let spare = queue
-            .pop_spare(customer)
-            .expect("the longest queue is not empty");
+        };
+        let drain_ms = queue.drain_ms(spare.customer);
         let refusal = self.refusal(Reason::Overloaded, drain_ms);
         self.refuse(now, spare.id, refusal, out);
         true
@@ -361,8 +359,6 @@
             self.refusal(Reason::NotOwner, 0)
         } else if state.is_leaving(now) {
             self.leaving_refusal(now, state)
-        } else if state.is_unreachable(now) {
-            self.refusal(Reason::Unreachable, state.pause_ms(now))
         } else {
             return;
         };
@@ -371,12 +367,22 @@
         }
     }
 
-    /// Refuses what can't be done any more by its deadline.
+    /// Refuses what can't be done any more by its deadline, or can't wait for the end of a pause.
     fn refuse_due(&mut self, now: Time, upstream: UpstreamKey, out: &mut Vec<Command>) {
-        while let Some(waiting) = self.upstream_mut(upstream).queue.pop_due(now) {
-            let queue = &self.upstreams[&upstream].queue;
-            let drain_ms = queue.drain_ms(waiting.customer);
-            let refusal = self.refusal(Reason::Deadline, drain_ms);
+        let pause = self.upstreams[&upstream].pause(now);
+        let earliest = match pause {
+            None => now,
+            Some(pause) if pause.reason == Reason::Unreachable => Time::MAX,
+            Some(pause) => pause.until,
+        };
+        while let Some(waiting) = self.upstream_mut(upstream).queue.pop_due(earliest) {
+            let refusal = match pause {
+                Some(pause) => self.refusal(pause.reason, pause.until.left(now)),
+                None => {
+                    let queue = &self.upstreams[&upstream].queue;
+                    self.refusal(Reason::Deadline, queue.drain_ms(waiting.customer))
+                }
+            };
             self.refuse(now, waiting.id, refusal, out);
         }
     }
@@ -401,10 +407,10 @@
             .get_mut(&upstream)
             .expect("only known upstreams are pumped");
         while state.may_dispatch(now) {
-            let Some(waiting) = state.queue.pop(now) else {
+            let Some(Turn { waiting, charge }) = state.queue.pop(now) else {
                 return;
             };
-            let flight = state.dispatch(now, waiting.customer);
+            let flight = state.dispatch(now, charge, &self.config);
             let item = self
                 .items
                 .get_mut(&waiting.id)
@@ -416,26 +422,33 @@
             let lease_until = state
                 .lease_until(now)
                 .expect("work is dispatched under a lease");
+            // The next owner waits for so long after the lease. Work that must not be repeated is
+            // not cut short for it, since that would leave its outcome unknown.
+            let quiet_from = lease_until + u64::from(self.config.quiet_ms);
+            let deadline = if item.once {
+                waiting.deadline
+            } else {
+                waiting.deadline.min(quiet_from)
+            };
             out.push(Command::Dispatch {
                 id: waiting.id,
                 upstream,
                 lease_until,
-                deadline: waiting.deadline,
+                deadline,
             });
         }
     }
 
     /// Lists the upstream under the next instant at which something can change without an event.
     fn set_timer(&mut self, now: Time, upstream: UpstreamKey) {
-        let config = &self.config;
         let state = self
             .upstreams
             .get_mut(&upstream)
             .expect("only known upstreams are pumped");
-        let mut next = state.stalls_at(config);
+        let mut next = state.stalls_at();
         if let Some(start_by) = state.queue.start_by() {
             let lease_until = state.lease_until(now);
-            let pause = Some(now + state.pause_ms(now)).filter(|&at| at > now);
+            let pause = state.pause(now).map(|pause| pause.until);
             let due = [next, Some(start_by + 1), lease_until, pause];
             next = due.into_iter().flatten().min();
         }
--- a/hemlockrouter-limit/src/upstream.rs
+++ b/hemlockrouter-limit/src/upstream.rs
@@ -8,6 +8,8 @@
 use hemlockrouter_types::prelude::*;
 
 use crate::config::Config;
+use crate::config::Order;
+use crate::queue::Charge;
 use crate::queue::Queue;
 use crate::ramp::Change;
 use crate::ramp::Ramp;
@@ -15,6 +17,9 @@
 use crate::work::Ended;
 use crate::work::Status;
 
+/// After how long a request is late whose customer's usual time is unknown, in milliseconds.
+const LATE_UNKNOWN_MS: u64 = 1_000;
+
 /// One upstream.
 #[derive(Debug)]
 pub(crate) struct Upstream {
@@ -31,34 +36,49 @@
     start: Option<StartId>,
     leaving_until: Option<Time>,
     marked_leaving: bool,
-    pause_until: Time,
+    pause: Pause,
     /// The last pause after a refused connection, or 0 if the upstream could be connected to.
     backoff_ms: u32,
-    /// When work last went out or came back in time.
-    progress: Time,
+    /// When everything in flight is late, at the earliest.
+    all_late_at: Time,
     /// Counts how often the upstream was taken for cold.
     epoch: u32,
     /// Counts how often the limit was lowered.
     round: u32,
 }
 
+/// A time in which nothing is dispatched.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pause {
+    pub(crate) until: Time,
+    /// Why work that can't wait for its end is refused.
+    pub(crate) reason: Reason,
+}
+
 /// What is remembered of a sub-request in flight.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Flight {
-    pub(crate) customer: CustomerKey,
-    pub(crate) since: Time,
-    pub(crate) epoch: u32,
-    pub(crate) round: u32,
+    charge: Charge,
+    since: Time,
+    late_at: Time,
+    epoch: u32,
+    round: u32,
 }
 
 impl Upstream {
     /// Makes the state of an upstream that is not held yet.
-    pub(crate) fn new(now: Time, name: String, slots: u32, cold_slots: u32) -> Upstream {
+    pub(crate) fn new(
+        now: Time,
+        name: String,
+        slots: u32,
+        cold_slots: u32,
+        order: Order,
+    ) -> Upstream {
         Upstream {
             name,
             in_service: true,
             withdrawn: false,
-            queue: Queue::default(),
+            queue: Queue::new(order),
             in_flight: 0,
             wake: None,
             ramp: Ramp::new(now, slots, cold_slots),
@@ -66,9 +86,12 @@
             start: None,
             leaving_until: None,
             marked_leaving: false,
-            pause_until: Time::ZERO,
+            pause: Pause {
+                until: Time::ZERO,
+                reason: Reason::NotReady,
+            },
             backoff_ms: 0,
-            progress: now,
+            all_late_at: now,
             epoch: 0,
             round: 0,
         }
@@ -80,12 +103,13 @@
     }
 
     /// Extends the lease. After a gap another instance may have owned the upstream, so it is cold.
-    pub(crate) fn hold(&mut self, now: Time, until: Time, out: &mut Vec<Command>) {
+    pub(crate) fn hold(&mut self, now: Time, until: Time, config: &Config, out: &mut Vec<Command>) {
         match self.held_until {
             Some(held) if held > now => self.held_until = Some(held.max(until)),
             _ => {
                 self.held_until = Some(until);
-                self.cool(now, "the lease is new", out);
+                self.cool(now, "the lease is new", config, out);
+                self.pause_for(now, config.quiet_ms, Reason::NotReady);
             }
         }
     }
@@ -108,14 +132,9 @@
             || self.leaving_until.is_some_and(|until| until > now)
     }
 
-    /// Returns whether connections were refused so lately that none is tried.
-    pub(crate) fn is_unreachable(&self, now: Time) -> bool {
-        self.backoff_ms > 0 && self.pause_until > now
-    }
-
-    /// Returns what is left of a pause, in milliseconds.
-    pub(crate) fn pause_ms(&self, now: Time) -> u64 {
-        self.pause_until.left(now)
+    /// Returns the pause that is on.
+    pub(crate) fn pause(&self, now: Time) -> Option<Pause> {
+        (self.pause.until > now).then_some(self.pause)
     }
 
     /// Returns what is left of the time for which it is leaving, in milliseconds.
@@ -127,17 +146,23 @@
     pub(crate) fn may_dispatch(&self, now: Time) -> bool {
         self.lease_until(now).is_some()
             && !self.is_leaving(now)
-            && self.pause_until <= now
+            && self.pause(now).is_none()
             && self.in_flight < self.ramp.limit()
     }
 
     /// Counts a request that goes to the upstream.
-    pub(crate) fn dispatch(&mut self, now: Time, customer: CustomerKey) -> Flight {
+    pub(crate) fn dispatch(&mut self, now: Time, charge: Charge, config: &Config) -> Flight {
         self.in_flight += 1;
-        self.progress = now;
+        let late_after_ms = self
+            .ramp
+            .late_after_ms(charge.customer, config)
+            .unwrap_or(LATE_UNKNOWN_MS);
+        let late_at = now + late_after_ms;
+        self.all_late_at = self.all_late_at.max(late_at);
         Flight {
-            customer,
+            charge,
             since: now,
+            late_at,
             epoch: self.epoch,
             round: self.round,
         }
@@ -156,6 +181,7 @@
             .in_flight
             .checked_sub(1)
             .expect("every request in flight was counted");
+        self.queue.settle(flight.charge, now.since(flight.since));
         match ended {
             Ended::Answered {
                 served_ms,
@@ -163,8 +189,9 @@
                 leaving,
             } => {
                 self.backoff_ms = 0;
-                self.queue.observe_served(now, flight.customer, served_ms);
-                self.observe_start(now, flight, start, out);
+                self.queue
+                    .observe_served(now, flight.charge.customer, served_ms);
+                self.observe_start(now, flight, start, config, out);
                 self.observe(now, flight, served_ms, config, out);
                 if leaving {
                     self.leave(now, config, out);
@@ -175,38 +202,36 @@
                 start,
             } => {
                 self.backoff_ms = 0;
-                self.observe_start(now, flight, start, out);
+                self.observe_start(now, flight, start, config, out);
                 self.halve(flight, "the upstream sheds load", out);
                 let pause_ms = retry_after_ms.min(config.backoff_max_ms);
-                self.pause_until = self.pause_until.max(now + u64::from(pause_ms));
+                self.pause_for(now, pause_ms, Reason::Shed);
             }
             Ended::Leaving => {
                 self.backoff_ms = 0;
                 self.leave(now, config, out);
             }
             Ended::Unreachable => self.observe_unreachable(now, config, out),
-            Ended::TimedOut | Ended::Failed => {
-                self.halve(flight, "the upstream did not answer", out);
-            }
+            Ended::TimedOut | Ended::Failed => self.observe_failure(now, flight, config, out),
             Ended::Cancelled => self.observe_cancelled(now, flight, config, out),
             Ended::NotSent => {}
         }
     }
 
-    /// Takes the upstream for cold if nothing moved for so long that all in flight is late.
+    /// Takes the upstream for cold if all that is in flight is late.
     pub(crate) fn check_progress(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
-        if self.stalls_at(config).is_some_and(|at| at <= now) {
-            self.cool(now, "all in flight is late", out);
+        if self.stalls_at().is_some_and(|at| at <= now) {
+            self.cool(now, "all in flight is late", config, out);
         }
     }
 
-    /// Returns when the upstream looks cold if nothing moves until then.
-    pub(crate) fn stalls_at(&self, config: &Config) -> Option<Time> {
+    /// Returns when the upstream looks cold if nothing goes out or comes back until then. One request
+    /// alone may just be a straggler.
+    pub(crate) fn stalls_at(&self) -> Option<Time> {
         if self.ramp.is_cold() || self.in_flight < 2 {
             return None;
         }
-        let above_ms = self.ramp.late_above_ms(config)?;
-        Some(self.progress + above_ms + 1)
+        Some(self.all_late_at + 1)
     }
 
     /// Returns the condition.
@@ -221,13 +246,24 @@
     }
 
     /// Takes in whether another source calls the upstream leaving.
-    pub(crate) fn mark_leaving(&mut self, now: Time, leaving: bool, out: &mut Vec<Command>) {
+    pub(crate) fn mark_leaving(
+        &mut self,
+        now: Time,
+        leaving: bool,
+        config: &Config,
+        out: &mut Vec<Command>,
+    ) {
         if leaving == self.marked_leaving {
             return;
         }
         self.marked_leaving = leaving;
         self.leaving_until = None;
-        self.cool(now, "the upstream was marked as leaving or staying", out);
+        self.cool(
+            now,
+            "the upstream was marked as leaving or staying",
+            config,
+            out,
+        );
     }
 
     fn leave(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
@@ -236,7 +272,7 @@
         }
         self.leaving_until = Some(now + u64::from(config.leaving_ms));
         // Whatever answers at this address afterwards is another start.
-        self.cool(now, "the upstream is leaving", out);
+        self.cool(now, "the upstream is leaving", config, out);
     }
 
     fn observe_start(
@@ -244,6 +280,7 @@
         now: Time,
         flight: Flight,
         start: Option<StartId>,
+        config: &Config,
         out: &mut Vec<Command>,
     ) {
         // An answer to work from before may be late and name a start that is gone.
@@ -251,7 +288,7 @@
             return;
         }
         if self.start.is_some() && self.start != start {
-            self.cool(now, "the upstream restarted", out);
+            self.cool(now, "the upstream restarted", config, out);
         }
         self.start = start;
     }
@@ -264,18 +301,32 @@
         config: &Config,
         out: &mut Vec<Command>,
     ) {
-        // Answers to work from before the limit was lowered tell of the load before.
-        if flight.epoch != self.epoch || flight.round != self.round {
+        if self.is_outdated(flight) {
             return;
         }
-        let above_ms = self.ramp.late_above_ms(config);
-        if above_ms.is_none_or(|above_ms| u64::from(served_ms) <= above_ms) {
-            self.progress = now;
-        }
-        let change = self.ramp.observe(now, served_ms, config);
+        let customer = flight.charge.customer;
+        let change = self
+            .ramp
+            .observe(now, customer, u64::from(served_ms), config);
         self.record(change, "answers", out);
     }
 
+    fn observe_failure(
+        &mut self,
+        now: Time,
+        flight: Flight,
+        config: &Config,
+        out: &mut Vec<Command>,
+    ) {
+        if self.is_outdated(flight) {
+            return;
+        }
+        let customer = flight.charge.customer;
+        let change = self.ramp.observe_failure(now, customer, config);
+        self.record(change, "failures", out);
+    }
+
+    /// A request that was cancelled when it was late already counts as a late answer.
     fn observe_cancelled(
         &mut self,
         now: Time,
@@ -283,37 +334,48 @@
         config: &Config,
         out: &mut Vec<Command>,
     ) {
-        let waited_ms = now.since(flight.since);
-        let late = self
-            .ramp
-            .late_above_ms(config)
-            .is_some_and(|above_ms| waited_ms > above_ms);
-        if late {
-            let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
+        if now > flight.late_at {
+            let waited_ms = u32::try_from(now.since(flight.since)).unwrap_or(u32::MAX);
             self.observe(now, flight, waited_ms, config, out);
         }
     }
 
+    /// Returns whether the limit was lowered since the request went out. Its end tells of the load
+    /// before.
+    fn is_outdated(&self, flight: Flight) -> bool {
+        flight.epoch != self.epoch || flight.round != self.round
+    }
+
     fn observe_unreachable(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
-        self.cool(now, "the connection was refused", out);
-        if self.pause_until > now && self.backoff_ms > 0 {
+        self.cool(now, "the connection was refused", config, out);
+        if self
+            .pause(now)
+            .is_some_and(|pause| pause.reason == Reason::Unreachable)
+        {
             return;
         }
         let doubled = self.backoff_ms.saturating_mul(2);
         self.backoff_ms = doubled.clamp(config.backoff_min_ms, config.backoff_max_ms);
-        self.pause_until = now + u64::from(self.backoff_ms);
+        self.pause_for(now, self.backoff_ms, Reason::Unreachable);
+    }
+
+    fn pause_for(&mut self, now: Time, ms: u32, reason: Reason) {
+        let until = now + u64::from(ms);
+        if until > self.pause.until {
+            self.pause = Pause { until, reason };
+        }
     }
 
     fn halve(&mut self, flight: Flight, why: &'static str, out: &mut Vec<Command>) {
-        if flight.epoch != self.epoch || flight.round != self.round {
+        if self.is_outdated(flight) {
             return;
         }
         let change = self.ramp.halve();
         self.record(change, why, out);
     }
 
-    fn cool(&mut self, now: Time, why: &'static str, out: &mut Vec<Command>) {
-        let change = self.ramp.cool(now);
+    fn cool(&mut self, now: Time, why: &'static str, config: &Config, out: &mut Vec<Command>) {
+        let change = self.ramp.cool(now, config);
         self.epoch = self.epoch.wrapping_add(1);
         if change == Change::Cold {
             self.record_limit(why, out);
