limit: fuzz the limiter against an oracle; count settling from the first answer

Cause: nothing showed that the bounds hold when leases, freezes, restarts and late ends meet. The fuzz test found one fault: an upstream that restarted without a sign while its owner had it cold and idle was taken for warm too soon (hold, two seconds without work, restart, steady load), because the settling time ran from the hold. Change: two instances and two upstreams against an oracle of what the upstreams work on; the settling time runs from the first answer. A timer is never set for the instant that is being handled.

--- a/hemlockrouter-limit/src/limiter.rs
+++ b/hemlockrouter-limit/src/limiter.rs
@@ -452,7 +452,8 @@
             let due = [next, Some(start_by + 1), lease_until, pause];
             next = due.into_iter().flatten().min();
         }
-        let Some(next) = next else {
+        // At least a millisecond on, lest a tick at the same instant lists it again for ever.
+        let Some(next) = next.map(|next| next.max(now + 1)) else {
             return;
         };
         // A timer that comes too early only looks again, which costs less than moving it.
--- a/hemlockrouter-limit/src/ramp.rs
+++ b/hemlockrouter-limit/src/ramp.rs
@@ -66,7 +66,8 @@
 /// What was seen of a cold start.
 #[derive(Debug)]
 struct Cold {
-    since: Time,
+    /// When its first answer came. Before, it may have restarted without a sign.
+    first_answer: Option<Time>,
     /// Answers in per cent of the customer's usual time, where that is known.
     of_usual: Run,
     /// Answers in per cent of the customer's time in this cold start so far.
@@ -86,12 +87,12 @@
 
 impl Ramp {
     /// Makes the ramp of an upstream that is unknown, and therefore cold.
-    pub(crate) fn new(now: Time, slots: u32, cold_slots: u32) -> Ramp {
+    pub(crate) fn new(slots: u32, cold_slots: u32) -> Ramp {
         let mut ramp = Ramp {
             limit: 1,
             slots: 1,
             cold_slots: 1,
-            phase: Phase::Cold(Cold::new(now)),
+            phase: Phase::Cold(Cold::new()),
             window: Window::default(),
             history: History::default(),
             doublings: 0,
@@ -134,7 +135,7 @@
             self.judge_settling(now.since(since), settled, config);
         }
         self.limit = 1;
-        self.phase = Phase::Cold(Cold::new(now));
+        self.phase = Phase::Cold(Cold::new());
         self.window = Window::default();
         self.history.begin_cold_start();
         if was_cold {
@@ -172,7 +173,7 @@
         }
         self.window.add_timely(customer);
         match &mut self.phase {
-            Phase::Cold(cold) => cold.observe(customer, served_ms, &mut self.history),
+            Phase::Cold(cold) => cold.observe(now, customer, served_ms, &mut self.history),
             Phase::Warm { .. } => self.history.observe_warm(customer, served_ms),
         }
         if let Some(warmed) = self.end_run(now, config) {
@@ -217,7 +218,7 @@
         let known = cold.of_usual.count() >= enough.div_ceil(2);
         let as_usual = known && cold.of_usual.mean() <= USUAL_PERCENT;
         let of_cold_percent = cold.of_cold.mean();
-        let cold_ms = now.since(cold.since);
+        let cold_ms = cold.first_answer.map_or(0, |first| now.since(first));
         cold.restart_runs();
         if as_usual {
             return Some(Warmed::AsUsual);
@@ -301,15 +302,16 @@
 }
 
 impl Cold {
-    fn new(now: Time) -> Cold {
+    fn new() -> Cold {
         Cold {
-            since: now,
+            first_answer: None,
             of_usual: Run::default(),
             of_cold: Run::default(),
         }
     }
 
-    fn observe(&mut self, customer: CustomerKey, served_ms: u64, history: &mut History) {
+    fn observe(&mut self, now: Time, customer: CustomerKey, served_ms: u64, history: &mut History) {
+        self.first_answer.get_or_insert(now);
         // A millisecond more on both sides keeps times near zero comparable.
         if let Some(usual_ms) = history.usual_ms(customer) {
             self.of_usual
--- a/hemlockrouter-limit/src/upstream.rs
+++ b/hemlockrouter-limit/src/upstream.rs
@@ -81,7 +81,7 @@
             queue: Queue::new(order),
             in_flight: 0,
             wake: None,
-            ramp: Ramp::new(now, slots, cold_slots),
+            ramp: Ramp::new(slots, cold_slots),
             held_until: None,
             start: None,
             leaving_until: None,
--- /dev/null
+++ b/hemlockrouter-limit/tests/limit/fake.rs
@@ -0,0 +1,192 @@
+//! A small fake of an upstream: slots, cold start, overload, stragglers.
+
+use hemlockrouter_limit::Ended;
+use hemlockrouter_types::prelude::*;
+use rand::rngs::SmallRng;
+use rand::RngExt;
+use rand::SeedableRng;
+
+/// How an upstream behaves.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Spec {
+    pub(crate) cold_slots: u32,
+    /// Mean time to serve a request of cost 1 when warm and when cold, in milliseconds.
+    pub(crate) warm_ms: u32,
+    pub(crate) cold_ms: u32,
+    /// What it takes to become warm.
+    pub(crate) warm_answers: u32,
+    pub(crate) warm_after_ms: u64,
+    /// For how long everything fails after an overload.
+    pub(crate) fall_ms: u64,
+    /// How many of a thousand requests are stragglers, and how much longer these take.
+    pub(crate) straggle_per_mille: u32,
+    pub(crate) straggle_times: u32,
+}
+
+impl Spec {
+    pub(crate) fn new(cold_slots: u32) -> Spec {
+        Spec {
+            cold_slots,
+            warm_ms: 5,
+            cold_ms: 20,
+            warm_answers: 10,
+            warm_after_ms: 1_000,
+            fall_ms: 200,
+            straggle_per_mille: 0,
+            straggle_times: 20,
+        }
+    }
+}
+
+/// An upstream.
+pub(crate) struct Fake {
+    pub(crate) spec: Spec,
+    pub(crate) in_flight: u32,
+    /// How often it was overloaded while cold.
+    pub(crate) overloads: u32,
+    pub(crate) peak_cold: u32,
+    pub(crate) busy_ms: u64,
+    start: u64,
+    /// Rises when everything in flight is lost.
+    generation: u32,
+    cold: Option<(Time, u32)>,
+    fallen_until: Time,
+    down_until: Time,
+    rng: SmallRng,
+}
+
+/// A request that an upstream works on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Serving {
+    pub(crate) since: Time,
+    pub(crate) until: Time,
+    generation: u32,
+    failed: Option<Ended>,
+}
+
+impl Fake {
+    pub(crate) fn new(spec: Spec, now: Time, seed: u64) -> Fake {
+        Fake {
+            spec,
+            in_flight: 0,
+            overloads: 0,
+            peak_cold: 0,
+            busy_ms: 0,
+            start: 1,
+            generation: 0,
+            cold: Some((now, 0)),
+            fallen_until: Time::ZERO,
+            down_until: Time::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    pub(crate) fn is_cold(&self) -> bool {
+        self.cold.is_some()
+    }
+
+    pub(crate) fn start(&self) -> StartId {
+        StartId(self.start)
+    }
+
+    /// Turns cold without a new start.
+    pub(crate) fn turn_cold(&mut self, now: Time) {
+        self.cold = Some((now, 0));
+    }
+
+    /// Restarts: what was in flight is lost, and connections are refused for `down_ms`.
+    pub(crate) fn restart(&mut self, now: Time, down_ms: u64) {
+        self.start += 1;
+        self.down_until = now + down_ms;
+        self.fallen_until = Time::ZERO;
+        self.lose_all();
+        self.cold = Some((self.down_until, 0));
+    }
+
+    /// Takes a request whose cost is `cost` times the usual.
+    pub(crate) fn arrive(&mut self, now: Time, cost: u32) -> Serving {
+        let fails = |after_ms, ended| Serving {
+            since: now,
+            until: now + after_ms,
+            generation: self.generation,
+            failed: Some(ended),
+        };
+        if now < self.down_until {
+            return fails(0, Ended::Unreachable);
+        }
+        if now < self.fallen_until {
+            return fails(1, Ended::Failed);
+        }
+        self.in_flight += 1;
+        if self.cold.is_some() {
+            self.peak_cold = self.peak_cold.max(self.in_flight);
+            if self.in_flight > self.spec.cold_slots {
+                return self.fall_over(now);
+            }
+        }
+        let took_ms = self.draw_ms(cost);
+        self.busy_ms += took_ms;
+        Serving {
+            since: now,
+            until: now + took_ms,
+            generation: self.generation,
+            failed: None,
+        }
+    }
+
+    /// Ends a request at `now`, which is not before its `until`.
+    pub(crate) fn end(&mut self, now: Time, serving: Serving) -> Ended {
+        if let Some(ended) = serving.failed {
+            return ended;
+        }
+        if serving.generation != self.generation {
+            return Ended::Failed;
+        }
+        self.in_flight -= 1;
+        if let Some((since, answers)) = &mut self.cold {
+            *answers += 1;
+            let warm =
+                *answers >= self.spec.warm_answers && now.since(*since) >= self.spec.warm_after_ms;
+            if warm {
+                self.cold = None;
+            }
+        }
+        Ended::Answered {
+            served_ms: now.since(serving.since) as u32,
+            start: Some(self.start()),
+            leaving: false,
+        }
+    }
+
+    fn fall_over(&mut self, now: Time) -> Serving {
+        self.overloads += 1;
+        self.fallen_until = now + self.spec.fall_ms;
+        self.cold = Some((self.fallen_until, 0));
+        self.lose_all();
+        Serving {
+            since: now,
+            until: now + 1,
+            generation: self.generation,
+            failed: Some(Ended::Failed),
+        }
+    }
+
+    fn lose_all(&mut self) {
+        self.generation += 1;
+        self.in_flight = 0;
+    }
+
+    fn draw_ms(&mut self, cost: u32) -> u64 {
+        let mean_ms = match self.cold {
+            Some(_) => self.spec.cold_ms,
+            None => self.spec.warm_ms,
+        };
+        let mean_ms = mean_ms * cost;
+        let half_ms = mean_ms / 2;
+        let took_ms = mean_ms - half_ms + self.rng.random_range(0..=2 * half_ms);
+        if self.rng.random_range(0..1_000) < self.spec.straggle_per_mille {
+            return u64::from(took_ms * self.spec.straggle_times);
+        }
+        u64::from(took_ms)
+    }
+}
--- a/hemlockrouter-limit/tests/limit/main.rs
+++ b/hemlockrouter-limit/tests/limit/main.rs
@@ -1,4 +1,6 @@
 //! Tests of the decisions per upstream.
 
 mod common;
+mod fake;
 mod limiter;
+mod machine;
