--- a/hemlockrouter-limit/tests/limit/fake.rs
+++ b/hemlockrouter-limit/tests/limit/fake.rs
@@ -16,6 +16,10 @@
     /// What it takes to become warm.
     pub(crate) warm_answers: u32,
     pub(crate) warm_after_ms: u64,
+    /// Over how many answers after the cold start what it bears rises to `slots`. Beyond what it bears
+    /// it gets slower.
+    pub(crate) rise_answers: u32,
+    pub(crate) slots: u32,
     /// For how long everything fails after an overload.
     pub(crate) fall_ms: u64,
     /// How many of a thousand requests are stragglers, and how much longer these take.
@@ -24,13 +28,15 @@
 }
 
 impl Spec {
-    pub(crate) fn new(cold_slots: u32) -> Spec {
+    pub(crate) fn new(slots: u32, cold_slots: u32) -> Spec {
         Spec {
             cold_slots,
             warm_ms: 5,
             cold_ms: 20,
             warm_answers: 10,
             warm_after_ms: 1_000,
+            rise_answers: 0,
+            slots,
             fall_ms: 200,
             straggle_per_mille: 0,
             straggle_times: 20,
@@ -50,6 +56,8 @@
     /// Rises when everything in flight is lost.
     generation: u32,
     cold: Option<(Time, u32)>,
+    /// Answers since the last cold start.
+    risen: u32,
     fallen_until: Time,
     down_until: Time,
     rng: SmallRng,
@@ -75,6 +83,7 @@
             start: 1,
             generation: 0,
             cold: Some((now, 0)),
+            risen: 0,
             fallen_until: Time::ZERO,
             down_until: Time::ZERO,
             rng: SmallRng::seed_from_u64(seed),
@@ -149,7 +158,10 @@
                 *answers >= self.spec.warm_answers && now.since(*since) >= self.spec.warm_after_ms;
             if warm {
                 self.cold = None;
+                self.risen = 0;
             }
+        } else {
+            self.risen = self.risen.saturating_add(1);
         }
         Ended::Answered {
             served_ms: now.since(serving.since) as u32,
@@ -176,12 +188,20 @@
         self.in_flight = 0;
     }
 
+    fn bears(&self) -> u32 {
+        if self.cold.is_some() || self.risen >= self.spec.rise_answers {
+            return self.spec.slots;
+        }
+        let more = self.spec.slots - self.spec.cold_slots;
+        self.spec.cold_slots + more * self.risen / self.spec.rise_answers
+    }
+
     fn draw_ms(&mut self, cost: u32) -> u64 {
         let mean_ms = match self.cold {
             Some(_) => self.spec.cold_ms,
             None => self.spec.warm_ms,
         };
-        let mean_ms = mean_ms * cost;
+        let mean_ms = mean_ms * cost * self.in_flight.div_ceil(self.bears());
         let half_ms = mean_ms / 2;
         let took_ms = mean_ms - half_ms + self.rng.random_range(0..=2 * half_ms);
         if self.rng.random_range(0..1_000) < self.spec.straggle_per_mille {
--- a/hemlockrouter-limit/tests/limit/machine.rs
+++ b/hemlockrouter-limit/tests/limit/machine.rs
@@ -237,7 +237,7 @@
             seen: [None; UPSTREAMS],
         };
         let up = |up| Up {
-            fake: Fake::new(Spec::new(COLD_SLOTS[up]), Time::ZERO, up as u64),
+            fake: Fake::new(Spec::new(SLOTS[up], COLD_SLOTS[up]), Time::ZERO, up as u64),
             holder: None,
             in_service: true,
             leaving: false,
@@ -725,15 +725,21 @@
 /// Runs 64 cases from a fixed seed, for the same verdict every time. `PROPTEST_CASES` and
 /// `PROPTEST_RNG_SEED` change both.
 fn runner() -> RunnerConfig {
-    let mut config = RunnerConfig::default();
-    config.failure_persistence = None;
-    if std::env::var_os("PROPTEST_CASES").is_none() {
-        config.cases = 64;
+    let given = RunnerConfig::default();
+    let cases = match std::env::var_os("PROPTEST_CASES") {
+        Some(_) => given.cases,
+        None => 64,
+    };
+    let rng_seed = match given.rng_seed {
+        RngSeed::Random => RngSeed::Fixed(1),
+        fixed => fixed,
+    };
+    RunnerConfig {
+        cases,
+        rng_seed,
+        failure_persistence: None,
+        ..given
     }
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config
 }
 
 prop_state_machine! {
--- a/hemlockrouter-limit/tests/limit/main.rs
+++ b/hemlockrouter-limit/tests/limit/main.rs
@@ -4,3 +4,5 @@
 mod fake;
 mod limiter;
 mod machine;
+mod measure;
+mod sim;
--- /dev/null
+++ b/hemlockrouter-limit/tests/limit/measure.rs
@@ -0,0 +1,262 @@
+//! Measurements in virtual time, with bounds from stated targets.
+
+use std::fmt::Write;
+
+use hemlockrouter_limit::Config;
+use hemlockrouter_limit::Growth;
+use hemlockrouter_limit::Order;
+
+use crate::fake::Spec;
+use crate::sim::Load;
+use crate::sim::Sim;
+
+const SEED: u64 = 7;
+
+/// Sub-requests a second that all slots of `spec` carry.
+fn capacity(spec: &Spec) -> f64 {
+    f64::from(spec.slots) * 1_000.0 / f64::from(spec.warm_ms)
+}
+
+/// Runs until the upstream is warm and used in full.
+fn warmed(config: Config, spec: Spec, loads: &[Load], seed: u64) -> Sim {
+    let mut sim = Sim::new(config, spec, loads, seed);
+    sim.run(4_000);
+    assert_eq!(sim.limit(), spec.slots, "warm after 4 s");
+    sim.clear();
+    sim
+}
+
+/// Target: within 500 ms after the upstream is warm again, its owner uses all slots, and the upstream
+/// never falls over.
+#[test]
+fn ramp_after_restart() {
+    let mut table =
+        String::from("slots cold growth  falls full_after_ms in_time_10s_% cold_turns\n");
+    for (slots, cold_slots) in [(2, 1), (6, 2), (72, 8)] {
+        for growth in [Growth::Double, Growth::Add, Growth::Jump] {
+            let mut spec = Spec::new(slots, cold_slots);
+            spec.rise_answers = 20 * slots;
+            let loads = [Load::new(0.45 * capacity(&spec)); 2];
+            let mut sim = warmed(Config::new().growth(growth), spec, &loads, SEED);
+            sim.fake.restart(sim.now, 100);
+            let from = sim.now;
+            let warm_ms = sim.run_while(60_000, |sim| !sim.fake.is_cold());
+            assert!(warm_ms.is_some(), "the fake warms");
+            let full_ms = sim.run_while(9_000, |sim| sim.limit() == spec.slots);
+            sim.run(10_000 - sim.now.since(from));
+            let in_time: u64 = sim.records.iter().map(|record| record.in_time).sum();
+            let offered: u64 = sim.records.iter().map(|record| record.offered).sum();
+            let full = full_ms.map_or("never".to_owned(), |ms| ms.to_string());
+            writeln!(
+                table,
+                "{slots:5} {cold_slots:4} {:7} {:5} {full:>13} {:13} {:10}",
+                format!("{growth:?}"),
+                sim.fake.overloads,
+                100 * in_time / offered,
+                sim.cold_turns,
+            )
+            .expect("a string can be written to");
+            if growth == Growth::Double {
+                assert_eq!(sim.fake.overloads, 0);
+                assert!(
+                    full_ms.is_some_and(|ms| ms <= 500),
+                    "{full} ms at {slots} slots"
+                );
+            }
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Target: an owner that knows nothing of a warm upstream uses all slots within 3 s; with a cold start
+/// of 8 s, longer than the settling time, the upstream falls over at most twice, and all slots are
+/// used within 30 s.
+#[test]
+fn ramp_of_unknown_upstream() {
+    let mut table = String::from("slots cold upstream   falls full_after_ms\n");
+    for (slots, cold_slots) in [(2, 1), (6, 2)] {
+        for (name, warm_after_ms, falls_max, full_max_ms) in [
+            ("warm", 0, 0, 3_000),
+            ("cold 1 s", 1_000, 0, 3_000),
+            ("cold 8 s", 8_000, 2, 30_000),
+        ] {
+            let mut spec = Spec::new(slots, cold_slots);
+            spec.warm_after_ms = warm_after_ms;
+            let loads = [Load::new(0.45 * capacity(&spec)); 2];
+            let mut sim = Sim::new(Config::new(), spec, &loads, SEED);
+            let full = |sim: &Sim| sim.limit() == spec.slots && !sim.fake.is_cold();
+            let full_ms = sim.run_while(60_000, full);
+            let full_ms = full_ms.expect("an upstream gets back to all its slots");
+            let falls = sim.fake.overloads;
+            writeln!(
+                table,
+                "{slots:5} {cold_slots:4} {name:9} {falls:7} {full_ms:13}"
+            )
+            .expect("a string can be written to");
+            assert!(falls <= falls_max && full_ms <= full_max_ms, "{table}");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Target: an upstream that turns cold without a sign falls over at most twice before its owner holds
+/// it under the cold bound, whatever the number of customers.
+#[test]
+fn cold_turn_without_sign() {
+    let mut table = String::from("slots cold customers  falls noticed_after_ms over_bound\n");
+    for (slots, cold_slots) in [(2, 1), (6, 2), (72, 8)] {
+        for customers in [1, 10] {
+            let spec = Spec::new(slots, cold_slots);
+            let loads =
+                vec![Load::new(0.9 * capacity(&spec) / f64::from(customers)); customers as usize];
+            let mut sim = warmed(Config::new(), spec, &loads, SEED);
+            sim.fake.turn_cold(sim.now);
+            let noticed_ms = sim.run_while(10_000, Sim::is_cold);
+            let noticed_ms = noticed_ms.expect("a cold turn is noticed");
+            sim.run(900);
+            let falls = sim.fake.overloads;
+            writeln!(
+                table,
+                "{slots:5} {cold_slots:4} {customers:9} {falls:6} {noticed_ms:16} {:10}",
+                sim.over_bound,
+            )
+            .expect("a string can be written to");
+            assert!(falls <= 2, "{table}");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Target: with 1 % stragglers, 20 times slower, a warm upstream is not taken for cold in 60 s.
+#[test]
+fn stragglers_are_no_cold_turn() {
+    let mut table = String::from("slots  in_time_% p99_ms cold_turns\n");
+    for slots in [2, 6] {
+        let mut spec = Spec::new(slots, 1);
+        spec.straggle_per_mille = 10;
+        let loads = [Load::new(0.3 * capacity(&spec)); 2];
+        let mut sim = warmed(Config::new(), spec, &loads, SEED);
+        sim.run(60_000);
+        let record = &sim.records[0];
+        writeln!(
+            table,
+            "{slots:5} {:10} {:6} {:10}",
+            record.in_time_percent(),
+            record.p99_ms(),
+            sim.cold_turns,
+        )
+        .expect("a string can be written to");
+        assert_eq!(sim.cold_turns, 0, "{table}");
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Target: at 150 % load, at least 95 % of the slots' time is used, and at least 95 % of what was
+/// dispatched is answered in time.
+#[test]
+fn overload_keeps_slots_busy() {
+    let mut table =
+        String::from("order            slots  busy_% in_time_of_capacity_% p99_ms mean_retry_ms\n");
+    for order in [
+        Order::FairByTime,
+        Order::FairByCount,
+        Order::EarliestDeadline,
+        Order::FirstIn,
+    ] {
+        for slots in [2, 6] {
+            let spec = Spec::new(slots, 1);
+            let loads = [Load::new(0.5 * capacity(&spec)); 3];
+            let mut sim = warmed(Config::new().order(order), spec, &loads, SEED);
+            sim.run(20_000);
+            let busy = 100 * sim.fake.busy_ms / (20_000 * u64::from(slots));
+            let in_time: u64 = sim.records.iter().map(|record| record.in_time).sum();
+            let of_capacity = (100.0 * in_time as f64 / (20.0 * capacity(&spec))) as u64;
+            let record = &sim.records[0];
+            writeln!(
+                table,
+                "{:16} {slots:5} {busy:7} {of_capacity:21} {:6} {:13}",
+                format!("{order:?}"),
+                record.p99_ms(),
+                record.retry_ms / record.refused.max(1),
+            )
+            .expect("a string can be written to");
+            if order == Order::FairByTime {
+                assert!(busy >= 95 && of_capacity >= 95, "{table}");
+            }
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Target: another customer's overload, slow queries or failing ones leave a customer that asks for a
+/// fifth of the capacity its answers (99 of 100 in time), and raise its p99 by at most 15 ms, which is
+/// the longest service and two mean ones of the slots that it shares.
+#[test]
+fn overload_of_another_customer() {
+    let mut table = String::from("order            other      in_time_% p99_ms other_in_time_%\n");
+    for order in [
+        Order::FairByTime,
+        Order::FairByCount,
+        Order::EarliestDeadline,
+        Order::FirstIn,
+    ] {
+        let spec = Spec::new(2, 1);
+        let own = Load::new(0.2 * capacity(&spec));
+        let others = [
+            ("none", Load::new(0.000_1)),
+            ("300 %", Load::new(3.0 * capacity(&spec))),
+            (
+                "300 %, urgent",
+                Load {
+                    deadline_ms: 100,
+                    ..Load::new(3.0 * capacity(&spec))
+                },
+            ),
+            (
+                "slow x8",
+                Load {
+                    cost: 8,
+                    ..Load::new(0.5 * capacity(&spec))
+                },
+            ),
+        ];
+        let mut alone_ms = None;
+        for (name, other) in others {
+            let mut sim = warmed(Config::new().order(order), spec, &[own, other], SEED);
+            sim.run(20_000);
+            let record = &sim.records[0];
+            let p99_ms = record.p99_ms();
+            writeln!(
+                table,
+                "{:16} {name:13} {:6} {p99_ms:6} {:15}",
+                format!("{order:?}"),
+                record.in_time_percent(),
+                sim.records[1].in_time_percent(),
+            )
+            .expect("a string can be written to");
+            let alone_ms = *alone_ms.get_or_insert(p99_ms);
+            if order == Order::FairByTime {
+                assert!(record.in_time * 100 >= record.offered * 99, "{table}");
+                assert!(p99_ms <= alone_ms + 15 * u64::from(other.cost), "{table}");
+            }
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Target: under overload, work of weight 2 gets twice the service of weight 1, within 10 %.
+#[test]
+fn weight_doubles_the_share() {
+    let mut table = String::from("slots  weight_1 weight_2\n");
+    for slots in [2, 6] {
+        let spec = Spec::new(slots, 1);
+        let light = Load::new(capacity(&spec));
+        let heavy = Load { weight: 2, ..light };
+        let mut sim = warmed(Config::new(), spec, &[light, heavy], SEED);
+        sim.run(20_000);
+        let [light, heavy] = [0, 1].map(|nth: usize| sim.records[nth].in_time);
+        writeln!(table, "{slots:5} {light:9} {heavy:8}").expect("a string can be written to");
+        assert!((18..=22).contains(&(10 * heavy / light)), "{table}");
+    }
+    insta::assert_snapshot!(table);
+}
