--- a/hemlockrouter-route/src/search.rs
+++ b/hemlockrouter-route/src/search.rs
@@ -334,7 +334,6 @@
         why: &'static str,
         out: &mut Vec<SearchCommand>,
     ) {
-        plan.ran |= plan.parts.iter().any(|part| !part.subs.is_empty());
         self.cancel_all(now, &mut plan, out);
         let query = plan.query.id;
         let snapshot = plan
--- a/hemlockrouter-route/src/search/dispatch.rs
+++ b/hemlockrouter-route/src/search/dispatch.rs
@@ -256,6 +256,8 @@
         out: &mut Vec<SearchCommand>,
     ) {
         let part = &mut plan.parts[usize::from(shard.0)];
+        // A cancellation may come too late to keep the work from running.
+        plan.ran |= !part.subs.is_empty();
         for seq in part.subs.drain(..) {
             let sub = self
                 .subs
