Fuzz requests that must not be repeated, and mend what it found

Cause: nothing tested the runner. A proptest-state-machine test now drives three runners, a store and upstreams: claims whose answers are lost, forwards lost, doubled and late, replies lost and doubled, replaced instances, expiry. Found and mended: - A copy of a forwarded call that was told "not run" could run when it came later. Refusals of forwarded calls are now remembered; without room the call is told "unknown" instead. - What such a copy is told binds the instance: after "unknown" nothing is dispatched. - A request was forgotten remember_ms after it was first seen, also if it was dispatched just before; it now counts from the deadline of its last dispatch. - A dispatch named the first caller's body though another's deadline was later. Ruled out as faults, and stated in the docs: "not run" speaks of the calls that the instance knows of when it is decided; another call with the same ticket can run before a refusal on its way arrives.

--- a/hemlockrouter-route/src/run.rs
+++ b/hemlockrouter-route/src/run.rs
@@ -67,6 +67,8 @@
     memory: Memory,
     calls: BTreeMap<QueryId, Call>,
     forwards: usize,
+    /// Calls that other instances forwarded and that were told that they did not run.
+    refused: BTreeMap<QueryId, Refusal>,
     subs: BTreeMap<u64, Sub>,
     next_seq: u64,
     timers: Timers<Due>,
@@ -108,6 +110,8 @@
     Retry(Name),
     /// A request may be forgotten.
     Forget(Name),
+    /// A refusal of a forwarded call may be forgotten.
+    ForgetRefusal(QueryId),
 }
 
 impl Runner {
@@ -133,6 +137,7 @@
             memory: Memory::new(bounds),
             calls: BTreeMap::new(),
             forwards: 0,
+            refused: BTreeMap::new(),
             subs: BTreeMap::new(),
             next_seq: FIRST_SEQ,
             timers: Timers::new(),
@@ -203,6 +208,10 @@
             body_hash,
         };
         let caller = self.caller(now, id, Some(from), None, deadline);
+        if let Some(refusal) = self.refused.get(&id).copied() {
+            let outcome = self.outcome_of_copy(&ticket, refusal);
+            return self.answer(now, &caller, outcome, "it was refused before", out);
+        }
         if let Some((name, nonce)) = ClaimName::parse_token(&ticket) {
             return self.join_claim(now, name, nonce, caller, asked, out);
         }
@@ -286,6 +295,7 @@
                 Due::Deadline(id) => self.deadline_due(now, id, out),
                 Due::Retry(name) => self.retry_due(now, name, out),
                 Due::Forget(name) => self.forget_due(now, name),
+                Due::ForgetRefusal(id) => drop(self.refused.remove(&id)),
             }
         }
     }
@@ -636,6 +646,7 @@
             return;
         };
         if entry.keep_until > now {
+            self.timers.set(entry.keep_until, Due::Forget(name));
             return;
         }
         if !entry.callers.is_empty() {
@@ -677,7 +688,7 @@
         self.answer(now, &caller, RunOutcome::Unknown, "it is about to run", out);
     }
 
-    fn refuse(&self, now: Time, caller: &Caller, reason: Reason, out: &mut Vec<RunCommand>) {
+    fn refuse(&mut self, now: Time, caller: &Caller, reason: Reason, out: &mut Vec<RunCommand>) {
         let refusal = self.refusal(reason, self.config.retry_after_min_ms);
         let outcome = RunOutcome::NotRun(refusal);
         self.answer(now, caller, outcome, "refused at the start", out);
@@ -693,7 +704,7 @@
     }
 
     fn answer(
-        &self,
+        &mut self,
         now: Time,
         caller: &Caller,
         outcome: RunOutcome,
@@ -701,24 +712,68 @@
         out: &mut Vec<RunCommand>,
     ) {
         let id = caller.id;
+        let command = match caller.from {
+            Some(to) => {
+                let outcome = self.vow(now, id, outcome);
+                RunCommand::ForwardAnswer { to, id, outcome }
+            }
+            None => RunCommand::Answer {
+                id,
+                outcome,
+                ticket: caller.ticket.clone(),
+            },
+        };
+        let (RunCommand::Answer { outcome, .. } | RunCommand::ForwardAnswer { outcome, .. }) =
+            &command
+        else {
+            unreachable!("one of the two was made above");
+        };
         let decision = Decision {
             what: "run",
             subject: id.to_string(),
-            chosen: describe(&outcome),
+            chosen: describe(outcome),
             passed_over: "nothing".to_owned(),
             why: Cow::Borrowed(why),
             took_ms: now.since(caller.started),
         };
-        out.push(match caller.from {
-            Some(to) => RunCommand::ForwardAnswer { to, id, outcome },
-            None => RunCommand::Answer {
-                id,
-                outcome,
-                ticket: caller.ticket.clone(),
-            },
-        });
+        out.push(command);
         out.push(RunCommand::Decision(decision));
     }
+
+    /// Returns how a copy of a refused call ends: it runs nothing, but another call with the same
+    /// ticket may have since.
+    fn outcome_of_copy(&mut self, ticket: &str, refusal: Refusal) -> RunOutcome {
+        let name = match ClaimName::parse_token(ticket) {
+            Some((claim, _)) => Some(Name::Claim(claim)),
+            None => Ticket::parse(ticket).map(|ticket| Name::Ticket(ticket.nonce)),
+        };
+        let Some(entry) = name.and_then(|name| self.memory.get_mut(name)) else {
+            return RunOutcome::NotRun(refusal);
+        };
+        match &entry.state {
+            State::Ended(outcome) => outcome.clone(),
+            State::Running(_) => {
+                entry.told_unknown = true;
+                RunOutcome::Unknown
+            }
+            _ => RunOutcome::NotRun(refusal),
+        }
+    }
+
+    /// Remembers a refusal of a forwarded call, so that a copy of the call that comes later does
+    /// not run it. Without room to remember it, the call can't be told that it will not run.
+    fn vow(&mut self, now: Time, id: QueryId, outcome: RunOutcome) -> RunOutcome {
+        let RunOutcome::NotRun(refusal) = outcome else {
+            return outcome;
+        };
+        if self.refused.len() >= self.config.max_remembered && !self.refused.contains_key(&id) {
+            return RunOutcome::Unknown;
+        }
+        self.refused.insert(id, refusal);
+        let forget_at = now + self.config.remember_ms;
+        self.timers.set(forget_at, Due::ForgetRefusal(id));
+        outcome
+    }
 }
 
 /// What a call asks for, which every repeat must ask for too.
--- a/hemlockrouter-route/src/run/dispatch.rs
+++ b/hemlockrouter-route/src/run/dispatch.rs
@@ -15,6 +15,16 @@
 /// Upstreams of an operation beyond this are not used: positions are held in a mask of bits.
 const MAX_UPSTREAMS: usize = 64;
 
+/// Where a request is dispatched.
+struct Target {
+    /// The caller whose body it carries: the one that waits longest.
+    query: QueryId,
+    upstream: UpstreamKey,
+    /// The position of `upstream` in the operation.
+    place: usize,
+    deadline: Time,
+}
+
 impl Runner {
     /// Dispatches a request that has not run to the best upstream. Without one it waits for the
     /// first that ends its back-off in time, or its callers are refused.
@@ -24,10 +34,11 @@
             !matches!(entry.state, State::Running(_) | State::Ended(_)) && !entry.told_unknown,
             "a request that may have run is never dispatched again"
         );
-        let last = entry.callers.iter().map(|caller| caller.answer_at).max();
+        let last = entry.callers.iter().max_by_key(|caller| caller.answer_at);
         let last = last.expect("a request is dispatched for a caller");
-        let margin_ms = self.config.margin_ms.min(last.left(now) / 10);
-        let deadline = last.before(margin_ms);
+        let (query, answer_at) = (last.id, last.answer_at);
+        let margin_ms = self.config.margin_ms.min(answer_at.left(now) / 10);
+        let deadline = answer_at.before(margin_ms);
         let entry = self.entry(name);
         let (operation, tries, asked) = (entry.operation, entry.tries, entry.asked);
         let Some(operation) = self.catalog.operations.get(operation) else {
@@ -41,7 +52,13 @@
         let Some(place) = self.choose(now, &upstreams, asked) else {
             return self.wait_or_refuse(now, name, &upstreams, deadline, out);
         };
-        self.send(now, name, place, upstreams[place], deadline, out);
+        let target = Target {
+            query,
+            upstream: upstreams[place],
+            place,
+            deadline,
+        };
+        self.send(now, name, target, out);
     }
 
     /// Chooses an upstream: one that was not tried before if there is one.
@@ -60,39 +77,33 @@
         self.upstreams.choose(now, upstreams, &mut self.rng, may)
     }
 
-    fn send(
-        &mut self,
-        now: Time,
-        name: Name,
-        place: usize,
-        upstream: UpstreamKey,
-        deadline: Time,
-        out: &mut Vec<RunCommand>,
-    ) {
+    fn send(&mut self, now: Time, name: Name, target: Target, out: &mut Vec<RunCommand>) {
         let seq = self.next_seq;
         self.next_seq += 1;
+        let keep_until = target.deadline + self.config.remember_ms;
         let entry = self.entry(name);
+        // From here on it must not be forgotten before nobody can ask for it any more.
+        entry.keep_until = entry.keep_until.max(keep_until);
         entry.state = State::Running(seq);
         entry.tries += 1;
-        entry.asked |= 1 << place;
-        let query = entry.callers[0].id;
+        entry.asked |= 1 << target.place;
         let sub = Sub {
             name,
-            upstream,
+            upstream: target.upstream,
             sent_at: now,
         };
         self.subs.insert(seq, sub);
-        self.upstreams.sent(now, upstream);
+        self.upstreams.sent(now, target.upstream);
         out.push(RunCommand::Dispatch {
             id: SubId {
                 origin: self.origin,
                 seq,
             },
-            query,
-            upstream,
+            query: target.query,
+            upstream: target.upstream,
             run_id: self.run_id(name),
             config: self.catalog.number,
-            deadline,
+            deadline: target.deadline,
         });
     }
 
@@ -223,8 +234,6 @@
         let keep_until = now + self.config.remember_ms;
         let entry = self.entry(name);
         entry.keep_until = entry.keep_until.max(keep_until);
-        let forget_at = entry.keep_until;
-        self.timers.set(forget_at, Due::Forget(name));
     }
 
     /// Tells all that wait for a request that it did not run. A repeat may run it.
--- /dev/null
+++ b/hemlockrouter-route/tests/run_cases.rs
@@ -0,0 +1,276 @@
+//! Single cases of requests that must not be repeated, most of them found by `run_fuzz`.
+
+mod support;
+
+use std::sync::Arc;
+
+use hemlockrouter_route::Claim;
+use hemlockrouter_route::ClaimResult;
+use hemlockrouter_route::Run;
+use hemlockrouter_route::RunCommand;
+use hemlockrouter_route::RunConfig;
+use hemlockrouter_route::Runner;
+use hemlockrouter_route::Via;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::run::RunOutcome;
+use hemlockrouter_wire::SubOutcome;
+use hemlockrouter_wire::SubReply;
+
+use crate::support::Layout;
+
+const START: Time = Time::from_ms(1_000);
+const REMEMBER_MS: u64 = 10_000;
+
+/// A runner and what it commanded last.
+struct Instance {
+    id: InstanceId,
+    runner: Runner,
+    out: Vec<RunCommand>,
+    next_query: u64,
+}
+
+impl Instance {
+    fn new(id: u64) -> Instance {
+        let config = RunConfig::new()
+            .remember_ms(REMEMBER_MS)
+            .ticket_ms(REMEMBER_MS);
+        let mut runner = Runner::new(config, InstanceId(id), id);
+        let catalog = support::catalog(&Layout {
+            zones: 1,
+            upstreams: 2,
+            customers: 1,
+            searches: Vec::new(),
+            replicas: 1,
+            operations: vec![1, 1],
+        });
+        runner.configure(START, Arc::new(catalog), &mut Vec::new());
+        Instance {
+            id: InstanceId(id),
+            runner,
+            out: Vec::new(),
+            next_query: 0,
+        }
+    }
+
+    fn issue(&mut self) -> Via {
+        let operation = OperationKey::from_raw(0);
+        let ticket = self
+            .runner
+            .issue(START, CustomerKey::from_raw(0), operation);
+        Via::Ticket(ticket)
+    }
+
+    fn start(&mut self, now: Time, via: &Via, operation: u32) -> QueryId {
+        self.next_query += 1;
+        let id = QueryId {
+            origin: self.id,
+            seq: self.next_query,
+        };
+        let run = Run {
+            id,
+            customer: CustomerKey::from_raw(0),
+            operation: OperationKey::from_raw(operation),
+            via: via.clone(),
+            body_hash: [0; 32],
+            deadline: now + 200,
+        };
+        self.out.clear();
+        self.runner.start(now, run, &mut self.out);
+        id
+    }
+
+    fn forwarded(&mut self, now: Time, from: InstanceId, seq: u64, token: &str) {
+        self.out.clear();
+        self.runner.forwarded(
+            now,
+            from,
+            QueryId { origin: from, seq },
+            CustomerKey::from_raw(0),
+            OperationKey::from_raw(0),
+            token.to_owned(),
+            [0; 32],
+            now + 200,
+            &mut self.out,
+        );
+    }
+
+    fn claimed(&mut self, now: Time, id: QueryId, result: ClaimResult) {
+        self.out.clear();
+        self.runner.claimed(now, id, result, &mut self.out);
+    }
+
+    fn reply(&mut self, now: Time, id: SubId, outcome: SubOutcome) {
+        self.out.clear();
+        let reply = SubReply {
+            id,
+            outcome,
+            queued_ms: 0,
+            served_ms: 0,
+        };
+        self.runner.reply(now, reply, &mut self.out);
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.out.clear();
+        self.runner.tick(now, &mut self.out);
+    }
+
+    fn dispatched(&self) -> Option<SubId> {
+        self.out.iter().find_map(|command| match command {
+            RunCommand::Dispatch { id, .. } => Some(*id),
+            _ => None,
+        })
+    }
+
+    fn claim(&self) -> Option<Claim> {
+        self.out.iter().find_map(|command| match command {
+            RunCommand::Claim { claim, .. } => Some(*claim),
+            _ => None,
+        })
+    }
+
+    fn forward(&self) -> Option<(InstanceId, String)> {
+        self.out.iter().find_map(|command| match command {
+            RunCommand::Forward { to, ticket, .. } => Some((*to, ticket.clone())),
+            _ => None,
+        })
+    }
+
+    fn outcome(&self) -> Option<RunOutcome> {
+        self.out.iter().find_map(|command| match command {
+            RunCommand::Answer { outcome, .. } => Some(outcome.clone()),
+            RunCommand::ForwardAnswer { outcome, .. } => Some(outcome.clone()),
+            _ => None,
+        })
+    }
+}
+
+fn refused() -> SubOutcome {
+    SubOutcome::NotRun(Refusal {
+        reason: Reason::Shed,
+        retry_after_ms: 1_000,
+    })
+}
+
+fn key() -> Via {
+    Via::Key("booking-7".to_owned())
+}
+
+fn text(ticket: &Via) -> String {
+    match ticket {
+        Via::Ticket(text) | Via::Key(text) => text.clone(),
+    }
+}
+
+#[test]
+fn a_claim_without_an_answer_runs_at_the_next_repeat() {
+    let mut one = Instance::new(1);
+    let id = one.start(START, &key(), 0);
+    let claim = one.claim().unwrap();
+    one.claimed(START, id, ClaimResult::Unavailable);
+    let reason = Reason::StoreDown;
+    assert!(matches!(one.outcome(), Some(RunOutcome::NotRun(refusal)) if refusal.reason == reason));
+
+    // The write took effect all the same. The answer to it comes late and runs nothing.
+    one.claimed(START, id, ClaimResult::Won);
+    assert!(one.out.is_empty());
+
+    // A repeat elsewhere finds the claim and is forwarded, and so runs where it was claimed.
+    let mut two = Instance::new(2);
+    let repeat = two.start(START, &key(), 0);
+    two.claimed(START, repeat, ClaimResult::Taken(claim));
+    let (to, token) = two.forward().unwrap();
+    assert_eq!(to, one.id);
+    one.forwarded(START, two.id, repeat.seq, &token);
+    assert!(one.dispatched().is_some());
+
+    // So does a repeat at the same instance, with the same nonce.
+    let mut one = Instance::new(1);
+    let id = one.start(START, &key(), 0);
+    one.claimed(START, id, ClaimResult::Unavailable);
+    let repeat = one.start(START, &key(), 0);
+    assert_eq!(one.claim(), Some(claim));
+    one.claimed(START, repeat, ClaimResult::Taken(claim));
+    assert!(one.dispatched().is_some());
+}
+
+#[test]
+fn a_copy_of_a_refused_call_runs_nothing() {
+    let mut one = Instance::new(1);
+    let ticket = one.issue();
+    let two = InstanceId(2);
+    one.forwarded(START, two, 1, &text(&ticket));
+    let sub = one.dispatched().unwrap();
+    one.reply(START, sub, refused());
+    assert!(matches!(one.outcome(), Some(RunOutcome::NotRun(_))));
+
+    // The upstream takes work again, but the caller was told that the call did not run.
+    let later = START + 1_100;
+    one.forwarded(later, two, 1, &text(&ticket));
+    assert_eq!(one.dispatched(), None);
+    assert!(matches!(one.outcome(), Some(RunOutcome::NotRun(_))));
+
+    // A call of its own runs it; what a copy is told from then on binds the instance too.
+    one.forwarded(later, two, 2, &text(&ticket));
+    let sub = one.dispatched().unwrap();
+    one.forwarded(later, two, 1, &text(&ticket));
+    assert_eq!(one.outcome(), Some(RunOutcome::Unknown));
+    one.reply(later, sub, refused());
+    one.start(later + 1_100, &ticket, 0);
+    assert_eq!(one.dispatched(), None);
+}
+
+#[test]
+fn a_dispatched_request_is_remembered_from_its_deadline_on() {
+    let mut one = Instance::new(1);
+    let first = one.start(START, &key(), 0);
+    let claim = one.claim().unwrap();
+    one.claimed(START, first, ClaimResult::Unavailable);
+    let late = (START + REMEMBER_MS).before(10);
+    let repeat = one.start(late, &key(), 0);
+    one.claimed(late, repeat, ClaimResult::Taken(claim));
+    assert!(one.dispatched().is_some());
+    one.tick(late + 200);
+    assert_eq!(one.outcome(), Some(RunOutcome::Unknown));
+
+    one.tick(late + REMEMBER_MS);
+    assert_eq!(one.runner.remembered(), 1);
+    one.tick(late + REMEMBER_MS + 200);
+    assert_eq!(one.runner.remembered(), 0);
+}
+
+#[test]
+fn a_claim_that_was_forgotten_is_not_run() {
+    let mut one = Instance::new(1);
+    let first = one.start(START, &key(), 0);
+    let forgotten = one.claim().unwrap();
+    one.claimed(START, first, ClaimResult::Won);
+    let later = START + 2 * REMEMBER_MS;
+    one.tick(later);
+    assert_eq!(one.runner.remembered(), 0);
+
+    let repeat = one.start(later, &key(), 0);
+    let mut two = Instance::new(2);
+    let other = two.start(later, &key(), 0);
+    two.claimed(later, other, ClaimResult::Taken(forgotten));
+    let (_, token) = two.forward().unwrap();
+    one.forwarded(later, two.id, other.seq, &token);
+    assert_eq!(one.outcome(), Some(RunOutcome::Unknown));
+    one.claimed(later, repeat, ClaimResult::Taken(forgotten));
+    assert_eq!(one.outcome(), Some(RunOutcome::Unknown));
+}
+
+#[test]
+fn a_ticket_is_good_for_its_operation_alone() {
+    let mut one = Instance::new(1);
+    let ticket = one.issue();
+    one.start(START, &ticket, 1);
+    assert_eq!(one.outcome(), Some(RunOutcome::Conflict));
+    let forged = text(&ticket).replace("t-0000000000000001", "t-0000000000000002");
+    one.start(START, &Via::Ticket(forged), 0);
+    let (to, forged) = one.forward().unwrap();
+    let mut two = Instance::new(2);
+    assert_eq!(to, two.id);
+    two.forwarded(START, one.id, 1, &forged);
+    assert_eq!(two.outcome(), Some(RunOutcome::Conflict));
+}
--- /dev/null
+++ b/hemlockrouter-route/tests/run_fuzz.rs
@@ -0,0 +1,699 @@
+//! Drives three [`Runner`]s, a store and upstreams with random events against a model of what ran.
+//!
+//! Claims, forwards, dispatches and their answers are lost, doubled and reordered; instances are
+//! replaced. A longer run: `PROPTEST_CASES=20000 PROPTEST_RNG_SEED=1 cargo test --release -p
+//! hemlockrouter-route --test run_fuzz`. A failure prints the shortest trace that was found.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use hemlockrouter_route::Claim;
+use hemlockrouter_route::ClaimResult;
+use hemlockrouter_route::Run;
+use hemlockrouter_route::RunCommand;
+use hemlockrouter_route::RunConfig;
+use hemlockrouter_route::Runner;
+use hemlockrouter_route::Via;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::run::RunOutcome;
+use hemlockrouter_wire::SubOutcome;
+use hemlockrouter_wire::SubReply;
+use proptest::prelude::*;
+use proptest_state_machine::prop_state_machine;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+
+use crate::support::Layout;
+
+const INSTANCES: usize = 3;
+const MAX_REMEMBERED: usize = 3;
+const REMEMBER_MS: u64 = 400;
+
+/// What names a request: the model's own number, whichever way it is named to the runners.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Request {
+    Ticket(usize),
+    Key(u8),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum StoreFate {
+    Answered,
+    AnswerLost,
+    Down,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum UpstreamFate {
+    Run,
+    RunAndFail,
+    RunAndLoseReply,
+    Refuse(u32),
+    LoseAll,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum MessageFate {
+    Deliver,
+    DeliverTwice,
+    Lose,
+}
+
+#[derive(Clone, Debug)]
+enum Transition {
+    Issue(usize),
+    Start {
+        at: usize,
+        request: Request,
+        body: u8,
+        deadline_ms: u64,
+    },
+    Claim(usize, StoreFate),
+    Message(usize, MessageFate),
+    Dispatch(usize, UpstreamFate),
+    ReplyAgain(usize),
+    Advance(u64),
+    /// Replaces an instance by a new one that knows nothing.
+    Replace(usize),
+    /// Tells an instance that all replaced ones are gone.
+    Gone(usize),
+}
+
+/// Only generates events: what they find depends on what the runners decided.
+#[derive(Clone, Debug)]
+struct Events;
+
+impl ReferenceStateMachine for Events {
+    type State = Events;
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<Events> {
+        Just(Events).boxed()
+    }
+
+    fn transitions(_: &Events) -> BoxedStrategy<Transition> {
+        let at = || 0..INSTANCES;
+        let pick = any::<usize>;
+        let request = prop_oneof![
+            any::<usize>().prop_map(Request::Ticket),
+            (0..3_u8).prop_map(Request::Key),
+        ];
+        let store = prop_oneof![
+            4 => Just(StoreFate::Answered),
+            1 => Just(StoreFate::AnswerLost),
+            1 => Just(StoreFate::Down),
+        ];
+        let upstream = prop_oneof![
+            4 => Just(UpstreamFate::Run),
+            1 => Just(UpstreamFate::RunAndFail),
+            1 => Just(UpstreamFate::RunAndLoseReply),
+            3 => (0..100_u32).prop_map(UpstreamFate::Refuse),
+            1 => Just(UpstreamFate::LoseAll),
+        ];
+        let message = prop_oneof![
+            4 => Just(MessageFate::Deliver),
+            1 => Just(MessageFate::DeliverTwice),
+            1 => Just(MessageFate::Lose),
+        ];
+        let body = prop_oneof![9 => Just(0_u8), 1 => Just(1_u8)];
+        prop_oneof![
+            2 => at().prop_map(Transition::Issue),
+            8 => (at(), request, body, 0..500_u64).prop_map(|(at, request, body, deadline_ms)| {
+                Transition::Start { at, request, body, deadline_ms }
+            }),
+            6 => (pick(), store).prop_map(|(at, fate)| Transition::Claim(at, fate)),
+            8 => (pick(), message).prop_map(|(at, fate)| Transition::Message(at, fate)),
+            8 => (pick(), upstream).prop_map(|(at, fate)| Transition::Dispatch(at, fate)),
+            1 => pick().prop_map(Transition::ReplyAgain),
+            4 => (1..120_u64).prop_map(Transition::Advance),
+            1 => at().prop_map(Transition::Replace),
+            1 => at().prop_map(Transition::Gone),
+        ]
+        .boxed()
+    }
+
+    fn apply(events: Events, _: &Transition) -> Events {
+        events
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Issued {
+    by: InstanceId,
+    at: Time,
+    ticket: String,
+}
+
+/// A call, as the model knows it.
+#[derive(Clone, Debug)]
+struct Call {
+    request: Request,
+    body: u8,
+    started: Time,
+    deadline: Time,
+    forwarded: bool,
+    outcome: Option<RunOutcome>,
+}
+
+/// A dispatch and what became of it at the upstream.
+#[derive(Clone, Debug)]
+struct Sent {
+    by: InstanceId,
+    id: SubId,
+    at: Time,
+    request: Request,
+    body: u8,
+    handled: bool,
+    ran: bool,
+    /// Whether the runner may know that it did not run.
+    refused: bool,
+}
+
+#[derive(Clone, Debug)]
+struct PendingClaim {
+    by: InstanceId,
+    id: QueryId,
+    key: String,
+    claim: Claim,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Forward {
+        from: InstanceId,
+        to: InstanceId,
+        id: QueryId,
+        ticket: String,
+    },
+    Ended {
+        to: InstanceId,
+        id: QueryId,
+        outcome: RunOutcome,
+    },
+}
+
+struct Cluster {
+    now: Time,
+    instances: Vec<(InstanceId, Runner)>,
+    replaced: Vec<InstanceId>,
+    next_instance: u64,
+    next_query: u64,
+    tickets: Vec<Issued>,
+    store: BTreeMap<String, Claim>,
+    calls: BTreeMap<QueryId, Call>,
+    claims: Vec<PendingClaim>,
+    messages: Vec<Message>,
+    sent: Vec<Sent>,
+    /// The requests of which the instance that may run them told that they may have run.
+    unknown: Vec<Request>,
+    replies: Vec<SubReply>,
+}
+
+impl StateMachineTest for Cluster {
+    type SystemUnderTest = Cluster;
+    type Reference = Events;
+
+    fn init_test(_: &Events) -> Cluster {
+        let mut cluster = Cluster {
+            now: Time::from_ms(1_000),
+            instances: Vec::new(),
+            replaced: Vec::new(),
+            next_instance: 0,
+            next_query: 0,
+            tickets: Vec::new(),
+            store: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            claims: Vec::new(),
+            messages: Vec::new(),
+            sent: Vec::new(),
+            unknown: Vec::new(),
+            replies: Vec::new(),
+        };
+        for _ in 0..INSTANCES {
+            let instance = cluster.new_instance();
+            cluster.instances.push(instance);
+        }
+        cluster
+    }
+
+    fn apply(mut cluster: Cluster, _: &Events, transition: Transition) -> Cluster {
+        match transition {
+            Transition::Issue(at) => {
+                let now = cluster.now;
+                let (issuer, runner) = &mut cluster.instances[at];
+                let ticket = runner.issue(now, customer(), operation());
+                cluster.tickets.push(Issued {
+                    by: *issuer,
+                    at: now,
+                    ticket,
+                });
+            }
+            Transition::Start {
+                at,
+                request,
+                body,
+                deadline_ms,
+            } => cluster.start(at, request, body, deadline_ms),
+            Transition::Claim(at, fate) => cluster.end_claim(at, fate),
+            Transition::Message(at, fate) => cluster.end_message(at, fate),
+            Transition::Dispatch(at, fate) => cluster.end_dispatch(at, fate),
+            Transition::ReplyAgain(at) => cluster.reply_again(at),
+            Transition::Advance(ms) => cluster.advance(ms),
+            Transition::Replace(at) => {
+                let new = cluster.new_instance();
+                let (old, _) = std::mem::replace(&mut cluster.instances[at], new);
+                cluster.replaced.push(old);
+                cluster.claims.retain(|claim| claim.by != old);
+            }
+            Transition::Gone(at) => {
+                for gone in cluster.replaced.clone() {
+                    cluster.drive(at, |runner, now, out| runner.unreachable(now, gone, out));
+                }
+            }
+        }
+        cluster
+    }
+
+    fn teardown(mut cluster: Cluster, _: Events) {
+        cluster.advance(1_000);
+        for (id, call) in &cluster.calls {
+            if cluster.replaced.contains(&id.origin) {
+                continue;
+            }
+            assert!(call.outcome.is_some(), "{id} has no answer: {call:?}");
+        }
+        for (_, runner) in &cluster.instances {
+            assert_eq!(runner.in_flight(), 0);
+        }
+    }
+}
+
+impl Cluster {
+    fn new_instance(&mut self) -> (InstanceId, Runner) {
+        self.next_instance += 1;
+        let id = InstanceId(self.next_instance);
+        let config = RunConfig::new()
+            .max_remembered(MAX_REMEMBERED)
+            .remember_ms(REMEMBER_MS)
+            .ticket_ms(REMEMBER_MS)
+            .max_body_bytes(20)
+            .zone("zone-0");
+        let mut runner = Runner::new(config, id, self.next_instance);
+        let catalog = support::catalog(&Layout {
+            zones: 2,
+            upstreams: 3,
+            customers: 1,
+            searches: Vec::new(),
+            replicas: 1,
+            operations: vec![3],
+        });
+        runner.configure(self.now, Arc::new(catalog), &mut Vec::new());
+        (id, runner)
+    }
+
+    /// Lets a runner do something and carries out what it commands.
+    fn drive<F>(&mut self, at: usize, action: F)
+    where
+        F: FnOnce(&mut Runner, Time, &mut Vec<RunCommand>),
+    {
+        let mut out = Vec::new();
+        let (by, runner) = &mut self.instances[at];
+        let by = *by;
+        action(runner, self.now, &mut out);
+        assert!(runner.remembered() <= MAX_REMEMBERED);
+        let mut refused = Vec::new();
+        for command in out {
+            if let RunCommand::Answer {
+                id,
+                outcome: RunOutcome::NotRun(_),
+                ..
+            } = &command
+            {
+                let call = &self.calls[id];
+                refused.extend((!call.forwarded).then_some(call.request));
+            }
+            self.carry_out(by, command);
+        }
+        // The request could run for a caller that still waits.
+        for (id, call) in &self.calls {
+            let waits = id.origin == by && call.outcome.is_none() && !call.forwarded;
+            let refused = refused.contains(&call.request);
+            assert!(
+                !waits || !refused,
+                "{id} waits, another was told that it did not run"
+            );
+        }
+    }
+
+    fn place_of(&self, instance: InstanceId) -> Option<usize> {
+        self.instances.iter().position(|(id, _)| *id == instance)
+    }
+
+    fn start(&mut self, at: usize, request: Request, body: u8, deadline_ms: u64) {
+        let (request, via) = match request {
+            Request::Ticket(_) if self.tickets.is_empty() => return,
+            Request::Ticket(pick) => {
+                let pick = pick % self.tickets.len();
+                let via = Via::Ticket(self.tickets[pick].ticket.clone());
+                (Request::Ticket(pick), via)
+            }
+            Request::Key(key) => (request, Via::Key(format!("key-{key}"))),
+        };
+        self.next_query += 1;
+        let id = QueryId {
+            origin: self.instances[at].0,
+            seq: self.next_query,
+        };
+        let deadline = self.now + deadline_ms;
+        let run = Run {
+            id,
+            customer: customer(),
+            operation: operation(),
+            via,
+            body_hash: [body; 32],
+            deadline,
+        };
+        let call = Call {
+            request,
+            body,
+            started: self.now,
+            deadline,
+            forwarded: false,
+            outcome: None,
+        };
+        self.calls.insert(id, call);
+        self.drive(at, |runner, now, out| runner.start(now, run, out));
+    }
+
+    fn end_claim(&mut self, pick: usize, fate: StoreFate) {
+        if self.claims.is_empty() {
+            return;
+        }
+        let claim = self.claims.remove(pick % self.claims.len());
+        let result = match fate {
+            StoreFate::Down => ClaimResult::Unavailable,
+            StoreFate::Answered | StoreFate::AnswerLost => {
+                let stored = *self.store.entry(claim.key).or_insert(claim.claim);
+                match (fate, stored == claim.claim) {
+                    (StoreFate::AnswerLost, _) => ClaimResult::Unavailable,
+                    (_, true) => ClaimResult::Won,
+                    (_, false) => ClaimResult::Taken(stored),
+                }
+            }
+        };
+        let at = self
+            .place_of(claim.by)
+            .expect("claims of replaced instances are dropped");
+        self.drive(at, |runner, now, out| {
+            runner.claimed(now, claim.id, result, out)
+        });
+    }
+
+    fn end_message(&mut self, pick: usize, fate: MessageFate) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let message = self.messages.remove(pick % self.messages.len());
+        match fate {
+            MessageFate::Deliver => self.deliver(message),
+            MessageFate::DeliverTwice => {
+                self.deliver(message.clone());
+                self.messages.push(message);
+            }
+            MessageFate::Lose => (),
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Forward {
+                from,
+                to,
+                id,
+                ticket,
+            } => {
+                let (Some(at), Some(call)) = (self.place_of(to), self.calls.get(&id)) else {
+                    return;
+                };
+                let (body, deadline) = ([call.body; 32], call.deadline);
+                self.drive(at, |runner, now, out| {
+                    let (customer, operation) = (customer(), operation());
+                    runner.forwarded(
+                        now, from, id, customer, operation, ticket, body, deadline, out,
+                    );
+                });
+            }
+            Message::Ended { to, id, outcome } => {
+                if let Some(at) = self.place_of(to) {
+                    self.drive(at, |runner, now, out| {
+                        runner.forward_ended(now, id, outcome, out);
+                    });
+                }
+            }
+        }
+    }
+
+    fn end_dispatch(&mut self, pick: usize, fate: UpstreamFate) {
+        let open: Vec<usize> = (0..self.sent.len())
+            .filter(|index| !self.sent[*index].handled)
+            .collect();
+        if open.is_empty() {
+            return;
+        }
+        let sent = &mut self.sent[open[pick % open.len()]];
+        sent.handled = true;
+        sent.ran = matches!(
+            fate,
+            UpstreamFate::Run | UpstreamFate::RunAndFail | UpstreamFate::RunAndLoseReply
+        );
+        let outcome = match fate {
+            UpstreamFate::Run => SubOutcome::Answered {
+                snapshot: Snapshot(0),
+                map: MapVersion(0),
+                serves: SnapshotRange::default(),
+                body: result(sent.request),
+            },
+            UpstreamFate::RunAndFail => SubOutcome::Failed,
+            UpstreamFate::RunAndLoseReply | UpstreamFate::LoseAll => return,
+            UpstreamFate::Refuse(retry_after_ms) => SubOutcome::NotRun(Refusal {
+                reason: Reason::Shed,
+                retry_after_ms,
+            }),
+        };
+        sent.refused = matches!(outcome, SubOutcome::NotRun(_));
+        let by = sent.by;
+        let reply = SubReply {
+            id: sent.id,
+            outcome,
+            queued_ms: 0,
+            served_ms: 0,
+        };
+        self.replies.push(reply.clone());
+        if let Some(at) = self.place_of(by) {
+            self.drive(at, |runner, now, out| runner.reply(now, reply, out));
+        }
+    }
+
+    fn reply_again(&mut self, pick: usize) {
+        if self.replies.is_empty() {
+            return;
+        }
+        let reply = self.replies[pick % self.replies.len()].clone();
+        if let Some(at) = self.place_of(reply.id.origin) {
+            self.drive(at, |runner, now, out| runner.reply(now, reply, out));
+        }
+    }
+
+    fn advance(&mut self, ms: u64) {
+        let to = self.now + ms;
+        loop {
+            let wakes = self.instances.iter().map(|(_, runner)| runner.next_wake());
+            let first = wakes.flatten().min().filter(|wake| *wake <= to);
+            let Some(wake) = first else {
+                break;
+            };
+            self.now = self.now.max(wake);
+            for at in 0..INSTANCES {
+                self.drive(at, |runner, now, out| runner.tick(now, out));
+                let next = self.instances[at].1.next_wake();
+                assert!(
+                    next.is_none_or(|next| next > self.now),
+                    "a tick leaves its timer"
+                );
+            }
+        }
+        self.now = to;
+    }
+
+    fn carry_out(&mut self, by: InstanceId, command: RunCommand) {
+        match command {
+            RunCommand::Claim { id, key, claim } => {
+                self.claims.push(PendingClaim { by, id, key, claim });
+            }
+            RunCommand::Forward { id, to, ticket } => {
+                self.calls
+                    .get_mut(&id)
+                    .expect("only calls are forwarded")
+                    .forwarded = true;
+                self.messages.push(Message::Forward {
+                    from: by,
+                    to,
+                    id,
+                    ticket,
+                });
+            }
+            RunCommand::Dispatch {
+                id,
+                query,
+                deadline,
+                ..
+            } => {
+                self.check_dispatch(query, deadline);
+                let call = &self.calls[&query];
+                self.sent.push(Sent {
+                    by,
+                    id,
+                    at: self.now,
+                    request: call.request,
+                    body: call.body,
+                    handled: false,
+                    ran: false,
+                    refused: false,
+                });
+            }
+            RunCommand::Answer { id, outcome, .. } => self.check_answer(id, outcome),
+            RunCommand::ForwardAnswer { to, id, outcome } => {
+                let request = self.calls[&id].request;
+                if let RunOutcome::NotRun(refusal) = outcome {
+                    self.check_not_run(by, request, refusal);
+                }
+                self.note_unknown(request, &outcome);
+                self.messages.push(Message::Ended { to, id, outcome });
+            }
+            RunCommand::Decision(_) => (),
+        }
+    }
+
+    fn check_dispatch(&self, query: QueryId, deadline: Time) {
+        let call = &self.calls[&query];
+        let refused = matches!(call.outcome, Some(RunOutcome::NotRun(_)));
+        assert!(
+            !refused,
+            "a request runs for a call that was told it did not run: {call:?}"
+        );
+        assert!(self.now < deadline && deadline <= call.deadline);
+        let sealed = self.unknown.contains(&call.request);
+        assert!(!sealed, "told that it may have run, and then run: {call:?}");
+        for earlier in self.sent_for(call.request) {
+            assert!(
+                earlier.refused,
+                "{earlier:?} may run, and is dispatched again"
+            );
+            assert_eq!(earlier.body, call.body);
+        }
+    }
+
+    fn sent_for(&self, request: Request) -> impl Iterator<Item = &Sent> {
+        self.sent.iter().filter(move |sent| sent.request == request)
+    }
+
+    /// Checks a refusal by the instance `by`, which without the store knows of requests by key only
+    /// what it did itself.
+    fn check_not_run(&self, by: InstanceId, request: Request, refusal: Refusal) {
+        let mut may_have_run = self.sent_for(request).filter(|sent| !sent.refused);
+        let blind = matches!(request, Request::Key(_))
+            && matches!(
+                refusal.reason,
+                Reason::StoreDown | Reason::Deadline | Reason::Overloaded
+            );
+        let lie = may_have_run.find(|sent| {
+            let remembered = sent.by == by && self.now < sent.at + REMEMBER_MS;
+            remembered || !blind
+        });
+        assert!(
+            lie.is_none(),
+            "told that it did not run: {lie:?}, {refusal}"
+        );
+    }
+
+    /// Notes that the instance that may run a request told that it may have run.
+    fn note_unknown(&mut self, request: Request, outcome: &RunOutcome) {
+        let may_have_run = self.sent_for(request).any(|sent| !sent.refused);
+        if may_have_run && *outcome == RunOutcome::Unknown {
+            self.unknown.push(request);
+        }
+    }
+
+    fn check_answer(&mut self, id: QueryId, outcome: RunOutcome) {
+        let call = self.calls.get_mut(&id).expect("only calls are answered");
+        assert_eq!(call.outcome, None, "one answer for each call");
+        assert!(self.now <= call.deadline, "answered after the deadline");
+        call.outcome = Some(outcome.clone());
+        let request = call.request;
+        let forwarded = call.forwarded;
+        // Only the issuer of a ticket can know.
+        let elsewhere = matches!(request, Request::Ticket(number)
+            if self.tickets[number].by != id.origin);
+        if !forwarded && !elsewhere {
+            self.note_unknown(request, &outcome);
+        }
+        let call = &self.calls[&id];
+        let may_have_run = self.sent_for(call.request).any(|sent| !sent.refused);
+        match outcome {
+            RunOutcome::Done { body } => {
+                assert_eq!(body, result(call.request));
+                let run = self.sent_for(call.request).find(|sent| sent.ran);
+                assert_eq!(run.expect("it ran").body, call.body);
+            }
+            RunOutcome::NotRun(refusal) if !call.forwarded => {
+                self.check_not_run(id.origin, call.request, refusal);
+            }
+            RunOutcome::NotRun(_) => (),
+            RunOutcome::Unknown => {
+                // It may yet run for another caller.
+                let awaited =
+                    |other: &Call| other.request == call.request && other.outcome.is_none();
+                let awaited = self.calls.values().any(awaited);
+                let forgotten = self.calls.values().any(|other| {
+                    other.request == call.request && other.started + REMEMBER_MS <= self.now
+                });
+                let expired = matches!(request, Request::Ticket(number)
+                    if self.tickets[number].at + REMEMBER_MS <= self.now);
+                let forgotten = forgotten || expired;
+                assert!(
+                    may_have_run || awaited || elsewhere || forwarded || forgotten,
+                    "told unknown, but nothing ran: {call:?}"
+                );
+            }
+            RunOutcome::Conflict => {
+                let others = self
+                    .calls
+                    .values()
+                    .filter(|other| other.request == call.request);
+                let mut others = others.filter(|other| other.body != call.body);
+                assert!(others.next().is_some(), "{call:?}");
+            }
+        }
+    }
+}
+
+fn customer() -> CustomerKey {
+    CustomerKey::from_raw(0)
+}
+
+fn operation() -> OperationKey {
+    OperationKey::from_raw(0)
+}
+
+fn result(request: Request) -> Vec<u8> {
+    format!("{request:?}").into_bytes()
+}
+
+prop_state_machine! {
+    #![proptest_config(support::fuzz_config(1_024))]
+
+    #[test]
+    fn no_request_runs_twice_and_no_outcome_lies(sequential 1..100 => Cluster);
+}
