--- /dev/null
+++ b/hemlockrouter-lab/src/store/mod.rs
@@ -0,0 +1,209 @@
+//! A stand-in for the platform's store and its instance list.
+//!
+//! It speaks the parts of Consul's published HTTP API that the tier uses: keys with
+//! compare-and-swap, sessions that hold locks, reads that wait for a change, and the health
+//! endpoint as the list. It keeps everything in memory. Its faults are those that the platform is
+//! known for: outages, slowness, writes that take effect while their answer is lost, stale reads,
+//! and a list that lags.
+//!
+//! Two paths are its own: `PUT /lab/faults` takes [`Faults`] (fields left out keep their value)
+//! and `GET /lab/counts` returns [`Counts`].
+
+mod calls;
+mod counts;
+mod faults;
+mod kv;
+mod list;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use tiny_http::Method;
+
+pub use self::counts::Counts;
+pub use self::counts::Kind;
+pub use self::faults::Faults;
+pub use self::kv::MAX_VALUE_BYTES;
+pub use self::list::Registration;
+
+use self::calls::Outcome;
+use self::calls::State;
+use crate::server::overlay;
+use crate::server::Answer;
+use crate::server::Exchange;
+use crate::server::Server;
+use crate::server::ServerOptions;
+use crate::timer::Timer;
+
+/// How often sessions, the list's lag and waiting reads are looked at, in milliseconds.
+const TICK_MS: u64 = 20;
+
+/// How the store's stand-in runs.
+#[derive(Clone, Debug)]
+pub struct StoreOptions {
+    /// The address to listen on.
+    pub listen: SocketAddr,
+    /// The faults to start with.
+    pub faults: Faults,
+}
+
+/// The running stand-in. It stops when dropped.
+pub struct Store {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+impl Store {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be listened on.
+    pub fn start(options: StoreOptions) -> eyre::Result<Store> {
+        let timer = Timer::start();
+        let mut state = State::default();
+        state.set_faults(options.faults);
+        let shared = Arc::new(Shared {
+            start: Instant::now(),
+            timer: timer.clone(),
+            state: Mutex::new(state),
+        });
+        tick(Arc::downgrade(&shared), timer);
+        let handler = Arc::clone(&shared);
+        let server = Server::start(options.listen, ServerOptions::default(), move |exchange| {
+            Shared::serve(&handler, exchange);
+        })?;
+        Ok(Store { server, shared })
+    }
+
+    /// Returns the address that it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Returns what was counted.
+    pub fn counts(&self) -> Counts {
+        self.shared.lock().counts()
+    }
+
+    /// Changes what goes wrong.
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.lock().set_faults(faults);
+    }
+
+    /// Returns what goes wrong.
+    pub fn faults(&self) -> Faults {
+        self.shared.lock().faults.clone()
+    }
+
+    /// Returns the value of a key.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let state = self.shared.lock();
+        state.kv.get(key).map(|entry| entry.value.clone())
+    }
+
+    /// Returns the keys that start with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.shared.lock();
+        state.kv.range(prefix).map(|(key, _)| key.clone()).collect()
+    }
+}
+
+struct Shared {
+    start: Instant,
+    timer: Timer,
+    state: Mutex<State>,
+}
+
+fn tick(shared: std::sync::Weak<Shared>, timer: Timer) {
+    let again = timer.clone();
+    timer.after(Duration::from_millis(TICK_MS), move || {
+        if let Some(live) = shared.upgrade() {
+            live.on_tick();
+            tick(shared, again);
+        }
+    });
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no handler panics under the lock")
+    }
+
+    fn serve(shared: &Arc<Shared>, exchange: Exchange) {
+        if exchange.path.starts_with("/lab/") {
+            let answer = shared.control(&exchange);
+            exchange.answer(answer);
+            return;
+        }
+        let (outcome, delay_ms) = {
+            let mut state = shared.lock();
+            let outcome = state.call(exchange, shared.start);
+            (outcome, state.faults.delay_ms)
+        };
+        shared.send(outcome, delay_ms);
+        // A write may have been what others wait for.
+        shared.wake();
+    }
+
+    fn control(&self, exchange: &Exchange) -> Answer {
+        let mut state = self.lock();
+        match (exchange.method(), exchange.path.as_str()) {
+            (Method::Get, "/lab/counts") => Answer::json(200, &state.counts()),
+            (Method::Delete, "/lab/counts") => {
+                state.counts = Counts::default();
+                Answer::json(200, &true)
+            }
+            (Method::Get, "/lab/faults") => Answer::json(200, &state.faults),
+            (Method::Put, "/lab/faults") => match exchange
+                .json()
+                .and_then(|fields| overlay(&state.faults, fields))
+            {
+                Ok(faults) => {
+                    state.set_faults(faults);
+                    Answer::json(200, &state.faults)
+                }
+                Err(err) => Answer::bad_request(err),
+            },
+            _ => Answer::not_found(),
+        }
+    }
+
+    fn send(&self, outcome: Outcome, delay_ms: u64) {
+        let act: Box<dyn FnOnce() + Send> = match outcome {
+            Outcome::Answer(exchange, answer) => Box::new(move || exchange.answer(answer)),
+            Outcome::BreakOff(exchange) => Box::new(move || exchange.break_off()),
+            Outcome::Parked => return,
+        };
+        if delay_ms == 0 {
+            act();
+        } else {
+            self.timer.after(Duration::from_millis(delay_ms), act);
+        }
+    }
+
+    fn on_tick(&self) {
+        let now = Instant::now();
+        {
+            let mut state = self.lock();
+            state.kv.expire_sessions(now);
+            let lag = Duration::from_millis(state.faults.list_lag_ms);
+            state.list.advance(lag, now);
+        }
+        self.wake();
+    }
+
+    fn wake(&self) {
+        let (ready, delay_ms) = {
+            let mut state = self.lock();
+            (state.take_ready(Instant::now()), state.faults.delay_ms)
+        };
+        for outcome in ready {
+            self.send(outcome, delay_ms);
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrouter-limit/src/upstream.rs
@@ -0,0 +1,411 @@
+//! The state of one upstream at its owner.
+//!
+//! Whether work goes out is decided in one place, [`Upstream::may_dispatch`]: the lease is held, the
+//! upstream takes work, no pause is on, and fewer requests than the limit are in flight. Everything
+//! in flight counts until its end is reported, cancelled or not, in this tenure of the lease or in an
+//! earlier one.
+
+use hemlockrouter_types::prelude::*;
+
+use crate::config::Config;
+use crate::config::Order;
+use crate::queue::Charge;
+use crate::queue::Queue;
+use crate::ramp::Change;
+use crate::ramp::Ramp;
+use crate::work::Command;
+use crate::work::Ended;
+use crate::work::Status;
+
+/// After how long a request is late whose customer's usual time is unknown, in milliseconds.
+const LATE_UNKNOWN_MS: u64 = 1_000;
+
+/// One upstream.
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    pub(crate) name: String,
+    pub(crate) in_service: bool,
+    /// Whether the catalogue no longer has it; it is kept until its work has ended.
+    pub(crate) withdrawn: bool,
+    pub(crate) queue: Queue,
+    pub(crate) in_flight: u32,
+    /// The instant under which it is listed among the timers.
+    pub(crate) wake: Option<Time>,
+    ramp: Ramp,
+    held_until: Option<Time>,
+    start: Option<StartId>,
+    leaving_until: Option<Time>,
+    marked_leaving: bool,
+    pause: Pause,
+    /// The last pause after a refused connection, or 0 if the upstream could be connected to.
+    backoff_ms: u32,
+    /// When everything in flight is late, at the earliest.
+    all_late_at: Time,
+    /// Counts how often the upstream was taken for cold.
+    epoch: u32,
+    /// Counts how often the limit was lowered.
+    round: u32,
+}
+
+/// A time in which nothing is dispatched.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pause {
+    pub(crate) until: Time,
+    /// Why work that can't wait for its end is refused.
+    pub(crate) reason: Reason,
+}
+
+/// What is remembered of a sub-request in flight.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Flight {
+    charge: Charge,
+    since: Time,
+    late_at: Time,
+    epoch: u32,
+    round: u32,
+}
+
+impl Upstream {
+    /// Makes the state of an upstream that is not held yet.
+    pub(crate) fn new(
+        now: Time,
+        name: String,
+        slots: u32,
+        cold_slots: u32,
+        order: Order,
+    ) -> Upstream {
+        Upstream {
+            name,
+            in_service: true,
+            withdrawn: false,
+            queue: Queue::new(order),
+            in_flight: 0,
+            wake: None,
+            ramp: Ramp::new(now, slots, cold_slots),
+            held_until: None,
+            start: None,
+            leaving_until: None,
+            marked_leaving: false,
+            pause: Pause {
+                until: Time::ZERO,
+                reason: Reason::NotReady,
+            },
+            backoff_ms: 0,
+            all_late_at: now,
+            epoch: 0,
+            round: 0,
+        }
+    }
+
+    /// Takes new sizes from the catalogue.
+    pub(crate) fn resize(&mut self, slots: u32, cold_slots: u32) {
+        self.ramp.resize(slots, cold_slots);
+    }
+
+    /// Extends the lease. After a gap another instance may have owned the upstream, so it is cold.
+    pub(crate) fn hold(&mut self, now: Time, until: Time, config: &Config, out: &mut Vec<Command>) {
+        match self.held_until {
+            Some(held) if held > now => self.held_until = Some(held.max(until)),
+            _ => {
+                self.held_until = Some(until);
+                self.cool(now, "the lease is new", config, out);
+                self.pause_for(now, config.quiet_ms, Reason::NotReady);
+            }
+        }
+    }
+
+    /// Ends the lease.
+    pub(crate) fn release(&mut self) {
+        self.held_until = None;
+    }
+
+    /// Returns when the lease runs out, if it is held.
+    pub(crate) fn lease_until(&self, now: Time) -> Option<Time> {
+        self.held_until.filter(|&until| until > now)
+    }
+
+    /// Returns whether the upstream takes no new work.
+    pub(crate) fn is_leaving(&self, now: Time) -> bool {
+        !self.in_service
+            || self.withdrawn
+            || self.marked_leaving
+            || self.leaving_until.is_some_and(|until| until > now)
+    }
+
+    /// Returns the pause that is on.
+    pub(crate) fn pause(&self, now: Time) -> Option<Pause> {
+        (self.pause.until > now).then_some(self.pause)
+    }
+
+    /// Returns what is left of the time for which it is leaving, in milliseconds.
+    pub(crate) fn leaving_ms(&self, now: Time) -> Option<u64> {
+        self.leaving_until.map(|until| until.left(now))
+    }
+
+    /// Returns whether one more request may go to the upstream.
+    pub(crate) fn may_dispatch(&self, now: Time) -> bool {
+        self.lease_until(now).is_some()
+            && !self.is_leaving(now)
+            && self.pause(now).is_none()
+            && self.in_flight < self.ramp.limit()
+    }
+
+    /// Counts a request that goes to the upstream.
+    pub(crate) fn dispatch(&mut self, now: Time, charge: Charge, config: &Config) -> Flight {
+        self.in_flight += 1;
+        let late_after_ms = self
+            .ramp
+            .late_after_ms(charge.customer, config)
+            .unwrap_or(LATE_UNKNOWN_MS);
+        let late_at = now + late_after_ms;
+        self.all_late_at = self.all_late_at.max(late_at);
+        Flight {
+            charge,
+            since: now,
+            late_at,
+            epoch: self.epoch,
+            round: self.round,
+        }
+    }
+
+    /// Takes in the end of a request.
+    pub(crate) fn finish(
+        &mut self,
+        now: Time,
+        flight: Flight,
+        ended: Ended,
+        config: &Config,
+        out: &mut Vec<Command>,
+    ) {
+        self.in_flight = self
+            .in_flight
+            .checked_sub(1)
+            .expect("every request in flight was counted");
+        self.queue.settle(flight.charge, now.since(flight.since));
+        match ended {
+            Ended::Answered {
+                served_ms,
+                start,
+                leaving,
+            } => {
+                self.backoff_ms = 0;
+                self.queue
+                    .observe_served(now, flight.charge.customer, served_ms);
+                self.observe_start(now, flight, start, config, out);
+                self.observe(now, flight, served_ms, config, out);
+                if leaving {
+                    self.leave(now, config, out);
+                }
+            }
+            Ended::Shed {
+                retry_after_ms,
+                start,
+            } => {
+                self.backoff_ms = 0;
+                self.observe_start(now, flight, start, config, out);
+                self.halve(flight, "the upstream sheds load", out);
+                let pause_ms = retry_after_ms.min(config.backoff_max_ms);
+                self.pause_for(now, pause_ms, Reason::Shed);
+            }
+            Ended::Leaving => {
+                self.backoff_ms = 0;
+                self.leave(now, config, out);
+            }
+            Ended::Unreachable => self.observe_unreachable(now, config, out),
+            Ended::TimedOut | Ended::Failed => self.observe_failure(now, flight, config, out),
+            Ended::Cancelled => self.observe_cancelled(now, flight, config, out),
+            Ended::NotSent => {}
+        }
+    }
+
+    /// Takes the upstream for cold if all that is in flight is late.
+    pub(crate) fn check_progress(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
+        if self.stalls_at().is_some_and(|at| at <= now) {
+            self.cool(now, "all in flight is late", config, out);
+        }
+    }
+
+    /// Returns when the upstream looks cold if nothing goes out or comes back until then. One request
+    /// alone may just be a straggler.
+    pub(crate) fn stalls_at(&self) -> Option<Time> {
+        if self.ramp.is_cold() || self.in_flight < 2 {
+            return None;
+        }
+        Some(self.all_late_at + 1)
+    }
+
+    /// Returns the condition.
+    pub(crate) fn status(&self, now: Time) -> Status {
+        Status {
+            limit: self.ramp.limit(),
+            in_flight: self.in_flight,
+            queued: self.queue.len() as u32,
+            cold: self.ramp.is_cold(),
+            leaving: self.is_leaving(now),
+        }
+    }
+
+    /// Takes in whether another source calls the upstream leaving.
+    pub(crate) fn mark_leaving(
+        &mut self,
+        now: Time,
+        leaving: bool,
+        config: &Config,
+        out: &mut Vec<Command>,
+    ) {
+        if leaving == self.marked_leaving {
+            return;
+        }
+        self.marked_leaving = leaving;
+        self.leaving_until = None;
+        self.cool(
+            now,
+            "the upstream was marked as leaving or staying",
+            config,
+            out,
+        );
+    }
+
+    fn leave(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
+        if !self.is_leaving(now) {
+            out.push(self.decision("refuse new work", "the upstream is leaving"));
+        }
+        self.leaving_until = Some(now + u64::from(config.leaving_ms));
+        // Whatever answers at this address afterwards is another start.
+        self.cool(now, "the upstream is leaving", config, out);
+    }
+
+    fn observe_start(
+        &mut self,
+        now: Time,
+        flight: Flight,
+        start: Option<StartId>,
+        config: &Config,
+        out: &mut Vec<Command>,
+    ) {
+        // An answer to work from before may be late and name a start that is gone.
+        if start.is_none() || flight.epoch != self.epoch {
+            return;
+        }
+        if self.start.is_some() && self.start != start {
+            self.cool(now, "the upstream restarted", config, out);
+        }
+        self.start = start;
+    }
+
+    fn observe(
+        &mut self,
+        now: Time,
+        flight: Flight,
+        served_ms: u32,
+        config: &Config,
+        out: &mut Vec<Command>,
+    ) {
+        if self.is_outdated(flight) {
+            return;
+        }
+        let customer = flight.charge.customer;
+        let change = self
+            .ramp
+            .observe(now, customer, u64::from(served_ms), config);
+        self.record(change, "answers", out);
+    }
+
+    fn observe_failure(
+        &mut self,
+        now: Time,
+        flight: Flight,
+        config: &Config,
+        out: &mut Vec<Command>,
+    ) {
+        if self.is_outdated(flight) {
+            return;
+        }
+        let customer = flight.charge.customer;
+        let change = self.ramp.observe_failure(now, customer, config);
+        self.record(change, "failures", out);
+    }
+
+    /// A request that was cancelled when it was late already counts as a late answer.
+    fn observe_cancelled(
+        &mut self,
+        now: Time,
+        flight: Flight,
+        config: &Config,
+        out: &mut Vec<Command>,
+    ) {
+        if now > flight.late_at {
+            let waited_ms = u32::try_from(now.since(flight.since)).unwrap_or(u32::MAX);
+            self.observe(now, flight, waited_ms, config, out);
+        }
+    }
+
+    /// Returns whether the limit was lowered since the request went out. Its end tells of the load
+    /// before.
+    fn is_outdated(&self, flight: Flight) -> bool {
+        flight.epoch != self.epoch || flight.round != self.round
+    }
+
+    fn observe_unreachable(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
+        self.cool(now, "the connection was refused", config, out);
+        if self
+            .pause(now)
+            .is_some_and(|pause| pause.reason == Reason::Unreachable)
+        {
+            return;
+        }
+        let doubled = self.backoff_ms.saturating_mul(2);
+        self.backoff_ms = doubled.clamp(config.backoff_min_ms, config.backoff_max_ms);
+        self.pause_for(now, self.backoff_ms, Reason::Unreachable);
+    }
+
+    fn pause_for(&mut self, now: Time, ms: u32, reason: Reason) {
+        let until = now + u64::from(ms);
+        if until > self.pause.until {
+            self.pause = Pause { until, reason };
+        }
+    }
+
+    fn halve(&mut self, flight: Flight, why: &'static str, out: &mut Vec<Command>) {
+        if self.is_outdated(flight) {
+            return;
+        }
+        let change = self.ramp.halve();
+        self.record(change, why, out);
+    }
+
+    fn cool(&mut self, now: Time, why: &'static str, config: &Config, out: &mut Vec<Command>) {
+        let change = self.ramp.cool(now, config);
+        self.epoch = self.epoch.wrapping_add(1);
+        if change == Change::Cold {
+            self.record_limit(why, out);
+        }
+    }
+
+    /// Counts and records what an answer did to the ramp.
+    fn record(&mut self, change: Change, why: &'static str, out: &mut Vec<Command>) {
+        match change {
+            Change::None => return,
+            Change::Warm => {}
+            Change::Halved => self.round = self.round.wrapping_add(1),
+            Change::Cold => self.epoch = self.epoch.wrapping_add(1),
+        }
+        self.record_limit(why, out);
+    }
+
+    fn record_limit(&self, why: &'static str, out: &mut Vec<Command>) {
+        let chosen = format!("limit {}", self.ramp.limit());
+        out.push(self.decision(&chosen, why));
+    }
+
+    fn decision(&self, chosen: &str, why: &'static str) -> Command {
+        Command::Decision(Decision {
+            what: "limit",
+            subject: self.name.clone(),
+            chosen: chosen.to_owned(),
+            passed_over: String::new(),
+            why: why.into(),
+            took_ms: 0,
+        })
+    }
+}
