--- a/hemlockrouter-limit/src/lib.rs
+++ b/hemlockrouter-limit/src/lib.rs
@@ -37,7 +37,10 @@
 //! - `limiter`: the [`Limiter`], which finds the upstream of each event.
 //! - `upstream`: the state of one upstream: lease, ramp, queue, pauses.
 //! - `ramp`: the cold-start ramp.
+//! - `history`: how long the work of each customer takes at an upstream.
+//! - `window`: the answers since a limit changed.
 //! - `queue`: the weighted fair queue over customers.
+//! - `mean`: means of durations.
 //! - `timers`: when upstreams need attention.
 //! - `admission`: the limits of customers at the entry.
 //! - `work`: events and commands.
@@ -45,15 +48,20 @@
 
 mod admission;
 mod config;
+mod history;
 mod limiter;
+mod mean;
 mod queue;
 mod ramp;
 mod timers;
 mod upstream;
+mod window;
 mod work;
 
 pub use crate::admission::Admission;
 pub use crate::config::Config;
+pub use crate::config::Growth;
+pub use crate::config::Order;
 pub use crate::limiter::Limiter;
 pub use crate::work::Command;
 pub use crate::work::Ended;
