limit: suspect a cold turn before believing it

The fuzz test also let an owner fill all slots after a refused connection. Change: when all in flight is late, no more than the cold bound may be in flight until an answer comes in time; votes on answers decide on a cold turn as before. The oracle expects the cold bound from the first refused connection on.

--- a/hemlockrouter-limit/src/limiter.rs
+++ b/hemlockrouter-limit/src/limiter.rs
@@ -342,7 +342,7 @@
         self.upstreams
             .get_mut(&upstream)
             .expect("only known upstreams are pumped")
-            .check_progress(now, &self.config, out);
+            .check_progress(now, out);
         self.refuse_all_if_closed(now, upstream, out);
         self.refuse_due(now, upstream, out);
         self.dispatch(now, upstream, out);
--- a/hemlockrouter-limit/src/ramp.rs
+++ b/hemlockrouter-limit/src/ramp.rs
@@ -113,6 +113,11 @@
         self.limit
     }
 
+    /// Returns how many requests may be in flight during a cold start.
+    pub(crate) fn cold_slots(&self) -> u32 {
+        self.cold_slots
+    }
+
     /// Returns whether the upstream is taken for cold.
     pub(crate) fn is_cold(&self) -> bool {
         matches!(self.phase, Phase::Cold(_))
--- a/hemlockrouter-limit/src/upstream.rs
+++ b/hemlockrouter-limit/src/upstream.rs
@@ -41,6 +41,9 @@
     backoff_ms: u32,
     /// When everything in flight is late, at the earliest.
     all_late_at: Time,
+    /// Since when it may have turned cold: all that was in flight was late, and nothing that went out
+    /// afterwards has been answered in time.
+    suspect_since: Option<Time>,
     /// Counts how often the upstream was taken for cold.
     epoch: u32,
     /// Counts how often the limit was lowered.
@@ -92,6 +95,7 @@
             },
             backoff_ms: 0,
             all_late_at: now,
+            suspect_since: None,
             epoch: 0,
             round: 0,
         }
@@ -147,7 +151,7 @@
         self.lease_until(now).is_some()
             && !self.is_leaving(now)
             && self.pause(now).is_none()
-            && self.in_flight < self.ramp.limit()
+            && self.in_flight < self.limit()
     }
 
     /// Counts a request that goes to the upstream.
@@ -218,26 +222,35 @@
         }
     }
 
-    /// Takes the upstream for cold if all that is in flight is late.
-    pub(crate) fn check_progress(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
+    /// Suspects the upstream of a cold turn if all that is in flight is late. It may as well be
+    /// stragglers, so the limit comes back with the first answer in time.
+    pub(crate) fn check_progress(&mut self, now: Time, out: &mut Vec<Command>) {
         if self.stalls_at().is_some_and(|at| at <= now) {
-            self.cool(now, "all in flight is late", config, out);
+            self.suspect_since = Some(now);
+            self.record_limit("all in flight is late", out);
         }
     }
 
-    /// Returns when the upstream looks cold if nothing goes out or comes back until then. One request
-    /// alone may just be a straggler.
+    /// Returns when the upstream looks cold if nothing goes out or comes back until then.
     pub(crate) fn stalls_at(&self) -> Option<Time> {
-        if self.ramp.is_cold() || self.in_flight < 2 {
+        if self.ramp.is_cold() || self.suspect_since.is_some() || self.in_flight < 2 {
             return None;
         }
         Some(self.all_late_at + 1)
     }
 
+    /// Returns how many requests may be in flight.
+    fn limit(&self) -> u32 {
+        match self.suspect_since {
+            Some(_) => self.ramp.limit().min(self.ramp.cold_slots()),
+            None => self.ramp.limit(),
+        }
+    }
+
     /// Returns the condition.
     pub(crate) fn status(&self, now: Time) -> Status {
         Status {
-            limit: self.ramp.limit(),
+            limit: self.limit(),
             in_flight: self.in_flight,
             queued: self.queue.len() as u32,
             cold: self.ramp.is_cold(),
@@ -304,6 +317,13 @@
         if self.is_outdated(flight) {
             return;
         }
+        if self
+            .suspect_since
+            .is_some_and(|since| flight.since >= since)
+            && now <= flight.late_at
+        {
+            self.suspect_since = None;
+        }
         let customer = flight.charge.customer;
         let change = self
             .ramp
@@ -376,6 +396,7 @@
 
     fn cool(&mut self, now: Time, why: &'static str, config: &Config, out: &mut Vec<Command>) {
         let change = self.ramp.cool(now, config);
+        self.suspect_since = None;
         self.epoch = self.epoch.wrapping_add(1);
         if change == Change::Cold {
             self.record_limit(why, out);
@@ -388,13 +409,16 @@
             Change::None => return,
             Change::Warm => {}
             Change::Halved => self.round = self.round.wrapping_add(1),
-            Change::Cold => self.epoch = self.epoch.wrapping_add(1),
+            Change::Cold => {
+                self.suspect_since = None;
+                self.epoch = self.epoch.wrapping_add(1);
+            }
         }
         self.record_limit(why, out);
     }
 
     fn record_limit(&self, why: &'static str, out: &mut Vec<Command>) {
-        let chosen = format!("limit {}", self.ramp.limit());
+        let chosen = format!("limit {}", self.limit());
         out.push(self.decision(&chosen, why));
     }
 
--- a/hemlockrouter-limit/tests/limit/machine.rs
+++ b/hemlockrouter-limit/tests/limit/machine.rs
@@ -593,9 +593,12 @@
         self.event(owner, |limiter, now, out| limiter.tick(now, out));
     }
 
-    /// Reports an end. A changed start means that the upstream is cold.
+    /// Reports an end. A refused connection or a changed start means that the upstream is cold.
     fn finish(&mut self, owner: usize, id: SubId, ended: Ended) {
         self.owners[owner].ended.push((id, ended));
+        let up = &mut self.ups[self.owners[owner].offered[&id].upstream.slot()];
+        let holds = up.holder.is_some_and(|(holder, _)| holder == owner);
+        up.known_cold |= holds && ended == Ended::Unreachable;
         self.event(owner, |limiter, now, out| {
             limiter.finish(now, id, ended, out)
         });
