limit: test admission, room in a full queue, deadlines, lapses and failing queries

Cause: these points had no test of their own. Change: one sharp test each; admission against its definition over random arrivals.

--- a/hemlockrouter-limit/tests/limit/limiter.rs
+++ b/hemlockrouter-limit/tests/limit/limiter.rs
@@ -55,3 +55,85 @@
     assert_eq!(dispatched(&out), [1]);
     assert!(refused(&out).is_empty());
 }
+
+/// Makes a limiter whose only upstream has one request in flight, so that whatever follows waits.
+fn busy(queue_max: usize, customers: usize, out: &mut Vec<Command>) -> Limiter {
+    let mut limiter = Limiter::new(Config::new().queue_max(queue_max));
+    limiter.configure(ms(0), &catalog(1, 2, 1, customers), out);
+    hold(&mut limiter, ms(0), out);
+    limiter.offer(ms(250), work(1, 0, ms(10_000)), out);
+    limiter
+}
+
+#[test]
+fn full_queue_makes_room_at_the_cost_of_its_largest_user() {
+    let mut out = Vec::new();
+    let mut limiter = busy(4, 2, &mut out);
+    for seq in 2..=5 {
+        limiter.offer(ms(250), work(seq, 0, ms(10_000 - seq)), &mut out);
+    }
+    limiter.offer(ms(251), work(6, 1, ms(10_000)), &mut out);
+    limiter.offer(ms(251), work(7, 0, ms(400)), &mut out);
+    let refused: Vec<_> = refused(&out)
+        .into_iter()
+        .map(|(seq, refusal)| (seq, refusal.reason))
+        .collect();
+    // The latest deadline of the first customer goes, then its own newcomer.
+    assert_eq!(refused, [(2, Reason::Overloaded), (7, Reason::Overloaded)]);
+}
+
+#[test]
+fn earliest_deadline_of_a_customer_is_first() {
+    let mut out = Vec::new();
+    let mut limiter = busy(9, 1, &mut out);
+    for (seq, deadline) in [(2, 900), (3, 700), (4, 800)] {
+        limiter.offer(ms(250), work(seq, 0, ms(deadline)), &mut out);
+    }
+    for seq in [1, 3, 4] {
+        limiter.finish(ms(250 + 5 * seq), id(seq), answered(5, 1), &mut out);
+    }
+    assert_eq!(dispatched(&out), [1, 3, 4, 2]);
+}
+
+#[test]
+fn lapsed_lease_refuses_what_waits_and_ends_what_runs() {
+    let mut out = Vec::new();
+    let mut limiter = Limiter::new(Config::new());
+    limiter.configure(ms(0), &catalog(1, 2, 1, 1), &mut out);
+    limiter.hold(ms(0), upstream(0), ms(600), &mut out);
+    limiter.tick(ms(250), &mut out);
+    for seq in 1..=2 {
+        limiter.offer(ms(250), work(seq, 0, ms(2_000)), &mut out);
+    }
+    while let Some(wake) = limiter.next_wake().filter(|&wake| wake <= ms(600)) {
+        limiter.tick(wake, &mut out);
+    }
+    assert_eq!(dispatched(&out), [1]);
+    assert_eq!(refused(&out)[0].1.reason, Reason::NotOwner);
+    assert_eq!(limiter.in_flight(upstream(0)), 1);
+    limiter.finish(ms(700), id(1), answered(450, 1), &mut out);
+    assert_eq!(limiter.in_flight(upstream(0)), 0);
+}
+
+#[test]
+fn failing_queries_of_one_customer_leave_the_upstream_warm_for_others() {
+    let mut out = Vec::new();
+    let mut limiter = Limiter::new(Config::new());
+    limiter.configure(ms(0), &catalog(1, 2, 1, 2), &mut out);
+    hold(&mut limiter, ms(0), &mut out);
+    let mut now = ms(250);
+    for seq in 1..=2_000 {
+        let customer = (seq % 2) as u32;
+        limiter.offer(now, work(seq, customer, now + 200), &mut out);
+        now = now + 5;
+        let warm = now > ms(5_000);
+        let ended = if warm && customer == 1 {
+            Ended::Failed
+        } else {
+            answered(5, 1)
+        };
+        limiter.finish(now, id(seq), ended, &mut out);
+        let status = limiter.status(upstream(0)).unwrap();
+        assert!(!warm || (!status.cold && status.limit == 2), "at {now}");
+    }
+}
--- a/hemlockrouter-limit/tests/limit/main.rs
+++ b/hemlockrouter-limit/tests/limit/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions per upstream.
 
+mod admission;
 mod common;
 mod fake;
 mod limiter;
