--- a/hemlockrouter-route/tests/support/mod.rs
+++ b/hemlockrouter-route/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test binary uses some of this")]
 
+pub(crate) mod sim;
+
 use std::net::SocketAddr;
 
 use hemlockrouter_types::catalog::Customer;
