End the notes fuzz test when a job panics

Cause: a job that panicked left the scheduler waiting for it, so a broken variant hung the run instead of failing it. Change: a job's port reports the panic.

--- a/hemlockrouter-platform/tests/support/schedule.rs
+++ b/hemlockrouter-platform/tests/support/schedule.rs
@@ -26,6 +26,7 @@
 enum Message<T> {
     Call(usize, Call),
     Ended(usize, T),
+    Panicked(usize),
 }
 
 /// A job's way to the store.
@@ -60,6 +61,18 @@
     }
 }
 
+impl<T> Drop for Port<T> {
+    /// A job that panics ends the run, instead of leaving the scheduler waiting for it.
+    fn drop(&mut self) {
+        if thread::panicking() {
+            // The scheduler may be the one that panicked first, and gone.
+            if let Ok(calls) = self.calls.lock() {
+                let _ = calls.send(Message::Panicked(self.job));
+            }
+        }
+    }
+}
+
 impl<T> Store for Port<T>
 where
     T: Send,
@@ -135,6 +148,7 @@
                 match messages.recv().expect("a job is running") {
                     Message::Call(job, call) => waiting.push((job, call)),
                     Message::Ended(job, end) => ended.push((job, end)),
+                    Message::Panicked(job) => panic!("job {job} panicked"),
                 }
             }
             live -= ended.len();
