Wait for the end of upstream calls past their deadline; use all settings

Cause: a call was given up at its deadline while the upstream still worked on it, and its slot was taken as free. With answers that take longer than deadlines, an upstream in a cold start got a second request in flight.

Ruled out: counting a call as in flight until a fixed time after it was given up, since the upstream itself tells when it stops, by its deadline.

Change: the end is waited for one second past the deadline; the entry does not wait for it. Sizes and timeouts that the settings name are taken from there.

--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -40,9 +40,6 @@
 use crate::node::CallerRequest;
 use crate::node::Mailbox;
 
-/// Threads that serve all connections together.
-const WORKER_THREADS: usize = 2;
-
 /// Bounds on what callers may send.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Bounds {
@@ -51,6 +48,8 @@
     pub(crate) header_timeout_ms: u64,
     pub(crate) body_max_bytes: usize,
     pub(crate) body_timeout_ms: u64,
+    pub(crate) deadline_max_ms: u64,
+    pub(crate) threads: usize,
 }
 
 /// The running server of the callers' port.
@@ -85,7 +84,7 @@
         mailbox: Mailbox,
     ) -> io::Result<CallersServer> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(WORKER_THREADS)
+            .worker_threads(bounds.threads)
             .thread_name("callers")
             .enable_all()
             .build()?;
@@ -227,7 +226,7 @@
     }
     let bearer = request::bearer(&head)?;
     let body = read_body(body, bounds).await?;
-    let parsed = request::parse(&head, &body)?;
+    let parsed = request::parse(&head, &body, bounds.deadline_max_ms)?;
     let (sender, receiver) = oneshot::channel();
     let guard = mailbox
         .submit(CallerRequest {
--- a/src/edge/request.rs
+++ b/src/edge/request.rs
@@ -22,9 +22,6 @@
 use crate::node::RunVia;
 use crate::node::SearchAnswer;
 
-/// The longest deadline that a caller may ask for, in milliseconds.
-const DEADLINE_MAX_MS: u64 = 60_000;
-
 /// The longest idempotency key or ticket, in bytes.
 const RUN_KEY_MAX_BYTES: usize = 256;
 
@@ -119,15 +116,19 @@
     operation: String,
 }
 
-/// Reads what the caller asks for.
+/// Reads what the caller asks for; deadlines are at most `deadline_max_ms`.
 ///
 /// # Errors
 ///
 /// Returns the error for the caller if the path is unknown or the body is not what it should be.
-pub(crate) fn parse(head: &Parts, body: &[u8]) -> Result<RequestKind, CallerError> {
+pub(crate) fn parse(
+    head: &Parts,
+    body: &[u8],
+    deadline_max_ms: u64,
+) -> Result<RequestKind, CallerError> {
     match head.uri.path() {
-        "/v1/search" => parse_search(body),
-        "/v1/run" => parse_run(head, body),
+        "/v1/search" => parse_search(body, deadline_max_ms),
+        "/v1/run" => parse_run(head, body, deadline_max_ms),
         "/v1/tickets" => {
             let body: TicketBody = parse_body(body)?;
             Ok(RequestKind::Ticket {
@@ -142,7 +143,7 @@
     }
 }
 
-fn parse_search(body: &[u8]) -> Result<RequestKind, CallerError> {
+fn parse_search(body: &[u8], deadline_max_ms: u64) -> Result<RequestKind, CallerError> {
     let body: SearchBody<'_> = parse_body(body)?;
     let min_coverage = body.min_coverage.unwrap_or(0.0);
     if !(0.0..=1.0).contains(&min_coverage) {
@@ -155,12 +156,12 @@
     Ok(RequestKind::Search {
         search: body.search,
         query: body.query.get().as_bytes().to_vec(),
-        deadline_ms: check_deadline(body.deadline_ms)?,
+        deadline_ms: check_deadline(body.deadline_ms, deadline_max_ms)?,
         min_coverage: body.min_coverage,
     })
 }
 
-fn parse_run(head: &Parts, body: &[u8]) -> Result<RequestKind, CallerError> {
+fn parse_run(head: &Parts, body: &[u8], deadline_max_ms: u64) -> Result<RequestKind, CallerError> {
     let body: RunBody<'_> = parse_body(body)?;
     let key = head
         .headers
@@ -191,7 +192,7 @@
     Ok(RequestKind::Run {
         operation: body.operation,
         request: body.request.get().as_bytes().to_vec(),
-        deadline_ms: check_deadline(body.deadline_ms)?,
+        deadline_ms: check_deadline(body.deadline_ms, deadline_max_ms)?,
         via,
     })
 }
@@ -206,11 +207,11 @@
     })
 }
 
-fn check_deadline(deadline_ms: u64) -> Result<u64, CallerError> {
-    if (1..=DEADLINE_MAX_MS).contains(&deadline_ms) {
+fn check_deadline(deadline_ms: u64, max_ms: u64) -> Result<u64, CallerError> {
+    if (1..=max_ms).contains(&deadline_ms) {
         return Ok(deadline_ms);
     }
-    let text = format!("deadline_ms must lie between 1 and {DEADLINE_MAX_MS}");
+    let text = format!("deadline_ms must lie between 1 and {max_ms}");
     Err(CallerError::new(
         StatusCode::BAD_REQUEST,
         "bad_deadline",
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -123,13 +123,8 @@
             Arc::clone(&metrics),
         )
         .wrap_err_with(|| cannot_listen("instances_listen", settings.instances_listen))?;
-        let peers = Peers::start(
-            id,
-            keys.instances,
-            settings.limits.peer_threads,
-            mailbox.clone(),
-        )
-        .wrap_err("can't start the threads that call other instances")?;
+        let peers = Peers::start(id, keys.instances, &settings.limits, mailbox.clone())
+            .wrap_err("can't start the threads that call other instances")?;
         let platform = Platform::start(
             settings.platform.clone(),
             settings.timing.clone(),
@@ -148,8 +143,7 @@
             },
         )
         .wrap_err_with(|| cannot_listen("operators_listen", settings.operators_listen))?;
-        let threads = settings.limits.upstream_threads;
-        let upstreams = Upstreams::start(threads, clock, mailbox.clone())
+        let upstreams = Upstreams::start(&settings, clock, mailbox.clone())
             .wrap_err("can't start the threads that call upstreams")?;
         let me = Peer {
             id,
@@ -422,5 +416,7 @@
         header_timeout_ms: limits.header_timeout_ms,
         body_max_bytes: limits.body_max_bytes,
         body_timeout_ms: limits.body_timeout_ms,
+        deadline_max_ms: settings.timing.deadline_max_ms,
+        threads: limits.callers_threads,
     }
 }
--- a/src/outbound/peers.rs
+++ b/src/outbound/peers.rs
@@ -15,6 +15,7 @@
 use std::thread;
 use std::time::Duration;
 
+use hemlockrouter_config::settings::Limits;
 use hemlockrouter_config::SecretKey;
 use hemlockrouter_types::InstanceId;
 use hemlockrouter_wire::Envelope;
@@ -28,9 +29,6 @@
 /// How many messages may wait for one instance. More are undeliverable at once.
 const QUEUE_MAX: usize = 16_384;
 
-/// How many messages one envelope carries at most.
-const BATCH_MAX: usize = 1_024;
-
 /// How many envelopes may be under way to one instance, so that a long round trip between regions
 /// does not hold back what comes after.
 const UNDER_WAY_MAX: usize = 4;
@@ -79,6 +77,7 @@
     ready: Condvar,
     me: InstanceId,
     key: SecretKey,
+    batch_max: usize,
     mailbox: Mailbox,
 }
 
@@ -108,7 +107,7 @@
 }
 
 impl Peers {
-    /// Starts `threads` sending threads.
+    /// Starts the sending threads.
     ///
     /// # Errors
     ///
@@ -116,7 +115,7 @@
     pub(crate) fn start(
         me: InstanceId,
         key: SecretKey,
-        threads: usize,
+        limits: &Limits,
         mailbox: Mailbox,
     ) -> io::Result<Peers> {
         let shared = Arc::new(Shared {
@@ -124,6 +123,7 @@
             ready: Condvar::new(),
             me,
             key,
+            batch_max: limits.batch_max,
             mailbox,
         });
         let agent: ureq::Agent = ureq::Agent::config_builder()
@@ -136,7 +136,7 @@
             .proxy(None)
             .build()
             .into();
-        for n in 0..threads {
+        for n in 0..limits.peer_threads {
             let shared = Arc::clone(&shared);
             let agent = agent.clone();
             thread::Builder::new()
@@ -231,7 +231,7 @@
                     .expect("ready queues exist");
                 queue.is_ready = false;
                 queue.under_way += 1;
-                let len = queue.messages.len().min(BATCH_MAX);
+                let len = queue.messages.len().min(self.batch_max);
                 let messages = queue.messages.drain(..len).collect();
                 let to = queue.to;
                 queues.wake(address, &self.ready);
--- a/src/outbound/platform.rs
+++ b/src/outbound/platform.rs
@@ -324,7 +324,12 @@
         }
         match notes::write_base(&self.consul, &catalog) {
             notes::BaseWritten::Yes { before } => {
-                notes::prune(&self.consul, before, catalog.number, notes::Margins::default());
+                notes::prune(
+                    &self.consul,
+                    before,
+                    catalog.number,
+                    notes::Margins::default(),
+                );
                 catalog.number
             }
             notes::BaseWritten::Newer(number) => number,
--- a/src/outbound/upstreams.rs
+++ b/src/outbound/upstreams.rs
@@ -13,6 +13,7 @@
 use std::thread;
 use std::time::Duration;
 
+use hemlockrouter_config::Settings;
 use hemlockrouter_limit::Ended;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_wire::SubOutcome;
@@ -24,11 +25,10 @@
 use crate::node::Mailbox;
 use crate::outbound::peers::never_sent;
 
-/// How long connecting may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-
-/// The largest answer of an upstream, in bytes.
-const ANSWER_MAX_BYTES: u64 = 8 << 20;
+/// How long after the deadline the end of a call is waited for, in milliseconds. The entry does not
+/// wait for it; but until the upstream says that it has stopped, the work takes up one of its slots,
+/// and more must not be sent in its place.
+const END_GRACE_MS: u64 = 1_000;
 
 /// How long an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -178,6 +178,7 @@
 
 struct Caller {
     agent: ureq::Agent,
+    answer_max_bytes: u64,
     clock: Clock,
     mailbox: Mailbox,
 }
@@ -189,12 +190,14 @@
     ///
     /// Returns the error of starting the thread for cancellations.
     pub(crate) fn start(
-        threads_max: usize,
+        settings: &Settings,
         clock: Clock,
         mailbox: Mailbox,
     ) -> io::Result<Upstreams> {
+        let threads_max = settings.limits.upstream_threads;
+        let connect_timeout = Duration::from_millis(settings.timing.upstream_connect_ms);
         let agent = ureq::Agent::config_builder()
-            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .timeout_connect(Some(connect_timeout))
             .max_idle_connections(threads_max * 2)
             .max_idle_connections_per_host(threads_max)
             .max_idle_age(IDLE_TIMEOUT)
@@ -205,6 +208,7 @@
         let (sender, receiver) = std::sync::mpsc::sync_channel(threads_max * 4);
         let caller = Caller {
             agent,
+            answer_max_bytes: settings.limits.answer_max_bytes as u64,
             clock,
             mailbox,
         };
@@ -289,7 +293,7 @@
             .agent
             .post(format!("http://{}{}", call.address, call.path()))
             .config()
-            .timeout_global(Some(Duration::from_millis(left_ms)))
+            .timeout_global(Some(Duration::from_millis(left_ms + END_GRACE_MS)))
             .build()
             .content_type("application/json")
             .send(&call.body(left_ms)[..]);
@@ -298,7 +302,7 @@
             let body = answer
                 .body_mut()
                 .with_config()
-                .limit(ANSWER_MAX_BYTES)
+                .limit(self.answer_max_bytes)
                 .read_to_vec()?;
             Ok((status, body))
         });
