Read the instance list until the instance is established

Cause: an instance that found the list empty at its start never read it again before it was configured, and the member establishes the first instances of a zone from the list. A zone whose instances were listed late had no owners.

Ruled out: the seeds, which establish the first instances only of the seeds' own zone.

Change: the list is read, with backoff, until the instance is established.

--- a/hemlockrouter-member/src/member.rs
+++ b/hemlockrouter-member/src/member.rs
@@ -285,6 +285,12 @@
         })
     }
 
+    /// Returns whether this instance counts in the quorums of its zone. Until it does, it needs the
+    /// platform's list to find the others.
+    pub fn is_established(&self) -> bool {
+        self.membership.is_established()
+    }
+
     /// Returns whether this instance shall follow the store.
     pub fn is_watcher(&self) -> bool {
         self.is_watcher
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -423,6 +423,9 @@
                 self.execute_one(now, command);
             }
         }
+        self.parts
+            .shared
+            .set_established(self.parts.member.is_established());
         if let Some(at) = self.parts.member.next_wake() {
             let wait = Duration::from_millis(at.left(now).max(1));
             timer_min!(&mut self.timer, Instant::now() + wait, [cx], tick());
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -16,6 +16,7 @@
 pub(crate) struct Shared {
     config: AtomicU64,
     leaving: AtomicBool,
+    established: AtomicBool,
     store_up: AtomicBool,
     callers_closed: AtomicBool,
     left: AtomicBool,
@@ -44,6 +45,16 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Notes whether the instance counts in the quorums of its zone.
+    pub(crate) fn set_established(&self, established: bool) {
+        self.established.store(established, Ordering::Relaxed);
+    }
+
+    /// Returns whether the instance counts in the quorums of its zone.
+    pub(crate) fn is_established(&self) -> bool {
+        self.established.load(Ordering::Relaxed)
+    }
+
     /// Notes that the callers' port is closed.
     pub(crate) fn set_callers_closed(&self) {
         self.callers_closed.store(true, Ordering::Relaxed);
--- a/src/outbound/platform.rs
+++ b/src/outbound/platform.rs
@@ -238,16 +238,18 @@
         }
     }
 
-    /// Reads list and configuration until a configuration is in force, from here or from a peer.
+    /// Reads the configuration until one is in force, from here or from a peer, and the list until
+    /// the instance counts in the quorums of its zone.
     fn first_read(&self) {
-        self.read_list();
-        let jitter = Duration::from_millis(rand::rng().random_range(0..START_JITTER_MS));
         let mut backoff = Backoff::new(&self.timing);
-        if self.consul_is_first() {
-            thread::sleep(jitter);
+        if self.read_list() > 1 {
+            // Peers may be quicker, and many instances may start at once.
+            let jitter_ms = rand::rng().random_range(0..START_JITTER_MS);
+            thread::sleep(Duration::from_millis(jitter_ms));
         }
-        while self.number() == ConfigNumber::default() {
-            if self.load() {
+        loop {
+            let is_configured = self.number() > ConfigNumber::default() || self.load();
+            if is_configured && self.shared.is_established() {
                 return;
             }
             thread::sleep(backoff.next());
@@ -255,12 +257,6 @@
         }
     }
 
-    /// Returns whether the list has other instances, which may be quicker than the store.
-    fn consul_is_first(&self) -> bool {
-        let listed = self.consul.instances(&self.platform.service_name);
-        listed.is_ok_and(|listed| listed.len() > 1)
-    }
-
     /// Reads the whole configuration; returns whether the store answered.
     fn load(&self) -> bool {
         match notes::load(&self.consul) {
@@ -349,13 +345,19 @@
         }
     }
 
-    fn read_list(&self) {
+    /// Reads the instance list; returns how many instances it has.
+    fn read_list(&self) -> usize {
         match self.consul.instances(&self.platform.service_name) {
             Ok(listed) => {
-                let listed = listed.into_iter().filter_map(listed_instance).collect();
+                let listed: Vec<Listed> = listed.into_iter().filter_map(listed_instance).collect();
+                let count = listed.len();
                 self.mailbox.put(Event::Listed(listed));
+                count
+            }
+            Err(down) => {
+                warn!(error = down.to_string(); "the instance list can't be read");
+                0
             }
-            Err(down) => warn!(error = down.to_string(); "the instance list can't be read"),
         }
     }
 }
