limit: bench one sub-request by upstreams and customers

Cause: the cost per sub-request must not grow with either. Change: a criterion bench of offer, dispatch and end with 8 sub-requests waiting for each upstream.

--- /dev/null
+++ b/hemlockrouter-limit/benches/decide.rs
@@ -0,0 +1,144 @@
+//! The time of one sub-request: its offer, its dispatch and its end.
+//!
+//! Each case keeps every upstream busy with work of every customer waiting, so that the cost of the
+//! queue is in it. The cost must not grow with the number of upstreams or customers.
+
+use std::hint::black_box;
+
+use criterion::criterion_group;
+use criterion::criterion_main;
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use hemlockrouter_limit::Command;
+use hemlockrouter_limit::Config;
+use hemlockrouter_limit::Ended;
+use hemlockrouter_limit::Limiter;
+use hemlockrouter_limit::Work;
+use hemlockrouter_types::catalog::Customer;
+use hemlockrouter_types::catalog::Upstream;
+use hemlockrouter_types::catalog::Zone;
+use hemlockrouter_types::prelude::*;
+
+/// How many sub-requests wait for each upstream.
+const WAITING: u32 = 8;
+
+/// Far enough away that nothing is refused.
+const DEADLINE_MS: u64 = 1_000_000;
+
+struct Bench {
+    limiter: Limiter,
+    out: Vec<Command>,
+    now: Time,
+    seq: u64,
+    upstreams: u32,
+    customers: u32,
+}
+
+impl Bench {
+    fn new(upstreams: u32, customers: u32) -> Bench {
+        let mut bench = Bench {
+            limiter: Limiter::new(Config::new()),
+            out: Vec::new(),
+            now: Time::ZERO,
+            seq: 0,
+            upstreams,
+            customers,
+        };
+        let catalog = catalog(upstreams, customers);
+        bench.limiter.configure(bench.now, &catalog, &mut bench.out);
+        for n in 0..upstreams {
+            let key = UpstreamKey::from_raw(n);
+            bench
+                .limiter
+                .hold(bench.now, key, Time::MAX, &mut bench.out);
+        }
+        bench.now = Time::from_ms(1_000);
+        bench.limiter.tick(bench.now, &mut bench.out);
+        for _ in 0..WAITING * upstreams {
+            bench.offer();
+        }
+        bench
+    }
+
+    /// Offers work of the customers in turn to the upstreams in turn.
+    fn offer(&mut self) {
+        self.seq += 1;
+        let nth = self.seq as u32;
+        let customer = (nth / self.upstreams + nth) % self.customers;
+        let work = Work {
+            id: SubId {
+                origin: InstanceId(1),
+                seq: self.seq,
+            },
+            customer: CustomerKey::from_raw(customer),
+            upstream: UpstreamKey::from_raw(nth % self.upstreams),
+            weight: 1 + nth % 2,
+            deadline: self.now + DEADLINE_MS,
+            once: false,
+        };
+        self.limiter.offer(self.now, work, &mut self.out);
+    }
+
+    /// Offers one sub-request, and ends all that were dispatched before.
+    fn step(&mut self) {
+        self.now = self.now + 1;
+        self.offer();
+        let mut commands = std::mem::take(&mut self.out);
+        for command in commands.drain(..) {
+            if let Command::Dispatch { id, .. } = command {
+                let ended = Ended::Answered {
+                    served_ms: 5,
+                    start: Some(StartId(1)),
+                    leaving: false,
+                };
+                self.limiter.finish(self.now, id, ended, &mut self.out);
+            }
+        }
+        self.limiter.tick(self.now, &mut self.out);
+        black_box(&self.out);
+    }
+}
+
+fn catalog(upstreams: u32, customers: u32) -> Catalog {
+    let mut catalog = Catalog::default();
+    let zone = catalog.zones.insert(Zone {
+        name: "a".to_owned(),
+        region: "r".to_owned(),
+        in_service: true,
+    });
+    for n in 0..upstreams {
+        catalog.upstreams.insert(Upstream {
+            name: format!("upstream-{n}"),
+            address: ([127, 0, 0, 1], 9).into(),
+            zone,
+            slots: 2,
+            cold_slots: 1,
+            connections: 25,
+            in_service: true,
+        });
+    }
+    for n in 0..customers {
+        catalog.customers.insert(Customer {
+            name: format!("customer-{n}"),
+            key_sha256: [0; 32],
+            max_in_flight: 1_000,
+            max_per_second: 1_000,
+        });
+    }
+    catalog
+}
+
+fn decide(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decide");
+    for upstreams in [100, 3_000] {
+        for customers in [10, 500] {
+            let id = BenchmarkId::from_parameter(format!("{upstreams}x{customers}"));
+            let mut bench = Bench::new(upstreams, customers);
+            group.bench_function(id, |bencher| bencher.iter(|| bench.step()));
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decide);
+criterion_main!(benches);
