limit: keep upstreams at the slots of their keys, and split the limiter by concern

Without gaps to go by, a wait was estimated as none. Change: items, table and pump are modules of their own; an upstream is found once for an event by index; a customer's wait is estimated from its own served time until it has seen its own gaps.

--- a/hemlockrouter-limit/src/config.rs
+++ b/hemlockrouter-limit/src/config.rs
@@ -3,6 +3,8 @@
 //! Every field has a default that suits both small and large installations, so a caller names only
 //! what it wants otherwise.
 
+use hemlockrouter_types::prelude::*;
+
 /// How the limit of an upstream grows after a window of timely answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Growth {
@@ -178,6 +180,17 @@
     }
 }
 
+impl Config {
+    /// Makes a refusal, with the time to come back within its bounds.
+    pub(crate) fn refusal(&self, reason: Reason, retry_after_ms: u64) -> Refusal {
+        let retry_after_ms = u32::try_from(retry_after_ms).unwrap_or(u32::MAX);
+        Refusal {
+            reason,
+            retry_after_ms: retry_after_ms.clamp(self.retry_min_ms, self.retry_max_ms),
+        }
+    }
+}
+
 impl Default for Config {
     fn default() -> Config {
         Config::new()
--- a/hemlockrouter-limit/src/lib.rs
+++ b/hemlockrouter-limit/src/lib.rs
@@ -35,6 +35,9 @@
 //! # Modules
 //!
 //! - `limiter`: the [`Limiter`], which finds the upstream of each event.
+//! - `items`: the sub-requests that have not ended, by id.
+//! - `table`: the upstreams, by key.
+//! - `pump`: what follows from the state of an upstream after an event.
 //! - `upstream`: the state of one upstream: lease, ramp, queue, pauses.
 //! - `ramp`: the cold-start ramp.
 //! - `history`: how long the work of each customer takes at an upstream.
@@ -49,10 +52,13 @@
 mod admission;
 mod config;
 mod history;
+mod items;
 mod limiter;
 mod mean;
+mod pump;
 mod queue;
 mod ramp;
+mod table;
 mod timers;
 mod upstream;
 mod window;
--- a/hemlockrouter-limit/src/queue.rs
+++ b/hemlockrouter-limit/src/queue.rs
@@ -32,7 +32,6 @@
     pub(crate) deadline: Time,
     /// Counts what the queue took in; it settles the order of equal deadlines.
     pub(crate) seq: u64,
-    pub(crate) since: Time,
 }
 
 /// A sub-request that was taken out to be dispatched.
@@ -261,20 +260,21 @@
         self.flow(customer).map_or(0, |flow| flow.served_ms(now))
     }
 
-    /// Estimates how long work of `customer` with `deadline` would wait, in milliseconds.
-    pub(crate) fn wait_ms(&self, customer: CustomerKey, deadline: Time) -> u64 {
+    /// Estimates how long work of `customer` with `deadline` would wait for one of `slots` slots, in
+    /// milliseconds.
+    pub(crate) fn wait_ms(&self, customer: CustomerKey, deadline: Time, slots: u32) -> u64 {
         let Some(flow) = self.flow(customer) else {
             return 0;
         };
-        flow.gap
-            .times_ms(flow.rank(self.order, deadline, u64::MAX) as u64)
+        let ahead = flow.rank(self.order, deadline, u64::MAX);
+        flow.dispatch_ms(ahead, slots)
     }
 
-    /// Estimates how long it takes until all that `customer` has waiting is dispatched, in
-    /// milliseconds.
-    pub(crate) fn drain_ms(&self, customer: CustomerKey) -> u64 {
+    /// Estimates how long it takes until all that `customer` has waiting is dispatched to `slots`
+    /// slots, in milliseconds.
+    pub(crate) fn drain_ms(&self, customer: CustomerKey, slots: u32) -> u64 {
         self.flow(customer)
-            .map_or(0, |flow| flow.gap.times_ms(flow.waiting.len() as u64))
+            .map_or(0, |flow| flow.dispatch_ms(flow.waiting.len(), slots))
     }
 
     fn flow(&self, customer: CustomerKey) -> Option<&Flow> {
@@ -363,6 +363,16 @@
         self.served.ms().unwrap_or(0)
     }
 
+    /// Estimates how long `count` dispatches take. Without gaps to go by, as if the customer had all
+    /// slots to itself.
+    fn dispatch_ms(&self, count: usize, slots: u32) -> u64 {
+        let count = count as u64;
+        match self.gap.ms() {
+            Some(_) => self.gap.times_ms(count),
+            None => self.served.times_ms(count) / u64::from(slots),
+        }
+    }
+
     fn observe_dispatch(&mut self, now: Time) {
         if let Some(last) = self.last_dispatch {
             self.gap.observe(now.since(last));
--- a/hemlockrouter-limit/src/upstream.rs
+++ b/hemlockrouter-limit/src/upstream.rs
@@ -5,6 +5,7 @@
 //! in flight counts until its end is reported, cancelled or not, in this tenure of the lease or in an
 //! earlier one.
 
+use hemlockrouter_types::catalog;
 use hemlockrouter_types::prelude::*;
 
 use crate::config::Config;
@@ -16,6 +17,7 @@
 use crate::work::Command;
 use crate::work::Ended;
 use crate::work::Status;
+use crate::work::Work;
 
 /// After how long a request is late whose customer's usual time is unknown, in milliseconds.
 const LATE_UNKNOWN_MS: u64 = 1_000;
@@ -70,21 +72,15 @@
 
 impl Upstream {
     /// Makes the state of an upstream that is not held yet.
-    pub(crate) fn new(
-        now: Time,
-        name: String,
-        slots: u32,
-        cold_slots: u32,
-        order: Order,
-    ) -> Upstream {
+    pub(crate) fn new(now: Time, entry: &catalog::Upstream, order: Order) -> Upstream {
         Upstream {
-            name,
+            name: entry.name.clone(),
             in_service: true,
             withdrawn: false,
             queue: Queue::new(order),
             in_flight: 0,
             wake: None,
-            ramp: Ramp::new(slots, cold_slots),
+            ramp: Ramp::new(entry.slots, entry.cold_slots),
             held_until: None,
             start: None,
             leaving_until: None,
@@ -141,9 +137,55 @@
         (self.pause.until > now).then_some(self.pause)
     }
 
-    /// Returns what is left of the time for which it is leaving, in milliseconds.
-    pub(crate) fn leaving_ms(&self, now: Time) -> Option<u64> {
-        self.leaving_until.map(|until| until.left(now))
+    /// Returns why all that waits and all that is offered is refused, if it is.
+    pub(crate) fn closed(&self, now: Time, config: &Config) -> Option<Refusal> {
+        if self.lease_until(now).is_none() {
+            return Some(config.refusal(Reason::NotOwner, 0));
+        }
+        if !self.is_leaving(now) {
+            return None;
+        }
+        let left_ms = match self.leaving_until {
+            Some(until) if self.in_service => until.left(now),
+            _ => u64::MAX,
+        };
+        Some(config.refusal(Reason::Leaving, left_ms))
+    }
+
+    /// Checks whether work can be done by its deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal that its sender gets at once.
+    pub(crate) fn check(&self, now: Time, work: &Work, config: &Config) -> Result<(), Refusal> {
+        if let Some(refusal) = self.closed(now, config) {
+            return Err(refusal);
+        }
+        let left_ms = work.deadline.left(now);
+        let served_ms = self.queue.served_ms(now, work.customer);
+        if left_ms == 0 || served_ms > left_ms {
+            return Err(config.refusal(Reason::Deadline, 0));
+        }
+        if let Some(pause) = self.pause(now) {
+            let pause_ms = pause.until.left(now);
+            if pause.reason == Reason::Unreachable || pause_ms + served_ms > left_ms {
+                return Err(config.refusal(pause.reason, pause_ms));
+            }
+        }
+        let wait_ms = self
+            .queue
+            .wait_ms(work.customer, work.deadline, self.limit());
+        if wait_ms + served_ms > left_ms {
+            let drain_ms = self.drain_ms(work.customer);
+            return Err(config.refusal(Reason::Overloaded, drain_ms));
+        }
+        Ok(())
+    }
+
+    /// Estimates how long it takes until all that `customer` has waiting is dispatched, in
+    /// milliseconds.
+    pub(crate) fn drain_ms(&self, customer: CustomerKey) -> u64 {
+        self.queue.drain_ms(customer, self.limit())
     }
 
     /// Returns whether one more request may go to the upstream.
