Keep the base document in parts, and test settings and notes by line

Cause: the base document at the size to design for (7 zones, 3,000 upstreams, 500 customers with a search over 270 shards each, 1,024 remembered notes) was measured at 6,650,034 bytes as JSON: more than six values of the store. Ruled out: MessagePack alone (2,586,695 bytes, still over one value). The target of one megabyte is missed; most of it is 135,000 shard names and lists of replicas. Change: MessagePack, in parts of at most 1,048,576 bytes under keys that name number and digest, and a small head that is moved by compare-and-swap to higher numbers only. A reader whose parts went away reads the head again. Asking whether a base is due now reads the head and not the document. Test: the one that expected a single value is replaced: the document has to fit into three values and decode to the same catalogue. The notes fuzz test writes bases in parts of 200 bytes.

--- a/hemlockrouter-config/src/lib.rs
+++ b/hemlockrouter-config/src/lib.rs
@@ -51,6 +51,9 @@
 pub mod settings;
 mod suggest;
 
+use sha2::Digest;
+use sha2::Sha256;
+
 pub use crate::base::Base;
 pub use crate::error::Error;
 pub use crate::error::ErrorKind;
@@ -61,3 +64,11 @@
 pub use crate::note::Note;
 pub use crate::secret::SecretKey;
 pub use crate::settings::Settings;
+
+/// Returns the first eight bytes of the SHA-256 hash of a document, which tell it from any other
+/// one.
+pub fn digest(document: &[u8]) -> u64 {
+    let hash = Sha256::digest(document);
+    let bytes = hash[..8].try_into().expect("a hash has 32 bytes");
+    u64::from_be_bytes(bytes)
+}
--- a/hemlockrouter-config/src/note.rs
+++ b/hemlockrouter-config/src/note.rs
@@ -12,9 +12,8 @@
 use std::net::SocketAddr;
 
 use hemlockrouter_types::prelude::*;
-use sha2::Digest;
-use sha2::Sha256;
 
+use crate::digest;
 use crate::document::Source;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -116,11 +115,9 @@
         touched
     }
 
-    /// Returns a hash of the text, the first eight bytes of its SHA-256.
+    /// Returns the [digest](crate::digest) of the text.
     pub fn digest(&self) -> u64 {
-        let hash = Sha256::digest(&self.document);
-        let bytes = hash[..8].try_into().expect("a hash has 32 bytes");
-        u64::from_be_bytes(bytes)
+        digest(&self.document)
     }
 }
 
--- a/hemlockrouter-platform/src/notes.rs
+++ b/hemlockrouter-platform/src/notes.rs
@@ -13,21 +13,25 @@
 mod base;
 mod follow;
 mod load;
+mod prune;
 mod submit;
 
 use hemlockrouter_types::prelude::*;
 
-pub use self::base::prune;
 pub use self::base::write_base;
+pub use self::base::write_base_in_parts;
+pub use self::base::BaseHead;
 pub use self::base::BaseWritten;
-pub use self::base::Margins;
-pub use self::base::Pruned;
+pub use self::base::PART_MAX_BYTES;
 pub use self::follow::Followed;
 pub use self::follow::Follower;
 pub use self::load::load;
 pub use self::load::LoadError;
 pub use self::load::Loaded;
 pub use self::load::NumberedNote;
+pub use self::prune::prune;
+pub use self::prune::Margins;
+pub use self::prune::Pruned;
 pub use self::submit::check;
 pub use self::submit::submit;
 pub use self::submit::Submission;
@@ -35,9 +39,12 @@
 /// Where notes stand in the store.
 pub const NOTES_PREFIX: &str = "hemlockrouter/notes/";
 
-/// Where the base document stands in the store.
+/// Where the head of the base document stands in the store.
 pub const BASE_KEY: &str = "hemlockrouter/base";
 
+/// Where the parts of base documents stand in the store.
+const BASE_PARTS_PREFIX: &str = "hemlockrouter/base-parts/";
+
 /// What stands under the number of a note that was pruned.
 const TOMBSTONE: &[u8] = b"pruned";
 
--- a/hemlockrouter-platform/src/notes/load.rs
+++ b/hemlockrouter-platform/src/notes/load.rs
@@ -7,9 +7,10 @@
 use hemlockrouter_config::Base;
 use hemlockrouter_types::prelude::*;
 
+use super::base::read_base;
+use super::base::BaseRead;
 use super::note_key;
 use super::Slot;
-use super::BASE_KEY;
 use crate::store::Down;
 use crate::store::Store;
 
@@ -43,14 +44,20 @@
     Down(Down),
     /// The base document can't be read.
     Base(BadBase),
-    /// The base document stays behind the notes that were pruned.
-    #[display("the base document in the store is older than the notes that were pruned")]
+    /// What names the base document can't be read.
+    #[display("the store names no base document that this release reads")]
+    #[from(skip)]
+    Head,
+    /// The base document kept changing, or is older than the notes that were pruned.
+    #[display("the base document in the store is incomplete or older than the pruned notes")]
+    #[from(skip)]
     Pruned,
 }
 
 impl std::error::Error for LoadError {}
 
-/// Loads base and tail. Each is one read, and one more finds the end.
+/// Loads base and tail. Each part of the base and each note is one read, as are the base's head and
+/// the end of the notes.
 ///
 /// # Errors
 ///
@@ -60,7 +67,9 @@
     S: Store + ?Sized,
 {
     for _ in 0..LOAD_MAX {
-        let mut loaded = load_base(store)?;
+        let Some(mut loaded) = load_base(store)? else {
+            continue;
+        };
         if load_tail(store, &mut loaded)? == Tail::Whole {
             return Ok(loaded);
         }
@@ -74,19 +83,21 @@
     Pruned,
 }
 
-fn load_base<S>(store: &S) -> Result<Loaded, LoadError>
+/// Starts from the base document, or returns nothing if it was replaced while it was read.
+fn load_base<S>(store: &S) -> Result<Option<Loaded>, LoadError>
 where
     S: Store + ?Sized,
 {
-    let catalog = match store.get(BASE_KEY)?.entry {
-        Some(entry) => Base::decode(&entry.value)?,
-        None => Catalog::default(),
+    let catalog = match read_base(store)? {
+        BaseRead::Absent => Catalog::default(),
+        BaseRead::Whole(document) => Base::decode(&document)?,
+        BaseRead::Removed => return Ok(None),
     };
-    Ok(Loaded {
+    Ok(Some(Loaded {
         base: catalog.number,
         catalog,
         tail: Vec::new(),
-    })
+    }))
 }
 
 fn load_tail<S>(store: &S, loaded: &mut Loaded) -> Result<Tail, LoadError>
