Leave an upstream alone that loses three hedges in a row

Cause: a replica that takes work and never answers was asked by every query of its own zone. Each query hedged and cancelled, which ended the sub-request in flight, so the silence of the upstream was never seen as such. Ruled out: the latency record (a lost hedge is recorded, but only at the few milliseconds that were waited for, close to the median).

--- a/hemlockrouter-route/src/choose.rs
+++ b/hemlockrouter-route/src/choose.rs
@@ -25,6 +25,9 @@
 /// An upstream whose last answer lies back by this many medians while it works is held for slow.
 const SILENT_MEDIANS: u64 = 4;
 
+/// An upstream that loses this many hedged sub-requests in a row is left alone like one that failed.
+const MAX_LOSSES: u32 = 3;
+
 /// How long an upstream that failed is passed over at first, in milliseconds.
 const FAILED_BACKOFF_MS: u64 = 50;
 
@@ -44,6 +47,8 @@
     asked_at: Time,
     backoff_until: Time,
     troubles: u32,
+    /// How many sub-requests in a row were given up for slow, without an answer between them.
+    losses: u32,
     serves: Option<SnapshotRange>,
 }
 
@@ -147,6 +152,7 @@
             state.end(now);
             state.latency.record(now.since(sent_at));
             state.troubles = 0;
+            state.losses = 0;
             state.backoff_until = state.backoff_until.min(now);
         }
     }
@@ -158,14 +164,7 @@
             let busy_since = state.busy_since;
             state.end(now);
             state.busy_since = busy_since;
-            let waited_ms = now.since(sent_at);
-            if state
-                .latency
-                .median_ms()
-                .is_none_or(|median_ms| waited_ms > median_ms)
-            {
-                state.latency.record(waited_ms);
-            }
+            state.lose(now, now.since(sent_at));
         }
     }
 
@@ -198,10 +197,7 @@
     pub(crate) fn failed(&mut self, now: Time, key: UpstreamKey) {
         if let Some(state) = self.get_mut(key) {
             state.end(now);
-            let backoff_ms = FAILED_BACKOFF_MS << state.troubles.min(10);
-            state.troubles += 1;
-            let until = now + backoff_ms.min(FAILED_BACKOFF_MAX_MS);
-            state.backoff_until = state.backoff_until.max(until);
+            state.back_off(now);
         }
     }
 
@@ -297,6 +293,7 @@
             asked_at: Time::ZERO,
             backoff_until: Time::ZERO,
             troubles: 0,
+            losses: 0,
             serves: None,
         }
     }
@@ -306,6 +303,27 @@
         self.busy_since = now;
     }
 
+    /// Counts a sub-request that was given up after `waited_ms`.
+    fn lose(&mut self, now: Time, waited_ms: u64) {
+        if self.latency.high_ms().is_some_and(|ms| waited_ms >= ms) {
+            self.losses += 1;
+        }
+        if self.latency.median_ms().is_none_or(|ms| waited_ms > ms) {
+            self.latency.record(waited_ms);
+        }
+        if self.losses >= MAX_LOSSES {
+            self.back_off(now);
+        }
+    }
+
+    /// Leaves the upstream alone, longer each time.
+    fn back_off(&mut self, now: Time) {
+        let backoff_ms = FAILED_BACKOFF_MS << self.troubles.min(10);
+        self.troubles += 1;
+        let until = now + backoff_ms.min(FAILED_BACKOFF_MAX_MS);
+        self.backoff_until = self.backoff_until.max(until);
+    }
+
     fn cost(&self, now: Time) -> f64 {
         let mut latency_ms = self.latency.median_ms().unwrap_or(UNKNOWN_MS).max(1);
         if self.in_flight > 0 {
