Prove the daemons end to end: kills, freezes, cuts, outages, restarts, versions

Cause: nothing started real processes and compared what callers were told with what ran. They judge counts and truths. Upstreams tell what was in flight at an overload while cold, and the kernel's table of connections is no longer read on the path of a request.

--- /dev/null
+++ b/hemlockrouter-cli/tests/e2e/harness/client.rs
@@ -0,0 +1,111 @@
+//! Callers and operators.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::json;
+use serde_json::Value;
+use ureq::Agent;
+
+use super::layout::TEACHERS_KEY;
+use super::LIVENESS;
+
+/// An answer: status and body. A body that is no JSON is `null`.
+pub(crate) type Answer = (u16, Value);
+
+/// A caller with a key.
+pub(crate) struct Caller {
+    agent: Agent,
+    key: String,
+}
+
+impl Caller {
+    /// Makes a caller with the key of the customer `teachers`.
+    pub(crate) fn teachers() -> Caller {
+        Caller::new(TEACHERS_KEY)
+    }
+
+    /// Makes a caller with any key. It opens a connection for each request.
+    pub(crate) fn new(key: &str) -> Caller {
+        Caller {
+            agent: agent(LIVENESS),
+            key: key.to_owned(),
+        }
+    }
+
+    /// Searches for halls.
+    pub(crate) fn search(&self, to: SocketAddr, id: &str) -> Answer {
+        let body = json!({"search": "halls", "query": {"id": id}, "deadline_ms": 5_000});
+        self.post(to, "/v1/search", None, &body)
+    }
+
+    /// Confirms under an idempotency key.
+    pub(crate) fn run(&self, to: SocketAddr, key: &str, id: &str) -> Answer {
+        let body = json!({"operation": "confirm", "request": {"id": id}, "deadline_ms": 5_000});
+        self.post(to, "/v1/run", Some(key), &body)
+    }
+
+    /// Returns a ticket for a confirmation.
+    pub(crate) fn ticket(&self, to: SocketAddr) -> String {
+        let (status, body) = self.post(to, "/v1/tickets", None, &json!({"operation": "confirm"}));
+        assert_eq!(status, 200, "{body}");
+        body["ticket"].as_str().expect("a ticket").to_owned()
+    }
+
+    /// Confirms with a ticket.
+    pub(crate) fn run_ticket(&self, to: SocketAddr, ticket: &str, id: &str) -> Answer {
+        let body = json!({
+            "operation": "confirm",
+            "request": {"id": id},
+            "deadline_ms": 5_000,
+            "ticket": ticket,
+        });
+        self.post(to, "/v1/run", None, &body)
+    }
+
+    /// Posts a body.
+    pub(crate) fn post(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        idempotency_key: Option<&str>,
+        body: &Value,
+    ) -> Answer {
+        let mut request = self
+            .agent
+            .post(format!("http://{to}{path}"))
+            .header("Authorization", format!("Bearer {}", self.key));
+        if let Some(key) = idempotency_key {
+            request = request.header("Idempotency-Key", key);
+        }
+        let sent = request.send(body.to_string());
+        read(sent).unwrap_or_else(|err| panic!("no answer from {to}{path}: {err}"))
+    }
+
+    /// Gets a path.
+    pub(crate) fn get(&self, to: SocketAddr, path: &str) -> Result<Answer, ureq::Error> {
+        let request = self.agent.get(format!("http://{to}{path}"));
+        read(
+            request
+                .header("Authorization", format!("Bearer {}", self.key))
+                .call(),
+        )
+    }
+}
+
+fn agent(timeout: Duration) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_idle_connections(0)
+        .timeout_global(Some(timeout));
+    config.build().into()
+}
+
+fn read(
+    sent: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+) -> Result<Answer, ureq::Error> {
+    let mut response = sent?;
+    let status = response.status().as_u16();
+    let text = response.body_mut().read_to_string()?;
+    Ok((status, serde_json::from_str(&text).unwrap_or(Value::Null)))
+}
--- /dev/null
+++ b/hemlockrouter-cli/tests/e2e/harness/cluster.rs
@@ -0,0 +1,330 @@
+//! Daemons, stand-ins and links together.
+
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+
+use hemlockrouter_lab::link::Condition;
+use hemlockrouter_lab::link::Link;
+use hemlockrouter_lab::load::LoadOptions;
+use hemlockrouter_lab::load::Report;
+use hemlockrouter_lab::ports::Ports;
+use hemlockrouter_lab::store::Faults;
+use hemlockrouter_lab::store::Store;
+use hemlockrouter_lab::store::StoreOptions;
+use hemlockrouter_lab::upstream::Behaviour;
+use hemlockrouter_lab::upstream::Upstream;
+use serde_json::json;
+use serde_json::Value;
+
+use super::client::Caller;
+use super::eventually;
+use super::instance::Instance;
+use super::instance::Place;
+use super::instance::OPERATORS_KEY;
+use super::layout::Layout;
+use super::layout::TEACHERS_KEY;
+
+/// Held by the one cluster that runs.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// A running tier.
+pub(crate) struct Cluster {
+    pub(crate) layout: Layout,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) upstreams: Vec<Upstream>,
+    pub(crate) store: Store,
+    /// The links from each zone to the store, if there are links.
+    pub(crate) store_links: Vec<(String, Link)>,
+    operator: Caller,
+    ports: Ports,
+    dir: PathBuf,
+    _turn: MutexGuard<'static, ()>,
+}
+
+impl Cluster {
+    /// Starts everything, and returns once every instance serves every shard.
+    pub(crate) fn start(layout: Layout) -> Cluster {
+        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut ports = Ports::take().expect("a block of ports is free");
+        let specs = layout.specs(&mut ports);
+        let upstreams = Upstream::start_all(&specs, &Behaviour::default()).expect("free ports");
+        let store = Store::start(StoreOptions {
+            listen: ports.next_free(),
+            faults: Faults::default(),
+        });
+        let test = thread::current()
+            .name()
+            .unwrap_or("test")
+            .replace("::", "-");
+        let dir = env::temp_dir().join(format!("hemlock-e2e-{}-{test}", process::id()));
+        fs::create_dir_all(&dir).expect("the directory for temporary files is writable");
+        let mut cluster = Cluster {
+            instances: Vec::new(),
+            upstreams,
+            store: store.expect("a free port"),
+            store_links: Vec::new(),
+            operator: Caller::new(OPERATORS_KEY),
+            ports,
+            dir,
+            layout,
+            _turn: turn,
+        };
+        cluster.start_instances();
+        let note = cluster.layout.first_note(&specs);
+        cluster.submit(&note);
+        cluster.wait_until_whole();
+        cluster
+    }
+
+    fn start_instances(&mut self) {
+        for (zone, count) in self.layout.zones.clone() {
+            let store = self.store_address(zone);
+            for turn in 1..=count {
+                let place = self.place(&format!("{zone}-{turn}"), zone, store);
+                self.add(place);
+            }
+        }
+    }
+
+    /// Returns the address under which a zone reaches the store.
+    fn store_address(&mut self, zone: &str) -> SocketAddr {
+        if !self.layout.links {
+            return self.store.addr();
+        }
+        let link = Link::start(
+            self.ports.next_free(),
+            self.store.addr(),
+            Condition::default(),
+        );
+        let link = link.expect("a free port");
+        let addr = link.addr();
+        self.store_links.push((zone.to_owned(), link));
+        addr
+    }
+
+    /// Makes a place for an instance.
+    pub(crate) fn place(&mut self, name: &str, zone: &str, store: SocketAddr) -> Place {
+        let instances = self.ports.next_free();
+        let link = self.layout.links.then(|| {
+            let listen = self.ports.next_free();
+            Link::start(listen, instances, Condition::default()).expect("a free port")
+        });
+        Place {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            callers: self.ports.next_free(),
+            operators: self.ports.next_free(),
+            instances,
+            link,
+            store,
+            seeds: Vec::new(),
+        }
+    }
+
+    /// Returns an address that nothing listens on.
+    pub(crate) fn unused_address(&mut self) -> SocketAddr {
+        self.ports.next_free()
+    }
+
+    /// Starts an instance, and registers it in the platform's list.
+    pub(crate) fn add(&mut self, place: Place) -> usize {
+        self.register(&place);
+        self.add_unlisted(place)
+    }
+
+    /// Starts an instance that the platform's list doesn't have.
+    pub(crate) fn add_unlisted(&mut self, place: Place) -> usize {
+        self.instances.push(Instance::start(place, &self.dir));
+        self.instances.len() - 1
+    }
+
+    fn register(&self, place: &Place) {
+        let at = place.advertised();
+        let body = json!({
+            "ID": place.name,
+            "Name": "hemlockrouter",
+            "Address": at.ip(),
+            "Port": at.port(),
+            "Meta": {"zone": place.zone},
+        });
+        self.put_store("/v1/agent/service/register", &body);
+    }
+
+    /// Takes an instance from the platform's list.
+    pub(crate) fn deregister(&self, name: &str) {
+        self.put_store(
+            &format!("/v1/agent/service/deregister/{name}"),
+            &Value::Null,
+        );
+    }
+
+    fn put_store(&self, path: &str, body: &Value) {
+        let url = format!("http://{}{path}", self.store.addr());
+        let sent = ureq::put(url).send(body.to_string());
+        sent.expect("the store's stand-in answers");
+    }
+
+    /// Submits a release note to the first running instance, and waits until all have it in force.
+    pub(crate) fn submit(&mut self, note: &Value) {
+        let at = self.running().next().expect("an instance is running");
+        let operators = self.instances[at].place.operators;
+        self.wait_until_up(at);
+        let (status, body) = self.operator.post(operators, "/v1/notes", None, note);
+        assert_eq!(status, 200, "{body}");
+        let number = body["number"].as_u64().expect("the number of the note");
+        for at in self.running().collect::<Vec<usize>>() {
+            eventually("the note is in force", || {
+                self.config_number(at) >= Some(number)
+            });
+        }
+    }
+
+    /// Returns the indices of the instances that are running.
+    pub(crate) fn running(&mut self) -> std::vec::IntoIter<usize> {
+        let instances = self.instances.iter_mut().enumerate();
+        let running = instances.filter_map(|(at, instance)| instance.is_running().then_some(at));
+        running.collect::<Vec<usize>>().into_iter()
+    }
+
+    /// Waits until the operators' port of an instance answers.
+    pub(crate) fn wait_until_up(&self, at: usize) {
+        let operators = self.instances[at].place.operators;
+        eventually("the operators' port answers", || {
+            matches!(self.operator.get(operators, "/livez"), Ok((200, _)))
+        });
+    }
+
+    /// Returns whether an instance says that it is ready.
+    pub(crate) fn is_ready(&self, at: usize) -> bool {
+        let operators = self.instances[at].place.operators;
+        matches!(self.operator.get(operators, "/readyz"), Ok((200, _)))
+    }
+
+    /// Returns the number of the configuration that an instance has in force.
+    pub(crate) fn config_number(&self, at: usize) -> Option<u64> {
+        let operators = self.instances[at].place.operators;
+        let (_, status) = self.operator.get(operators, "/v1/status").ok()?;
+        status["config"].as_u64()
+    }
+
+    /// Waits until every running instance answers a search from every shard.
+    pub(crate) fn wait_until_whole(&mut self) {
+        let caller = Caller::teachers();
+        for at in self.running() {
+            let callers = self.instances[at].place.callers;
+            eventually("every shard answers", || {
+                let (status, body) = caller.search(callers, "whole?");
+                let coverage = &body["coverage"];
+                status == 200 && coverage["shards_answered"] == coverage["shards_total"]
+            });
+        }
+    }
+
+    /// Returns the callers' addresses of all instances.
+    pub(crate) fn callers(&self) -> Vec<SocketAddr> {
+        let instances = self.instances.iter();
+        instances.map(|instance| instance.place.callers).collect()
+    }
+
+    /// Returns the operators' addresses of all instances.
+    pub(crate) fn operators(&self) -> Vec<SocketAddr> {
+        let instances = self.instances.iter();
+        instances.map(|instance| instance.place.operators).collect()
+    }
+
+    /// Returns load of searches and confirmations on all instances.
+    pub(crate) fn load(&self, seed: u64) -> LoadOptions {
+        let mut options = LoadOptions::new(self.callers(), TEACHERS_KEY);
+        options.search = Some("halls".to_owned());
+        options.operation = Some("confirm".to_owned());
+        options.runs_per_mille = 200;
+        options.rate = 60;
+        options.deadline_ms = 1_000;
+        options.duration_ms = 600_000;
+        options.seed = seed;
+        options.keep_alive = false;
+        options
+    }
+
+    /// Returns an upstream.
+    pub(crate) fn upstream(&self, name: &str) -> &Upstream {
+        let found = self
+            .upstreams
+            .iter()
+            .find(|upstream| upstream.name() == name);
+        found.expect("the layout has the upstream")
+    }
+
+    /// Returns how often the run whose request has this id took effect.
+    pub(crate) fn effects(&self, request: &str) -> u64 {
+        let upstreams = self.upstreams.iter();
+        upstreams
+            .map(|upstream| upstream.counts().effects(request))
+            .sum()
+    }
+
+    /// Checks what must hold of any load, whatever happened during it.
+    pub(crate) fn check(&self, report: &Report) {
+        assert!(report.searched > 0, "no search was answered: {report:?}");
+        self.check_runs(report);
+    }
+
+    /// Checks what must hold of any load, searches or not.
+    pub(crate) fn check_runs(&self, report: &Report) {
+        assert!(
+            report.faults.is_empty(),
+            "broken promises: {:?}",
+            report.faulty
+        );
+        assert_eq!(
+            report.lost, 0,
+            "without a final answer: {:?}",
+            report.lost_ids
+        );
+        for (request, outcome) in &report.runs {
+            let effects = self.effects(request);
+            let true_to_it = match outcome.as_str() {
+                "done" => effects == 1,
+                "not_run" => effects == 0,
+                _ => effects <= 1,
+            };
+            assert!(
+                true_to_it,
+                "{request} ended as {outcome} and ran {effects} times"
+            );
+        }
+        self.check_cold_bounds();
+    }
+
+    /// Checks that no upstream ever had more in flight while cold than it can bear.
+    pub(crate) fn check_cold_bounds(&self) {
+        for upstream in &self.upstreams {
+            let counts = upstream.counts();
+            let name = upstream.name();
+            assert_eq!(
+                counts.cold_bound_passed, 0,
+                "{name} was overloaded while cold: {:?}",
+                counts.overloads
+            );
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.instances.clear();
+        if thread::panicking() {
+            eprintln!("settings and logs are kept in {}", self.dir.display());
+        } else {
+            // A leftover directory is only untidy.
+            let _ = fs::remove_dir_all(&self.dir);
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrouter-cli/tests/e2e/harness/instance.rs
@@ -0,0 +1,158 @@
+//! One daemon as a process.
+
+use std::fs;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+
+use hemlockrouter_lab::link::Link;
+use serde_json::json;
+
+use super::eventually;
+
+/// The keys of operators and instances.
+pub(crate) const OPERATORS_KEY: &str = "operators-key-for-tests-0123456789abcdef";
+pub(crate) const INSTANCES_KEY: &str = "instances-key-for-tests-0123456789abcdef";
+
+/// Where one daemon listens and what it is told.
+pub(crate) struct Place {
+    pub(crate) name: String,
+    pub(crate) zone: String,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    pub(crate) instances: SocketAddr,
+    /// The link through which other instances reach it.
+    pub(crate) link: Option<Link>,
+    pub(crate) store: SocketAddr,
+    pub(crate) seeds: Vec<SocketAddr>,
+}
+
+impl Place {
+    /// Returns the address under which other instances reach it.
+    pub(crate) fn advertised(&self) -> SocketAddr {
+        self.link.as_ref().map_or(self.instances, Link::addr)
+    }
+
+    fn settings(&self) -> String {
+        let settings = json!({
+            "zone": self.zone,
+            "callers_listen": self.callers,
+            "operators_listen": self.operators,
+            "instances_listen": self.instances,
+            "instances_advertise": self.advertised(),
+            "platform": {"store_address": self.store, "list_every_ms": 500},
+            "keys": {
+                "operators_key_env": "HEMLOCK_OPERATORS_KEY",
+                "instances_key_env": "HEMLOCK_INSTANCES_KEY",
+            },
+            "seeds": self.seeds,
+            "log": {"level": "info", "filter": "hemlockrouter=debug"},
+        });
+        settings.to_string()
+    }
+}
+
+/// A daemon, which is killed when dropped.
+pub(crate) struct Instance {
+    pub(crate) place: Place,
+    dir: PathBuf,
+    child: Option<Child>,
+}
+
+impl Instance {
+    /// Starts a daemon whose settings and log lie in `dir`.
+    pub(crate) fn start(place: Place, dir: &Path) -> Instance {
+        let mut instance = Instance {
+            place,
+            dir: dir.to_owned(),
+            child: None,
+        };
+        instance.start_again();
+        instance
+    }
+
+    /// Starts it, at the same place, after it has ended.
+    pub(crate) fn start_again(&mut self) {
+        let settings = self.dir.join(format!("{}.jsonc", self.place.name));
+        fs::write(&settings, self.place.settings()).expect("the directory is writable");
+        let log = File::options().create(true).append(true).open(self.log());
+        let log = log.expect("the directory is writable");
+        let child = Command::new(env!("CARGO_BIN_EXE_hemlockd"))
+            .arg("--settings")
+            .arg(&settings)
+            .env("HEMLOCK_OPERATORS_KEY", OPERATORS_KEY)
+            .env("HEMLOCK_INSTANCES_KEY", INSTANCES_KEY)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the daemon starts");
+        self.child = Some(child);
+    }
+
+    /// Returns the file that holds its log.
+    pub(crate) fn log(&self) -> PathBuf {
+        self.dir.join(format!("{}.log", self.place.name))
+    }
+
+    fn child(&mut self) -> &mut Child {
+        self.child.as_mut().expect("the daemon was started")
+    }
+
+    /// Returns whether it is running.
+    pub(crate) fn is_running(&mut self) -> bool {
+        let status = self.child().try_wait();
+        status
+            .expect("the daemon is a child of this process")
+            .is_none()
+    }
+
+    /// Ends it without warning.
+    pub(crate) fn kill(&mut self) {
+        let child = self.child();
+        // It may have ended by itself.
+        let _ = child.kill();
+        child.wait().expect("the daemon is a child of this process");
+    }
+
+    /// Stops it from running until it is woken.
+    pub(crate) fn freeze(&mut self) {
+        self.signal("STOP");
+    }
+
+    /// Lets it run on.
+    pub(crate) fn wake(&mut self) {
+        self.signal("CONT");
+    }
+
+    /// Asks it to shut down, and waits until it has.
+    pub(crate) fn shut_down(&mut self) -> ExitStatus {
+        self.signal("TERM");
+        let mut status = None;
+        let child = self.child();
+        eventually("the daemon shuts down", || {
+            status = child
+                .try_wait()
+                .expect("the daemon is a child of this process");
+            status.is_some()
+        });
+        status.expect("the daemon has ended")
+    }
+
+    fn signal(&mut self, signal: &str) {
+        let id = self.child().id().to_string();
+        let sent = Command::new("kill").args(["-s", signal, &id]).status();
+        assert!(sent.expect("kill runs").success(), "no {signal} to {id}");
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/hemlockrouter-cli/tests/e2e/harness/layout.rs
@@ -0,0 +1,121 @@
+//! What a cluster consists of.
+
+use std::collections::BTreeMap;
+
+use hemlockrouter_lab::ports::Ports;
+use hemlockrouter_lab::upstream::Spec;
+use serde_json::json;
+use serde_json::Value;
+
+/// The key of the customer `teachers`, and its SHA-256 hash.
+pub(crate) const TEACHERS_KEY: &str = "example-key-of-teachers";
+const TEACHERS_KEY_SHA256: &str =
+    "72ab9aed9201865bac76f3001b5e528a39be289654273fd2b2173ce214df87d4";
+
+/// The zones, and the upstreams in them.
+pub(crate) struct Layout {
+    /// Zones, and the number of instances in each.
+    pub(crate) zones: Vec<(&'static str, usize)>,
+    /// Shards with one replica in each zone.
+    pub(crate) shards: usize,
+    /// Whether the last zone has one more shard, of which no other zone has a replica.
+    pub(crate) lonely_shard: bool,
+    /// Whether instances reach each other and the store through links.
+    pub(crate) links: bool,
+    /// Size of the upstreams that serve searches; name and address are set for each.
+    pub(crate) search_spec: Spec,
+}
+
+impl Layout {
+    /// Two zones of two instances; four shards with a replica in each; a ledger in each.
+    pub(crate) fn new() -> Layout {
+        let nowhere = "127.0.0.1:0".parse().expect("an address");
+        Layout {
+            zones: vec![("east", 2), ("west", 2)],
+            shards: 4,
+            lonely_shard: false,
+            links: false,
+            search_spec: Spec::new("", nowhere),
+        }
+    }
+
+    /// Returns the names of the upstreams of each shard.
+    pub(crate) fn shard_map(&self) -> BTreeMap<String, Vec<String>> {
+        let mut map = BTreeMap::new();
+        for shard in 1..=self.shards {
+            let zones = self.zones.iter();
+            let replicas = zones.map(|(zone, _)| format!("finder-{shard}-{zone}"));
+            map.insert(format!("halls-{shard}"), replicas.collect());
+        }
+        if self.lonely_shard {
+            let (zone, _) = self.zones.last().expect("a layout has a zone");
+            map.insert(
+                "halls-lonely".to_owned(),
+                vec![format!("finder-lonely-{zone}")],
+            );
+        }
+        map
+    }
+
+    fn ledgers(&self) -> Vec<String> {
+        let zones = self.zones.iter();
+        zones.map(|(zone, _)| format!("ledger-{zone}")).collect()
+    }
+
+    /// Returns the specs of all upstreams.
+    pub(crate) fn specs(&self, ports: &mut Ports) -> Vec<Spec> {
+        let mut specs = Vec::new();
+        let finders = self.shard_map().into_values().flatten();
+        for (name, slots) in finders
+            .map(|name| (name, None))
+            .chain(self.ledgers().into_iter().map(|name| (name, Some(3))))
+        {
+            let mut spec = self.search_spec.clone();
+            spec.name = name;
+            spec.listen = ports.next_free();
+            spec.seed = specs.len() as u64;
+            spec.slots = slots.unwrap_or(spec.slots);
+            specs.push(spec);
+        }
+        specs
+    }
+
+    /// Returns the first release note.
+    pub(crate) fn first_note(&self, specs: &[Spec]) -> Value {
+        let zones = self.zones.iter();
+        let zones: BTreeMap<&str, Value> = zones
+            .map(|(zone, _)| (*zone, json!({"region": "daegu"})))
+            .collect();
+        let upstreams: BTreeMap<&str, Value> = specs
+            .iter()
+            .map(|spec| {
+                let zone = spec.name.rsplit('-').next().expect("names end with a zone");
+                let value = json!({
+                    "address": spec.listen,
+                    "zone": zone,
+                    "slots": spec.slots,
+                    "cold_slots": spec.cold_slots,
+                    "connections": spec.connections,
+                });
+                (spec.name.as_str(), value)
+            })
+            .collect();
+        json!({
+            "id": "first",
+            "author": "kim",
+            "added": {
+                "zones": zones,
+                "upstreams": upstreams,
+                "customers": {
+                    "teachers": {
+                        "key_sha256": TEACHERS_KEY_SHA256,
+                        "max_in_flight": 1000,
+                        "max_per_second": 10000,
+                    },
+                },
+                "searches": {"teachers/halls": {"shards": self.shard_map()}},
+                "operations": {"teachers/confirm": {"upstreams": self.ledgers()}},
+            },
+        })
+    }
+}
--- /dev/null
+++ b/hemlockrouter-cli/tests/e2e/leaving.rs
@@ -0,0 +1,75 @@
+//! Upstreams that leave and zones that are taken out: no new work after 3 s.
+
+use hemlockrouter_lab::load::Load;
+use hemlockrouter_lab::upstream::Behaviour;
+use serde_json::json;
+
+use crate::harness::eventually;
+use crate::harness::run_for_ms;
+use crate::harness::Cluster;
+use crate::harness::Layout;
+
+/// How long new work may still arrive, in milliseconds.
+const NO_NEW_WORK_AFTER_MS: u64 = 3_000;
+
+/// How long load then shows that none does, in milliseconds.
+const SHOWN_FOR_MS: u64 = 3_000;
+
+#[test]
+fn an_upstream_that_says_it_is_leaving_gets_no_new_work() {
+    let mut cluster = Cluster::start(Layout::new());
+    let load = Load::start(cluster.load(21));
+    run_for_ms(1_000);
+    let leaving = cluster.upstream("finder-1-east");
+    leaving.set_behaviour(Behaviour {
+        leaving: true,
+        ..Behaviour::default()
+    });
+    run_for_ms(NO_NEW_WORK_AFTER_MS);
+    let arrived = leaving.counts().arrived;
+    run_for_ms(SHOWN_FOR_MS);
+    assert_eq!(leaving.counts().arrived, arrived);
+    let report = load.stop();
+    cluster.check(&report);
+    assert_eq!(
+        report.covered_whole, report.searched,
+        "the other replica serves"
+    );
+    cluster.wait_until_whole();
+}
+
+#[test]
+fn a_zone_taken_out_gets_no_new_work_and_comes_back() {
+    let mut cluster = Cluster::start(Layout::new());
+    let load = Load::start(cluster.load(22));
+    run_for_ms(1_000);
+    cluster.submit(&json!({
+        "id": "west-out",
+        "author": "kim",
+        "changed": {"zones": {"west": {"in_service": false}}},
+    }));
+    run_for_ms(NO_NEW_WORK_AFTER_MS);
+    let arrived = west_arrivals(&cluster);
+    run_for_ms(SHOWN_FOR_MS);
+    assert_eq!(west_arrivals(&cluster), arrived);
+    cluster.submit(&json!({
+        "id": "west-in",
+        "author": "kim",
+        "changed": {"zones": {"west": {"in_service": true}}},
+    }));
+    eventually("the zone gets work again", || {
+        west_arrivals(&cluster) > arrived
+    });
+    let report = load.stop();
+    cluster.check(&report);
+    assert_eq!(
+        report.covered_whole, report.searched,
+        "the other zone serves"
+    );
+}
+
+fn west_arrivals(cluster: &Cluster) -> u64 {
+    let upstreams = cluster.upstreams.iter();
+    let west = upstreams.filter(|upstream| upstream.name().ends_with("west"));
+    west.map(|upstream| upstream.counts().arrived).sum()
+}
--- /dev/null
+++ b/hemlockrouter-cli/tests/e2e/platform.rs
@@ -0,0 +1,97 @@
+//! A store that is down, and one that loses answers to writes.
+
+use hemlockrouter_lab::load::Load;
+use hemlockrouter_lab::store::Faults;
+use serde_json::json;
+
+use crate::harness::eventually;
+use crate::harness::run_for_ms;
+use crate::harness::Caller;
+use crate::harness::Cluster;
+use crate::harness::Layout;
+
+#[test]
+fn with_the_store_down_all_that_is_configured_goes_on() {
+    let mut cluster = Cluster::start(Layout::new());
+    cluster.store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let caller = Caller::teachers();
+    let load = Load::start(cluster.load(41));
+    for callers in cluster.callers() {
+        let (status, answer) = caller.run(callers, "key", "booking");
+        assert_eq!((status, &answer["ran"]), (503, &json!(false)), "{answer}");
+        assert!(answer["retry_after_ms"].is_u64(), "{answer}");
+        let ticket = caller.ticket(callers);
+        let id = format!("by-ticket-{callers}");
+        let (_, answer) = caller.run_ticket(callers, &ticket, &id);
+        assert_eq!(answer["outcome"], "done", "{answer}");
+        assert_eq!(cluster.effects(&id), 1);
+    }
+    assert_eq!(cluster.effects("booking"), 0);
+
+    // An instance that starts now gets its configuration from its peers.
+    cluster.instances[0].kill();
+    cluster.instances[0].start_again();
+    eventually("the instance is ready again", || cluster.is_ready(0));
+    run_for_ms(1_000);
+    cluster.store.set_faults(Faults::default());
+    eventually("keys are settled again", || {
+        caller.run(cluster.callers()[1], "later", "later").1["outcome"] == "done"
+    });
+    let report = load.stop();
+    cluster.check(&report);
+    cluster.wait_until_whole();
+}
+
+#[test]
+fn an_instance_with_neither_store_nor_peers_refuses_and_says_so() {
+    let mut cluster = Cluster::start(Layout::new());
+    let nowhere = cluster.unused_address();
+    let place = cluster.place("alone", "east", nowhere);
+    let alone = cluster.add_unlisted(place);
+    cluster.wait_until_up(alone);
+    assert!(!cluster.is_ready(alone));
+    let callers = cluster.instances[alone].place.callers;
+    let (status, answer) = Caller::teachers().run(callers, "key", "booking");
+    assert_eq!((status, &answer["ran"]), (503, &json!(false)), "{answer}");
+    assert_eq!(cluster.effects("booking"), 0);
+}
+
+#[test]
+fn answers_to_claims_that_are_lost_cause_no_second_run() {
+    let mut cluster = Cluster::start(Layout::new());
+    cluster.store.set_faults(Faults {
+        lose_answers_every: 3,
+        ..Faults::default()
+    });
+    let mut options = cluster.load(42);
+    options.search = None;
+    options.rate = 30;
+    options.duration_ms = 3_000;
+    let report = Load::start(options).finish();
+    cluster.check_runs(&report);
+    assert_eq!(report.outcome("done"), report.sent, "{:?}", report.outcomes);
+    cluster.wait_until_whole();
+}
+
+#[test]
+fn a_note_whose_answer_is_lost_is_accepted_once() {
+    let mut cluster = Cluster::start(Layout::new());
+    cluster.store.set_faults(Faults {
+        lose_answers_every: 1,
+        ..Faults::default()
+    });
+    let before = cluster.config_number(0).expect("a configuration");
+    cluster.submit(&json!({
+        "id": "once",
+        "author": "kim",
+        "changed": {"zones": {"west": {"in_service": false}}},
+    }));
+    assert_eq!(cluster.config_number(0), Some(before + 1));
+    assert_eq!(
+        cluster.store.keys("hemlockrouter/notes/").len() as u64,
+        before + 1
+    );
+}
--- /dev/null
+++ b/hemlockrouter-cli/tests/e2e/serving.rs
@@ -0,0 +1,63 @@
+//! Searches and requests that must not be repeated, with nothing going wrong.
+
+use serde_json::json;
+
+use crate::harness::Caller;
+use crate::harness::Cluster;
+use crate::harness::Layout;
+
+#[test]
+fn every_instance_serves_searches_and_runs() {
+    let cluster = Cluster::start(Layout::new());
+    let caller = Caller::teachers();
+    for (turn, callers) in cluster.callers().into_iter().enumerate() {
+        let (status, answer) = caller.search(callers, "q");
+        assert_eq!(status, 200, "{answer}");
+        assert_eq!(
+            answer["coverage"],
+            json!({"shards_answered": 4, "shards_total": 4, "missing": []})
+        );
+        assert_eq!(answer["snapshot"], 1);
+        let id = format!("booking-{turn}");
+        let (status, answer) = caller.run(callers, &id, &id);
+        assert_eq!(status, 200, "{answer}");
+        assert_eq!(answer["outcome"], "done");
+        assert_eq!(answer["result"]["for"], json!(id));
+        assert_eq!(cluster.effects(&id), 1);
+    }
+    cluster.check_cold_bounds();
+}
+
+#[test]
+fn a_repeated_key_runs_once_through_any_instance() {
+    let cluster = Cluster::start(Layout::new());
+    let caller = Caller::teachers();
+    for callers in cluster.callers() {
+        let (_, answer) = caller.run(callers, "same-key", "booking");
+        // Another instance than the first can't know the result, but must not run it again.
+        assert!(
+            answer["outcome"] == "done" || answer["outcome"] == "unknown",
+            "{answer}"
+        );
+        assert_eq!(cluster.effects("booking"), 1);
+    }
+    let (status, answer) = caller.run(cluster.callers()[1], "same-key", "another body");
+    assert_eq!((status, &answer["outcome"]), (409, &json!("conflict")));
+    assert_eq!(cluster.effects("another body"), 0);
+}
+
+#[test]
+fn a_ticket_runs_once_through_any_instance() {
+    let cluster = Cluster::start(Layout::new());
+    let caller = Caller::teachers();
+    let ticket = caller.ticket(cluster.callers()[0]);
+    for callers in cluster.callers() {
+        let (status, answer) = caller.run_ticket(callers, &ticket, "booking");
+        assert_eq!(
+            (status, &answer["outcome"]),
+            (200, &json!("done")),
+            "{answer}"
+        );
+        assert_eq!(cluster.effects("booking"), 1);
+    }
+}
--- /dev/null
+++ b/hemlockrouter-cli/tests/e2e/versions.rs
@@ -0,0 +1,86 @@
+//! Index versions that change while searches run.
+
+use hemlockrouter_lab::load::Load;
+use hemlockrouter_lab::upstream::Behaviour;
+use serde_json::json;
+
+use crate::harness::run_for_ms;
+use crate::harness::Caller;
+use crate::harness::Cluster;
+use crate::harness::Layout;
+
+/// Time between the steps of a change, in milliseconds.
+const STEP_MS: u64 = 150;
+
+#[test]
+fn every_answer_comes_from_one_snapshot_while_indexes_change() {
+    let cluster = Cluster::start(Layout::new());
+    let mut options = cluster.load(31);
+    options.operation = None;
+    let load = Load::start(options);
+    for snapshot in 2..=6 {
+        // One upstream after the other, so that replicas disagree all the while.
+        for upstream in &cluster.upstreams {
+            upstream.set_behaviour(Behaviour {
+                snapshot,
+                ..upstream.behaviour()
+            });
+            run_for_ms(STEP_MS);
+        }
+    }
+    let report = load.stop();
+    cluster.check(&report);
+    assert!(report.snapshots.len() > 1, "{:?}", report.snapshots);
+}
+
+#[test]
+fn shards_that_have_no_snapshot_in_common_are_left_out_and_named() {
+    let mut layout = Layout::new();
+    layout.lonely_shard = true;
+    layout.search_spec.snapshots_kept = 1;
+    let cluster = Cluster::start(layout);
+    cluster
+        .upstream("finder-lonely-west")
+        .set_behaviour(Behaviour {
+            snapshot: 9,
+            ..Behaviour::default()
+        });
+    let caller = Caller::teachers();
+    for callers in cluster.callers() {
+        let (status, answer) = caller.search(callers, "q");
+        assert_eq!(status, 200, "{answer}");
+        let results = answer["results"].as_array().expect("results");
+        assert!(results
+            .iter()
+            .all(|result| result["snapshot"] == answer["snapshot"]));
+        let answered = &answer["coverage"]["shards_answered"];
+        assert_eq!(*answered, json!(results.len()), "{answer}");
+        assert_eq!(*answered, 4, "{answer}");
+        assert_eq!(answer["coverage"]["missing"], json!(["halls-lonely"]));
+    }
+}
+
+#[test]
+fn a_repartitioning_under_load_mixes_no_shard_maps() {
+    let mut cluster = Cluster::start(Layout::new());
+    let mut options = cluster.load(32);
+    options.operation = None;
+    let load = Load::start(options);
+    run_for_ms(STEP_MS);
+    let map = cluster.layout.shard_map();
+    cluster.submit(&json!({
+        "id": "repartitioned",
+        "author": "kim",
+        "changed": {"searches": {"teachers/halls": {"map": 2, "shards": map}}},
+    }));
+    for upstream in &cluster.upstreams {
+        upstream.set_behaviour(Behaviour {
+            map: Some(2),
+            ..upstream.behaviour()
+        });
+        run_for_ms(STEP_MS);
+    }
+    cluster.wait_until_whole();
+    let report = load.stop();
+    cluster.check(&report);
+}
--- /dev/null
+++ b/hemlockrouter-cli/tests/e2e/zones.rs
@@ -0,0 +1,86 @@
+//! A zone that is cut off from the other and from the platform.
+
+use hemlockrouter_lab::link::Condition;
+use hemlockrouter_lab::load::Load;
+use serde_json::json;
+
+use crate::harness::eventually;
+use crate::harness::run_for_ms;
+use crate::harness::Caller;
+use crate::harness::Cluster;
+use crate::harness::Layout;
+
+/// Longer than any lease and any suspicion.
+const CUT_MS: u64 = 8_000;
+
+/// A zone with one instance each, so that every link between instances lies between zones.
+fn layout() -> Layout {
+    let mut layout = Layout::new();
+    layout.zones = vec![("east", 1), ("west", 1)];
+    layout.lonely_shard = true;
+    layout.links = true;
+    layout
+}
+
+/// Cuts or heals the links between the zones, and the one from the zone `east` to the store.
+fn set_links(cluster: &Cluster, condition: Condition) {
+    for instance in &cluster.instances {
+        instance.place.link.as_ref().expect("a link").set(condition);
+    }
+    let links = cluster.store_links.iter();
+    for (_, link) in links.filter(|(zone, _)| zone == "east") {
+        link.set(condition);
+    }
+}
+
+fn a_zone_that_is_cut_off_serves_what_it_can(broken: Condition, seed: u64) {
+    let mut cluster = Cluster::start(layout());
+    let caller = Caller::teachers();
+    let load = Load::start(cluster.load(seed));
+    run_for_ms(1_000);
+    set_links(&cluster, broken);
+    run_for_ms(CUT_MS);
+    let (east, west) = (cluster.callers()[0], cluster.callers()[1]);
+
+    // The zone keeps its own replicas and says which shard it can't reach.
+    let (status, answer) = caller.search(east, "q");
+    assert_eq!(status, 200, "{answer}");
+    assert_eq!(answer["coverage"]["missing"], json!(["halls-lonely"]));
+    assert_eq!(answer["coverage"]["shards_answered"], 4);
+    let (_, answer) = caller.search(west, "q");
+    assert_eq!(answer["coverage"]["shards_answered"], 5, "{answer}");
+
+    // Without the store, a ticket still works, and a key does not run.
+    let ticket = caller.ticket(east);
+    let (_, answer) = caller.run_ticket(east, &ticket, "by-ticket");
+    assert_eq!(answer["outcome"], "done", "{answer}");
+    let (status, answer) = caller.run(east, "by-key", "by-key");
+    assert_eq!((status, &answer["ran"]), (503, &json!(false)), "{answer}");
+    assert_eq!(cluster.effects("by-key"), 0);
+
+    set_links(&cluster, Condition::default());
+    cluster.wait_until_whole();
+    eventually("keys are settled again", || {
+        caller.run(east, "healed", "healed").1["outcome"] == "done"
+    });
+    let report = load.stop();
+    cluster.check(&report);
+}
+
+#[test]
+fn a_zone_cut_off_serves_what_it_can_and_heals() {
+    let cut = Condition {
+        cut: true,
+        ..Condition::default()
+    };
+    a_zone_that_is_cut_off_serves_what_it_can(cut, 51);
+}
+
+#[test]
+fn a_zone_behind_half_open_links_serves_what_it_can_and_heals() {
+    let half_open = Condition {
+        half_open: true,
+        ..Condition::default()
+    };
+    a_zone_that_is_cut_off_serves_what_it_can(half_open, 52);
+}
--- a/hemlockrouter-lab/src/upstream/connections.rs
+++ b/hemlockrouter-lab/src/upstream/connections.rs
@@ -1,29 +1,25 @@
 //! The open connections of one upstream.
 //!
 //! `tiny_http` doesn't tell when a connection opens or closes, so the kernel's table of sockets is
-//! read, which takes a while where it is long: when the limit seems to be reached, and otherwise at
-//! most once a second.
+//! read. That can take 100 ms where the table is long, so a thread does it for all upstreams of a group
+//! once a second, and a request waits for it only when the limit seems to be reached.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fs;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
-use hemlockrouter_types::Time;
-
-/// Time between two looks at the kernel's table while the limit isn't reached, in milliseconds.
-const LOOK_EVERY_MS: u64 = 1_000;
-
 /// State of an established connection in the kernel's table.
 const ESTABLISHED: &str = "01";
 
 /// The addresses at the other ends of open connections.
 #[derive(Debug, Default)]
 pub(super) struct Connections {
-    known: BTreeSet<SocketAddr>,
+    /// The value tells whether the connection opened after the last look.
+    known: BTreeMap<SocketAddr, bool>,
     /// Connections from before a restart, which can't be closed before something comes over them.
     ended: BTreeSet<SocketAddr>,
-    looked: Time,
 }
 
 /// What is to be done with a request, by its connection.
@@ -47,54 +43,68 @@
 
     /// Ends all connections.
     pub(super) fn end_all(&mut self) {
-        self.ended.append(&mut self.known);
+        self.ended
+            .extend(std::mem::take(&mut self.known).into_keys());
     }
 
     /// Admits a request from `peer` to `port`, where at most `limit` connections may be open.
-    pub(super) fn admit(
-        &mut self,
-        peer: SocketAddr,
-        port: u16,
-        limit: usize,
-        now: Time,
-    ) -> Admission {
+    pub(super) fn admit(&mut self, peer: SocketAddr, port: u16, limit: usize) -> Admission {
         if self.ended.remove(&peer) {
             return Admission::Ended;
         }
-        if self.known.contains(&peer) {
+        if self.known.contains_key(&peer) {
             return Admission::Known;
         }
-        let seems_full = self.known.len() >= limit;
-        if seems_full || now.since(self.looked) >= LOOK_EVERY_MS {
-            self.looked = now;
-            self.look(port);
+        if self.known.len() >= limit {
+            self.forget_closed(&Table::read(), port);
         }
         if self.known.len() >= limit {
             return Admission::TooMany;
         }
-        self.known.insert(peer);
+        self.known.insert(peer, true);
         Admission::First
     }
 
-    /// Forgets the connections that the kernel doesn't know any more.
-    fn look(&mut self, port: u16) {
-        if let Ok(table) = fs::read_to_string("/proc/self/net/tcp") {
-            let open = peers_of(&table, port);
-            self.known.retain(|known| open.contains(known));
-            self.ended.retain(|ended| open.contains(ended));
+    /// Forgets the connections to `port` that `table` doesn't have, but for those that have opened
+    /// since the last look and may be younger than the table.
+    pub(super) fn forget_closed(&mut self, table: &Table, port: u16) {
+        let none = BTreeSet::new();
+        let open = table.peers.get(&port).unwrap_or(&none);
+        self.ended.retain(|ended| open.contains(ended));
+        self.known
+            .retain(|known, young| std::mem::take(young) || open.contains(known));
+    }
+}
+
+/// The established connections of this machine.
+#[derive(Debug, Default)]
+pub(super) struct Table {
+    /// The other ends, by the port at this end.
+    peers: BTreeMap<u16, BTreeSet<SocketAddr>>,
+}
+
+impl Table {
+    /// Reads the kernel's table; one that can't be read is empty.
+    pub(super) fn read() -> Table {
+        let text = fs::read_to_string("/proc/self/net/tcp").unwrap_or_default();
+        let mut table = Table::default();
+        for row in text.lines().skip(1) {
+            if let Some((port, peer)) = established(row) {
+                table.peers.entry(port).or_default().insert(peer);
+            }
         }
+        table
     }
 }
 
-/// Returns the other ends of the established connections to `port`.
-fn peers_of(table: &str, port: u16) -> BTreeSet<SocketAddr> {
-    let rows = table.lines().skip(1);
-    let fields = rows.map(|row| row.split_ascii_whitespace().skip(1).collect::<Vec<&str>>());
-    let established = fields.filter(|fields| fields.get(2) == Some(&ESTABLISHED));
-    let ends = established.filter_map(|fields| Some((address(fields[0])?, address(fields[1])?)));
-    ends.filter(|(own, _)| own.port() == port)
-        .map(|(_, peer)| peer)
-        .collect()
+/// Returns the own port and the other end of an established connection.
+fn established(row: &str) -> Option<(u16, SocketAddr)> {
+    let mut fields = row.split_ascii_whitespace().skip(1);
+    let (own, peer, state) = (fields.next()?, fields.next()?, fields.next()?);
+    if state != ESTABLISHED {
+        return None;
+    }
+    Some((address(own)?.port(), address(peer)?))
 }
 
 /// Reads an address such as `0100007F:1F90`, whose IP number is in the machine's byte order.
--- a/hemlockrouter-lab/src/upstream/counts.rs
+++ b/hemlockrouter-lab/src/upstream/counts.rs
@@ -19,6 +19,8 @@
     /// How often more were in flight while it was cold than it can bear, so that it fell over. What
     /// was sent before the other end could know that it turned cold does not count.
     pub cold_bound_passed: u64,
+    /// What was in flight at some of these overloads, each with its age.
+    pub overloads: Vec<String>,
     /// How often each run took effect.
     pub runs: BTreeMap<String, u64>,
     /// How often each request of a run took effect, by the `id` field of the request.
--- a/hemlockrouter-lab/src/upstream/mod.rs
+++ b/hemlockrouter-lab/src/upstream/mod.rs
@@ -19,6 +19,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::Weak;
+use std::thread;
 use std::time::Duration;
 
 use hemlockrouter_types::Clock;
@@ -33,6 +35,7 @@
 
 use self::connections::Admission;
 use self::connections::Connections;
+use self::connections::Table;
 use self::model::Command;
 use self::model::Model;
 use self::model::Ticket;
@@ -47,6 +50,9 @@
 /// Upstreams of a group for which the server connects to itself once in 20 ms.
 const UPSTREAMS_PER_NUDGE: u64 = 4;
 
+/// Time between two looks at the kernel's table of connections.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
 /// One running upstream. It stops when dropped.
 pub struct Upstream {
     server: Server,
@@ -67,9 +73,16 @@
             nudge_ms: 20 * count.div_ceil(UPSTREAMS_PER_NUDGE).max(1),
         };
         let specs = specs.iter();
-        specs
+        let started: eyre::Result<Vec<Upstream>> = specs
             .map(|spec| Upstream::start(spec.clone(), behaviour.clone(), timer.clone(), options))
-            .collect()
+            .collect();
+        let upstreams = started?;
+        let watched = upstreams.iter();
+        let watched =
+            watched.map(|upstream| (upstream.addr().port(), Arc::downgrade(&upstream.shared)));
+        let watched = watched.collect();
+        thread::spawn(move || watch_connections(watched));
+        Ok(upstreams)
     }
 
     fn start(
@@ -137,6 +150,21 @@
     }
 }
 
+/// Forgets closed connections until the upstreams, named with their ports, are gone.
+fn watch_connections(mut watched: Vec<(u16, Weak<Shared>)>) {
+    while !watched.is_empty() {
+        thread::sleep(LOOK_EVERY);
+        let table = Table::read();
+        watched.retain(|(port, shared)| {
+            let shared = shared.upgrade();
+            if let Some(shared) = &shared {
+                shared.lock().connections.forget_closed(&table, *port);
+            }
+            shared.is_some()
+        });
+    }
+}
+
 struct Shared {
     spec: Spec,
     clock: Clock,
@@ -204,7 +232,7 @@
         let now = shared.clock.now();
         let mut commands = Vec::new();
         let mut state = shared.lock();
-        let extra_ms = match state.admit(&exchange, &shared.spec, now) {
+        let extra_ms = match state.admit(&exchange, &shared.spec) {
             Admission::Ended => {
                 state.model.told(now);
                 drop(state);
@@ -302,12 +330,12 @@
 }
 
 impl State {
-    fn admit(&mut self, exchange: &Exchange, spec: &Spec, now: Time) -> Admission {
+    fn admit(&mut self, exchange: &Exchange, spec: &Spec) -> Admission {
         let Some(peer) = exchange.peer() else {
             return Admission::Known;
         };
         let port = exchange.own_port();
-        let admission = self.connections.admit(peer, port, spec.connections, now);
+        let admission = self.connections.admit(peer, port, spec.connections);
         let counts = &mut self.model.counts;
         if admission == Admission::First {
             counts.connections += 1;
--- a/hemlockrouter-lab/src/upstream/model.rs
+++ b/hemlockrouter-lab/src/upstream/model.rs
@@ -41,6 +41,9 @@
 /// other end took notice, in milliseconds.
 const NOTICE_MS: u64 = 50;
 
+/// Overloads that are described; the rest are only counted.
+const OVERLOADS_SHOWN: usize = 5;
+
 /// Names one request of one upstream.
 pub(super) type Ticket = u64;
 
@@ -64,6 +67,7 @@
     /// Added to its service time, in milliseconds.
     extra_ms: u64,
     snapshot: u64,
+    arrived: Time,
     deadline: Option<Time>,
     started: bool,
 }
@@ -273,6 +277,7 @@
         let in_flight = InFlight {
             extra_ms,
             snapshot: work.snapshot.unwrap_or(self.behaviour.snapshot),
+            arrived: now,
             deadline: work.deadline_ms.map(|ms| now + ms),
             work,
             started: false,
@@ -295,6 +300,15 @@
     /// An overload while cold: everything fails for a while, and it is cold after that.
     fn fall_over(&mut self, now: Time, commands: &mut Vec<Command>) {
         self.counts.cold_bound_passed += 1;
+        if self.counts.overloads.len() < OVERLOADS_SHOWN {
+            let in_flight = self.in_flight.values();
+            let shown = in_flight.map(|entry| {
+                let age_ms = now.since(entry.arrived);
+                format!("{} {age_ms} ms ago", entry.work.id)
+            });
+            let shown: Vec<String> = shown.collect();
+            self.counts.overloads.push(shown.join(", "));
+        }
         self.counts.failed += self.in_flight.len() as u64;
         self.fallen_until = now + self.spec.fall_ms;
         let body = json!({"code": "failed", "start": self.start()});
