--- /dev/null
+++ b/hemlockrouter-lab/src/bin/hemlock-lab.rs
@@ -0,0 +1,223 @@
+//! Starts a stand-in or puts load on the tier. All of it is in the library.
+
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+use std::thread;
+
+use eyre::bail;
+use eyre::WrapErr;
+use hemlockrouter_lab::link::Condition;
+use hemlockrouter_lab::link::Link;
+use hemlockrouter_lab::load::Load;
+use hemlockrouter_lab::load::LoadOptions;
+use hemlockrouter_lab::ports::Ports;
+use hemlockrouter_lab::store::Faults;
+use hemlockrouter_lab::store::Store;
+use hemlockrouter_lab::store::StoreOptions;
+use hemlockrouter_lab::upstream::Behaviour;
+use hemlockrouter_lab::upstream::Spec;
+use hemlockrouter_lab::upstream::Upstream;
+use lexopt::prelude::*;
+use lexopt::Parser;
+
+const HELP: &str = "\
+Stand-ins for the platform and for upstreams, and a load tool.
+
+Usage: hemlock-lab COMMAND [OPTIONS]
+
+Commands:
+  store     Key-value store and instance list
+            --listen ADDR [--list-lag-ms N]
+            PUT /lab/faults, GET and DELETE /lab/counts
+  upstream  One upstream, or several from a JSON file
+            --listen ADDR --name NAME [--slots N] [--cold-slots N] [--connections N]
+            [--connect-ms N] [--serve-ms N] [--cold-ms N] [--seed N] [--warm]
+            --file FILE: [{\"name\", \"listen\", ...}]
+            PUT /lab/control, GET /lab/counts
+  link      A TCP relay that can be cut, delayed or left half open
+            --listen ADDR --to ADDR --control ADDR [--delay-ms N]
+            PUT /lab/link, GET /lab/counts on the control address
+  load      Open-loop load that checks every answer; exits with 1 if one breaks a promise
+            --target ADDR[,ADDR...] --key-env NAME --search NAME [--run OPERATION]
+            [--runs-per-mille N] [--rate N] [--seconds N] [--seed N] [--deadline-ms N]
+            [--threads N] [--operators ADDR[,ADDR...]] [--new-connections] [--json]
+            With --operators, one for each target, only instances that say they are ready
+  ports     Free ports on the loopback interface, kept for the caller until it is stopped
+            --count N
+  --help    This text
+
+Each stand-in prints the addresses that it listens on, one a line, and runs until it is stopped.
+";
+
+fn main() -> eyre::Result<()> {
+    env_logger::init();
+    let mut args = Parser::from_env();
+    match args.next()? {
+        Some(Value(command)) => match command.string()?.as_str() {
+            "store" => store(args),
+            "upstream" => upstream(args),
+            "link" => link(args),
+            "load" => load(args),
+            "ports" => ports(args),
+            other => bail!("unknown command {other:?}; see hemlock-lab --help"),
+        },
+        Some(Short('h') | Long("help")) => {
+            print!("{HELP}");
+            Ok(())
+        }
+        Some(other) => Err(other.unexpected().into()),
+        None => bail!("a command is needed; see hemlock-lab --help"),
+    }
+}
+
+fn store(mut args: Parser) -> eyre::Result<()> {
+    let mut listen = None;
+    let mut faults = Faults::default();
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("listen") => listen = Some(args.value()?.parse()?),
+            Long("list-lag-ms") => faults.list_lag_ms = args.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let listen = required(listen, "--listen")?;
+    let store = Store::start(StoreOptions { listen, faults })?;
+    println!("store {}", store.addr());
+    run_until_stopped()
+}
+
+fn upstream(mut args: Parser) -> eyre::Result<()> {
+    let mut file = None;
+    let mut spec = Spec::new("", SocketAddr::from(([127, 0, 0, 1], 0)));
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("file") => file = Some(args.value()?.string()?),
+            Long("listen") => spec.listen = args.value()?.parse()?,
+            Long("name") => spec.name = args.value()?.string()?,
+            Long("slots") => spec.slots = args.value()?.parse()?,
+            Long("cold-slots") => spec.cold_slots = args.value()?.parse()?,
+            Long("connections") => spec.connections = args.value()?.parse()?,
+            Long("connect-ms") => spec.connect_ms = args.value()?.parse()?,
+            Long("serve-ms") => spec.serve_ms = args.value()?.parse()?,
+            Long("cold-ms") => spec.cold_ms = args.value()?.parse()?,
+            Long("seed") => spec.seed = args.value()?.parse()?,
+            Long("warm") => spec.warm = true,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let specs = match file {
+        Some(file) => {
+            let text = fs::read_to_string(&file).wrap_err_with(|| format!("can't read {file}"))?;
+            serde_json::from_str(&text).wrap_err_with(|| format!("{file} doesn't check"))?
+        }
+        None if spec.name.is_empty() => bail!("--name or --file is needed"),
+        None => vec![spec],
+    };
+    let upstreams = Upstream::start_all(&specs, &Behaviour::default())?;
+    for upstream in &upstreams {
+        println!("{} {}", upstream.name(), upstream.addr());
+    }
+    run_until_stopped()
+}
+
+fn link(mut args: Parser) -> eyre::Result<()> {
+    let (mut listen, mut to, mut control) = (None, None, None);
+    let mut condition = Condition::default();
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("listen") => listen = Some(args.value()?.parse()?),
+            Long("to") => to = Some(args.value()?.parse()?),
+            Long("control") => control = Some(args.value()?.parse()?),
+            Long("delay-ms") => condition.delay_ms = args.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let link = Link::start(
+        required(listen, "--listen")?,
+        required(to, "--to")?,
+        condition,
+    )?;
+    let control = link.serve_control(required(control, "--control")?)?;
+    println!("link {}", link.addr());
+    println!("control {}", control.addr());
+    run_until_stopped()
+}
+
+fn load(mut args: Parser) -> eyre::Result<()> {
+    let mut options = LoadOptions::new(Vec::new(), "");
+    let mut json = false;
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("target") => options.targets = addresses(&mut args)?,
+            Long("operators") => options.operators = addresses(&mut args)?,
+            Long("key-env") => {
+                let name = args.value()?.string()?;
+                options.key = env::var(&name).wrap_err_with(|| format!("no key in {name}"))?;
+            }
+            Long("search") => options.search = Some(args.value()?.string()?),
+            Long("run") => options.operation = Some(args.value()?.string()?),
+            Long("runs-per-mille") => options.runs_per_mille = args.value()?.parse()?,
+            Long("rate") => options.rate = args.value()?.parse()?,
+            Long("seconds") => options.duration_ms = 1_000 * args.value()?.parse::<u64>()?,
+            Long("seed") => options.seed = args.value()?.parse()?,
+            Long("deadline-ms") => options.deadline_ms = args.value()?.parse()?,
+            Long("threads") => options.threads = args.value()?.parse()?,
+            Long("new-connections") => options.keep_alive = false,
+            Long("json") => json = true,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if options.targets.is_empty() {
+        bail!("--target is needed");
+    }
+    if !options.operators.is_empty() && options.operators.len() != options.targets.len() {
+        bail!("--operators needs one address for each target");
+    }
+    if options.search.is_none() && options.operation.is_none() {
+        bail!("--search or --run is needed");
+    }
+    let mut report = Load::start(options).finish();
+    let kept = report.faults.is_empty() && report.lost == 0;
+    if json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        report.runs.clear();
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    }
+    if kept {
+        return Ok(());
+    }
+    bail!("{} lost, broken promises: {:?}", report.lost, report.faults)
+}
+
+fn addresses(args: &mut Parser) -> eyre::Result<Vec<SocketAddr>> {
+    let text = args.value()?.string()?;
+    let parsed = text.split(',').map(str::parse).collect::<Result<_, _>>();
+    parsed.wrap_err_with(|| format!("{text:?} is not a list of addresses"))
+}
+
+fn ports(mut args: Parser) -> eyre::Result<()> {
+    let mut count = 1;
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("count") => count = args.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let mut block = Ports::take()?;
+    for _ in 0..count {
+        println!("{}", block.next_free());
+    }
+    run_until_stopped()
+}
+
+fn required<T>(value: Option<T>, option: &str) -> eyre::Result<T> {
+    value.ok_or_else(|| eyre::eyre!("{option} is needed"))
+}
+
+fn run_until_stopped() -> ! {
+    loop {
+        thread::park();
+    }
+}
