--- a/hemlockrouter-route/src/run.rs
+++ b/hemlockrouter-route/src/run.rs
@@ -13,17 +13,22 @@
 //!
 //! - `ticket`: names that an instance gives out.
 //! - `claim`: names that callers choose.
+//! - `join`: what a call finds known of its request.
+//! - `forward`: requests that another instance alone may run.
+//! - `answer`: what callers are told.
 //! - `memory`: what is remembered of a request, and the bounds on it.
 //! - `dispatch`: sending to an upstream, and the replies.
 
+mod answer;
 mod claim;
 mod config;
 mod dispatch;
 mod event;
+mod forward;
+mod join;
 mod memory;
 mod ticket;
 
-use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -41,8 +46,9 @@
 pub use self::event::Run;
 pub use self::event::RunCommand;
 pub use self::event::Via;
+use self::forward::Forward;
+use self::join::Asked;
 use self::memory::Bounds;
-use self::memory::Caller;
 use self::memory::Entry;
 use self::memory::Memory;
 use self::memory::Name;
@@ -84,15 +90,6 @@
     There(Forward),
 }
 
-/// A call that was forwarded to the instance that may run it.
-#[derive(Clone, Debug)]
-struct Forward {
-    to: InstanceId,
-    ticket: Option<String>,
-    started: Time,
-    answer_at: Time,
-}
-
 /// A dispatch whose reply is waited for.
 #[derive(Clone, Copy, Debug)]
 struct Sub {
@@ -326,163 +323,6 @@
         id.seq >= FIRST_SEQ
     }
 
-    fn caller(
-        &self,
-        now: Time,
-        id: QueryId,
-        from: Option<InstanceId>,
-        ticket: Option<String>,
-        deadline: Time,
-    ) -> Caller {
-        let margin_ms = self.config.margin_ms.min(deadline.left(now) / 10);
-        // The instance that forwarded it must have the outcome before its own margin begins.
-        let hops = match from {
-            Some(_) => 2,
-            None => 1,
-        };
-        Caller {
-            id,
-            from,
-            ticket,
-            started: now,
-            answer_at: deadline.before(hops * margin_ms),
-        }
-    }
-
-    fn start_key(&mut self, now: Time, run: &Run, key: &str, out: &mut Vec<RunCommand>) {
-        let caller = self.caller(now, run.id, None, None, run.deadline);
-        let Some(customer) = self.catalog.customers.get(run.customer) else {
-            return self.refuse(now, &caller, Reason::NotConfigured, out);
-        };
-        let claim = ClaimName::new(&customer.name, key);
-        let name = Name::Claim(claim);
-        let asked = Asked::of(run);
-        if self.memory.get(name).is_some() {
-            return self.join(now, name, caller, asked, out);
-        }
-        let nonce = self.rng.random();
-        let keep_until = now + self.config.remember_ms;
-        self.create(now, name, caller, Entry::new(asked, nonce, keep_until), out);
-    }
-
-    fn join_ticket(
-        &mut self,
-        now: Time,
-        ticket: Ticket,
-        caller: Caller,
-        asked: Asked,
-        out: &mut Vec<RunCommand>,
-    ) {
-        if !self.secret.made(&ticket, asked.customer, asked.operation) {
-            let why = "the ticket is for another request";
-            return self.answer(now, &caller, RunOutcome::Conflict, why, out);
-        }
-        let name = Name::Ticket(ticket.nonce);
-        if self.memory.get(name).is_some() {
-            return self.join(now, name, caller, asked, out);
-        }
-        if ticket.expires <= now {
-            return self.answer(now, &caller, RunOutcome::Unknown, "the ticket expired", out);
-        }
-        let keep_until = ticket.expires.max(now + self.config.remember_ms);
-        let mut entry = Entry::new(asked, 0, keep_until);
-        entry.claimed = true;
-        self.create(now, name, caller, entry, out);
-    }
-
-    /// Takes a forwarded request whose claim the other instance read in the store.
-    fn join_claim(
-        &mut self,
-        now: Time,
-        claim: ClaimName,
-        nonce: u64,
-        caller: Caller,
-        asked: Asked,
-        out: &mut Vec<RunCommand>,
-    ) {
-        let name = Name::Claim(claim);
-        let Some(entry) = self
-            .memory
-            .get_mut(name)
-            .filter(|entry| entry.nonce == nonce)
-        else {
-            let why = "the claim is not remembered";
-            return self.answer(now, &caller, RunOutcome::Unknown, why, out);
-        };
-        // That it was read there proves that it is written, whatever the write was answered.
-        entry.claimed = true;
-        let claiming = matches!(entry.state, State::Claiming(_));
-        self.join(now, name, caller, asked, out);
-        if claiming && matches!(self.entry(name).state, State::Claiming(_)) {
-            self.dispatch(now, name, out);
-        }
-    }
-
-    /// Lets `caller` wait for a request that is remembered, or tells it how the request ended.
-    fn join(
-        &mut self,
-        now: Time,
-        name: Name,
-        caller: Caller,
-        asked: Asked,
-        out: &mut Vec<RunCommand>,
-    ) {
-        let most = self.config.max_callers_per_request;
-        let entry = self.entry(name);
-        if !entry.is_for(asked) {
-            let why = "the same name was used for another request";
-            return self.answer(now, &caller, RunOutcome::Conflict, why, out);
-        }
-        if let State::Ended(outcome) = &entry.state {
-            let outcome = outcome.clone();
-            return self.answer(now, &caller, outcome, "it had ended", out);
-        }
-        let running = matches!(entry.state, State::Running(_));
-        if running && (entry.callers.len() >= most || caller.answer_at <= now) {
-            entry.told_unknown = true;
-            return self.answer(now, &caller, RunOutcome::Unknown, "it is running", out);
-        }
-        if !running && (entry.callers.len() >= most || caller.answer_at <= now) {
-            return self.refuse_early(now, name, caller, out);
-        }
-        let idle = entry.state == State::Idle;
-        self.wait(name, caller);
-        if idle {
-            self.begin(now, name, out);
-        }
-    }
-
-    /// Remembers a new request and begins it.
-    fn create(
-        &mut self,
-        now: Time,
-        name: Name,
-        caller: Caller,
-        entry: Entry,
-        out: &mut Vec<RunCommand>,
-    ) {
-        let operation = self.catalog.operations.get(entry.operation);
-        if operation.is_none_or(|operation| operation.customer != entry.customer) {
-            return self.refuse(now, &caller, Reason::NotConfigured, out);
-        }
-        if caller.answer_at <= now {
-            return self.refuse(now, &caller, Reason::Deadline, out);
-        }
-        if !self.memory.has_room(entry.customer) {
-            return self.refuse(now, &caller, Reason::Overloaded, out);
-        }
-        self.timers.set(entry.keep_until, Due::Forget(name));
-        self.memory.insert(name, entry);
-        self.wait(name, caller);
-        self.begin(now, name, out);
-    }
-
-    fn wait(&mut self, name: Name, caller: Caller) {
-        self.timers.set(caller.answer_at, Due::Deadline(caller.id));
-        self.calls.insert(caller.id, Call::Here(name));
-        self.entry(name).callers.push(caller);
-    }
-
     /// Begins a request that is idle: claims it if it needs a claim, or else dispatches it.
     fn begin(&mut self, now: Time, name: Name, out: &mut Vec<RunCommand>) {
         let origin = self.origin;
@@ -539,69 +379,6 @@
         }
     }
 
-    fn forward(
-        &mut self,
-        now: Time,
-        run: Run,
-        to: InstanceId,
-        ticket: String,
-        out: &mut Vec<RunCommand>,
-    ) {
-        let caller = self.caller(now, run.id, None, Some(ticket.clone()), run.deadline);
-        self.send_forward(now, caller, to, ticket, out);
-    }
-
-    fn send_forward(
-        &mut self,
-        now: Time,
-        caller: Caller,
-        to: InstanceId,
-        ticket: String,
-        out: &mut Vec<RunCommand>,
-    ) {
-        if caller.answer_at <= now {
-            // What the other instance knows can't be learnt in time.
-            let why = "no time is left to ask its instance";
-            return self.answer(now, &caller, RunOutcome::Unknown, why, out);
-        }
-        if self.forwards >= self.config.max_forwards {
-            return self.refuse(now, &caller, Reason::Overloaded, out);
-        }
-        self.forwards += 1;
-        self.timers.set(caller.answer_at, Due::Deadline(caller.id));
-        let forward = Forward {
-            to,
-            ticket: caller.ticket,
-            started: caller.started,
-            answer_at: caller.answer_at,
-        };
-        let id = caller.id;
-        self.calls.insert(id, Call::There(forward));
-        out.push(RunCommand::Forward { id, to, ticket });
-    }
-
-    fn end_forward(
-        &mut self,
-        now: Time,
-        id: QueryId,
-        outcome: RunOutcome,
-        why: &'static str,
-        out: &mut Vec<RunCommand>,
-    ) {
-        let Some(Call::There(forward)) = self.calls.remove(&id) else {
-            return;
-        };
-        self.forwards -= 1;
-        let caller = Caller {
-            id,
-            from: None,
-            ticket: forward.ticket,
-            started: forward.started,
-            answer_at: forward.answer_at,
-        };
-        self.answer(now, &caller, outcome, why, out);
-    }
-
     fn deadline_due(&mut self, now: Time, id: QueryId, out: &mut Vec<RunCommand>) {
         match self.calls.get(&id) {
             Some(Call::Here(name)) => {
@@ -674,155 +451,4 @@
         let entry = self.memory.get_mut(name);
         entry.expect("a request with callers or a dispatch is remembered")
     }
-
-    /// Refuses a caller that can't wait for a request that has not been dispatched.
-    fn refuse_early(&mut self, now: Time, name: Name, caller: Caller, out: &mut Vec<RunCommand>) {
-        let reason = match caller.answer_at <= now {
-            true => Reason::Deadline,
-            false => Reason::Overloaded,
-        };
-        if self.entry(name).state == State::Idle {
-            return self.refuse(now, &caller, reason, out);
-        }
-        // The request may yet run for the others, so "not run" could turn false.
-        self.answer(now, &caller, RunOutcome::Unknown, "it is about to run", out);
-    }
-
-    fn refuse(&mut self, now: Time, caller: &Caller, reason: Reason, out: &mut Vec<RunCommand>) {
-        let refusal = self.refusal(reason, self.config.retry_after_min_ms);
-        let outcome = RunOutcome::NotRun(refusal);
-        self.answer(now, caller, outcome, "refused at the start", out);
-    }
-
-    fn refusal(&self, reason: Reason, retry_after_ms: u32) -> Refusal {
-        let min_ms = self.config.retry_after_min_ms;
-        let max_ms = self.config.retry_after_max_ms;
-        Refusal {
-            reason,
-            retry_after_ms: retry_after_ms.clamp(min_ms, max_ms),
-        }
-    }
-
-    fn answer(
-        &mut self,
-        now: Time,
-        caller: &Caller,
-        outcome: RunOutcome,
-        why: &'static str,
-        out: &mut Vec<RunCommand>,
-    ) {
-        let id = caller.id;
-        let command = match caller.from {
-            Some(to) => {
-                let outcome = self.vow(now, id, outcome);
-                RunCommand::ForwardAnswer { to, id, outcome }
-            }
-            None => RunCommand::Answer {
-                id,
-                outcome,
-                ticket: caller.ticket.clone(),
-            },
-        };
-        let (RunCommand::Answer { outcome, .. } | RunCommand::ForwardAnswer { outcome, .. }) =
-            &command
-        else {
-            unreachable!("one of the two was made above");
-        };
-        let decision = Decision {
-            what: "run",
-            subject: id.to_string(),
-            chosen: describe(outcome),
-            passed_over: "nothing".to_owned(),
-            why: Cow::Borrowed(why),
-            took_ms: now.since(caller.started),
-        };
-        out.push(command);
-        out.push(RunCommand::Decision(decision));
-    }
-
-    /// Returns how a copy of a refused call ends: it runs nothing, but another call with the same
-    /// ticket may have since.
-    fn outcome_of_copy(&mut self, ticket: &str, refusal: Refusal) -> RunOutcome {
-        let name = match ClaimName::parse_token(ticket) {
-            Some((claim, _)) => Some(Name::Claim(claim)),
-            None => Ticket::parse(ticket).map(|ticket| Name::Ticket(ticket.nonce)),
-        };
-        let Some(entry) = name.and_then(|name| self.memory.get_mut(name)) else {
-            return RunOutcome::NotRun(refusal);
-        };
-        match &entry.state {
-            State::Ended(outcome) => outcome.clone(),
-            State::Running(_) => {
-                entry.told_unknown = true;
-                RunOutcome::Unknown
-            }
-            _ => RunOutcome::NotRun(refusal),
-        }
-    }
-
-    /// Remembers a refusal of a forwarded call, so that a copy of the call that comes later does
-    /// not run it. Without room to remember it, the call can't be told that it will not run.
-    fn vow(&mut self, now: Time, id: QueryId, outcome: RunOutcome) -> RunOutcome {
-        let RunOutcome::NotRun(refusal) = outcome else {
-            return outcome;
-        };
-        if self.refused.len() >= self.config.max_remembered && !self.refused.contains_key(&id) {
-            return RunOutcome::Unknown;
-        }
-        self.refused.insert(id, refusal);
-        let forget_at = now + self.config.remember_ms;
-        self.timers.set(forget_at, Due::ForgetRefusal(id));
-        outcome
-    }
-}
-
-/// What a call asks for, which every repeat must ask for too.
-#[derive(Clone, Copy, Debug)]
-struct Asked {
-    customer: CustomerKey,
-    operation: OperationKey,
-    body_hash: [u8; 32],
-}
-
-impl Asked {
-    fn of(run: &Run) -> Asked {
-        Asked {
-            customer: run.customer,
-            operation: run.operation,
-            body_hash: run.body_hash,
-        }
-    }
-}
-
-impl Entry {
-    fn new(asked: Asked, nonce: u64, keep_until: Time) -> Entry {
-        Entry {
-            customer: asked.customer,
-            operation: asked.operation,
-            body_hash: asked.body_hash,
-            nonce,
-            state: State::Idle,
-            claimed: false,
-            told_unknown: false,
-            callers: Vec::new(),
-            tries: 0,
-            asked: 0,
-            keep_until,
-        }
-    }
-
-    fn is_for(&self, asked: Asked) -> bool {
-        self.customer == asked.customer
-            && self.operation == asked.operation
-            && self.body_hash == asked.body_hash
-    }
-}
-
-fn describe(outcome: &RunOutcome) -> String {
-    match outcome {
-        RunOutcome::Done { .. } => "done".to_owned(),
-        RunOutcome::NotRun(refusal) => format!("not run: {refusal}"),
-        RunOutcome::Unknown => "unknown".to_owned(),
-        RunOutcome::Conflict => "conflict".to_owned(),
-    }
 }
--- /dev/null
+++ b/hemlockrouter-route/src/run/answer.rs
@@ -0,0 +1,119 @@
+//! What callers are told, and what this instance is bound to from then on.
+
+use std::borrow::Cow;
+
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::run::RunOutcome;
+
+use super::claim::ClaimName;
+use super::memory::Caller;
+use super::memory::Name;
+use super::memory::State;
+use super::ticket::Ticket;
+use super::Due;
+use super::RunCommand;
+use super::Runner;
+
+impl Runner {
+    pub(super) fn refuse(
+        &mut self,
+        now: Time,
+        caller: &Caller,
+        reason: Reason,
+        out: &mut Vec<RunCommand>,
+    ) {
+        let refusal = self.refusal(reason, self.config.retry_after_min_ms);
+        let outcome = RunOutcome::NotRun(refusal);
+        self.answer(now, caller, outcome, "refused at the start", out);
+    }
+
+    pub(super) fn refusal(&self, reason: Reason, retry_after_ms: u32) -> Refusal {
+        let min_ms = self.config.retry_after_min_ms;
+        let max_ms = self.config.retry_after_max_ms;
+        Refusal {
+            reason,
+            retry_after_ms: retry_after_ms.clamp(min_ms, max_ms),
+        }
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        now: Time,
+        caller: &Caller,
+        outcome: RunOutcome,
+        why: &'static str,
+        out: &mut Vec<RunCommand>,
+    ) {
+        let id = caller.id;
+        let command = match caller.from {
+            Some(to) => {
+                let outcome = self.vow(now, id, outcome);
+                RunCommand::ForwardAnswer { to, id, outcome }
+            }
+            None => RunCommand::Answer {
+                id,
+                outcome,
+                ticket: caller.ticket.clone(),
+            },
+        };
+        let (RunCommand::Answer { outcome, .. } | RunCommand::ForwardAnswer { outcome, .. }) =
+            &command
+        else {
+            unreachable!("one of the two was made above");
+        };
+        let decision = Decision {
+            what: "run",
+            subject: id.to_string(),
+            chosen: describe(outcome),
+            passed_over: "nothing".to_owned(),
+            why: Cow::Borrowed(why),
+            took_ms: now.since(caller.started),
+        };
+        out.push(command);
+        out.push(RunCommand::Decision(decision));
+    }
+
+    /// Returns how a copy of a refused call ends: it runs nothing, but another call with the same
+    /// ticket may have since.
+    pub(super) fn outcome_of_copy(&mut self, ticket: &str, refusal: Refusal) -> RunOutcome {
+        let name = match ClaimName::parse_token(ticket) {
+            Some((claim, _)) => Some(Name::Claim(claim)),
+            None => Ticket::parse(ticket).map(|ticket| Name::Ticket(ticket.nonce)),
+        };
+        let Some(entry) = name.and_then(|name| self.memory.get_mut(name)) else {
+            return RunOutcome::NotRun(refusal);
+        };
+        match &entry.state {
+            State::Ended(outcome) => outcome.clone(),
+            State::Running(_) => {
+                entry.told_unknown = true;
+                RunOutcome::Unknown
+            }
+            _ => RunOutcome::NotRun(refusal),
+        }
+    }
+
+    /// Remembers a refusal of a forwarded call, so that a copy of the call that comes later does
+    /// not run it. Without room to remember it, the call can't be told that it will not run.
+    pub(super) fn vow(&mut self, now: Time, id: QueryId, outcome: RunOutcome) -> RunOutcome {
+        let RunOutcome::NotRun(refusal) = outcome else {
+            return outcome;
+        };
+        if self.refused.len() >= self.config.max_remembered && !self.refused.contains_key(&id) {
+            return RunOutcome::Unknown;
+        }
+        self.refused.insert(id, refusal);
+        let forget_at = now + self.config.remember_ms;
+        self.timers.set(forget_at, Due::ForgetRefusal(id));
+        outcome
+    }
+}
+
+fn describe(outcome: &RunOutcome) -> String {
+    match outcome {
+        RunOutcome::Done { .. } => "done".to_owned(),
+        RunOutcome::NotRun(refusal) => format!("not run: {refusal}"),
+        RunOutcome::Unknown => "unknown".to_owned(),
+        RunOutcome::Conflict => "conflict".to_owned(),
+    }
+}
--- /dev/null
+++ b/hemlockrouter-route/src/run/forward.rs
@@ -0,0 +1,85 @@
+//! Sending a request to the instance that alone may run it, and what becomes of it there.
+
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::run::RunOutcome;
+
+use super::memory::Caller;
+use super::Call;
+use super::Due;
+use super::Run;
+use super::RunCommand;
+use super::Runner;
+
+/// A call that was forwarded to the instance that may run it.
+#[derive(Clone, Debug)]
+pub(super) struct Forward {
+    pub(super) to: InstanceId,
+    pub(super) ticket: Option<String>,
+    pub(super) started: Time,
+    pub(super) answer_at: Time,
+}
+
+impl Runner {
+    pub(super) fn forward(
+        &mut self,
+        now: Time,
+        run: Run,
+        to: InstanceId,
+        ticket: String,
+        out: &mut Vec<RunCommand>,
+    ) {
+        let caller = self.caller(now, run.id, None, Some(ticket.clone()), run.deadline);
+        self.send_forward(now, caller, to, ticket, out);
+    }
+
+    pub(super) fn send_forward(
+        &mut self,
+        now: Time,
+        caller: Caller,
+        to: InstanceId,
+        ticket: String,
+        out: &mut Vec<RunCommand>,
+    ) {
+        if caller.answer_at <= now {
+            // What the other instance knows can't be learnt in time.
+            let why = "no time is left to ask its instance";
+            return self.answer(now, &caller, RunOutcome::Unknown, why, out);
+        }
+        if self.forwards >= self.config.max_forwards {
+            return self.refuse(now, &caller, Reason::Overloaded, out);
+        }
+        self.forwards += 1;
+        self.timers.set(caller.answer_at, Due::Deadline(caller.id));
+        let forward = Forward {
+            to,
+            ticket: caller.ticket,
+            started: caller.started,
+            answer_at: caller.answer_at,
+        };
+        let id = caller.id;
+        self.calls.insert(id, Call::There(forward));
+        out.push(RunCommand::Forward { id, to, ticket });
+    }
+
+    pub(super) fn end_forward(
+        &mut self,
+        now: Time,
+        id: QueryId,
+        outcome: RunOutcome,
+        why: &'static str,
+        out: &mut Vec<RunCommand>,
+    ) {
+        let Some(Call::There(forward)) = self.calls.remove(&id) else {
+            return;
+        };
+        self.forwards -= 1;
+        let caller = Caller {
+            id,
+            from: None,
+            ticket: forward.ticket,
+            started: forward.started,
+            answer_at: forward.answer_at,
+        };
+        self.answer(now, &caller, outcome, why, out);
+    }
+}
