Test the platform's client over HTTP against the store's stand-in

Cause: the outcomes of writes, the cost of following notes and the shape of the list were only held against an in-process fake so far. Change: tests over HTTP: what became of each write, a largest value, a lost answer to a note and to a claim, two calls for each followed note, the list. A wait never starts from index 0, which would not wait. Seen failing while it was written: the list test read once, but the stand-in shows a registration at its next tick; it now reads until both are there.

--- a/hemlockrouter-platform/src/notes/follow.rs
+++ b/hemlockrouter-platform/src/notes/follow.rs
@@ -69,7 +69,8 @@
             Slot::Free => {
                 // An index that went back comes from a store that was restored: start again.
                 let went_back = self.index.is_some_and(|index| read.index < index);
-                self.index = (!went_back).then_some(read.index);
+                // A wait from index 0 would not wait.
+                self.index = (!went_back).then_some(read.index.max(1));
                 Followed::Nothing
             }
             Slot::Pruned => {
--- /dev/null
+++ b/hemlockrouter-platform/tests/consul.rs
@@ -0,0 +1,189 @@
+//! The client against the store's stand-in, over HTTP.
+
+use std::net::TcpListener;
+use std::thread;
+
+use hemlockrouter_config::Note;
+use hemlockrouter_lab::store::Faults;
+use hemlockrouter_lab::store::Kind;
+use hemlockrouter_lab::store::Store as StandIn;
+use hemlockrouter_lab::store::StoreOptions;
+use hemlockrouter_platform::claims;
+use hemlockrouter_platform::claims::Claimed;
+use hemlockrouter_platform::notes;
+use hemlockrouter_platform::notes::BaseWritten;
+use hemlockrouter_platform::notes::Followed;
+use hemlockrouter_platform::notes::Follower;
+use hemlockrouter_platform::notes::Submission;
+use hemlockrouter_platform::Calls;
+use hemlockrouter_platform::Consul;
+use hemlockrouter_platform::Guard;
+use hemlockrouter_platform::List;
+use hemlockrouter_platform::Store;
+use hemlockrouter_platform::Written;
+use hemlockrouter_types::prelude::*;
+
+const TIMEOUT_MS: u64 = 5_000;
+
+fn start() -> (StandIn, Consul) {
+    let stand_in = StandIn::start(StoreOptions {
+        listen: "127.0.0.1:0".parse().expect("an address"),
+        faults: Faults::default(),
+    })
+    .expect("a free port");
+    let consul = Consul::new(stand_in.addr(), TIMEOUT_MS);
+    (stand_in, consul)
+}
+
+fn lose_every_answer(stand_in: &StandIn) {
+    stand_in.set_faults(Faults {
+        lose_answers_every: 1,
+        ..Faults::default()
+    });
+}
+
+fn note(id: usize) -> Note {
+    let text = format!(
+        r#"{{"id": "n{id}", "author": "kim", "added": {{"zones": {{"z{id}": {{"region": "r"}}}}}}}}"#
+    );
+    Note::parse(&text, "note").expect("the note is well formed")
+}
+
+#[test]
+fn writes_tell_what_became_of_them() {
+    let (stand_in, consul) = start();
+    assert_eq!(consul.write("k", b"one", Guard::Absent), Written::Yes);
+    assert_eq!(consul.write("k", b"two", Guard::Absent), Written::No);
+    let entry = consul.get("k").expect("an answer").entry.expect("a value");
+    assert_eq!(entry.value, b"one");
+    let guard = Guard::Version(entry.version);
+    assert_eq!(consul.write("k", b"two", guard), Written::Yes);
+    assert_eq!(consul.write("k", b"three", guard), Written::No);
+    let too_large = vec![b'x'; notes::PART_MAX_BYTES + 1];
+    assert_eq!(consul.write("k", &too_large, Guard::Any), Written::NotSent);
+    assert_eq!(consul.keys("").expect("an answer"), ["k"]);
+    lose_every_answer(&stand_in);
+    assert_eq!(consul.write("l", b"four", Guard::Absent), Written::Unknown);
+    assert_eq!(stand_in.value("l").as_deref(), Some(&b"four"[..]));
+    let calls = Calls {
+        reads: 2,
+        waits: 0,
+        writes: 6,
+        failed: 2,
+    };
+    assert_eq!(consul.calls(), calls);
+    let nobody = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    let nobody = Consul::new(nobody.expect("a free port"), TIMEOUT_MS);
+    assert_eq!(nobody.write("k", b"five", Guard::Any), Written::NotSent);
+    assert!(nobody.get("k").is_err());
+}
+
+#[test]
+fn a_largest_value_is_read_back() {
+    let (_stand_in, consul) = start();
+    let value = vec![0xff; notes::PART_MAX_BYTES];
+    assert_eq!(consul.write("k", &value, Guard::Any), Written::Yes);
+    let read = consul.get("k").expect("an answer");
+    assert_eq!(read.entry.expect("a value").value, value);
+}
+
+#[test]
+fn a_lost_answer_to_a_note_is_settled_and_a_retry_finds_it() {
+    let (stand_in, consul) = start();
+    let empty = Catalog::default();
+    lose_every_answer(&stand_in);
+    let accepted = Submission::Accepted {
+        number: ConfigNumber(1),
+    };
+    assert_eq!(notes::submit(&consul, &note(1), &empty), accepted);
+    assert_eq!(notes::submit(&consul, &note(1), &empty), accepted);
+    stand_in.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let unavailable = Submission::Unavailable { maybe: false };
+    assert_eq!(notes::submit(&consul, &note(2), &empty), unavailable);
+}
+
+#[test]
+fn following_costs_two_calls_for_each_note() {
+    let (stand_in, consul) = start();
+    let mut follower = Follower::new(ConfigNumber(0));
+    assert_eq!(follower.follow(&consul, 30_000), Followed::Nothing);
+    let mut catalog = Catalog::default();
+    for id in 1..=3 {
+        let before = consul.calls();
+        thread::scope(|scope| {
+            let followed = scope.spawn(|| follower.follow(&consul, 30_000));
+            while stand_in.counts().waiting == 0 {
+                thread::yield_now();
+            }
+            // What else is written wakes nobody.
+            let other = Consul::new(stand_in.addr(), TIMEOUT_MS);
+            other.write("hemlockrouter/claims/x", b"1", Guard::Any);
+            assert!(matches!(
+                notes::submit(&other, &note(id), &catalog),
+                Submission::Accepted { .. }
+            ));
+            let Followed::Note(note) = followed.join().expect("no panic") else {
+                panic!("the note was not followed");
+            };
+            catalog = hemlockrouter_config::accept(&catalog, note.number, &note.bytes).catalog;
+        });
+        assert_eq!(follower.follow(&consul, 30_000), Followed::Nothing);
+        let after = consul.calls();
+        assert_eq!(after.waits - before.waits, 1);
+        assert_eq!(after.reads - before.reads, 1);
+    }
+    assert_eq!(stand_in.counts().of(Kind::Watch), 3);
+    let before = BaseWritten::Yes {
+        before: ConfigNumber(0),
+    };
+    assert_eq!(notes::write_base(&consul, &catalog), before);
+    let loaded = notes::load(&consul).expect("the store is up");
+    assert_eq!(loaded.catalog, catalog);
+    assert_eq!(loaded.base, ConfigNumber(3));
+}
+
+#[test]
+fn a_claim_is_won_once_also_when_answers_are_lost() {
+    let (stand_in, consul) = start();
+    lose_every_answer(&stand_in);
+    assert_eq!(claims::claim(&consul, "k", b"nonce-1"), Claimed::Won);
+    let taken = Claimed::Taken(b"nonce-1".to_vec());
+    assert_eq!(claims::claim(&consul, "k", b"nonce-2"), taken);
+    stand_in.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let unavailable = Claimed::Unavailable { maybe: true };
+    assert_eq!(claims::claim(&consul, "l", b"nonce-3"), unavailable);
+}
+
+#[test]
+fn the_list_gives_addresses_zones_and_who_is_leaving() {
+    let (stand_in, consul) = start();
+    let register = |id: &str, port: u16, meta: &str| {
+        let body = format!(
+            r#"{{"ID": "{id}", "Name": "s", "Address": "127.0.0.1", "Port": {port}, "Meta": {meta}}}"#
+        );
+        let url = format!("http://{}/v1/agent/service/register", stand_in.addr());
+        ureq::put(url).send(&body).expect("an answer");
+    };
+    register("a", 1, r#"{"zone": "z1"}"#);
+    register("b", 2, r#"{"leaving": "true"}"#);
+    // The list shows a change a little later.
+    let listed = loop {
+        let listed = consul.instances("s").expect("an answer");
+        if listed.len() == 2 {
+            break listed;
+        }
+        thread::yield_now();
+    };
+    let seen: Vec<(u16, Option<&str>, bool)> = listed
+        .iter()
+        .map(|row| (row.address.port(), row.zone.as_deref(), row.leaving))
+        .collect();
+    assert_eq!(seen, [(1, Some("z1"), false), (2, None, true)]);
+    assert_eq!(consul.instances("none").expect("an answer"), []);
+}
