--- /dev/null
+++ b/hemlockrouter-config/tests/docs.rs
@@ -0,0 +1,52 @@
+//! The table of settings in docs/OPERATING.md holds every limit and timing, with its default and
+//! range.
+
+use hemlockrouter_config::Settings;
+
+const PAGE: &str = include_str!("../../docs/OPERATING.md");
+const SETTINGS: &str = include_str!("../../examples/settings.jsonc");
+
+/// Parses the example settings with one more field, and returns the complaint.
+fn complaint(section: &str, field: &str, value: &str) -> String {
+    let cut = SETTINGS
+        .find("    \"limits\"")
+        .expect("limits follow the required fields");
+    let text = format!(
+        "{}\"{section}\": {{ \"{field}\": {value} }} }}",
+        &SETTINGS[..cut]
+    );
+    let settings = Settings::parse(&text, "settings");
+    settings.expect_err("the value is wrong").to_string()
+}
+
+#[test]
+fn documented_defaults_and_ranges_are_the_real_ones() {
+    let cut = SETTINGS
+        .find("    \"limits\"")
+        .expect("limits follow the required fields");
+    let default = Settings::parse(&format!("{} }}", &SETTINGS[..cut]), "settings");
+    let default = default.expect("the settings are good");
+    let shown = format!("{:?} {:?}", default.limits, default.timing);
+    let mut documented = 0;
+    for row in PAGE.lines() {
+        let cells: Vec<&str> = row.split('|').map(str::trim).collect();
+        let Some((section, field)) = cells
+            .get(1)
+            .and_then(|name| name.trim_matches('`').split_once('.'))
+            .filter(|(section, _)| matches!(*section, "limits" | "timing"))
+        else {
+            continue;
+        };
+        documented += 1;
+        let default = format!("{field}: {}", cells[2].replace(',', ""));
+        let ends = [",", " }"].map(|end| format!("{default}{end}"));
+        assert!(ends.iter().any(|text| shown.contains(text)), "{default}");
+        let range = cells[3].replace(',', "");
+        let complaint = complaint(section, field, "-1");
+        assert!(
+            complaint.contains(&format!("from {range}, found")),
+            "{complaint}"
+        );
+    }
+    assert_eq!(documented, shown.matches(": ").count());
+}
