Refuse requests for instances whose address is failing

Cause: with a zone cut off by links that accept and close at once, an entry went on sending runs to an owner behind the cut, and each ended as one that may have run although an owner in its own zone was free.

Ruled out: waiting for membership to call the owner dead, since an entry hears of other zones' instances only through contacts; calling a lost post 'not run', which would be untrue.

Change: after a failed post, requests for the address are refused before anything of them is sent, until an empty envelope gets through. The rest of a body that is too large is read and dropped, up to 8 MiB.

What still fails is a frozen owner that wakes: two requests were in flight at an upstream in a cold start, and the dispatches are the limiter's, which took a slow start for a finished one.

--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -13,8 +13,6 @@
 
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header;
@@ -40,6 +38,9 @@
 use crate::node::CallerRequest;
 use crate::node::Mailbox;
 
+/// How much of a body that is too large is read on before the connection is given up, in bytes.
+const DROPPED_MAX_BYTES: usize = 8 << 20;
+
 /// Bounds on what callers may send.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Bounds {
@@ -242,33 +243,55 @@
 
 /// Reads the body within the bounds.
 async fn read_body(body: Incoming, bounds: Bounds) -> Result<Bytes, CallerError> {
-    let limited = Limited::new(body, bounds.body_max_bytes);
     let wait = Duration::from_millis(bounds.body_timeout_ms);
-    let Ok(read) = timeout(wait, limited.collect()).await else {
+    let read = timeout(wait, collect_body(body, bounds.body_max_bytes)).await;
+    read.unwrap_or_else(|_| {
         let text = format!(
             "the body was not received within {} ms",
             bounds.body_timeout_ms
         );
-        return Err(CallerError::new(
+        Err(CallerError::new(
             StatusCode::REQUEST_TIMEOUT,
             "body_timeout",
             text,
-        ));
-    };
-    match read {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let text = format!("the body exceeds {} bytes", bounds.body_max_bytes);
-            Err(CallerError::new(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body_too_large",
+        ))
+    })
+}
+
+/// Collects the body. One that is too large is read on and dropped, up to a bound: a connection
+/// that is closed with unread data is reset, and its caller may lose the refusal.
+async fn collect_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, CallerError> {
+    let mut collected = Vec::new();
+    let mut dropped = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            let text = "the body could not be read";
+            return Err(CallerError::new(
+                StatusCode::BAD_REQUEST,
+                "body_broken",
                 text,
-            ))
+            ));
+        };
+        let Ok(data) = frame.into_data() else {
+            // Trailers say nothing to us.
+            continue;
+        };
+        if dropped > 0 || collected.len() + data.len() > max_bytes {
+            dropped += data.len();
+        } else {
+            collected.extend_from_slice(&data);
         }
-        Err(_) => Err(CallerError::new(
-            StatusCode::BAD_REQUEST,
-            "body_broken",
-            "the body could not be read",
-        )),
+        if dropped > DROPPED_MAX_BYTES {
+            break;
+        }
+    }
+    if dropped > 0 {
+        let text = format!("the body exceeds {max_bytes} bytes");
+        return Err(CallerError::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_large",
+            text,
+        ));
     }
+    Ok(Bytes::from(collected))
 }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -123,7 +123,7 @@
             Arc::clone(&metrics),
         )
         .wrap_err_with(|| cannot_listen("instances_listen", settings.instances_listen))?;
-        let peers = Peers::start(id, keys.instances, &settings.limits, mailbox.clone())
+        let peers = Peers::start(id, keys.instances, &settings.limits, clock, mailbox.clone())
             .wrap_err("can't start the threads that call other instances")?;
         let platform = Platform::start(
             settings.platform.clone(),
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -1,6 +1,8 @@
 //! Control: membership, ownership leases and configuration, and the way to other instances.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -388,6 +390,14 @@
         let now = self.parts.clock.now();
         self.parts.member.listed(now, list, &mut self.commands);
         self.execute(cx, now);
+        self.forget_addresses();
+    }
+
+    /// Forgets the addresses of instances that are gone.
+    fn forget_addresses(&self) {
+        let member = &self.parts.member;
+        let known: BTreeSet<SocketAddr> = member.table().map(|row| row.peer.address).collect();
+        self.parts.peers.retain(|address| known.contains(&address));
     }
 
     /// Asks all instances for their configuration numbers.
@@ -496,6 +506,7 @@
             .configure(now, Arc::clone(&self.catalog), &mut self.commands);
         self.parts.platform.configured(&self.catalog);
         self.parts.shared.set_config(self.catalog.number);
+        self.forget_addresses();
     }
 }
 
--- a/src/outbound/peers.rs
+++ b/src/outbound/peers.rs
@@ -3,6 +3,11 @@
 //! Messages for the same instance wait in one queue. A thread that becomes free takes all that wait
 //! there and posts them together, so batches grow by themselves with the load and no message waits
 //! for a timer.
+//!
+//! After a failed post the address counts as failing until a post succeeds. Requests for it are
+//! refused meanwhile, before anything of them is sent, so that they can go elsewhere at once and
+//! none ends as one that may have run. Empty envelopes try the address again and again; control
+//! messages are sent on as they come.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -17,7 +22,9 @@
 
 use hemlockrouter_config::settings::Limits;
 use hemlockrouter_config::SecretKey;
+use hemlockrouter_types::Clock;
 use hemlockrouter_types::InstanceId;
+use hemlockrouter_types::Time;
 use hemlockrouter_wire::Envelope;
 use hemlockrouter_wire::Message;
 use xxhash_rust::xxh3::Xxh3;
@@ -39,6 +46,9 @@
 /// How long posting an envelope may take.
 const POST_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// How long after a failed post the address is tried again, in milliseconds.
+const TRIAL_EVERY_MS: u64 = 250;
+
 /// How long an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -78,6 +88,7 @@
     me: InstanceId,
     key: SecretKey,
     batch_max: usize,
+    clock: Clock,
     mailbox: Mailbox,
 }
 
@@ -95,14 +106,32 @@
     messages: VecDeque<Message>,
     under_way: usize,
     is_ready: bool,
-    is_failing: bool,
+    /// Whether an empty envelope is to be sent.
+    is_trial_due: bool,
+    /// When the last post failed, unless one succeeded since.
+    failed_at: Option<Time>,
 }
 
 impl Queue {
     /// Returns whether a thread may take from it.
     fn can_send(&self) -> bool {
-        let max = if self.is_failing { 1 } else { UNDER_WAY_MAX };
-        !self.is_ready && !self.messages.is_empty() && self.under_way < max
+        let max = match self.failed_at {
+            Some(_) => 1,
+            None => UNDER_WAY_MAX,
+        };
+        let has_work = self.is_trial_due || !self.messages.is_empty();
+        !self.is_ready && has_work && self.under_way < max
+    }
+
+    /// Returns whether a request must not be sent, and has the address tried if that is due.
+    fn refuses_requests(&mut self, now: Time) -> bool {
+        let Some(failed_at) = self.failed_at else {
+            return false;
+        };
+        if now.since(failed_at) >= TRIAL_EVERY_MS && self.under_way == 0 {
+            self.is_trial_due = true;
+        }
+        true
     }
 }
 
@@ -116,6 +145,7 @@
         me: InstanceId,
         key: SecretKey,
         limits: &Limits,
+        clock: Clock,
         mailbox: Mailbox,
     ) -> io::Result<Peers> {
         let shared = Arc::new(Shared {
@@ -124,6 +154,7 @@
             me,
             key,
             batch_max: limits.batch_max,
+            clock,
             mailbox,
         });
         let agent: ureq::Agent = ureq::Agent::config_builder()
@@ -146,7 +177,28 @@
         Ok(Peers { shared })
     }
 
-    /// Queues `message` for the instance at `address`, and returns it if the queue is full.
+    /// Forgets addresses that none of `living` has. Their queues must not pile up while instances
+    /// are replaced day after day.
+    pub(crate) fn retain<F>(&self, is_living: F)
+    where
+        F: Fn(SocketAddr) -> bool,
+    {
+        let mut queues = self
+            .shared
+            .queues
+            .lock()
+            .expect("no thread panics with the lock");
+        queues.by_address.retain(|address, queue| {
+            let is_idle = queue.messages.is_empty() && queue.under_way == 0 && !queue.is_ready;
+            !is_idle || is_living(*address)
+        });
+    }
+
+    /// Queues `message` for the instance at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the message, of which nothing was sent, if the queue is full or the address is failing.
     pub(crate) fn send(
         &self,
         to: Option<InstanceId>,
@@ -159,15 +211,22 @@
             .lock()
             .expect("no thread panics with the lock");
         let queue = queues.by_address.entry(address).or_default();
-        if queue.messages.len() >= QUEUE_MAX {
-            return Err(message);
-        }
         if to.is_some() {
             queue.to = to;
         }
-        queue.messages.push_back(message);
+        let is_request = matches!(
+            message,
+            Message::Search(_) | Message::Run(_) | Message::Forward(_)
+        );
+        let is_refused = is_request && queue.refuses_requests(self.shared.clock.now());
+        let result = if is_refused || queue.messages.len() >= QUEUE_MAX {
+            Err(message)
+        } else {
+            queue.messages.push_back(message);
+            Ok(())
+        };
         queues.wake(address, &self.shared.ready);
-        Ok(())
+        result
     }
 
     /// Returns how many messages wait or are under way.
@@ -230,6 +289,7 @@
                     .get_mut(&address)
                     .expect("ready queues exist");
                 queue.is_ready = false;
+                queue.is_trial_due = false;
                 queue.under_way += 1;
                 let len = queue.messages.len().min(self.batch_max);
                 let messages = queue.messages.drain(..len).collect();
@@ -252,11 +312,7 @@
             .get_mut(&address)
             .expect("queues under way exist");
         queue.under_way -= 1;
-        queue.is_failing = failed;
-        if queue.under_way == 0 && queue.messages.is_empty() && failed {
-            queues.by_address.remove(&address);
-            return;
-        }
+        queue.failed_at = failed.then(|| self.clock.now());
         queues.wake(address, &self.ready);
     }
 
