--- a/hemlockrouter-member/src/config.rs
+++ b/hemlockrouter-member/src/config.rs
@@ -34,9 +34,9 @@
             compare_every_ms: 10_000,
             list_lag_ms: 60_000,
             refusal_is_proof: true,
-            lease_ms: 6_000,
+            lease_ms: 7_000,
             margin_ms: 500,
-            renew_every_ms: 2_500,
+            renew_every_ms: 3_500,
             ask_again_ms: 500,
             fan_out: 4,
             pull_jitter_ms: 500,
@@ -84,12 +84,12 @@
     /// true; set it to false where something between instances of one zone refuses connections in
     /// the place of an instance that may be running.
     refusal_is_proof: bool;
-    /// How long a promise binds the instance that gave it, in milliseconds. Default 6,000.
+    /// How long a promise binds the instance that gave it, in milliseconds. Default 7,000.
     lease_ms: u64;
     /// By how much earlier the holder stops, in milliseconds; covers clocks that run at different
     /// rates. Default 500.
     margin_ms: u64;
-    /// How often leases are renewed, in milliseconds. Default 2,500.
+    /// How often leases are renewed, in milliseconds. Default 3,500.
     renew_every_ms: u64;
     /// When an unanswered or refused ask is repeated, in milliseconds. Default 500.
     ask_again_ms: u64;
--- a/hemlockrouter-member/src/member.rs
+++ b/hemlockrouter-member/src/member.rs
@@ -58,9 +58,9 @@
 impl Member {
     /// Makes the member of a new start of an instance.
     ///
-    /// `seeds` are addresses of instances that may run already. If they name all instances of the
-    /// zone that may start first, this one included, the first ones need no list of the platform to
-    /// begin. `seed` seeds the random numbers.
+    /// `seeds` are addresses of instances that may run already. They may contain this instance's own
+    /// address only if they name every address that instances of its zone ever have; then the first
+    /// instances need no list of the platform to begin. `seed` seeds the random numbers.
     pub fn new(config: Config, me: Peer, seeds: Vec<SocketAddr>, now: Time, seed: u64) -> Member {
         let mut rng = SmallRng::seed_from_u64(seed);
         let watch_at = now + WATCH_AFTER_MS + rng.random_range(0..WATCH_AFTER_MS);
--- a/hemlockrouter-member/src/membership/join.rs
+++ b/hemlockrouter-member/src/membership/join.rs
@@ -10,7 +10,8 @@
 //!
 //! The very first instances have no member to ask. They rely on the platform's list once it shows
 //! themselves, since whoever registered before them is on it too, or on the seeds if they are seeds
-//! themselves: each of the others must answer or refuse the connection.
+//! themselves: each of the others must answer or refuse the connection. The latter is sound only
+//! where the seeds name every address that instances of the zone ever have.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -107,7 +108,7 @@
     /// Asks one address at which nobody is known yet for its table.
     fn ask_addresses(&mut self, now: Time, out: &mut Vec<Command>) {
         let retry_ms = RETRY_MS * if self.join.is_over { 10 } else { 1 };
-        let address = self.open_addresses(now).into_iter().find(|address| {
+        let address = self.open_addresses().into_iter().find(|address| {
             let joined_at = self.join.joined_at.get(address);
             joined_at.is_none_or(|joined_at| now.since(*joined_at) >= retry_ms)
         });
@@ -121,18 +122,19 @@
     }
 
     /// Returns the seeds and listed addresses at which nobody is known.
-    fn open_addresses(&self, _now: Time) -> Vec<SocketAddr> {
+    fn open_addresses(&self) -> Vec<SocketAddr> {
         let listed = self
             .list
             .iter()
             .filter(|listed| listed.state != ListState::Critical)
             .map(|listed| listed.address);
+        let known = self.table.addresses();
         self.join
             .seeds
             .iter()
             .copied()
             .chain(listed)
-            .filter(|address| !self.table.knows_address(*address))
+            .filter(|address| !known.contains(address))
             .collect()
     }
 
@@ -220,17 +222,17 @@
         let has_met_member = self
             .others()
             .any(|entry| entry.established && self.join.acknowledged.contains(&entry.peer.id));
-        has_met_member || self.is_listed_among_known() || self.have_seeds_answered()
+        let is_alone = self.shows_me() || self.have_seeds_answered();
+        has_met_member || (is_alone && !self.lists_unknown())
     }
 
-    /// Returns whether the list shows this instance, and nobody of its zone who is unknown.
-    fn is_listed_among_known(&self) -> bool {
-        self.shows_me()
-            && !self.list.iter().any(|listed| {
-                listed.zone == self.me.zone
-                    && listed.state != ListState::Critical
-                    && self.is_open(listed.address)
-            })
+    /// Returns whether the list shows an instance of the zone that is not known.
+    fn lists_unknown(&self) -> bool {
+        self.list.iter().any(|listed| {
+            listed.zone == self.me.zone
+                && listed.state != ListState::Critical
+                && self.is_open(listed.address)
+        })
     }
 
     /// Returns whether this instance is one of the seeds, and all others have answered or do not run.
--- a/hemlockrouter-member/src/membership/mod.rs
+++ b/hemlockrouter-member/src/membership/mod.rs
@@ -174,8 +174,9 @@
         message: MemberMessage,
         out: &mut Vec<Command>,
     ) {
+        let is_fresh = self.is_fresh(from, &message);
         for rumour in &message.rumours {
-            self.learn(now, rumour);
+            self.learn(now, rumour, is_fresh);
         }
         if message.kind == MemberKind::Table {
             self.miss(now, from, &message.rumours);
@@ -197,8 +198,21 @@
         }
     }
 
-    /// Takes one rumour in.
-    fn learn(&mut self, now: Time, rumour: &Rumour) {
+    /// Returns whether the rumours of a message are news to this zone. Whole tables are not, since
+    /// the zone that they come from spreads its news itself; those of other zones are.
+    fn is_fresh(&self, from: InstanceId, message: &MemberMessage) -> bool {
+        match message.kind {
+            MemberKind::Table | MemberKind::Introduced => {
+                let sender = message.rumours.iter().find(|rumour| rumour.peer.id == from);
+                let is_far = sender.is_some_and(|sender| sender.peer.zone != self.me.zone);
+                is_far && self.is_established()
+            }
+            _ => true,
+        }
+    }
+
+    /// Takes one rumour in, and passes it on if it is news to this zone.
+    fn learn(&mut self, now: Time, rumour: &Rumour, is_fresh: bool) {
         if rumour.peer.id == self.me.id {
             self.refute(now, rumour);
             return;
@@ -212,12 +226,16 @@
         if merged == Merged::Known {
             return;
         }
-        if rumour.refutations == Rumour::FINAL {
-            self.prove(now, rumour.peer.id);
-        } else if rumour.condition == Condition::Dead {
-            self.doubt(rumour.peer.id);
+        let id = rumour.peer.id;
+        match rumour.condition {
+            Condition::Suspect => self.plan_suspicion(now),
+            Condition::Dead if rumour.refutations == Rumour::FINAL => self.prove(now, id),
+            Condition::Dead => self.doubt(id),
+            Condition::Alive | Condition::Leaving => {}
+        }
+        if is_fresh {
+            self.gossip.add(rumour.peer.id, self.zone_size());
         }
-        self.gossip.add(rumour.peer.id, self.zone_size());
     }
 
     /// Takes the instances for dead that a member of another zone leaves out of its own zone's table.
--- a/hemlockrouter-member/src/membership/probe.rs
+++ b/hemlockrouter-member/src/membership/probe.rs
@@ -1,13 +1,13 @@
-//! Probes of peers of the own zone, in shuffled rounds.
+//! Probes of peers of the own zone, the one that was silent for longest first.
 
 use std::collections::BTreeMap;
 
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_wire::member::Condition;
 use hemlockrouter_wire::member::MemberKind;
-use rand::RngExt;
 
 use crate::command::Command;
+use crate::membership::table::Entry;
 use crate::membership::Membership;
 
 /// How long an answer to a probe for another instance is waited for, in milliseconds.
@@ -16,10 +16,11 @@
 /// Probes under way.
 #[derive(Debug)]
 pub(crate) struct Prober {
-    round: Vec<InstanceId>,
     next_at: Time,
     seq: u32,
     pending: Option<Pending>,
+    /// When the next suspicion runs out.
+    suspicion_at: Time,
     /// Instances just called dead, to be probed once: a refused connection proves their end.
     dead: Vec<InstanceId>,
     /// Probes made for others, by their sequence number.
@@ -46,10 +47,10 @@
 impl Prober {
     pub(crate) fn new(next_at: Time) -> Prober {
         Prober {
-            round: Vec::new(),
             next_at,
             seq: 0,
             pending: None,
+            suspicion_at: Time::MAX,
             dead: Vec::new(),
             relayed: BTreeMap::new(),
         }
@@ -117,7 +118,7 @@
     }
 
     fn probe_next(&mut self, now: Time, out: &mut Vec<Command>) {
-        let Some(target) = self.next_target() else {
+        let Some(target) = self.next_target(now) else {
             return;
         };
         let seq = self.prober.next_seq();
@@ -131,21 +132,18 @@
         self.send(target, MemberKind::Probe { seq }, out);
     }
 
-    /// Takes the next peer of the round. Dead ones are probed too, to find those that are back.
-    fn next_target(&mut self) -> Option<InstanceId> {
-        if self.prober.round.is_empty() {
-            self.prober.round = self.others().map(|entry| entry.peer.id).collect();
-            let round = &mut self.prober.round;
-            for last in (1..round.len()).rev() {
-                round.swap(last, self.rng.random_range(0..=last));
-            }
+    /// Picks the peer that was neither heard from nor probed for the longest time. What a peer sends
+    /// by itself saves a probe, and a silent one comes to the front for everyone. Dead ones have
+    /// their turn too, to find those that are back.
+    fn next_target(&mut self, now: Time) -> Option<InstanceId> {
+        let last_sign = |entry: &Entry| entry.heard_at.max(entry.probed_at);
+        let stalest = self.others().map(last_sign).min()?;
+        let ids = self.pick(1, |entry| last_sign(entry) == stalest);
+        let id = *ids.first()?;
+        if let Some(entry) = self.table.get_mut(id) {
+            entry.probed_at = Some(now);
         }
-        while let Some(id) = self.prober.round.pop() {
-            if self.table.get(id).is_some() {
-                return Some(id);
-            }
-        }
-        None
+        Some(id)
     }
 
     fn probe_indirectly(&mut self, now: Time, out: &mut Vec<Command>) {
@@ -227,9 +225,15 @@
         };
         self.table.set_condition(now, id, condition);
         self.gossip.add(id, self.zone_size());
+        if condition == Condition::Suspect {
+            self.plan_suspicion(now);
+        }
     }
 
     fn expire_suspicions(&mut self, now: Time) {
+        if now < self.prober.suspicion_at {
+            return;
+        }
         let suspicion_ms = self.config.suspicion_ms;
         let expired: Vec<InstanceId> = self
             .others()
@@ -240,6 +244,18 @@
         for id in expired {
             self.end_suspicion(now, id);
         }
+        let next = self
+            .others()
+            .filter(|entry| entry.condition == Condition::Suspect)
+            .map(|entry| entry.since + suspicion_ms)
+            .min();
+        self.prober.suspicion_at = next.unwrap_or(Time::MAX);
+    }
+
+    /// Plans the end of a suspicion that begins now.
+    pub(crate) fn plan_suspicion(&mut self, now: Time) {
+        let ends_at = now + self.config.suspicion_ms;
+        self.prober.suspicion_at = self.prober.suspicion_at.min(ends_at);
     }
 
     /// Declares a suspect dead, unless it was heard from since it was suspected.
--- a/hemlockrouter-member/src/membership/proof.rs
+++ b/hemlockrouter-member/src/membership/proof.rs
@@ -28,19 +28,11 @@
     /// Takes in the platform's list.
     pub(crate) fn listed(&mut self, now: Time, list: Vec<Listed>) {
         self.list = list;
+        self.list.sort_by_key(|listed| listed.address);
         self.list_at = Some(now);
-        for listed in &self.list {
-            let ids: Vec<InstanceId> = self
-                .table
-                .iter()
-                .filter(|entry| entry.peer.address == listed.address)
-                .map(|entry| entry.peer.id)
-                .collect();
-            for id in ids {
-                if let Some(entry) = self.table.get_mut(id) {
-                    entry.was_listed = true;
-                }
-            }
+        for entry in self.table.iter_mut() {
+            let is_listed = find(&self.list, entry.peer.address).is_some();
+            entry.was_listed |= is_listed;
         }
     }
 
@@ -132,7 +124,7 @@
     }
 
     fn listed_at(&self, address: SocketAddr) -> Option<&Listed> {
-        self.list.iter().find(|listed| listed.address == address)
+        find(&self.list, address)
     }
 
     /// Returns whether the list, read after the instance was called dead, has it as gone.
@@ -150,3 +142,9 @@
         }
     }
 }
+
+/// Finds the entry of an address in a sorted list.
+fn find(list: &[Listed], address: SocketAddr) -> Option<&Listed> {
+    let index = list.binary_search_by_key(&address, |listed| listed.address);
+    index.ok().map(|index| &list[index])
+}
--- a/hemlockrouter-member/src/membership/table.rs
+++ b/hemlockrouter-member/src/membership/table.rs
@@ -5,6 +5,7 @@
 //! answer.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use hemlockrouter_types::prelude::*;
@@ -27,6 +28,8 @@
     pub(crate) since: Time,
     /// When it last was heard from directly.
     pub(crate) heard_at: Option<Time>,
+    /// When it was last probed by this instance's own choice.
+    pub(crate) probed_at: Option<Time>,
     /// The configuration number last heard from it.
     pub(crate) config: Option<ConfigNumber>,
     /// Whether the platform's list ever contained it.
@@ -105,6 +108,14 @@
         self.entries.values()
     }
 
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Entry> {
+        self.entries.values_mut()
+    }
+
+    pub(crate) fn addresses(&self) -> BTreeSet<SocketAddr> {
+        self.iter().map(|entry| entry.peer.address).collect()
+    }
+
     pub(crate) fn zone<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a Entry> {
         self.iter().filter(move |entry| entry.peer.zone == zone)
     }
@@ -176,6 +187,7 @@
             established: rumour.established,
             since: now,
             heard_at: None,
+            probed_at: None,
             config: None,
             was_listed: false,
             proved_at: None,
--- a/hemlockrouter-member/tests/member/fuzz.rs
+++ b/hemlockrouter-member/tests/member/fuzz.rs
@@ -55,6 +55,8 @@
 struct Size {
     zones: usize,
     per_zone: usize,
+    /// Whether the seeds name every address; then no others are used.
+    is_seeded: bool,
     seed: u64,
 }
 
@@ -65,10 +67,11 @@
     type Transition = Step;
 
     fn init_state() -> BoxedStrategy<Size> {
-        (1..=2_usize, 1..=5_usize, any::<u64>())
-            .prop_map(|(zones, per_zone, seed)| Size {
+        (1..=2_usize, 1..=5_usize, any::<bool>(), any::<u64>())
+            .prop_map(|(zones, per_zone, is_seeded, seed)| Size {
                 zones,
                 per_zone,
+                is_seeded,
                 seed,
             })
             .boxed()
@@ -114,17 +117,17 @@
 
 impl Members {
     fn new(size: Size) -> Members {
-        let mut net = Net::new(Config::default(), size.zones, UPSTREAMS, size.seed);
+        let net = Net::new(Config::default(), size.zones, UPSTREAMS, size.seed);
         let addresses = size.zones * size.per_zone;
-        let seeds: Vec<usize> = (0..addresses).collect();
-        for address in 0..addresses {
-            net.start(address / size.per_zone, address, &seeds);
-        }
-        Members {
+        let mut members = Members {
             net,
             size,
             addresses,
+        };
+        for address in 0..addresses {
+            members.start_at(address, address / size.per_zone);
         }
+        members
     }
 
     fn living(&self, pick: usize) -> Option<usize> {
@@ -135,7 +138,9 @@
     }
 
     fn start_at(&mut self, address: usize, zone: usize) {
-        let seeds: Vec<usize> = (0..self.size.zones * self.size.per_zone).collect();
+        let seeds: Vec<usize> = (0..self.size.zones * self.size.per_zone)
+            .filter(|seed| self.size.is_seeded || *seed != address)
+            .collect();
         self.net.start(zone, address, &seeds);
     }
 
@@ -156,6 +161,7 @@
             Step::Kill(pick) => self.kill(pick, true),
             Step::KillSilently(pick) => self.kill(pick, false),
             Step::Restart(pick) => self.restart(pick),
+            Step::StartNew(_) if self.size.is_seeded => {}
             Step::StartNew(pick) => {
                 self.addresses += 1;
                 self.start_at(self.addresses, pick % self.size.zones);
--- a/hemlockrouter-member/tests/member/net.rs
+++ b/hemlockrouter-member/tests/member/net.rs
@@ -104,7 +104,8 @@
     pub(crate) notes: usize,
     /// When each upstream was last taken over, and by which node.
     pub(crate) holders: BTreeMap<UpstreamKey, (u64, usize)>,
-    /// Conditions that nodes were last seen to believe of others, counted when they turn dead.
+    /// How often an upstream changed hands.
+    pub(crate) take_overs: usize,
     config: Config,
     catalog: Catalog,
     catalogs: BTreeMap<u64, Arc<Catalog>>,
@@ -133,6 +134,7 @@
             },
             notes: 1,
             holders: BTreeMap::new(),
+            take_overs: 0,
             config,
             catalog: catalog(zones, upstreams),
             catalogs: BTreeMap::new(),
@@ -359,6 +361,7 @@
             .is_none_or(|(_, node)| *node != index)
         {
             self.holders.insert(upstream, (self.now, index));
+            self.take_overs += 1;
         }
     }
 
@@ -591,6 +594,36 @@
         self.catalog.upstreams.iter().map(|(key, _)| key).collect()
     }
 
+    /// Runs for some seconds and returns how many messages were sent in the busiest.
+    pub(crate) fn busiest_second(&mut self, seconds: usize) -> u64 {
+        let mut most = 0;
+        for _ in 0..seconds {
+            self.reset_counters();
+            self.run(1_000);
+            most = most.max(self.nodes.iter().map(|node| node.sent_messages).sum());
+        }
+        most
+    }
+
+    /// Returns whether every living node has the last note.
+    pub(crate) fn is_in_force(&self) -> bool {
+        let last = self.notes as u64;
+        self.nodes
+            .iter()
+            .all(|node| !node.is_up || node.applied == last)
+    }
+
+    /// Returns how many living nodes believe that `id` is dead or have removed it.
+    pub(crate) fn believers_in_death(&self, id: InstanceId) -> usize {
+        let living = self.nodes.iter().filter(|node| node.is_up);
+        living
+            .filter(|node| {
+                let condition = node.member.condition(id);
+                condition.is_none_or(|condition| condition == Condition::Dead)
+            })
+            .count()
+    }
+
     /// Returns how many living nodes believe that another living one is dead.
     pub(crate) fn false_deaths(&self) -> usize {
         let living: BTreeSet<InstanceId> = self
