--- a/hemlockrouter-config/src/note.rs
+++ b/hemlockrouter-config/src/note.rs
@@ -8,8 +8,12 @@
 mod check;
 mod read;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use hemlockrouter_types::prelude::*;
+
+use crate::digest;
 use crate::document::Source;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -24,6 +28,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Note {
     id: String,
+    id_line: usize,
     author: String,
     text: String,
     file: String,
@@ -85,6 +90,80 @@
     pub fn bytes(&self) -> &[u8] {
         &self.document
     }
+
+    /// Returns whether both notes add, change or withdraw the same thing.
+    pub fn overlaps(&self, other: &Note) -> bool {
+        let touched = self.touched();
+        other.touched().iter().any(|name| touched.contains(name))
+    }
+
+    /// Returns the kinds and names of what the note adds, changes or withdraws.
+    fn touched(&self) -> BTreeSet<(&'static str, &str)> {
+        let mut touched = BTreeSet::new();
+        for section in [&self.added, &self.changed] {
+            extend(&mut touched, "zone", &section.zones);
+            extend(&mut touched, "upstream", &section.upstreams);
+            extend(&mut touched, "customer", &section.customers);
+            extend(&mut touched, "search", &section.searches);
+            extend(&mut touched, "operation", &section.operations);
+        }
+        extend(&mut touched, "zone", &self.withdrawn.zones);
+        extend(&mut touched, "upstream", &self.withdrawn.upstreams);
+        extend(&mut touched, "customer", &self.withdrawn.customers);
+        extend(&mut touched, "search", &self.withdrawn.searches);
+        extend(&mut touched, "operation", &self.withdrawn.operations);
+        touched
+    }
+
+    /// Returns the [digest](crate::digest) of the text.
+    pub fn digest(&self) -> u64 {
+        digest(&self.document)
+    }
+}
+
+fn extend<'n, T>(
+    touched: &mut BTreeSet<(&'static str, &'n str)>,
+    kind: &'static str,
+    entries: &'n [Entry<T>],
+) {
+    touched.extend(entries.iter().map(|entry| (kind, entry.name.as_str())));
+}
+
+/// What applying an accepted note gave.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Accepted {
+    /// The catalogue up to the note.
+    pub catalog: Catalog,
+    /// Why the note changed nothing, if it did not check.
+    pub skipped: Option<Error>,
+}
+
+/// Applies the bytes of the note that was accepted under `number`, the one after the catalogue's.
+///
+/// A note is checked before it is written, so one that does not check was written by something
+/// else. It changes nothing but the number, on every instance alike: to stop at it would leave
+/// some instances behind for good.
+///
+/// # Panics
+///
+/// Panics if `number` does not follow the catalogue's number.
+pub fn accept(catalog: &Catalog, number: ConfigNumber, bytes: &[u8]) -> Accepted {
+    assert_eq!(number, catalog.number.next(), "notes are applied in order");
+    let file = format!("note {number}");
+    let applied = Note::from_bytes(bytes, &file).and_then(|note| note.apply(catalog, number));
+    match applied {
+        Ok(catalog) => Accepted {
+            catalog,
+            skipped: None,
+        },
+        Err(err) => Accepted {
+            catalog: Catalog {
+                number,
+                ..catalog.clone()
+            },
+            skipped: Some(err),
+        },
+    }
 }
 
 /// An entry of a note, and the line that it starts on.
