--- /dev/null
+++ b/hemlockrouter-config/benches/config.rs
@@ -0,0 +1,57 @@
+//! What the configuration costs at the size to design for: applying a note, writing and reading the
+//! base document, and finding a customer by its key.
+
+use std::hint::black_box;
+
+use criterion::criterion_group;
+use criterion::criterion_main;
+use criterion::Criterion;
+use hemlockrouter_config::accept;
+use hemlockrouter_config::Base;
+use hemlockrouter_config::KeyIndex;
+
+#[path = "../tests/support/large.rs"]
+mod large;
+
+use large::large;
+use large::upstream;
+
+const NOTE: &[u8] = br#"{
+    "id": "n", "author": "kim",
+    "changed": { "upstreams": { "hall-finder-7-0": { "in_service": false } } }
+}"#;
+
+fn notes(c: &mut Criterion) {
+    for customers in [10, 500] {
+        let mut catalog = large(customers);
+        let zone = catalog.find_zone("zone-0").expect("it was added");
+        catalog.upstreams.insert(upstream(9_999, zone));
+        let number = catalog.number.next();
+        c.bench_function(&format!("accept a note, {customers} customers"), |b| {
+            b.iter(|| accept(black_box(&catalog), number, NOTE));
+        });
+    }
+    let catalog = large(500);
+    let document = Base::encode(&catalog);
+    c.bench_function("encode the base document", |b| {
+        b.iter(|| Base::encode(&catalog))
+    });
+    c.bench_function("decode the base document", |b| {
+        b.iter(|| Base::decode(&document))
+    });
+}
+
+fn keys(c: &mut Criterion) {
+    for customers in [10, 500] {
+        let index = KeyIndex::new(&large(customers));
+        c.bench_function(
+            &format!("find no customer by key, {customers} customers"),
+            |b| {
+                b.iter(|| index.find(black_box("demo-customer-key-0123456789abcdef")));
+            },
+        );
+    }
+}
+
+criterion_group!(benches, notes, keys);
+criterion_main!(benches);
--- /dev/null
+++ b/hemlockrouter-config/tests/support/large.rs
@@ -0,0 +1,100 @@
+//! A catalogue of the size to design for.
+
+use hemlockrouter_types::catalog::Customer;
+use hemlockrouter_types::catalog::NoteHead;
+use hemlockrouter_types::catalog::Operation;
+use hemlockrouter_types::catalog::Search;
+use hemlockrouter_types::catalog::Shard;
+use hemlockrouter_types::catalog::Upstream;
+use hemlockrouter_types::catalog::Zone;
+use hemlockrouter_types::catalog::RECENT_NOTES_MAX;
+use hemlockrouter_types::prelude::*;
+
+const UPSTREAMS: u32 = 3_000;
+const SHARDS: u32 = 270;
+const REPLICAS: u32 = 2;
+
+/// 7 zones, 3,000 upstreams, `customers` with a search over 270 shards and an operation each.
+pub(crate) fn large(customers: u32) -> Catalog {
+    let mut catalog = Catalog {
+        number: ConfigNumber(657_000),
+        ..Catalog::default()
+    };
+    let zones: Vec<ZoneKey> = (0..7).map(|n| catalog.zones.insert(zone(n))).collect();
+    let upstreams: Vec<UpstreamKey> = (0..UPSTREAMS)
+        .map(|n| {
+            catalog
+                .upstreams
+                .insert(upstream(n, zones[n as usize % zones.len()]))
+        })
+        .collect();
+    for n in 0..customers {
+        let customer = catalog.customers.insert(customer(n));
+        catalog.searches.insert(search(n, customer, &upstreams));
+        catalog.operations.insert(Operation {
+            name: String::from("confirm"),
+            customer,
+            weight: 1,
+            upstreams: upstreams[..7].to_vec(),
+        });
+    }
+    for n in 0..RECENT_NOTES_MAX {
+        catalog.recent.push_back(NoteHead {
+            number: ConfigNumber(656_000 + n as u64),
+            id: format!("2026-12-04-change-of-upstreams-{n}"),
+            author: String::from("operators"),
+            digest: u64::MAX - n as u64,
+        });
+    }
+    catalog
+}
+
+fn zone(n: u32) -> Zone {
+    Zone {
+        name: format!("zone-{n}"),
+        region: format!("region-{}", n % 2),
+        in_service: true,
+    }
+}
+
+pub(crate) fn upstream(n: u32, zone: ZoneKey) -> Upstream {
+    Upstream {
+        name: format!("hall-finder-{}-{}", n / REPLICAS, n % REPLICAS),
+        address: format!("10.{}.{}.7:8080", n / 250, n % 250)
+            .parse()
+            .expect("an address"),
+        zone,
+        slots: 2,
+        cold_slots: 1,
+        connections: 25,
+        in_service: true,
+    }
+}
+
+fn customer(n: u32) -> Customer {
+    let mut key_sha256 = [0xa5; 32];
+    key_sha256[..4].copy_from_slice(&n.to_be_bytes());
+    Customer {
+        name: format!("customer-{n}"),
+        key_sha256,
+        max_in_flight: 200,
+        max_per_second: 500,
+    }
+}
+
+fn search(n: u32, customer: CustomerKey, upstreams: &[UpstreamKey]) -> Search {
+    let shards = (0..SHARDS).map(|shard| {
+        let first = ((n * 7 + shard) * REPLICAS) % UPSTREAMS;
+        Shard {
+            name: format!("halls-{shard}"),
+            upstreams: upstreams[first as usize..(first + REPLICAS) as usize].to_vec(),
+        }
+    });
+    Search {
+        name: String::from("halls"),
+        customer,
+        weight: 1,
+        map: MapVersion(3),
+        shards: shards.collect(),
+    }
+}
