--- a/hemlockrouter-config/src/settings/limits.rs
+++ b/hemlockrouter-config/src/settings/limits.rs
@@ -6,8 +6,6 @@
 /// The fields of [`Limits`].
 const FIELDS: &[&str] = &[
     "callers_connections",
-    "instances_connections",
-    "operators_connections",
     "body_max_bytes",
     "answer_max_bytes",
     "header_max_bytes",
@@ -27,10 +25,6 @@
 pub struct Limits {
     /// Connections of callers open at once. Default: 256.
     pub callers_connections: usize,
-    /// Connections of other instances open at once. Default: 1,024.
-    pub instances_connections: usize,
-    /// Connections of operators open at once. Default: 16.
-    pub operators_connections: usize,
     /// The largest body of a caller's request, in bytes. Default: 65,536.
     pub body_max_bytes: usize,
     /// The largest answer of an upstream, in bytes. Default: 1,048,576.
@@ -61,8 +55,6 @@
     fn default() -> Limits {
         Limits {
             callers_connections: 256,
-            instances_connections: 1_024,
-            operators_connections: 16,
             body_max_bytes: 65_536,
             answer_max_bytes: 1_048_576,
             header_max_bytes: 32_768,
@@ -93,18 +85,6 @@
                 1,
                 65_536,
             )?,
-            instances_connections: table.number_or(
-                "instances_connections",
-                default.instances_connections,
-                1,
-                65_536,
-            )?,
-            operators_connections: table.number_or(
-                "operators_connections",
-                default.operators_connections,
-                1,
-                1_024,
-            )?,
             body_max_bytes: table.number_or(
                 "body_max_bytes",
                 default.body_max_bytes,
--- a/hemlockrouter-config/src/settings/timing.rs
+++ b/hemlockrouter-config/src/settings/timing.rs
@@ -13,10 +13,7 @@
     "lease_ms",
     "lease_margin_ms",
     "lease_renew_ms",
-    "hedge_min_ms",
-    "flush_ms",
     "upstream_connect_ms",
-    "list_trust_ms",
     "watch_ms",
     "store_retry_min_ms",
     "store_retry_max_ms",
@@ -43,14 +40,8 @@
     pub lease_margin_ms: u64,
     /// The interval between two renewals of a lease, in milliseconds. Default: 1,000.
     pub lease_renew_ms: u64,
-    /// The shortest wait before a straggler is hedged, in milliseconds. Default: 2.
-    pub hedge_min_ms: u64,
-    /// How long a message waits for others that go to the same instance, in milliseconds. Default: 1.
-    pub flush_ms: u64,
     /// How long connecting to an upstream may take, in milliseconds. Default: 500.
     pub upstream_connect_ms: u64,
-    /// How long the last read of the instance list is relied on while it does not answer, in milliseconds. Default: 60,000.
-    pub list_trust_ms: u64,
     /// How long one blocking read of the store waits for a new note, in milliseconds. Default: 30,000.
     pub watch_ms: u64,
     /// The first wait before the store is called again after a failure; it doubles each time, in milliseconds. Default: 500.
@@ -77,10 +68,7 @@
             lease_ms: 3_000,
             lease_margin_ms: 500,
             lease_renew_ms: 1_000,
-            hedge_min_ms: 2,
-            flush_ms: 1,
             upstream_connect_ms: 500,
-            list_trust_ms: 60_000,
             watch_ms: 30_000,
             store_retry_min_ms: 500,
             store_retry_max_ms: 10_000,
@@ -132,20 +120,12 @@
                 10,
                 60_000,
             )?,
-            hedge_min_ms: table.number_or("hedge_min_ms", default.hedge_min_ms, 0, 60_000)?,
-            flush_ms: table.number_or("flush_ms", default.flush_ms, 0, 1_000)?,
             upstream_connect_ms: table.number_or(
                 "upstream_connect_ms",
                 default.upstream_connect_ms,
                 1,
                 60_000,
             )?,
-            list_trust_ms: table.number_or(
-                "list_trust_ms",
-                default.list_trust_ms,
-                100,
-                3_600_000,
-            )?,
             watch_ms: table.number_or("watch_ms", default.watch_ms, 100, 600_000)?,
             store_retry_min_ms: table.number_or(
                 "store_retry_min_ms",
