Hedge at the 0.97 quantile of an upstream's latency

Cause: under stragglers the p99 of a fan-out over 270 is two waits for the hedge delay and an answer, so the delay counts twice.

--- a/hemlockrouter-route/src/search/config.rs
+++ b/hemlockrouter-route/src/search/config.rs
@@ -34,7 +34,7 @@
     pub fn new() -> Config {
         Config {
             zone: String::new(),
-            hedge_quantile: 0.98,
+            hedge_quantile: 0.97,
             hedge_share: 0.05,
             hedge_burst: 32,
             hedges_per_shard: 2,
@@ -58,7 +58,7 @@
     }
 
     /// Sets the quantile of an upstream's latency after which a sub-request is hedged.
-    /// Default: 0.98.
+    /// Default: 0.97.
     pub fn hedge_quantile(mut self, quantile: f64) -> Config {
         self.hedge_quantile = quantile.clamp(0.5, 1.0);
         self
