limit: move a customer in its sets only where its place changed; keep withdrawn customers apart

Two faults were found on the way, each by a test that failed first: an end of work for a withdrawn customer reset the queue of the one that took its slot (it lost what waited, or stopped a debug build), and an upstream fresh from a cold start was not suspected for a second, since the usual time was not known yet. Change: sets are updated by the difference; ends of unknown customers are passed over; until the usual time is known the time of the cold start stands in.

--- a/hemlockrouter-limit/src/queue.rs
+++ b/hemlockrouter-limit/src/queue.rs
@@ -121,7 +121,6 @@
         let customer = waiting.customer;
         let turn = self.turn;
         let order = self.order;
-        self.unlist(customer);
         let flow = self.flow_mut(customer);
         if flow.waiting.is_empty() {
             flow.tag = flow.tag.max(turn);
@@ -130,14 +129,13 @@
         let at = flow.rank(order, waiting.deadline, waiting.seq);
         flow.waiting.insert(at, waiting);
         self.len += 1;
-        self.list(customer);
+        self.relist(customer);
         self.forget_one(now);
     }
 
     /// Takes out the sub-request whose turn it is, and charges its customer.
     pub(crate) fn pop(&mut self, now: Time) -> Option<Turn> {
         let &(_, customer) = self.turns.first()?;
-        self.unlist(customer);
         let by_time = self.order == Order::FairByTime;
         let flow = self.flow_mut(customer);
         let tag = flow.tag;
@@ -154,32 +152,31 @@
         flow.observe_dispatch(now);
         self.turn = self.turn.max(tag);
         self.len -= 1;
-        self.list(customer);
+        self.relist(customer);
         Some(Turn { waiting, charge })
     }
 
     /// Charges the customer with the time for which its work kept a slot, in place of the estimate.
     pub(crate) fn settle(&mut self, charge: Charge, took_ms: u64) {
-        if self.order != Order::FairByTime {
+        // The customer may have been withdrawn since, and its slot be another's.
+        if self.order != Order::FairByTime || self.flow(charge.customer).is_none() {
             return;
         }
-        self.unlist(charge.customer);
         let flow = self.flow_mut(charge.customer);
         let charged = charge.cost(charge.estimate_ms);
         flow.tag = (flow.tag + charge.cost(took_ms)).saturating_sub(charged);
-        self.list(charge.customer);
+        self.relist(charge.customer);
     }
 
     /// Removes a sub-request.
     pub(crate) fn remove(&mut self, customer: CustomerKey, deadline: Time, seq: u64) {
         let order = self.order;
-        self.unlist(customer);
         let flow = self.flow_mut(customer);
         let at = flow.rank(order, deadline, seq);
         let removed = flow.waiting.remove(at);
         debug_assert!(removed.is_some_and(|waiting| waiting.seq == seq));
         self.len -= 1;
-        self.list(customer);
+        self.relist(customer);
     }
 
     /// Takes out work that can't be done any more by its deadline.
@@ -188,10 +185,9 @@
         if start_by >= now {
             return None;
         }
-        self.unlist(customer);
         let waiting = self.flow_mut(customer).waiting.pop_front();
         self.len -= 1;
-        self.list(customer);
+        self.relist(customer);
         waiting
     }
 
@@ -243,20 +239,22 @@
             if known(flow.customer) {
                 continue;
             }
-            self.unlist(flow.customer);
-            if let Some(flow) = self.flows[slot].take() {
-                self.len -= flow.waiting.len();
-                all.extend(flow.waiting);
-            }
+            let customer = flow.customer;
+            let waiting = std::mem::take(&mut self.flow_mut(customer).waiting);
+            self.len -= waiting.len();
+            all.extend(waiting);
+            self.relist(customer);
+            self.flows[slot] = None;
         }
         all
     }
 
     /// Takes in how long work of `customer` took at the upstream.
     pub(crate) fn observe_served(&mut self, now: Time, customer: CustomerKey, served_ms: u32) {
-        self.unlist(customer);
-        self.flow_mut(customer).observe_served(now, served_ms);
-        self.list(customer);
+        if self.flow(customer).is_some() {
+            self.flow_mut(customer).observe_served(now, served_ms);
+            self.relist(customer);
+        }
     }
 
     /// Returns how long work of `customer` takes at the upstream, in milliseconds; 0 if unknown.
@@ -312,35 +310,50 @@
         flow
     }
 
-    fn unlist(&mut self, customer: CustomerKey) {
-        let Some(listed) = self.flow_mut(customer).listed.take() else {
-            return;
-        };
-        self.turns.remove(&(listed.turn, customer));
-        self.heads.remove(&(listed.start_by, customer));
-        self.lengths.remove(&(listed.len, customer));
-    }
-
-    fn list(&mut self, customer: CustomerKey) {
+    /// Brings the places of a customer in the sets up to date.
+    fn relist(&mut self, customer: CustomerKey) {
         let order = self.order;
         let flow = self.flow_mut(customer);
-        let Some(head) = flow.waiting.front() else {
-            return;
-        };
-        let turn = match order {
-            Order::FairByTime | Order::FairByCount => flow.tag,
-            Order::EarliestDeadline => head.deadline.as_ms(),
-            Order::FirstIn => head.seq,
-        };
-        let listed = Listed {
-            turn,
-            start_by: head.deadline.before(flow.served.ms().unwrap_or(0)),
-            len: flow.waiting.len(),
-        };
-        flow.listed = Some(listed);
-        self.turns.insert((listed.turn, customer));
-        self.heads.insert((listed.start_by, customer));
-        self.lengths.insert((listed.len, customer));
+        let new = flow.listed_by(order);
+        let old = std::mem::replace(&mut flow.listed, new);
+        replace(
+            &mut self.turns,
+            customer,
+            old.map(|old| old.turn),
+            new.map(|new| new.turn),
+        );
+        replace(
+            &mut self.heads,
+            customer,
+            old.map(|old| old.start_by),
+            new.map(|new| new.start_by),
+        );
+        replace(
+            &mut self.lengths,
+            customer,
+            old.map(|old| old.len),
+            new.map(|new| new.len),
+        );
+    }
+}
+
+/// Moves a customer in a set from one place to another; `None` is not in the set.
+fn replace<T>(
+    set: &mut BTreeSet<(T, CustomerKey)>,
+    customer: CustomerKey,
+    old: Option<T>,
+    new: Option<T>,
+) where
+    T: Ord,
+{
+    if old == new {
+        return;
+    }
+    if let Some(old) = old {
+        set.remove(&(old, customer));
+    }
+    if let Some(new) = new {
+        set.insert((new, customer));
     }
 }
 
@@ -358,6 +371,20 @@
         }
     }
 
+    fn listed_by(&self, order: Order) -> Option<Listed> {
+        let head = self.waiting.front()?;
+        let turn = match order {
+            Order::FairByTime | Order::FairByCount => self.tag,
+            Order::EarliestDeadline => head.deadline.as_ms(),
+            Order::FirstIn => head.seq,
+        };
+        Some(Listed {
+            turn,
+            start_by: head.deadline.before(self.served.ms().unwrap_or(0)),
+            len: self.waiting.len(),
+        })
+    }
+
     fn is_stale(&self, now: Time, turn: u64) -> bool {
         self.waiting.is_empty() && self.tag <= turn && now.since(self.last_served) > MEMORY_MS
     }
--- a/hemlockrouter-limit/src/ramp.rs
+++ b/hemlockrouter-limit/src/ramp.rs
@@ -126,9 +126,10 @@
     /// Returns the milliseconds after which an answer to `customer` is late, if that is known.
     pub(crate) fn late_after_ms(&self, customer: CustomerKey, config: &Config) -> Option<u64> {
         let usual_ms = match &self.phase {
-            Phase::Cold(_) => self.history.cold_ms(customer)?,
-            Phase::Warm { .. } => self.history.usual_ms(customer)?,
+            Phase::Cold(_) => None,
+            Phase::Warm { .. } => self.history.usual_ms(customer),
         };
+        let usual_ms = usual_ms.or_else(|| self.history.cold_ms(customer))?;
         let by_factor = usual_ms * u64::from(config.late_after);
         Some(by_factor.max(usual_ms + u64::from(config.late_slack_ms)))
     }
--- a/hemlockrouter-limit/tests/limit/limiter.rs
+++ b/hemlockrouter-limit/tests/limit/limiter.rs
@@ -137,3 +137,61 @@
         assert!(!warm || (!status.cold && status.limit == 2), "at {now}");
     }
 }
+
+#[test]
+fn withdrawn_customer_leaves_its_slot_to_another() {
+    let mut out = Vec::new();
+    let mut limiter = busy(9, 1, &mut out);
+    limiter.offer(ms(250), work(2, 0, ms(10_000)), &mut out);
+    let mut changed = catalog(1, 2, 1, 1);
+    let old = CustomerKey::from_raw(0);
+    let customer = changed.customers.remove(old).unwrap();
+    let new = changed.customers.insert(customer);
+    assert_eq!((new.slot(), new != old), (old.slot(), true));
+    limiter.configure(ms(251), &changed, &mut out);
+    assert_eq!(refused(&out)[0].1.reason, Reason::NotConfigured);
+    limiter.offer(ms(252), work(3, new.raw(), ms(10_000)), &mut out);
+    limiter.offer(ms(252), work(4, new.raw(), ms(10_000)), &mut out);
+    limiter.finish(ms(255), id(1), answered(5, 1), &mut out);
+    limiter.finish(ms(260), id(3), answered(5, 1), &mut out);
+    assert_eq!(dispatched(&out), [1, 3, 4]);
+}
+
+#[test]
+fn nothing_goes_out_above_the_cold_bound_while_all_in_flight_is_late() {
+    let mut out = Vec::new();
+    let mut limiter = Limiter::new(Config::new());
+    limiter.configure(ms(0), &catalog(1, 8, 3, 1), &mut out);
+    hold(&mut limiter, ms(0), &mut out);
+    let mut now = ms(250);
+    let mut seq = 0;
+    // Work in rounds of as much as may be in flight, until all slots are used.
+    while limiter.status(upstream(0)).unwrap().limit < 8 {
+        let first = seq + 1;
+        seq += 8;
+        (first..=seq).for_each(|seq| limiter.offer(now, work(seq, 0, now + 9_000), &mut out));
+        while limiter.in_flight(upstream(0)) > 0 {
+            now = now + 5;
+            let sent = dispatched(&out);
+            out.clear();
+            sent.iter()
+                .for_each(|&seq| limiter.finish(now, id(seq), answered(5, 1), &mut out));
+        }
+    }
+    for seq in seq + 1..=seq + 9 {
+        limiter.offer(now, work(seq, 0, now + 9_000), &mut out);
+    }
+    assert_eq!(limiter.in_flight(upstream(0)), 8);
+    while let Some(wake) = limiter.next_wake().filter(|&wake| wake <= now + 100) {
+        limiter.tick(wake, &mut out);
+    }
+    let sent = dispatched(&out);
+    out.clear();
+    for &seq in &sent[..5] {
+        limiter.finish(now + 100, id(seq), Ended::Cancelled, &mut out);
+    }
+    assert_eq!(
+        (dispatched(&out).len(), limiter.in_flight(upstream(0))),
+        (0, 3)
+    );
+}
