--- a/hemlockrouter-limit/src/upstream.rs
+++ b/hemlockrouter-limit/src/upstream.rs
@@ -5,6 +5,7 @@
 //! in flight counts until its end is reported, cancelled or not, in this tenure of the lease or in an
 //! earlier one.
 
+use hemlockrouter_types::catalog;
 use hemlockrouter_types::prelude::*;
 
 use crate::config::Config;
@@ -16,6 +17,7 @@
 use crate::work::Command;
 use crate::work::Ended;
 use crate::work::Status;
+use crate::work::Work;
 
 /// After how long a request is late whose customer's usual time is unknown, in milliseconds.
 const LATE_UNKNOWN_MS: u64 = 1_000;
@@ -41,6 +43,9 @@
     backoff_ms: u32,
     /// When everything in flight is late, at the earliest.
     all_late_at: Time,
+    /// Since when it may have turned cold: all that was in flight was late, and nothing that went out
+    /// afterwards has been answered in time.
+    suspect_since: Option<Time>,
     /// Counts how often the upstream was taken for cold.
     epoch: u32,
     /// Counts how often the limit was lowered.
@@ -67,21 +72,15 @@
 
 impl Upstream {
     /// Makes the state of an upstream that is not held yet.
-    pub(crate) fn new(
-        now: Time,
-        name: String,
-        slots: u32,
-        cold_slots: u32,
-        order: Order,
-    ) -> Upstream {
+    pub(crate) fn new(now: Time, entry: &catalog::Upstream, order: Order) -> Upstream {
         Upstream {
-            name,
+            name: entry.name.clone(),
             in_service: true,
             withdrawn: false,
             queue: Queue::new(order),
             in_flight: 0,
             wake: None,
-            ramp: Ramp::new(now, slots, cold_slots),
+            ramp: Ramp::new(entry.slots, entry.cold_slots),
             held_until: None,
             start: None,
             leaving_until: None,
@@ -92,6 +91,7 @@
             },
             backoff_ms: 0,
             all_late_at: now,
+            suspect_since: None,
             epoch: 0,
             round: 0,
         }
@@ -137,9 +137,55 @@
         (self.pause.until > now).then_some(self.pause)
     }
 
-    /// Returns what is left of the time for which it is leaving, in milliseconds.
-    pub(crate) fn leaving_ms(&self, now: Time) -> Option<u64> {
-        self.leaving_until.map(|until| until.left(now))
+    /// Returns why all that waits and all that is offered is refused, if it is.
+    pub(crate) fn closed(&self, now: Time, config: &Config) -> Option<Refusal> {
+        if self.lease_until(now).is_none() {
+            return Some(config.refusal(Reason::NotOwner, 0));
+        }
+        if !self.is_leaving(now) {
+            return None;
+        }
+        let left_ms = match self.leaving_until {
+            Some(until) if self.in_service => until.left(now),
+            _ => u64::MAX,
+        };
+        Some(config.refusal(Reason::Leaving, left_ms))
+    }
+
+    /// Checks whether work can be done by its deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal that its sender gets at once.
+    pub(crate) fn check(&self, now: Time, work: &Work, config: &Config) -> Result<(), Refusal> {
+        if let Some(refusal) = self.closed(now, config) {
+            return Err(refusal);
+        }
+        let left_ms = work.deadline.left(now);
+        let served_ms = self.queue.served_ms(now, work.customer);
+        if left_ms == 0 || served_ms > left_ms {
+            return Err(config.refusal(Reason::Deadline, 0));
+        }
+        if let Some(pause) = self.pause(now) {
+            let pause_ms = pause.until.left(now);
+            if pause.reason == Reason::Unreachable || pause_ms + served_ms > left_ms {
+                return Err(config.refusal(pause.reason, pause_ms));
+            }
+        }
+        let wait_ms = self
+            .queue
+            .wait_ms(work.customer, work.deadline, self.limit());
+        if wait_ms + served_ms > left_ms {
+            let drain_ms = self.drain_ms(work.customer);
+            return Err(config.refusal(Reason::Overloaded, drain_ms));
+        }
+        Ok(())
+    }
+
+    /// Estimates how long it takes until all that `customer` has waiting is dispatched, in
+    /// milliseconds.
+    pub(crate) fn drain_ms(&self, customer: CustomerKey) -> u64 {
+        self.queue.drain_ms(customer, self.limit())
     }
 
     /// Returns whether one more request may go to the upstream.
@@ -147,7 +193,7 @@
         self.lease_until(now).is_some()
             && !self.is_leaving(now)
             && self.pause(now).is_none()
-            && self.in_flight < self.ramp.limit()
+            && self.in_flight < self.limit()
     }
 
     /// Counts a request that goes to the upstream.
@@ -218,26 +264,35 @@
         }
     }
 
-    /// Takes the upstream for cold if all that is in flight is late.
-    pub(crate) fn check_progress(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
+    /// Suspects the upstream of a cold turn if all that is in flight is late. It may as well be
+    /// stragglers, so the limit comes back with the first answer in time.
+    pub(crate) fn check_progress(&mut self, now: Time, out: &mut Vec<Command>) {
         if self.stalls_at().is_some_and(|at| at <= now) {
-            self.cool(now, "all in flight is late", config, out);
+            self.suspect_since = Some(now);
+            self.record_limit("all in flight is late", out);
         }
     }
 
-    /// Returns when the upstream looks cold if nothing goes out or comes back until then. One request
-    /// alone may just be a straggler.
+    /// Returns when the upstream looks cold if nothing goes out or comes back until then.
     pub(crate) fn stalls_at(&self) -> Option<Time> {
-        if self.ramp.is_cold() || self.in_flight < 2 {
+        if self.ramp.is_cold() || self.suspect_since.is_some() || self.in_flight < 2 {
             return None;
         }
         Some(self.all_late_at + 1)
     }
 
+    /// Returns how many requests may be in flight.
+    fn limit(&self) -> u32 {
+        match self.suspect_since {
+            Some(_) => self.ramp.limit().min(self.ramp.cold_slots()),
+            None => self.ramp.limit(),
+        }
+    }
+
     /// Returns the condition.
     pub(crate) fn status(&self, now: Time) -> Status {
         Status {
-            limit: self.ramp.limit(),
+            limit: self.limit(),
             in_flight: self.in_flight,
             queued: self.queue.len() as u32,
             cold: self.ramp.is_cold(),
@@ -304,6 +359,13 @@
         if self.is_outdated(flight) {
             return;
         }
+        if self
+            .suspect_since
+            .is_some_and(|since| flight.since >= since)
+            && now <= flight.late_at
+        {
+            self.suspect_since = None;
+        }
         let customer = flight.charge.customer;
         let change = self
             .ramp
@@ -376,6 +438,7 @@
 
     fn cool(&mut self, now: Time, why: &'static str, config: &Config, out: &mut Vec<Command>) {
         let change = self.ramp.cool(now, config);
+        self.suspect_since = None;
         self.epoch = self.epoch.wrapping_add(1);
         if change == Change::Cold {
             self.record_limit(why, out);
@@ -388,13 +451,16 @@
             Change::None => return,
             Change::Warm => {}
             Change::Halved => self.round = self.round.wrapping_add(1),
-            Change::Cold => self.epoch = self.epoch.wrapping_add(1),
+            Change::Cold => {
+                self.suspect_since = None;
+                self.epoch = self.epoch.wrapping_add(1);
+            }
         }
         self.record_limit(why, out);
     }
 
     fn record_limit(&self, why: &'static str, out: &mut Vec<Command>) {
-        let chosen = format!("limit {}", self.ramp.limit());
+        let chosen = format!("limit {}", self.limit());
         out.push(self.decision(&chosen, why));
     }
 
