Take the defaults of timings from what the member measured

Cause: the defaults in the settings differed from those that membership and leases were measured with; with a renewal each second the asks of a zone of 103 would pass 2 KB/s, and a stall of 1.5 s would drop leases.

Change: lease 7,000 ms, renewal 3,500 ms, probe timeout 400 ms, suspicion 2,500 ms, in settings, documents and tests.

--- a/hemlockrouter-config/src/settings/timing.rs
+++ b/hemlockrouter-config/src/settings/timing.rs
@@ -30,15 +30,15 @@
     pub deadline_max_ms: u64,
     /// The interval between two probes of other instances, in milliseconds. Default: 1,000.
     pub probe_every_ms: u64,
-    /// How long a probe waits for its answer, in milliseconds. Default: 300.
+    /// How long a probe waits for its answer, in milliseconds. Default: 400.
     pub probe_timeout_ms: u64,
-    /// How long a suspected instance has to refute the suspicion, in milliseconds. Default: 3,000.
+    /// How long a suspected instance has to refute the suspicion, in milliseconds. Default: 2,500.
     pub suspect_ms: u64,
-    /// How long an ownership lease lasts after its last renewal, in milliseconds. Default: 3,000.
+    /// How long an ownership lease lasts after its last renewal, in milliseconds. Default: 7,000.
     pub lease_ms: u64,
     /// How long before the end of its lease an owner stops dispatching, in milliseconds. Default: 500.
     pub lease_margin_ms: u64,
-    /// The interval between two renewals of a lease, in milliseconds. Default: 1,000.
+    /// The interval between two renewals of a lease, in milliseconds. Default: 3,500.
     pub lease_renew_ms: u64,
     /// How long connecting to an upstream may take, in milliseconds. Default: 500.
     pub upstream_connect_ms: u64,
@@ -63,11 +63,11 @@
         Timing {
             deadline_max_ms: 60_000,
             probe_every_ms: 1_000,
-            probe_timeout_ms: 300,
-            suspect_ms: 3_000,
-            lease_ms: 3_000,
+            probe_timeout_ms: 400,
+            suspect_ms: 2_500,
+            lease_ms: 7_000,
             lease_margin_ms: 500,
-            lease_renew_ms: 1_000,
+            lease_renew_ms: 3_500,
             upstream_connect_ms: 500,
             watch_ms: 30_000,
             store_retry_min_ms: 500,
--- a/hemlockrouter-config/tests/settings.rs
+++ b/hemlockrouter-config/tests/settings.rs
@@ -11,7 +11,7 @@
     "instances_listen": "127.0.0.1:3",
     "platform": { "store_address": "127.0.0.1:8500" },
     "keys": { "operators_key_env": "HEMLOCK_TEST_A", "instances_key_env": "HEMLOCK_TEST_B" },
-    "timing": { "lease_ms": 3000 },
+    "timing": { "lease_ms": 9000 },
 }"#;
 
 /// Replaces one part of good settings by another, and returns the complaint.
@@ -39,13 +39,13 @@
             "{ \"operators_key_env\"",
             "{ \"operators_key_file\": \"f\", \"operators_key_env\"",
         ),
-        complaint("3000", "-1"),
-        complaint("3000", "3.5"),
-        complaint("3000", "1500"),
+        complaint("9000", "-1"),
+        complaint("9000", "3.5"),
+        complaint("9000", "1500"),
         complaint("\"lease_ms\"", "\"leas_ms\""),
         complaint("\"timing\"", "\"log\""),
-        complaint("{ \"lease_ms\": 3000 }", "[]"),
-        complaint("3000 }", "3000"),
+        complaint("{ \"lease_ms\": 9000 }", "[]"),
+        complaint("9000 }", "9000"),
         complaint(GOOD, ""),
     ];
     assert_snapshot!(complaints.join("\n"), @r#"
@@ -63,7 +63,7 @@
     settings.jsonc:8: keys.operators_key_env: operators_key_file is given too; expected one of the two
     settings.jsonc:9: timing.lease_ms: expected a whole number from 100 to 600000, found -1
     settings.jsonc:9: timing.lease_ms: expected a whole number from 100 to 600000, found 3.5
-    settings.jsonc:9: timing: lease_renew_ms (1000) and lease_margin_ms (500) together must be less than lease_ms (1500)
+    settings.jsonc:9: timing: lease_renew_ms (3500) and lease_margin_ms (500) together must be less than lease_ms (1500)
     settings.jsonc:9: timing.leas_ms: unknown field; did you mean "lease_ms"?
     settings.jsonc:9: log.lease_ms: unknown field; expected one of level, filter
     settings.jsonc:9: timing: expected an object, found a list
