limit: split the fuzz test into steps and oracle

Change: steps in machine.rs, the oracle in world.rs; the same steps with the same weights, the same assertions.

--- a/hemlockrouter-limit/tests/limit/machine.rs
+++ b/hemlockrouter-limit/tests/limit/machine.rs
@@ -1,17 +1,7 @@
 //! A stateful fuzz test against an oracle.
 //!
-//! Two instances take turns as the owner of two upstreams. The oracle knows what each upstream works
-//! on, whoever sent it, and what each instance decided about each sub-request. `PROPTEST_CASES`
-//! makes the run longer.
+//! Two instances take turns as the owner of two upstreams. `PROPTEST_CASES` makes the run longer.
 
-use std::collections::btree_map::Entry;
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-
-use hemlockrouter_limit::Command;
-use hemlockrouter_limit::Config;
-use hemlockrouter_limit::Ended;
-use hemlockrouter_limit::Limiter;
 use hemlockrouter_limit::Work;
 use hemlockrouter_types::prelude::*;
 use proptest::prelude::*;
@@ -21,98 +11,44 @@
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 
-use crate::common::catalog;
-use crate::common::upstream;
-use crate::fake::Fake;
-use crate::fake::Serving;
-use crate::fake::Spec;
-
-const OWNERS: usize = 2;
-const UPSTREAMS: usize = 2;
-const SLOTS: [u32; UPSTREAMS] = [2, 8];
-const COLD_SLOTS: [u32; UPSTREAMS] = [1, 3];
-const CUSTOMERS: u32 = 3;
-const LEASE_MS: u64 = 1_000;
-
-/// For how long a steady load may take to bring an upstream back to all its slots. A cold start that
-/// was ended wrongly doubles the settling time, so this allows for the longest.
-const CALM_MS: u64 = 90_000;
+use crate::common::work;
+use crate::world::World;
+use crate::world::CUSTOMERS;
+use crate::world::OWNERS;
+use crate::world::UPSTREAMS;
 
-/// How often an upstream may fall over before its owner knows of a cold turn without a sign.
-const BLIND_FALLS_MAX: u32 = 2;
-
-/// What happens. Numbers are taken modulo what there is.
+/// What happens. Counts are taken modulo what there is.
 #[derive(Clone, Debug)]
 enum Step {
-    Pass {
-        ms: u64,
-    },
-    /// The holder renews its lease, or if there is none, `owner` takes it.
-    Hold {
-        up: usize,
-        owner: usize,
-    },
-    Release {
-        up: usize,
-    },
-    Offer {
-        owner: usize,
-        up: usize,
-        customer: u32,
-        weight: u32,
-        in_ms: u64,
-        once: bool,
-        count: u8,
-        /// Whether the instance is frozen once it has decided, before its decisions are carried out.
-        freeze: bool,
-    },
-    /// A steady load on the holder, which renews its lease.
-    Load {
-        up: usize,
-        ms: u64,
-        every_ms: u64,
-    },
-    /// The holder hands over to the other instance, which gets work at once.
-    HandOver {
-        up: usize,
-        count: u8,
-    },
-    /// An offer arrives a second time.
-    Repeat {
-        nth: usize,
-        in_ms: u64,
-    },
-    Cancel {
-        nth: usize,
-    },
-    /// The end of a sub-request is reported a second time.
-    EndAgain {
-        nth: usize,
-    },
-    /// Events no longer reach an instance; if `sending`, its decisions are not carried out either.
-    Freeze {
-        owner: usize,
-    },
-    Thaw {
-        owner: usize,
-    },
-    /// The upstream restarts and refuses connections for a while.
-    Restart {
-        up: usize,
-        down_ms: u64,
-    },
-    /// The upstream turns cold without a sign.
-    TurnCold {
-        up: usize,
-    },
-    Service {
-        up: usize,
-        in_service: bool,
-    },
-    Leaving {
-        up: usize,
-        leaving: bool,
-    },
+    /// Time passes, in milliseconds.
+    Pass(u64),
+    /// The holder of an upstream renews its lease, or if there is none, an instance takes it.
+    Hold(usize, usize),
+    /// The holder of an upstream gives up its lease.
+    Release(usize),
+    /// An instance gets work several times. It may be frozen once it has decided, before its
+    /// decisions are carried out.
+    Offer(usize, Work, u8, bool),
+    /// The holder of an upstream gets work for some time, at an interval, and renews its lease.
+    Load(usize, u64, u64),
+    /// The holder of an upstream hands over to the other instance, which gets work at once.
+    HandOver(usize, u8),
+    /// An offer arrives a second time, with another deadline.
+    Repeat(usize, u64),
+    /// Work is cancelled.
+    Cancel(usize),
+    /// An end is reported a second time.
+    EndAgain(usize),
+    /// Nothing reaches or leaves an instance.
+    Freeze(usize),
+    /// An instance goes on.
+    Thaw(usize),
+    /// An upstream restarts and is down for a time, or turns cold without a sign.
+    Cool(usize, Option<u64>),
+    /// Operators put an upstream in or out of service.
+    Serve(usize, bool),
+    /// The platform's list calls an upstream leaving or staying.
+    Leaving(usize, bool),
 }
 
 /// Generates steps; the state of interest is the oracle's.
@@ -127,47 +63,37 @@
     }
 
     fn transitions((): &()) -> BoxedStrategy<Step> {
-        let up = 0..UPSTREAMS;
-        let owner = 0..OWNERS;
-        let offer = (
-            (owner.clone(), up.clone(), 0..CUSTOMERS),
-            (1_u32..3, 20_u64..500, any::<bool>(), 1_u8..12),
-            proptest::bool::weighted(0.1),
-        );
-        let offer = offer.prop_map(
-            |((owner, up, customer), (weight, in_ms, once, count), freeze)| Step::Offer {
-                owner,
-                up,
-                customer,
-                weight,
-                in_ms,
-                once,
-                count,
-                freeze,
-            },
-        );
-        let load = (up.clone(), 50_u64..1_500, 1_u64..20);
-        let load = load.prop_map(|(up, ms, every_ms)| Step::Load { up, ms, every_ms });
-        let hand_over = (up.clone(), 1_u8..12);
-        let hand_over = hand_over.prop_map(|(up, count)| Step::HandOver { up, count });
+        let up = || 0..UPSTREAMS;
+        let owner = || 0..OWNERS;
+        let nth = any::<usize>;
+        let work = (up(), 0..CUSTOMERS, 1_u32..3, 20_u64..500, any::<bool>());
+        let work = work.prop_map(|(up, customer, weight, in_ms, once)| Work {
+            upstream: UpstreamKey::from_raw(up as u32),
+            weight,
+            once,
+            ..work_in(customer, in_ms)
+        });
+        let offer = (owner(), work, 1_u8..12, proptest::bool::weighted(0.1));
         prop_oneof![
-            10 => (1_u64..40).prop_map(|ms| Step::Pass { ms }),
-            2 => (200_u64..1_500).prop_map(|ms| Step::Pass { ms }),
-            8 => (up.clone(), owner.clone()).prop_map(|(up, owner)| Step::Hold { up, owner }),
-            1 => up.clone().prop_map(|up| Step::Release { up }),
-            12 => offer,
-            12 => load,
-            3 => hand_over,
-            2 => (any::<usize>(), 20_u64..900).prop_map(|(nth, in_ms)| Step::Repeat { nth, in_ms }),
-            2 => any::<usize>().prop_map(|nth| Step::Cancel { nth }),
-            2 => any::<usize>().prop_map(|nth| Step::EndAgain { nth }),
-            1 => owner.clone().prop_map(|owner| Step::Freeze { owner }),
-            4 => owner.prop_map(|owner| Step::Thaw { owner }),
-            2 => (up.clone(), 0_u64..300).prop_map(|(up, down_ms)| Step::Restart { up, down_ms }),
-            2 => up.clone().prop_map(|up| Step::TurnCold { up }),
-            1 => (up.clone(), any::<bool>())
-                .prop_map(|(up, in_service)| Step::Service { up, in_service }),
-            1 => (up, any::<bool>()).prop_map(|(up, leaving)| Step::Leaving { up, leaving }),
+            10 => (1_u64..40).prop_map(Step::Pass),
+            2 => (200_u64..1_500).prop_map(Step::Pass),
+            8 => (up(), owner()).prop_map(|(up, owner)| Step::Hold(up, owner)),
+            1 => up().prop_map(Step::Release),
+            12 => offer.prop_map(|(owner, work, count, freeze)| {
+                Step::Offer(owner, work, count, freeze)
+            }),
+            12 => (up(), 50_u64..1_500, 1_u64..20)
+                .prop_map(|(up, ms, every_ms)| Step::Load(up, ms, every_ms)),
+            3 => (up(), 1_u8..12).prop_map(|(up, count)| Step::HandOver(up, count)),
+            2 => (nth(), 20_u64..900).prop_map(|(nth, in_ms)| Step::Repeat(nth, in_ms)),
+            2 => nth().prop_map(Step::Cancel),
+            2 => nth().prop_map(Step::EndAgain),
+            1 => owner().prop_map(Step::Freeze),
+            4 => owner().prop_map(Step::Thaw),
+            2 => (up(), 0_u64..300).prop_map(|(up, down_ms)| Step::Cool(up, Some(down_ms))),
+            2 => up().prop_map(|up| Step::Cool(up, None)),
+            1 => (up(), any::<bool>()).prop_map(|(up, on)| Step::Serve(up, on)),
+            1 => (up(), any::<bool>()).prop_map(|(up, leaving)| Step::Leaving(up, leaving)),
         ]
         .boxed()
     }
@@ -175,533 +101,9 @@
     fn apply((): (), _: &Step) {}
 }
 
-/// What an instance was told and decided.
-struct Owner {
-    limiter: Limiter,
-    frozen: bool,
-    /// Decisions that are not carried out yet.
-    outbox: Vec<Command>,
-    /// Ends that were not reported yet.
-    inbox: Vec<(SubId, Ended)>,
-    offered: BTreeMap<SubId, Work>,
-    dispatched: BTreeSet<SubId>,
-    refused: BTreeSet<SubId>,
-    waiting: BTreeSet<SubId>,
-    ended: Vec<(SubId, Ended)>,
-    /// The latest start of each upstream that it was told.
-    seen: [Option<StartId>; UPSTREAMS],
-}
-
-/// The oracle.
-struct World {
-    now: Time,
-    catalog: Catalog,
-    owners: Vec<Owner>,
-    ups: Vec<Up>,
-    /// By when they end; then by a number, so that equal times keep their order.
-    serving: BTreeMap<(Time, u64), (usize, usize, SubId, Serving)>,
-    seq: u64,
-}
-
-/// What is true of an upstream.
-struct Up {
-    fake: Fake,
-    holder: Option<(usize, Time)>,
-    in_service: bool,
-    leaving: bool,
-    /// Whether its holder can know that it is cold, if it is.
-    known_cold: bool,
-    /// How often it fell over since it turned cold without the holder's knowledge.
-    blind: u32,
-}
-
-impl World {
-    fn new() -> World {
-        let mut catalog = catalog(UPSTREAMS, 0, 0, CUSTOMERS as usize);
-        for (up, (slots, cold_slots)) in SLOTS.into_iter().zip(COLD_SLOTS).enumerate() {
-            let entry = catalog.upstreams.get_mut(upstream(up as u32));
-            let entry = entry.expect("the catalogue has both upstreams");
-            entry.slots = slots;
-            entry.cold_slots = cold_slots;
-        }
-        let owner = || Owner {
-            limiter: Limiter::new(Config::new().queue_max(16)),
-            frozen: false,
-            outbox: Vec::new(),
-            inbox: Vec::new(),
-            offered: BTreeMap::new(),
-            dispatched: BTreeSet::new(),
-            refused: BTreeSet::new(),
-            waiting: BTreeSet::new(),
-            ended: Vec::new(),
-            seen: [None; UPSTREAMS],
-        };
-        let up = |up| Up {
-            fake: Fake::new(Spec::new(SLOTS[up], COLD_SLOTS[up]), Time::ZERO, up as u64),
-            holder: None,
-            in_service: true,
-            leaving: false,
-            known_cold: true,
-            blind: 0,
-        };
-        let mut world = World {
-            now: Time::ZERO,
-            catalog,
-            owners: (0..OWNERS).map(|_| owner()).collect(),
-            ups: (0..UPSTREAMS).map(up).collect(),
-            serving: BTreeMap::new(),
-            seq: 0,
-        };
-        world.configure();
-        world
-    }
-
-    fn step(&mut self, step: Step) {
-        match step {
-            Step::Pass { ms } => self.pass(ms),
-            Step::Hold { up, owner } => self.hold(up, owner),
-            Step::Release { up } => self.release(up),
-            Step::Offer {
-                owner,
-                up,
-                customer,
-                weight,
-                in_ms,
-                once,
-                count,
-                freeze,
-            } => {
-                if self.owners[owner].frozen {
-                    return;
-                }
-                self.owners[owner].frozen = freeze;
-                for _ in 0..count {
-                    let mut work = self.work(up, customer, in_ms);
-                    work.weight = weight;
-                    work.once = once;
-                    self.offer(owner, work);
-                }
-            }
-            Step::Load { up, ms, every_ms } => self.load(up, ms, every_ms),
-            Step::HandOver { up, count } => self.hand_over(up, count),
-            Step::Repeat { nth, in_ms } => {
-                for owner in 0..OWNERS {
-                    if self.owners[owner].frozen {
-                        continue;
-                    }
-                    if let Some(mut work) = nth_work(&self.owners[owner].offered, nth) {
-                        work.deadline = self.now + in_ms;
-                        self.offer(owner, work);
-                    }
-                }
-            }
-            Step::Cancel { nth } => {
-                for owner in 0..OWNERS {
-                    if let Some(work) = nth_work(&self.owners[owner].offered, nth) {
-                        self.event(owner, |limiter, now, out| limiter.cancel(now, work.id, out));
-                    }
-                }
-            }
-            Step::EndAgain { nth } => {
-                for owner in 0..OWNERS {
-                    let ended = &self.owners[owner].ended;
-                    if ended.is_empty() {
-                        continue;
-                    }
-                    let (id, ended) = ended[nth % ended.len()];
-                    self.event(owner, |limiter, now, out| {
-                        limiter.finish(now, id, ended, out)
-                    });
-                }
-            }
-            Step::Freeze { owner } => self.owners[owner].frozen = true,
-            Step::Thaw { owner } => self.thaw(owner),
-            Step::Restart { up, down_ms } => {
-                let now = self.now;
-                self.ups[up].fake.restart(now, down_ms);
-                self.ups[up].known_cold = false;
-                self.ups[up].blind = 0;
-            }
-            Step::TurnCold { up } => {
-                let now = self.now;
-                self.ups[up].fake.turn_cold(now);
-                self.ups[up].known_cold = false;
-                self.ups[up].blind = 0;
-            }
-            Step::Service { up, in_service } => {
-                self.ups[up].in_service = in_service;
-                let entry = self.catalog.upstreams.get_mut(upstream(up as u32));
-                entry.expect("upstreams stay").in_service = in_service;
-                self.configure();
-            }
-            Step::Leaving { up, leaving } => {
-                self.ups[up].leaving = leaving;
-                for owner in 0..OWNERS {
-                    let key = upstream(up as u32);
-                    self.event(owner, |limiter, now, out| {
-                        limiter.mark_leaving(now, key, leaving, out);
-                    });
-                }
-            }
-        }
-    }
-
-    fn work(&mut self, up: usize, customer: u32, in_ms: u64) -> Work {
-        self.seq += 1;
-        Work {
-            id: SubId {
-                origin: InstanceId(9),
-                seq: self.seq,
-            },
-            customer: CustomerKey::from_raw(customer),
-            upstream: upstream(up as u32),
-            weight: 1,
-            deadline: self.now + in_ms,
-            once: false,
-        }
-    }
-
-    /// Gives the holder work of all customers in turn.
-    fn load(&mut self, up: usize, ms: u64, every_ms: u64) {
-        let until = self.now + ms;
-        while self.now < until {
-            self.hold(up, 0);
-            let holder = self.ups[up].holder;
-            let Some((owner, _)) = holder.filter(|&(owner, _)| !self.owners[owner].frozen) else {
-                self.pass(until.left(self.now));
-                return;
-            };
-            let customer = (self.seq % u64::from(CUSTOMERS)) as u32;
-            let work = self.work(up, customer, 200);
-            self.offer(owner, work);
-            self.pass(every_ms);
-            self.check();
-        }
-    }
-
-    fn hand_over(&mut self, up: usize, count: u8) {
-        let now = self.now;
-        let holder = self.ups[up].holder.filter(|&(_, until)| until > now);
-        let Some((from, _)) = holder else {
-            return;
-        };
-        let to = 1 - from;
-        if self.owners[from].frozen || self.owners[to].frozen {
-            return;
-        }
-        self.release(up);
-        self.hold(up, to);
-        for _ in 0..count {
-            let work = self.work(up, 0, 500);
-            self.offer(to, work);
-        }
-    }
-
-    fn configure(&mut self) {
-        let catalog = self.catalog.clone();
-        for owner in 0..OWNERS {
-            self.event(owner, |limiter, now, out| {
-                limiter.configure(now, &catalog, out)
-            });
-        }
-    }
-
-    fn hold(&mut self, up: usize, owner: usize) {
-        let now = self.now;
-        let holder = self.ups[up].holder.filter(|&(_, until)| until > now);
-        let owner = holder.map_or(owner, |(owner, _)| owner);
-        if self.owners[owner].frozen {
-            return;
-        }
-        let until = now + LEASE_MS;
-        if holder.is_none() {
-            // The new holder takes the upstream for cold, whatever it is.
-            self.ups[up].known_cold = true;
-        }
-        self.ups[up].holder = Some((owner, until));
-        let key = upstream(up as u32);
-        self.event(owner, |limiter, now, out| {
-            limiter.hold(now, key, until, out)
-        });
-    }
-
-    fn release(&mut self, up: usize) {
-        let Some((owner, _)) = self.ups[up].holder else {
-            return;
-        };
-        if self.owners[owner].frozen {
-            return;
-        }
-        self.ups[up].holder = None;
-        let key = upstream(up as u32);
-        self.event(owner, |limiter, now, out| limiter.release(now, key, out));
-    }
-
-    fn offer(&mut self, owner: usize, work: Work) {
-        let state = &mut self.owners[owner];
-        let ended = state.ended.iter().any(|&(id, _)| id == work.id);
-        if !work.once && (ended || state.refused.contains(&work.id)) {
-            // Work that may be repeated counts as new after its end.
-            state.dispatched.remove(&work.id);
-            state.refused.remove(&work.id);
-            state.ended.retain(|&(id, _)| id != work.id);
-            state.offered.remove(&work.id);
-        }
-        if let Entry::Vacant(entry) = state.offered.entry(work.id) {
-            entry.insert(work);
-            state.waiting.insert(work.id);
-        }
-        self.event(owner, |limiter, now, out| limiter.offer(now, work, out));
-    }
-
-    /// Gives an event to an instance and carries its decisions out. A frozen instance has decided
-    /// already when it is stopped, so that its decisions are carried out when it wakes.
-    fn event<F>(&mut self, owner: usize, event: F)
-    where
-        F: FnOnce(&mut Limiter, Time, &mut Vec<Command>),
-    {
-        let now = self.now;
-        let Owner {
-            limiter, outbox, ..
-        } = &mut self.owners[owner];
-        let before = outbox.len();
-        event(limiter, now, outbox);
-        for command in &outbox[before..] {
-            if let Command::Dispatch { upstream, .. } = command {
-                let up = &self.ups[upstream.slot()];
-                assert!(up.in_service && !up.leaving, "{command:?} while leaving");
-            }
-        }
-        self.carry_out(owner);
-    }
-
-    fn carry_out(&mut self, owner: usize) {
-        if self.owners[owner].frozen {
-            return;
-        }
-        for command in std::mem::take(&mut self.owners[owner].outbox) {
-            match command {
-                Command::Dispatch {
-                    id,
-                    upstream,
-                    lease_until,
-                    ..
-                } => {
-                    self.send(owner, id, upstream.slot(), lease_until);
-                }
-                Command::Refuse { id, .. } => {
-                    let owner = &mut self.owners[owner];
-                    assert!(
-                        !owner.dispatched.contains(&id),
-                        "{id} refused after it went out"
-                    );
-                    assert!(owner.refused.insert(id), "{id} refused twice");
-                    owner.waiting.remove(&id);
-                }
-                Command::CancelUpstream { id, .. } => {
-                    assert!(self.owners[owner].dispatched.contains(&id));
-                }
-                Command::Decision(_) => {}
-            }
-        }
-    }
-
-    fn send(&mut self, owner: usize, id: SubId, up: usize, lease_until: Time) {
-        let now = self.now;
-        let state = &mut self.owners[owner];
-        let once = state.offered[&id].once;
-        assert!(
-            state.dispatched.insert(id) || !once,
-            "{id} dispatched twice"
-        );
-        assert!(
-            !state.refused.contains(&id) || !once,
-            "{id} went out after its refusal"
-        );
-        state.waiting.remove(&id);
-        if now >= lease_until {
-            state.inbox.push((id, Ended::NotSent));
-            return;
-        }
-        let up_state = &mut self.ups[up];
-        let holder = up_state.holder.expect("whoever sends holds the lease");
-        assert_eq!(holder.0, owner, "{id} sent without the lease");
-        let was_cold = up_state.fake.is_cold();
-        let overloads = up_state.fake.overloads;
-        let serving = up_state.fake.arrive(now, 1);
-        assert!(
-            up_state.fake.in_flight <= SLOTS[up],
-            "more in flight than slots"
-        );
-        if was_cold && up_state.fake.overloads > overloads {
-            assert!(
-                !up_state.known_cold,
-                "{id} passed the cold bound of upstream {up}"
-            );
-            up_state.blind += 1;
-            assert!(
-                up_state.blind <= BLIND_FALLS_MAX,
-                "a cold turn of upstream {up} went unnoticed"
-            );
-        }
-        self.seq += 1;
-        let at = (serving.until, self.seq);
-        self.serving.insert(at, (owner, up, id, serving));
-    }
-
-    /// Lets time pass, event by event.
-    fn pass(&mut self, ms: u64) {
-        let until = self.now + ms;
-        loop {
-            let ends = self.serving.first_key_value().map(|(&(at, _), _)| at);
-            let wakes = self.owners.iter().filter(|owner| !owner.frozen);
-            let wakes = wakes.filter_map(|owner| owner.limiter.next_wake());
-            let next = wakes.chain(ends).min();
-            let Some(next) = next.filter(|&next| next <= until) else {
-                break;
-            };
-            self.now = self.now.max(next);
-            self.end_served();
-            for owner in 0..OWNERS {
-                self.work_off(owner);
-            }
-        }
-        self.now = until;
-    }
-
-    /// Ends at the upstreams what has been served.
-    fn end_served(&mut self) {
-        while let Some(entry) = self.serving.first_entry() {
-            if entry.key().0 > self.now {
-                return;
-            }
-            let (owner, up, id, serving) = entry.remove();
-            let ended = self.ups[up].fake.end(self.now, serving);
-            self.owners[owner].inbox.push((id, ended));
-        }
-    }
-
-    /// Lets an instance do what is due, unless it is frozen.
-    fn work_off(&mut self, owner: usize) {
-        if self.owners[owner].frozen {
-            return;
-        }
-        while !self.owners[owner].inbox.is_empty() {
-            let (id, ended) = self.owners[owner].inbox.remove(0);
-            self.finish(owner, id, ended);
-        }
-        self.event(owner, |limiter, now, out| limiter.tick(now, out));
-    }
-
-    /// Reports an end. A refused connection or a changed start means that the upstream is cold.
-    fn finish(&mut self, owner: usize, id: SubId, ended: Ended) {
-        self.owners[owner].ended.push((id, ended));
-        let up = &mut self.ups[self.owners[owner].offered[&id].upstream.slot()];
-        let holds = up.holder.is_some_and(|(holder, _)| holder == owner);
-        up.known_cold |= holds && ended == Ended::Unreachable;
-        self.event(owner, |limiter, now, out| {
-            limiter.finish(now, id, ended, out)
-        });
-        let Ended::Answered {
-            start: Some(start), ..
-        } = ended
-        else {
-            return;
-        };
-        let state = &mut self.owners[owner];
-        let key = state.offered[&id].upstream;
-        let seen = &mut state.seen[key.slot()];
-        let status = state.limiter.status(key).expect("upstreams stay");
-        assert!(
-            seen.is_none_or(|seen| seen >= start) || status.cold,
-            "a restart went unnoticed"
-        );
-        *seen = (*seen).max(Some(start));
-    }
-
-    fn thaw(&mut self, owner: usize) {
-        if self.owners[owner].frozen {
-            self.owners[owner].frozen = false;
-            self.carry_out(owner);
-            self.work_off(owner);
-        }
-    }
-
-    /// Checks what must hold between steps.
-    fn check(&mut self) {
-        for up in 0..UPSTREAMS {
-            let key = upstream(up as u32);
-            let Some((owner, until)) = self.ups[up].holder else {
-                continue;
-            };
-            let status = self.owners[owner].limiter.status(key);
-            let status = status.expect("upstreams stay");
-            assert!(status.limit >= 1 && status.limit <= SLOTS[up]);
-            assert!(!status.cold || status.limit <= COLD_SLOTS[up]);
-            // From when the holder says that it is cold, it has to hold the bound.
-            self.ups[up].known_cold |= status.cold && until > self.now;
-        }
-        for (number, owner) in self.owners.iter().enumerate() {
-            if owner.frozen {
-                continue;
-            }
-            for id in &owner.waiting {
-                let work = owner.offered[id];
-                assert!(work.deadline >= self.now, "{id} waits past its deadline");
-                let up = &self.ups[work.upstream.slot()];
-                assert!(up.in_service && !up.leaving, "{id} waits for what leaves");
-                let holder = up.holder.filter(|&(_, until)| until > self.now);
-                let held = holder.is_some_and(|(holder, _)| holder == number);
-                assert!(held, "{id} waits without lease");
-            }
-        }
-    }
-
-    /// Lets everything calm down, and checks that every sub-request was decided and that each upstream
-    /// gets back to all its slots.
-    fn settle(&mut self) {
-        for owner in 0..OWNERS {
-            self.thaw(owner);
-        }
-        for up in 0..UPSTREAMS {
-            self.step(Step::Service {
-                up,
-                in_service: true,
-            });
-            self.step(Step::Leaving { up, leaving: false });
-            self.release(up);
-        }
-        self.pass(LEASE_MS + 1_000);
-        for owner in &self.owners {
-            assert_eq!(owner.waiting, BTreeSet::new(), "not decided");
-        }
-        for _ in 0..CALM_MS / 10 {
-            for up in 0..UPSTREAMS {
-                self.hold(up, 0);
-                let customer = (self.seq % u64::from(CUSTOMERS)) as u32;
-                let work = self.work(up, customer, 200);
-                self.offer(0, work);
-            }
-            self.pass(10);
-            self.check();
-            if (0..UPSTREAMS).all(|up| self.is_restored(up)) {
-                return;
-            }
-        }
-        panic!("an upstream did not get back to all its slots");
-    }
-
-    /// Returns whether an upstream is warm, and its holder knows it and uses all slots.
-    fn is_restored(&self, up: usize) -> bool {
-        let status = self.owners[0].limiter.status(upstream(up as u32));
-        let status = status.expect("upstreams stay");
-        !self.ups[up].fake.is_cold() && !status.cold && status.limit == SLOTS[up]
-    }
-}
-
-fn nth_work(offered: &BTreeMap<SubId, Work>, nth: usize) -> Option<Work> {
-    let nth = nth.checked_rem(offered.len())?;
-    offered.values().nth(nth).copied()
+/// Makes work whose deadline counts from when it is offered.
+fn work_in(customer: u32, in_ms: u64) -> Work {
+    work(0, customer, Time::from_ms(in_ms))
 }
 
 struct LimiterTest;
@@ -715,7 +117,22 @@
     }
 
     fn apply(mut world: World, (): &(), step: Step) -> World {
-        world.step(step);
+        match step {
+            Step::Pass(ms) => world.pass(ms),
+            Step::Hold(up, owner) => world.hold(up, owner),
+            Step::Release(up) => world.release(up),
+            Step::Offer(owner, work, count, freeze) => world.burst(owner, work, count, freeze),
+            Step::Load(up, ms, every_ms) => world.load(up, ms, every_ms),
+            Step::HandOver(up, count) => world.hand_over(up, count),
+            Step::Repeat(nth, in_ms) => world.repeat(nth, in_ms),
+            Step::Cancel(nth) => world.cancel(nth),
+            Step::EndAgain(nth) => world.end_again(nth),
+            Step::Freeze(owner) => world.freeze(owner),
+            Step::Thaw(owner) => world.thaw(owner),
+            Step::Cool(up, down_ms) => world.cool(up, down_ms),
+            Step::Serve(up, in_service) => world.serve(up, in_service),
+            Step::Leaving(up, leaving) => world.mark_leaving(up, leaving),
+        }
         world.check();
         world
     }
--- a/hemlockrouter-limit/tests/limit/main.rs
+++ b/hemlockrouter-limit/tests/limit/main.rs
@@ -7,3 +7,4 @@
 mod machine;
 mod measure;
 mod sim;
+mod world;
