Say plainly what name a note expects, and mend a link in the documentation

Run: tests of hemlockrouter-config and hemlockrouter-platform pass; cargo doc with warnings as errors passes for these and hemlockrouter-cli.

--- a/hemlockrouter-config/src/note.rs
+++ b/hemlockrouter-config/src/note.rs
@@ -115,7 +115,7 @@
         touched
     }
 
-    /// Returns the [digest](crate::digest) of the text.
+    /// Returns the [digest] of the text.
     pub fn digest(&self) -> u64 {
         digest(&self.document)
     }
--- a/hemlockrouter-config/src/note/read.rs
+++ b/hemlockrouter-config/src/note/read.rs
@@ -107,7 +107,7 @@
     let mut entries = Vec::new();
     for (name, field) in field.entries("an object, by name")? {
         check(name).map_err(|what| {
-            let message = format!("expected {what} as the name");
+            let message = format!("expected {what}");
             field.error(ErrorKind::Value, message)
         })?;
         entries.push(Entry {
@@ -231,7 +231,7 @@
     let fits =
         |(customer, own): (&str, &str)| check_name(customer).is_ok() && check_name(own).is_ok();
     if !parts.is_some_and(fits) {
-        return Err("\"customer/name\"");
+        return Err("a name of the form \"customer/name\"");
     }
     Ok(())
 }
@@ -280,7 +280,7 @@
     let mut shards = Vec::new();
     for (name, shard) in field.entries("an object: a list of upstreams for each shard")? {
         check_name(name).map_err(|what| {
-            let message = format!("expected {what} as the name of the shard");
+            let message = format!("expected {what}");
             shard.error(ErrorKind::Value, message)
         })?;
         shards.push(Entry {
--- a/hemlockrouter-config/tests/notes.rs
+++ b/hemlockrouter-config/tests/notes.rs
@@ -73,7 +73,7 @@
     note:1: expected something added, changed or withdrawn
     note:3: added.zone: unknown field; did you mean "zones"?
     note:3: added.zones.z1: the zone exists already; change it under "changed"
-    note:3: added.zones.z/3: expected a name of 1 to 64 letters, digits, '.', '_' or '-' as the name
+    note:3: added.zones.z/3: expected a name of 1 to 64 letters, digits, '.', '_' or '-'
     note:3: added.zones.z3.region: missing; expected the name of a region
     note:3: added.upstreams.u3.address: upstream "u1" has the same address
     note:3: added.upstreams.u3: there is no zone "z3"
@@ -84,7 +84,7 @@
     note:3: changed.customers.c1.key_sha256: expected the SHA-256 hash of the customer's key, as 64 hexadecimal digits
     note:4: changed.searches.c1/s1: there is no upstream "u9"
     note:3: changed.searches.c1/s1.map: expected a number above 1, found 1
-    note:3: changed.searches.s1: expected "customer/name" as the name
+    note:3: changed.searches.s1: expected a name of the form "customer/name"
     note:3: changed.operations.c1/o1.upstreams: expected at least one upstream
     note:3: changed.operations.c1/o1.upstreams[1]: stands twice
     note:3: withdrawn.zones.z1: upstream "u1" still lies in the zone
