--- a/hemlockrouter-config/src/settings/timing.rs
+++ b/hemlockrouter-config/src/settings/timing.rs
@@ -36,21 +36,27 @@
     pub suspect_ms: u64,
     /// How long an ownership lease lasts after its last renewal, in milliseconds. Default: 3,000.
     pub lease_ms: u64,
-    /// How long before the end of its lease an owner stops dispatching, in milliseconds. Default: 500.
+    /// How long before the end of its lease an owner stops dispatching, in milliseconds. Default:
+    /// 500.
     pub lease_margin_ms: u64,
     /// The interval between two renewals of a lease, in milliseconds. Default: 1,000.
     pub lease_renew_ms: u64,
     /// How long connecting to an upstream may take, in milliseconds. Default: 500.
     pub upstream_connect_ms: u64,
-    /// How long one blocking read of the store waits for a new note, in milliseconds. Default: 30,000.
+    /// How long one blocking read of the store waits for a new note, in milliseconds. Default:
+    /// 30,000.
     pub watch_ms: u64,
-    /// The first wait before the store is called again after a failure; it doubles each time, in milliseconds. Default: 500.
+    /// The first wait before the store is called again after a failure; it doubles each time, in
+    /// milliseconds. Default: 500.
     pub store_retry_min_ms: u64,
-    /// The longest wait before the store is called again after a failure, in milliseconds. Default: 10,000.
+    /// The longest wait before the store is called again after a failure, in milliseconds. Default:
+    /// 10,000.
     pub store_retry_max_ms: u64,
-    /// How long a graceful shutdown waits for the requests under way, in milliseconds. Default: 30,000.
+    /// How long a graceful shutdown waits for the requests under way, in milliseconds. Default:
+    /// 30,000.
     pub shutdown_ms: u64,
-    /// The quantile of a shard's own latency after which a straggler is hedged, in percent. Default: 95.
+    /// The quantile of a shard's own latency after which a straggler is hedged, in percent.
+    /// Default: 95.
     pub hedge_quantile_percent: u32,
     /// The hedges allowed for each hundred sub-requests. Default: 5.
     pub hedge_budget_percent: u32,
