limit: take an upstream for cold that was out of service or idle

Cause: an upstream that came back into service, or had no work for long, kept its warm limit; it may have restarted meanwhile, and full load would go out before the first answer could tell. A test that failed first showed 8 in flight at 3 cold slots. Change: a change of service, and 10 s without an answer while nothing is in flight, mean cold.

--- a/hemlockrouter-limit/src/config.rs
+++ b/hemlockrouter-limit/src/config.rs
@@ -54,6 +54,7 @@
     pub(crate) backoff_min_ms: u32,
     pub(crate) backoff_max_ms: u32,
     pub(crate) quiet_ms: u32,
+    pub(crate) idle_ms: u32,
     pub(crate) leaving_ms: u32,
     pub(crate) retry_min_ms: u32,
     pub(crate) retry_max_ms: u32,
@@ -76,6 +77,7 @@
             backoff_min_ms: 50,
             backoff_max_ms: 1_000,
             quiet_ms: 250,
+            idle_ms: 10_000,
             leaving_ms: 10_000,
             retry_min_ms: 10,
             retry_max_ms: 5_000,
@@ -158,6 +160,13 @@
         self
     }
 
+    /// Sets after how long without an answer an upstream that had no work is taken for cold, in
+    /// milliseconds. The default is 10,000.
+    pub fn idle_ms(mut self, ms: u32) -> Config {
+        self.idle_ms = ms;
+        self
+    }
+
     /// Sets how long an upstream that said it is leaving gets no work before one sub-request is tried
     /// again, in milliseconds. The default is 10,000.
     pub fn leaving_ms(mut self, ms: u32) -> Config {
--- a/hemlockrouter-limit/src/limiter.rs
+++ b/hemlockrouter-limit/src/limiter.rs
@@ -68,9 +68,10 @@
                 let upstream = Upstream::new(now, entry, self.config.order);
                 self.upstreams.insert(key, upstream);
             }
-            let upstream = self.upstream_mut(key);
+            let upstream = self.upstreams.get_mut(key);
+            let upstream = upstream.expect("only known upstreams are looked up");
             upstream.resize(entry.slots, entry.cold_slots);
-            upstream.in_service = catalog.in_service(key);
+            upstream.set_in_service(now, catalog.in_service(key), &self.config, out);
             self.refuse_unknown_customers(now, key, out);
             self.pump(now, key, out);
         }
--- a/hemlockrouter-limit/src/pump.rs
+++ b/hemlockrouter-limit/src/pump.rs
@@ -26,7 +26,8 @@
 impl Pump<'_> {
     /// Does all that the state of the upstream allows.
     pub(crate) fn run(&mut self) {
-        self.upstream.check_progress(self.now, self.out);
+        self.upstream
+            .check_progress(self.now, self.config, self.out);
         self.refuse_all_if_closed();
         self.refuse_due();
         self.dispatch();
--- a/hemlockrouter-limit/src/upstream.rs
+++ b/hemlockrouter-limit/src/upstream.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub(crate) struct Upstream {
     pub(crate) name: String,
-    pub(crate) in_service: bool,
+    in_service: bool,
     /// Whether the catalogue no longer has it; it is kept until its work has ended.
     pub(crate) withdrawn: bool,
     pub(crate) queue: Queue,
@@ -41,6 +41,8 @@
     pause: Pause,
     /// The last pause after a refused connection, or 0 if the upstream could be connected to.
     backoff_ms: u32,
+    /// When it last answered.
+    answered_at: Time,
     /// When everything in flight is late, at the earliest.
     all_late_at: Time,
     /// Since when it may have turned cold: all that was in flight was late, and nothing that went out
@@ -90,6 +92,7 @@
                 reason: Reason::NotReady,
             },
             backoff_ms: 0,
+            answered_at: now,
             all_late_at: now,
             suspect_since: None,
             epoch: 0,
@@ -235,6 +238,7 @@
                 leaving,
             } => {
                 self.backoff_ms = 0;
+                self.answered_at = now;
                 self.queue
                     .observe_served(now, flight.charge.customer, served_ms);
                 self.observe_start(now, flight, start, config, out);
@@ -264,9 +268,16 @@
         }
     }
 
-    /// Suspects the upstream of a cold turn if all that is in flight is late. It may as well be
-    /// stragglers, so the limit comes back with the first answer in time.
-    pub(crate) fn check_progress(&mut self, now: Time, out: &mut Vec<Command>) {
+    /// Looks for signs of a cold turn other than answers.
+    ///
+    /// After a long time without answers the upstream may have restarted. If all that is in flight is
+    /// late, it is only suspected: it may as well be stragglers, so the limit comes back with the first
+    /// answer in time.
+    pub(crate) fn check_progress(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
+        let idle_ms = now.since(self.answered_at);
+        if !self.ramp.is_cold() && self.in_flight == 0 && idle_ms > u64::from(config.idle_ms) {
+            self.cool(now, "it has not answered for long", config, out);
+        }
         if self.stalls_at().is_some_and(|at| at <= now) {
             self.suspect_since = Some(now);
             self.record_limit("all in flight is late", out);
@@ -300,6 +311,20 @@
         }
     }
 
+    /// Takes in whether operators let it receive work. What came back may be another start.
+    pub(crate) fn set_in_service(
+        &mut self,
+        now: Time,
+        in_service: bool,
+        config: &Config,
+        out: &mut Vec<Command>,
+    ) {
+        if in_service != self.in_service {
+            self.in_service = in_service;
+            self.cool(now, "operators put it in or out of service", config, out);
+        }
+    }
+
     /// Takes in whether another source calls the upstream leaving.
     pub(crate) fn mark_leaving(
         &mut self,
--- a/hemlockrouter-limit/tests/limit/limiter.rs
+++ b/hemlockrouter-limit/tests/limit/limiter.rs
@@ -1,5 +1,7 @@
 //! The limiter, event by event.
 
+use std::ops::RangeInclusive;
+
 use hemlockrouter_limit::Command;
 use hemlockrouter_limit::Config;
 use hemlockrouter_limit::Ended;
@@ -157,30 +159,36 @@
     assert_eq!(dispatched(&out), [1, 3, 4]);
 }
 
-#[test]
-fn nothing_goes_out_above_the_cold_bound_while_all_in_flight_is_late() {
-    let mut out = Vec::new();
+/// Makes a limiter that uses all 8 slots of a warm upstream with 3 cold ones, and nothing in flight.
+fn warm(out: &mut Vec<Command>) -> (Limiter, Time, u64) {
     let mut limiter = Limiter::new(Config::new());
-    limiter.configure(ms(0), &catalog(1, 8, 3, 1), &mut out);
-    hold(&mut limiter, ms(0), &mut out);
-    let mut now = ms(250);
-    let mut seq = 0;
-    // Work in rounds of as much as may be in flight, until all slots are used.
+    limiter.configure(ms(0), &catalog(1, 8, 3, 1), out);
+    hold(&mut limiter, ms(0), out);
+    let (mut now, mut last) = (ms(250), 0);
     while limiter.status(upstream(0)).unwrap().limit < 8 {
-        let first = seq + 1;
-        seq += 8;
-        (first..=seq).for_each(|seq| limiter.offer(now, work(seq, 0, now + 9_000), &mut out));
+        let first = last + 1;
+        last += 8;
+        offer_all(&mut limiter, now, first..=last, out);
         while limiter.in_flight(upstream(0)) > 0 {
             now = now + 5;
-            let sent = dispatched(&out);
+            let sent = dispatched(out);
             out.clear();
             sent.iter()
-                .for_each(|&seq| limiter.finish(now, id(seq), answered(5, 1), &mut out));
+                .for_each(|&seq| limiter.finish(now, id(seq), answered(5, 1), out));
         }
     }
-    for seq in seq + 1..=seq + 9 {
-        limiter.offer(now, work(seq, 0, now + 9_000), &mut out);
-    }
+    (limiter, now, last)
+}
+
+fn offer_all(limiter: &mut Limiter, now: Time, seqs: RangeInclusive<u64>, out: &mut Vec<Command>) {
+    seqs.for_each(|seq| limiter.offer(now, work(seq, 0, now + 9_000), out));
+}
+
+#[test]
+fn nothing_goes_out_above_the_cold_bound_while_all_in_flight_is_late() {
+    let mut out = Vec::new();
+    let (mut limiter, now, last) = warm(&mut out);
+    offer_all(&mut limiter, now, last + 1..=last + 9, &mut out);
     assert_eq!(limiter.in_flight(upstream(0)), 8);
     while let Some(wake) = limiter.next_wake().filter(|&wake| wake <= now + 100) {
         limiter.tick(wake, &mut out);
@@ -190,8 +198,23 @@
     for &seq in &sent[..5] {
         limiter.finish(now + 100, id(seq), Ended::Cancelled, &mut out);
     }
-    assert_eq!(
-        (dispatched(&out).len(), limiter.in_flight(upstream(0))),
-        (0, 3)
-    );
+    assert_eq!(limiter.in_flight(upstream(0)), 3);
+}
+
+#[test]
+fn upstream_that_was_out_of_service_or_idle_is_cold() {
+    for idle in [false, true] {
+        let mut out = Vec::new();
+        let (mut limiter, mut now, last) = warm(&mut out);
+        if idle {
+            now = now + 10_001;
+        } else {
+            let mut outside = catalog(1, 8, 3, 1);
+            outside.upstreams.get_mut(upstream(0)).unwrap().in_service = false;
+            limiter.configure(now, &outside, &mut out);
+            limiter.configure(now + 1, &catalog(1, 8, 3, 1), &mut out);
+        }
+        offer_all(&mut limiter, now + 2, last + 1..=last + 9, &mut out);
+        assert_eq!(limiter.in_flight(upstream(0)), 1, "idle: {idle}");
+    }
 }
