--- a/hemlockrouter-config/src/note.rs
+++ b/hemlockrouter-config/src/note.rs
@@ -8,12 +8,12 @@
 mod check;
 mod read;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use hemlockrouter_types::prelude::*;
-use sha2::Digest;
-use sha2::Sha256;
 
+use crate::digest;
 use crate::document::Source;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -91,14 +91,44 @@
         &self.document
     }
 
-    /// Returns a hash of the text, the first eight bytes of its SHA-256.
+    /// Returns whether both notes add, change or withdraw the same thing.
+    pub fn overlaps(&self, other: &Note) -> bool {
+        let touched = self.touched();
+        other.touched().iter().any(|name| touched.contains(name))
+    }
+
+    /// Returns the kinds and names of what the note adds, changes or withdraws.
+    fn touched(&self) -> BTreeSet<(&'static str, &str)> {
+        let mut touched = BTreeSet::new();
+        for section in [&self.added, &self.changed] {
+            extend(&mut touched, "zone", &section.zones);
+            extend(&mut touched, "upstream", &section.upstreams);
+            extend(&mut touched, "customer", &section.customers);
+            extend(&mut touched, "search", &section.searches);
+            extend(&mut touched, "operation", &section.operations);
+        }
+        extend(&mut touched, "zone", &self.withdrawn.zones);
+        extend(&mut touched, "upstream", &self.withdrawn.upstreams);
+        extend(&mut touched, "customer", &self.withdrawn.customers);
+        extend(&mut touched, "search", &self.withdrawn.searches);
+        extend(&mut touched, "operation", &self.withdrawn.operations);
+        touched
+    }
+
+    /// Returns the [digest](crate::digest) of the text.
     pub fn digest(&self) -> u64 {
-        let hash = Sha256::digest(&self.document);
-        let bytes = hash[..8].try_into().expect("a hash has 32 bytes");
-        u64::from_be_bytes(bytes)
+        digest(&self.document)
     }
 }
 
+fn extend<'n, T>(
+    touched: &mut BTreeSet<(&'static str, &'n str)>,
+    kind: &'static str,
+    entries: &'n [Entry<T>],
+) {
+    touched.extend(entries.iter().map(|entry| (kind, entry.name.as_str())));
+}
+
 /// What applying an accepted note gave.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Accepted {
