Keep one customer's failures from another's searches

Cause: a refusal, a failure or three lost hedges kept every customer from the upstream, and all customers shared one hedge and one retry budget. So a customer whose sub-requests were all refused took shards from another's answers. Ruled out: one budget with a reserve for each customer (a bucket each is simpler and 500 of them cost nothing). Change: refusals that depend on what the customer sent bar that customer alone; failures and lost hedges only make others preferred; budgets are per customer. Found by search_fuzz on the way: a shard that had to wait for a replica after a move counted as a first try and earned hedges. It no longer does.

--- a/hemlockrouter-route/src/choose.rs
+++ b/hemlockrouter-route/src/choose.rs
@@ -45,7 +45,12 @@
     latency: Latency,
     busy_since: Time,
     asked_at: Time,
-    backoff_until: Time,
+    /// Until when nothing is sent to it.
+    barred_until: Time,
+    /// Until when each customer that it refused sends nothing to it.
+    refused_until: Vec<(CustomerKey, Time)>,
+    /// Until when others are preferred to it.
+    suspect_until: Time,
     troubles: u32,
     /// How many sub-requests in a row were given up for slow, without an answer between them.
     losses: u32,
@@ -57,7 +62,7 @@
 pub(crate) enum Barred {
     /// It is not in the catalogue, or operators took it or its zone out of service.
     OutOfService,
-    /// It refused or failed and is to be left alone until then.
+    /// It refused or can't be reached, and is to be left alone until then.
     Backoff(Time),
 }
 
@@ -153,7 +158,7 @@
             state.latency.record(now.since(sent_at));
             state.troubles = 0;
             state.losses = 0;
-            state.backoff_until = state.backoff_until.min(now);
+            state.suspect_until = now;
         }
     }
 
@@ -175,47 +180,73 @@
         }
     }
 
-    /// Notes that a sub-request to `key` did not run.
-    pub(crate) fn not_run(&mut self, now: Time, key: UpstreamKey, refusal: Refusal) {
+    /// Notes that a sub-request of `customer` to `key` did not run.
+    pub(crate) fn not_run(
+        &mut self,
+        now: Time,
+        customer: CustomerKey,
+        key: UpstreamKey,
+        refusal: Refusal,
+    ) {
+        let Some(state) = self.get_mut(key) else {
+            return;
+        };
+        state.end(now);
+        let until = now + u64::from(refusal.retry_after_ms.max(1));
         match refusal.reason {
-            Reason::Unreachable | Reason::NotOwner => self.failed(now, key),
-            _ => self.refused(now, key, refusal.retry_after_ms),
+            Reason::Unreachable | Reason::NotOwner => {
+                let backoff_ms = state.next_backoff_ms();
+                state.barred_until = state.barred_until.max(now + backoff_ms);
+            }
+            Reason::Leaving | Reason::NotReady | Reason::NotConfigured => {
+                state.barred_until = state.barred_until.max(until);
+            }
+            // The owner refuses by what this customer asks for, which must not keep others away.
+            Reason::CustomerLimit
+            | Reason::Overloaded
+            | Reason::Deadline
+            | Reason::Shed
+            | Reason::StoreDown
+            | Reason::Cancelled
+            | Reason::Coverage => state.refuse(now, customer, until),
         }
     }
 
-    /// Notes that `key` refused a sub-request and is to be left alone for a time.
-    fn refused(&mut self, now: Time, key: UpstreamKey, retry_after_ms: u32) {
+    /// Notes that a sub-request to `key` failed. It may be the request's own fault, so others are
+    /// preferred to `key` for a time, but it is asked where there is none.
+    pub(crate) fn failed(&mut self, now: Time, key: UpstreamKey) {
         if let Some(state) = self.get_mut(key) {
             state.end(now);
-            state.troubles += 1;
-            let until = now + u64::from(retry_after_ms.max(1));
-            state.backoff_until = state.backoff_until.max(until);
+            state.suspect(now);
         }
     }
 
-    /// Notes that `key` failed or can't be reached.
-    pub(crate) fn failed(&mut self, now: Time, key: UpstreamKey) {
-        if let Some(state) = self.get_mut(key) {
-            state.end(now);
-            state.back_off(now);
-        }
+    /// Returns whether `key` may receive new work by the catalogue.
+    pub(crate) fn in_service(&self, key: UpstreamKey) -> bool {
+        self.get(key).is_some_and(|state| state.in_service)
+    }
+
+    /// Returns whether others are preferred to `key` for now.
+    pub(crate) fn is_suspect(&self, now: Time, key: UpstreamKey) -> bool {
+        self.get(key).is_some_and(|state| state.suspect_until > now)
     }
 
-    /// Returns why `key` can't be taken now, or `None` if it can.
-    pub(crate) fn barred(&self, now: Time, key: UpstreamKey) -> Option<Barred> {
-        let Some(state) = self.get(key) else {
+    /// Returns why `customer` can't send to `key` now, or `None` if it can.
+    pub(crate) fn barred(
+        &self,
+        now: Time,
+        customer: CustomerKey,
+        key: UpstreamKey,
+    ) -> Option<Barred> {
+        let Some(state) = self.get(key).filter(|state| state.in_service) else {
             return Some(Barred::OutOfService);
         };
-        if !state.in_service {
-            return Some(Barred::OutOfService);
-        }
-        if state.backoff_until > now {
-            return Some(Barred::Backoff(state.backoff_until));
-        }
-        None
+        let until = state.barred_until.max(state.refused_until(customer));
+        (until > now).then_some(Barred::Backoff(until))
     }
 
-    /// Chooses among `replicas`, of which `allowed` tells which may be taken by their position.
+    /// Chooses among `replicas`, of which `allowed` tells which may be taken by their position. The
+    /// caller has ruled out those that are barred.
     pub(crate) fn choose<F>(
         &self,
         now: Time,
@@ -229,7 +260,7 @@
         let mut near = Pair::default();
         let mut far = Pair::default();
         for (index, key) in replicas.iter().enumerate() {
-            if !allowed(index) || self.barred(now, *key).is_some() {
+            if !allowed(index) {
                 continue;
             }
             let pair = match self.is_near(*key) {
@@ -291,7 +322,9 @@
             latency: Latency::new(high_quantile),
             busy_since: Time::ZERO,
             asked_at: Time::ZERO,
-            backoff_until: Time::ZERO,
+            barred_until: Time::ZERO,
+            refused_until: Vec::new(),
+            suspect_until: Time::ZERO,
             troubles: 0,
             losses: 0,
             serves: None,
@@ -312,16 +345,34 @@
             self.latency.record(waited_ms);
         }
         if self.losses >= MAX_LOSSES {
-            self.back_off(now);
+            self.suspect(now);
         }
     }
 
-    /// Leaves the upstream alone, longer each time.
-    fn back_off(&mut self, now: Time) {
+    /// Lets others be preferred, longer each time.
+    fn suspect(&mut self, now: Time) {
+        let until = now + self.next_backoff_ms();
+        self.suspect_until = self.suspect_until.max(until);
+    }
+
+    fn next_backoff_ms(&mut self) -> u64 {
         let backoff_ms = FAILED_BACKOFF_MS << self.troubles.min(10);
         self.troubles += 1;
-        let until = now + backoff_ms.min(FAILED_BACKOFF_MAX_MS);
-        self.backoff_until = self.backoff_until.max(until);
+        backoff_ms.min(FAILED_BACKOFF_MAX_MS)
+    }
+
+    /// Notes that `customer` was refused and sends nothing until then.
+    fn refuse(&mut self, now: Time, customer: CustomerKey, until: Time) {
+        let until = until.max(self.refused_until(customer));
+        self.refused_until
+            .retain(|(other, at)| *other != customer && *at > now);
+        self.refused_until.push((customer, until));
+    }
+
+    fn refused_until(&self, customer: CustomerKey) -> Time {
+        let mut refused = self.refused_until.iter();
+        let found = refused.find(|(refused, _)| *refused == customer);
+        found.map_or(Time::ZERO, |(_, until)| *until)
     }
 
     fn cost(&self, now: Time) -> f64 {
--- a/hemlockrouter-route/src/run/dispatch.rs
+++ b/hemlockrouter-route/src/run/dispatch.rs
@@ -41,16 +41,17 @@
         let deadline = answer_at.before(margin_ms);
         let entry = self.entry(name);
         let (operation, tries, asked) = (entry.operation, entry.tries, entry.asked);
+        let customer = entry.customer;
         let Some(operation) = self.catalog.operations.get(operation) else {
             let refusal = self.refusal(Reason::NotConfigured, self.config.retry_after_max_ms);
             return self.end_not_run(now, name, refusal, "the operation was withdrawn", out);
         };
         let upstreams = operation.upstreams.clone();
         if tries >= self.config.max_tries || deadline <= now {
-            return self.refuse_all(now, name, &upstreams, out);
+            return self.refuse_all(now, name, customer, &upstreams, out);
         }
-        let Some(place) = self.choose(now, &upstreams, asked) else {
-            return self.wait_or_refuse(now, name, &upstreams, deadline, out);
+        let Some(place) = self.choose(now, customer, &upstreams, asked) else {
+            return self.wait_or_refuse(now, name, customer, &upstreams, deadline, out);
         };
         let target = Target {
             query,
@@ -61,18 +62,27 @@
         self.send(now, name, target, out);
     }
 
-    /// Chooses an upstream: one that was not tried before if there is one.
-    fn choose(&mut self, now: Time, upstreams: &[UpstreamKey], asked: u64) -> Option<usize> {
-        let mut fresh = 0_u64;
+    /// Chooses an upstream: one that is not suspect if there is one, and among these one that was
+    /// not tried before.
+    fn choose(
+        &mut self,
+        now: Time,
+        customer: CustomerKey,
+        upstreams: &[UpstreamKey],
+        asked: u64,
+    ) -> Option<usize> {
+        let mut tiers = [0_u64; 4];
         for (index, key) in upstreams.iter().enumerate().take(MAX_UPSTREAMS) {
-            if asked & 1 << index == 0 && self.upstreams.barred(now, *key).is_none() {
-                fresh |= 1 << index;
+            if self.upstreams.barred(now, customer, *key).is_some() {
+                continue;
             }
+            let bit = 1 << index;
+            let tried = asked & bit != 0;
+            let suspect = self.upstreams.is_suspect(now, *key);
+            tiers[2 * usize::from(suspect) + usize::from(tried)] |= bit;
         }
-        let allowed = match fresh {
-            0 => u64::MAX,
-            _ => fresh,
-        };
+        let best = tiers.iter().find(|tier| **tier != 0);
+        let allowed = best.copied().unwrap_or(0);
         let may = |index: usize| index < MAX_UPSTREAMS && allowed & (1 << index) != 0;
         self.upstreams.choose(now, upstreams, &mut self.rng, may)
     }
@@ -118,24 +128,25 @@
         &mut self,
         now: Time,
         name: Name,
+        customer: CustomerKey,
         upstreams: &[UpstreamKey],
         deadline: Time,
         out: &mut Vec<RunCommand>,
     ) {
-        match self.back_at(now, upstreams) {
+        match self.back_at(now, customer, upstreams) {
             Some(at) if at < deadline => {
                 self.entry(name).state = State::Waiting(at);
                 self.timers.set(at, Due::Retry(name));
             }
-            _ => self.refuse_all(now, name, upstreams, out),
+            _ => self.refuse_all(now, name, customer, upstreams, out),
         }
     }
 
     /// Returns when the first of `upstreams` ends its back-off.
-    fn back_at(&self, now: Time, upstreams: &[UpstreamKey]) -> Option<Time> {
+    fn back_at(&self, now: Time, customer: CustomerKey, upstreams: &[UpstreamKey]) -> Option<Time> {
         let mut first: Option<Time> = None;
         for key in upstreams {
-            if let Some(Barred::Backoff(until)) = self.upstreams.barred(now, *key) {
+            if let Some(Barred::Backoff(until)) = self.upstreams.barred(now, customer, *key) {
                 first = Some(first.map_or(until, |first| first.min(until)));
             }
         }
@@ -147,13 +158,13 @@
         &mut self,
         now: Time,
         name: Name,
+        customer: CustomerKey,
         upstreams: &[UpstreamKey],
         out: &mut Vec<RunCommand>,
     ) {
-        let back_at = self.back_at(now, upstreams);
+        let back_at = self.back_at(now, customer, upstreams);
         let wait_ms = back_at.map_or(0, |at| at.left(now));
-        let in_service =
-            |key: &UpstreamKey| self.upstreams.barred(now, *key) != Some(Barred::OutOfService);
+        let in_service = |key: &UpstreamKey| self.upstreams.in_service(*key);
         let reason = match upstreams.iter().any(in_service) {
             true => Reason::Overloaded,
             false => Reason::Leaving,
@@ -190,7 +201,8 @@
                 self.end(now, name, RunOutcome::Unknown, "its answer was lost", out);
             }
             SubOutcome::NotRun(refusal) => {
-                self.upstreams.not_run(now, sub.upstream, refusal);
+                let customer = self.entry(name).customer;
+                self.upstreams.not_run(now, customer, sub.upstream, refusal);
                 self.try_again(now, name, refusal, out);
             }
             SubOutcome::WrongSnapshot { .. } | SubOutcome::WrongMap { .. } => {
--- a/hemlockrouter-route/src/search.rs
+++ b/hemlockrouter-route/src/search.rs
@@ -48,7 +48,7 @@
 use self::plan::Plan;
 use self::plan::Progress;
 use self::snapshot::Cache;
-use crate::budget::Budget;
+use crate::budget::Budgets;
 use crate::choose::Upstreams;
 use crate::timer::Timers;
 
@@ -67,8 +67,8 @@
     timers: Timers<Due>,
     delays: Delays,
     snapshots: Cache,
-    hedge_budget: Budget,
-    retry_budget: Budget,
+    hedge_budgets: Budgets,
+    retry_budgets: Budgets,
     late_replies: u64,
     sent: u64,
     extra: u64,
@@ -101,8 +101,8 @@
     /// Makes a searcher for the instance `origin` that draws its random numbers from `seed`.
     pub fn new(config: Config, origin: InstanceId, seed: u64) -> Searcher {
         let upstreams = Upstreams::new(config.hedge_quantile);
-        let hedge_budget = Budget::new(config.hedge_share, config.hedge_burst);
-        let retry_budget = Budget::new(config.retry_share, config.retry_burst);
+        let hedge_budgets = Budgets::new(config.hedge_share, config.hedge_burst);
+        let retry_budgets = Budgets::new(config.retry_share, config.retry_burst);
         let delays = Delays::new(config.hedge_quantile, config.hedge_start_ms);
         Searcher {
             config,
@@ -116,8 +116,8 @@
             timers: Timers::new(),
             delays,
             snapshots: Cache::default(),
-            hedge_budget,
-            retry_budget,
+            hedge_budgets,
+            retry_budgets,
             late_replies: 0,
             sent: 0,
             extra: 0,
@@ -143,7 +143,7 @@
             .deadline
             .before(self.config.margin_ms.min(left_ms / 10));
         let mut plan = Box::new(Plan::new(query, self.catalog.clone(), now, answer_at));
-        plan.snapshot = self.current_snapshot(now, query.search);
+        plan.snapshot = self.current_snapshot(query.search);
         self.timers.set(answer_at, Due::Deadline(query.id));
         self.place_all(now, &mut plan, out);
         self.settle(now, plan, out);
@@ -271,7 +271,8 @@
                 self.wrong_map(now, plan, sub, map, out);
             }
             SubOutcome::NotRun(refusal) => {
-                self.upstreams.not_run(now, sub.upstream, refusal);
+                let customer = plan.query.customer;
+                self.upstreams.not_run(now, customer, sub.upstream, refusal);
                 plan.last_refusal = Some(refusal.reason);
                 self.retry(now, plan, sub.shard, out);
             }
--- a/hemlockrouter-route/src/search/dispatch.rs
+++ b/hemlockrouter-route/src/search/dispatch.rs
@@ -88,7 +88,7 @@
         let Some(replica) = self.choose(now, plan, shard) else {
             return self.wait_or_give_up(now, plan, shard);
         };
-        if again && !self.retry_budget.spend() {
+        if again && !self.retry_budgets.of(plan.query.customer).spend() {
             return plan.give_up(shard);
         }
         self.send(now, plan, shard, replica, kind, out);
@@ -115,8 +115,10 @@
             sent_at: now,
             hedge: kind == Try::Hedge,
         };
+        // After a move even a shard that had to wait for a replica was sent before, and earns nothing.
+        let moved = plan.replans > 0;
         let part = &mut plan.parts[usize::from(shard.0)];
-        let first = part.tries == 0 && kind != Try::Replan;
+        let first = part.tries == 0 && !moved;
         part.tries += 1;
         part.asked |= 1 << replica;
         part.subs.push(seq);
@@ -126,8 +128,8 @@
         self.sent += 1;
         match first {
             true => {
-                self.hedge_budget.earn(1);
-                self.retry_budget.earn(1);
+                self.hedge_budgets.of(plan.query.customer).earn();
+                self.retry_budgets.of(plan.query.customer).earn();
             }
             false => self.extra += 1,
         }
@@ -147,16 +149,17 @@
         });
     }
 
-    /// Chooses a replica for `shard`: one that was not asked before if there is one.
+    /// Chooses a replica for `shard`: one that is not suspect if there is one, and among these one
+    /// that was not asked before.
     pub(super) fn choose(&mut self, now: Time, plan: &mut Plan, shard: ShardNo) -> Option<usize> {
         let part = &plan.parts[usize::from(shard.0)];
         let replicas = &plan.shards()[usize::from(shard.0)].upstreams;
-        let mut fresh = 0_u64;
-        let mut possible = 0_u64;
+        let customer = plan.query.customer;
+        let mut tiers = [0_u64; 4];
         let mut out_of_service = 0;
         let mut backing_off = 0;
         for (index, key) in replicas.iter().enumerate().take(MAX_REPLICAS) {
-            match self.upstreams.barred(now, *key) {
+            match self.upstreams.barred(now, customer, *key) {
                 Some(Barred::OutOfService) => {
                     out_of_service += 1;
                     continue;
@@ -172,15 +175,12 @@
             if part.wrong & bit != 0 || serving == Serving::TooOld {
                 continue;
             }
-            possible |= bit;
-            if part.asked & bit == 0 && serving == Serving::Yes {
-                fresh |= bit;
-            }
+            let fresh = part.asked & bit == 0 && serving == Serving::Yes;
+            let suspect = self.upstreams.is_suspect(now, *key);
+            tiers[2 * usize::from(suspect) + usize::from(!fresh)] |= bit;
         }
-        let allowed = match fresh {
-            0 => possible,
-            _ => fresh,
-        };
+        let best = tiers.iter().find(|tier| **tier != 0);
+        let allowed = best.copied().unwrap_or(0);
         let chosen = self
             .upstreams
             .choose(now, replicas, &mut self.rng, |index| {
@@ -226,7 +226,8 @@
             if wrong || self.serving(*key, plan.snapshot) == Serving::TooOld {
                 continue;
             }
-            if let Some(Barred::Backoff(until)) = self.upstreams.barred(now, *key) {
+            let barred = self.upstreams.barred(now, plan.query.customer, *key);
+            if let Some(Barred::Backoff(until)) = barred {
                 first = Some(first.map_or(until, |first| first.min(until)));
             }
         }
--- a/hemlockrouter-route/src/search/explain.rs
+++ b/hemlockrouter-route/src/search/explain.rs
@@ -19,7 +19,7 @@
         let Some(entry) = entry.filter(|entry| entry.customer == customer) else {
             return Vec::new();
         };
-        let best = snapshot::best(&self.upstreams, now, &entry.shards);
+        let best = snapshot::best(&self.upstreams, &entry.shards);
         let snapshot = best.map(|best| best.snapshot);
         let mut choices = Vec::with_capacity(entry.shards.len());
         for (index, shard) in entry.shards.iter().enumerate() {
@@ -31,22 +31,28 @@
                 why: "no upstream can be asked".to_owned(),
                 passed_over: Vec::new(),
             };
-            self.explain_shard(now, &shard.upstreams, &mut choice);
+            self.explain_shard(now, customer, &shard.upstreams, &mut choice);
             choices.push(choice);
         }
         choices
     }
 
-    fn explain_shard(&self, now: Time, replicas: &[UpstreamKey], choice: &mut ShardChoice) {
+    fn explain_shard(
+        &self,
+        now: Time,
+        customer: CustomerKey,
+        replicas: &[UpstreamKey],
+        choice: &mut ShardChoice,
+    ) {
         let mut best: Option<(UpstreamKey, f64)> = None;
         let mut others = Vec::new();
         for key in replicas {
-            if let Some(why) = self.obstacle(now, *key, choice.snapshot) {
+            if let Some(why) = self.obstacle(now, customer, *key, choice.snapshot) {
                 let upstream = *key;
                 choice.passed_over.push(PassedOver { upstream, why });
                 continue;
             }
-            let cost = self.upstreams.weighted_cost(now, *key);
+            let cost = self.explained_cost(now, *key);
             match best {
                 Some((_, least)) if least <= cost => others.push(*key),
                 _ => others.extend(best.replace((*key, cost)).map(|(key, _)| key)),
@@ -63,8 +69,14 @@
         }
     }
 
-    fn obstacle(&self, now: Time, key: UpstreamKey, snapshot: Option<Snapshot>) -> Option<String> {
-        match self.upstreams.barred(now, key) {
+    fn obstacle(
+        &self,
+        now: Time,
+        customer: CustomerKey,
+        key: UpstreamKey,
+        snapshot: Option<Snapshot>,
+    ) -> Option<String> {
+        match self.upstreams.barred(now, customer, key) {
             Some(Barred::OutOfService) => return Some("out of service".to_owned()),
             Some(Barred::Backoff(until)) => {
                 let left_ms = until.left(now);
@@ -79,6 +91,15 @@
         }
     }
 
+    /// Returns a cost by which every suspect upstream comes after all others.
+    fn explained_cost(&self, now: Time, key: UpstreamKey) -> f64 {
+        let cost = self.upstreams.weighted_cost(now, key);
+        match self.upstreams.is_suspect(now, key) {
+            true => cost + f64::from(u32::MAX),
+            false => cost,
+        }
+    }
+
     fn describe(&self, now: Time, key: UpstreamKey) -> String {
         let place = match self.upstreams.is_near(key) {
             true => "own zone",
@@ -86,6 +107,10 @@
         };
         let cost_ms = self.upstreams.cost(now, key);
         let in_flight = self.upstreams.in_flight(key);
-        format!("{place}, {cost_ms:.0} ms expected, {in_flight} in flight")
+        let suspect = match self.upstreams.is_suspect(now, key) {
+            true => ", failed lately",
+            false => "",
+        };
+        format!("{place}, {cost_ms:.0} ms expected, {in_flight} in flight{suspect}")
     }
 }
--- a/hemlockrouter-route/src/search/hedge.rs
+++ b/hemlockrouter-route/src/search/hedge.rs
@@ -138,14 +138,14 @@
         self.plans.insert(plan.query.id, plan);
     }
 
-    fn may_hedge(&self, plan: &Plan, sub: Sub) -> Hedge {
+    fn may_hedge(&mut self, plan: &Plan, sub: Sub) -> Hedge {
         let part = &plan.parts[usize::from(sub.shard.0)];
         let spent = part.hedges >= self.config.hedges_per_shard;
         let tried = part.tries >= self.config.tries_per_shard;
         if part.progress != Progress::Open || spent || tried || self.config.hedge_share == 0.0 {
             return Hedge::Never;
         }
-        match self.hedge_budget.has_token() {
+        match self.hedge_budgets.of(plan.query.customer).has_token() {
             true => Hedge::Now,
             false => Hedge::Later,
         }
@@ -156,7 +156,7 @@
         let Some(replica) = self.choose(now, plan, shard) else {
             return self.look_again(now, plan, seq);
         };
-        if self.hedge_budget.spend() {
+        if self.hedge_budgets.of(plan.query.customer).spend() {
             plan.parts[usize::from(shard.0)].hedges += 1;
             self.send(now, plan, shard, replica, Try::Hedge, out);
         }
--- a/hemlockrouter-route/src/search/replan.rs
+++ b/hemlockrouter-route/src/search/replan.rs
@@ -16,9 +16,9 @@
 
 impl Searcher {
     /// Returns the snapshot that a new query of `search` asks for.
-    pub(super) fn current_snapshot(&mut self, now: Time, search: SearchKey) -> Option<Snapshot> {
+    pub(super) fn current_snapshot(&mut self, search: SearchKey) -> Option<Snapshot> {
         let shards = &self.catalog.searches.get(search)?.shards;
-        self.snapshots.best(&self.upstreams, now, search, shards)
+        self.snapshots.best(&self.upstreams, search, shards)
     }
 
     /// Takes that the upstream of `sub` can't serve the plan's snapshot.
@@ -34,7 +34,7 @@
         if part.progress != Progress::GivenUp || !self.may_move(now, plan) {
             return;
         }
-        let Some(best) = snapshot::best(&self.upstreams, now, plan.shards()) else {
+        let Some(best) = snapshot::best(&self.upstreams, plan.shards()) else {
             return;
         };
         let hopeful = plan.parts.len() - plan.given_up;
@@ -63,7 +63,7 @@
         plan.replans += 1;
         self.cancel_all(now, plan, out);
         plan.remap(self.catalog.clone());
-        plan.snapshot = self.current_snapshot(now, plan.query.search);
+        plan.snapshot = self.current_snapshot(plan.query.search);
         self.place_all(now, plan, out);
     }
 
@@ -75,7 +75,7 @@
         plan: &mut Plan,
         out: &mut Vec<SearchCommand>,
     ) {
-        let best = snapshot::best(&self.upstreams, now, plan.shards());
+        let best = snapshot::best(&self.upstreams, plan.shards());
         let held = answer::most_common_snapshot(plan);
         let held_count = held.map_or(0, |snapshot| answer::count(plan, snapshot));
         let chosen = match best {
--- a/hemlockrouter-route/src/search/snapshot.rs
+++ b/hemlockrouter-route/src/search/snapshot.rs
@@ -8,7 +8,6 @@
 use hemlockrouter_types::catalog::Shard;
 use hemlockrouter_types::prelude::*;
 
-use crate::choose::Barred;
 use crate::choose::Upstreams;
 
 /// The share of the replicas, in percent, that must serve a snapshot for it to be preferred.
@@ -43,7 +42,6 @@
     pub(super) fn best(
         &mut self,
         upstreams: &Upstreams,
-        now: Time,
         search: SearchKey,
         shards: &[Shard],
     ) -> Option<Snapshot> {
@@ -57,7 +55,7 @@
         let cached = fresh.unwrap_or_else(|| Cached {
             search,
             changes,
-            best: best(upstreams, now, shards).map(|best| best.snapshot),
+            best: best(upstreams, shards).map(|best| best.snapshot),
         });
         self.entries[slot] = Some(cached);
         cached.best
@@ -65,10 +63,10 @@
 }
 
 /// Returns the best snapshot for `shards`, or `None` while nothing is known of their upstreams.
-pub(super) fn best(upstreams: &Upstreams, now: Time, shards: &[Shard]) -> Option<Candidate> {
+pub(super) fn best(upstreams: &Upstreams, shards: &[Shard]) -> Option<Candidate> {
     let mut best: Option<Candidate> = None;
-    for snapshot in newest(upstreams, now, shards) {
-        let support = Support::of(snapshot, upstreams, now, shards);
+    for snapshot in newest(upstreams, shards) {
+        let support = Support::of(snapshot, upstreams, shards);
         let candidate = Candidate {
             snapshot,
             shards: support.shards,
@@ -85,10 +83,10 @@
 }
 
 /// Returns the newest snapshots of all replicas, newest first.
-fn newest(upstreams: &Upstreams, now: Time, shards: &[Shard]) -> Vec<Snapshot> {
+fn newest(upstreams: &Upstreams, shards: &[Shard]) -> Vec<Snapshot> {
     let mut found: Vec<Snapshot> = Vec::new();
     for key in shards.iter().flat_map(|shard| shard.upstreams.iter()) {
-        if upstreams.barred(now, *key) == Some(Barred::OutOfService) {
+        if !upstreams.in_service(*key) {
             continue;
         }
         let Some(serves) = upstreams.serves(*key) else {
@@ -112,19 +110,19 @@
 }
 
 impl Support {
-    fn of(snapshot: Snapshot, upstreams: &Upstreams, now: Time, shards: &[Shard]) -> Support {
+    fn of(snapshot: Snapshot, upstreams: &Upstreams, shards: &[Shard]) -> Support {
         let mut support = Support::default();
         for shard in shards {
-            support.add(snapshot, upstreams, now, shard);
+            support.add(snapshot, upstreams, shard);
         }
         support
     }
 
-    fn add(&mut self, snapshot: Snapshot, upstreams: &Upstreams, now: Time, shard: &Shard) {
+    fn add(&mut self, snapshot: Snapshot, upstreams: &Upstreams, shard: &Shard) {
         let mut able = false;
         let mut known = false;
         for key in &shard.upstreams {
-            if upstreams.barred(now, *key) == Some(Barred::OutOfService) {
+            if !upstreams.in_service(*key) {
                 continue;
             }
             let Some(serves) = upstreams.serves(*key) else {
--- /dev/null
+++ b/hemlockrouter-route/tests/isolation.rs
@@ -0,0 +1,220 @@
+//! One customer's failing searches change neither another's answers nor its refusals.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use hemlockrouter_route::Config;
+use hemlockrouter_route::Query;
+use hemlockrouter_route::SearchCommand;
+use hemlockrouter_route::Searcher;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::SubOutcome;
+use hemlockrouter_wire::SubReply;
+
+use crate::support::Layout;
+
+const ORIGIN: InstanceId = InstanceId(1);
+const SHARDS: u32 = 20;
+const ROUNDS: u64 = 200;
+const SERVED_MS: u64 = 5;
+const DEADLINE_MS: u64 = 200;
+
+/// By how much another customer's failures may delay an answer: hedges are sent after at most four
+/// medians of a search's own latency.
+const DELAY_MS: u64 = 4 * SERVED_MS;
+
+/// What becomes of all sub-requests of the other customer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Noise {
+    Silence,
+    Refused,
+    Failed,
+    Unanswered,
+}
+
+/// How a query of the quiet customer ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    shards: usize,
+    took_ms: u64,
+}
+
+/// The outcomes of the quiet customer's queries, by their numbers.
+type Outcomes = BTreeMap<u64, Outcome>;
+
+struct Bench {
+    searcher: Searcher,
+    out: Vec<SearchCommand>,
+    noise: Noise,
+    replies: BTreeMap<(Time, u64), SubOutcome>,
+    outcomes: Outcomes,
+}
+
+fn key(customer: u32) -> (CustomerKey, SearchKey) {
+    (
+        CustomerKey::from_raw(customer),
+        SearchKey::from_raw(customer),
+    )
+}
+
+fn answered() -> SubOutcome {
+    SubOutcome::Answered {
+        snapshot: Snapshot(1),
+        map: MapVersion(1),
+        serves: SnapshotRange {
+            oldest: Snapshot(1),
+            newest: Snapshot(1),
+        },
+        body: Vec::new(),
+    }
+}
+
+fn refused(retry_after_ms: u32) -> SubOutcome {
+    SubOutcome::NotRun(Refusal {
+        reason: Reason::Overloaded,
+        retry_after_ms,
+    })
+}
+
+impl Bench {
+    fn new(noise: Noise) -> Bench {
+        let mut catalog = support::catalog(&Layout {
+            zones: 1,
+            upstreams: 2 * SHARDS,
+            customers: 2,
+            searches: vec![SHARDS; 2],
+            replicas: 2,
+            operations: Vec::new(),
+        });
+        let (customer, search) = key(1);
+        catalog.searches.get_mut(search).unwrap().customer = customer;
+        let config = Config::new().hedge_burst(8).retry_burst(8);
+        let mut searcher = Searcher::new(config, ORIGIN, 1);
+        searcher.configure(Time::ZERO, Arc::new(catalog), &mut Vec::new());
+        Bench {
+            searcher,
+            out: Vec::new(),
+            noise,
+            replies: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+        }
+    }
+
+    fn start(&mut self, now: Time, customer: u32, seq: u64) {
+        let (customer, search) = key(customer);
+        let query = Query {
+            id: QueryId {
+                origin: ORIGIN,
+                seq,
+            },
+            customer,
+            search,
+            deadline: now + DEADLINE_MS,
+            min_coverage: None,
+        };
+        self.searcher.start(now, query, &mut self.out);
+        self.carry_out(now);
+    }
+
+    /// Queries with even numbers are the noisy customer's. Of the others, each seventh has a
+    /// straggler and a refusal.
+    fn carry_out(&mut self, now: Time) {
+        for command in std::mem::take(&mut self.out) {
+            match command {
+                SearchCommand::Send {
+                    query, seq, shard, ..
+                } => {
+                    let at = (now + SERVED_MS, seq);
+                    let noisy = query.seq % 2 == 0;
+                    let trouble = query.seq % 7 == 0 && now.as_ms() % 10 == 0;
+                    let outcome = match (noisy, self.noise, shard.0) {
+                        (true, Noise::Refused, _) => refused(3_000),
+                        (true, Noise::Failed, _) => SubOutcome::Failed,
+                        (true, Noise::Unanswered, _) => continue,
+                        (false, _, 0) if trouble => continue,
+                        (false, _, 1) if trouble => refused(5),
+                        _ => answered(),
+                    };
+                    self.replies.insert(at, outcome);
+                }
+                SearchCommand::Answer { query, answer } if query.seq % 2 == 1 => {
+                    let outcome = Outcome {
+                        shards: answer.shards.len(),
+                        took_ms: answer.took_ms,
+                    };
+                    self.outcomes.insert(query.seq, outcome);
+                }
+                SearchCommand::Refuse { query, .. } if query.seq % 2 == 1 => {
+                    self.outcomes.insert(query.seq, Outcome::default());
+                }
+                _ => (),
+            }
+        }
+    }
+
+    fn advance(&mut self, to: Time) {
+        loop {
+            let reply = self.replies.keys().next().copied();
+            let wake = self.searcher.next_wake().unwrap_or(Time::MAX);
+            match reply {
+                Some((at, seq)) if at <= wake && at <= to => {
+                    let outcome = self.replies.remove(&(at, seq)).unwrap();
+                    let id = SubId {
+                        origin: ORIGIN,
+                        seq,
+                    };
+                    let reply = SubReply {
+                        id,
+                        outcome,
+                        queued_ms: 0,
+                        served_ms: 0,
+                    };
+                    self.searcher.reply(at, reply, &mut self.out);
+                    self.carry_out(at);
+                }
+                _ if wake <= to => {
+                    self.searcher.tick(wake, &mut self.out);
+                    self.carry_out(wake);
+                }
+                _ => return,
+            }
+        }
+    }
+}
+
+fn run(noise: Noise) -> Outcomes {
+    let mut bench = Bench::new(noise);
+    for round in 0..ROUNDS {
+        let now = Time::from_ms(1_000 + 10 * round);
+        bench.advance(now);
+        if noise != Noise::Silence {
+            bench.start(now, 0, 2 * round);
+        }
+        bench.start(now, 1, 2 * round + 1);
+    }
+    bench.advance(Time::from_ms(1_000 + 10 * ROUNDS + DEADLINE_MS));
+    bench.outcomes
+}
+
+#[test]
+fn failures_of_one_customer_leave_another_alone() {
+    let alone = run(Noise::Silence);
+    assert_eq!(alone.len() as u64, ROUNDS);
+    assert!(alone
+        .values()
+        .all(|outcome| outcome.shards == SHARDS as usize));
+    for noise in [Noise::Refused, Noise::Failed, Noise::Unanswered] {
+        let beside = run(noise);
+        for (seq, alone) in &alone {
+            let beside = beside[seq];
+            assert_eq!(beside.shards, alone.shards, "{noise:?}, query {seq}");
+            let bound_ms = alone.took_ms + DELAY_MS;
+            assert!(
+                beside.took_ms <= bound_ms,
+                "{noise:?}, query {seq}: {beside:?}"
+            );
+        }
+    }
+}
