Bind only the instance that dispatched by its "unknown" in the model

The model of run_fuzz was wrong: an instance that was asked for a key that it is about to claim, with no time left, says "unknown", and the model took that for the word of the instance that had the key dispatched, which then may dispatch again after a true "not run".

--- /dev/null
+++ b/hemlockrouter-route/tests/run_fuzz/checks.rs
@@ -0,0 +1,116 @@
+//! What must hold of each command, by the model.
+
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::run::RunOutcome;
+
+use super::events::Request;
+use super::result;
+use super::Call;
+use super::Cluster;
+use super::Sent;
+use super::REMEMBER_MS;
+
+impl Cluster {
+    pub(super) fn check_dispatch(&self, query: QueryId, deadline: Time) {
+        let call = &self.calls[&query];
+        let refused = matches!(call.outcome, Some(RunOutcome::NotRun(_)));
+        assert!(
+            !refused,
+            "a request runs for a call that was told it did not run: {call:?}"
+        );
+        assert!(self.now < deadline && deadline <= call.deadline);
+        let sealed = self.unknown.contains(&call.request);
+        assert!(!sealed, "told that it may have run, and then run: {call:?}");
+        for earlier in self.sent_for(call.request) {
+            assert!(
+                earlier.refused,
+                "{earlier:?} may run, and is dispatched again"
+            );
+            assert_eq!(earlier.body, call.body);
+        }
+    }
+
+    fn sent_for(&self, request: Request) -> impl Iterator<Item = &Sent> {
+        self.sent.iter().filter(move |sent| sent.request == request)
+    }
+
+    /// Checks a refusal by the instance `by`, which without the store knows of requests by key only
+    /// what it did itself.
+    pub(super) fn check_not_run(&self, by: InstanceId, request: Request, refusal: Refusal) {
+        let mut may_have_run = self.sent_for(request).filter(|sent| !sent.refused);
+        let blind = matches!(request, Request::Key(_))
+            && matches!(
+                refusal.reason,
+                Reason::StoreDown | Reason::Deadline | Reason::Overloaded
+            );
+        let lie = may_have_run.find(|sent| {
+            let remembered = sent.by == by && self.now < sent.at + REMEMBER_MS;
+            remembered || !blind
+        });
+        assert!(
+            lie.is_none(),
+            "told that it did not run: {lie:?}, {refusal}"
+        );
+    }
+
+    /// Notes that the instance that dispatched a request told that it may have run.
+    pub(super) fn note_unknown(&mut self, by: InstanceId, request: Request, outcome: &RunOutcome) {
+        let own = |sent: &Sent| sent.by == by && !sent.refused;
+        let may_have_run = self.sent_for(request).any(own);
+        if may_have_run && *outcome == RunOutcome::Unknown {
+            self.unknown.push(request);
+        }
+    }
+
+    pub(super) fn check_answer(&mut self, id: QueryId, outcome: RunOutcome) {
+        let call = self.calls.get_mut(&id).expect("only calls are answered");
+        assert_eq!(call.outcome, None, "one answer for each call");
+        assert!(self.now <= call.deadline, "answered after the deadline");
+        call.outcome = Some(outcome.clone());
+        let request = call.request;
+        let forwarded = call.forwarded;
+        // Only the issuer of a ticket can know.
+        let elsewhere = matches!(request, Request::Ticket(number)
+            if self.tickets[number].by != id.origin);
+        if !forwarded && !elsewhere {
+            self.note_unknown(id.origin, request, &outcome);
+        }
+        let call = &self.calls[&id];
+        let may_have_run = self.sent_for(call.request).any(|sent| !sent.refused);
+        match outcome {
+            RunOutcome::Done { body } => {
+                assert_eq!(body, result(call.request));
+                let run = self.sent_for(call.request).find(|sent| sent.ran);
+                assert_eq!(run.expect("it ran").body, call.body);
+            }
+            RunOutcome::NotRun(refusal) if !call.forwarded => {
+                self.check_not_run(id.origin, call.request, refusal);
+            }
+            RunOutcome::NotRun(_) => (),
+            RunOutcome::Unknown => {
+                // It may yet run for another caller.
+                let awaited =
+                    |other: &Call| other.request == call.request && other.outcome.is_none();
+                let awaited = self.calls.values().any(awaited);
+                let forgotten = self.calls.values().any(|other| {
+                    other.request == call.request && other.started + REMEMBER_MS <= self.now
+                });
+                let expired = matches!(request, Request::Ticket(number)
+                    if self.tickets[number].at + REMEMBER_MS <= self.now);
+                let forgotten = forgotten || expired;
+                assert!(
+                    may_have_run || awaited || elsewhere || forwarded || forgotten,
+                    "told unknown, but nothing ran: {call:?}"
+                );
+            }
+            RunOutcome::Conflict => {
+                let others = self
+                    .calls
+                    .values()
+                    .filter(|other| other.request == call.request);
+                let mut others = others.filter(|other| other.body != call.body);
+                assert!(others.next().is_some(), "{call:?}");
+            }
+        }
+    }
+}
--- a/hemlockrouter-route/tests/run_fuzz.rs
+++ b/hemlockrouter-route/tests/run_fuzz/main.rs
@@ -4,6 +4,9 @@
 //! replaced. A longer run: `PROPTEST_CASES=20000 PROPTEST_RNG_SEED=1 cargo test --release -p
 //! hemlockrouter-route --test run_fuzz`. A failure prints the shortest trace that was found.
 
+mod checks;
+mod events;
+#[path = "../support/mod.rs"]
 mod support;
 
 use std::collections::BTreeMap;
@@ -20,125 +23,21 @@
 use hemlockrouter_wire::run::RunOutcome;
 use hemlockrouter_wire::SubOutcome;
 use hemlockrouter_wire::SubReply;
-use proptest::prelude::*;
 use proptest_state_machine::prop_state_machine;
-use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 
+use crate::events::Events;
+use crate::events::MessageFate;
+use crate::events::Request;
+use crate::events::StoreFate;
+use crate::events::Transition;
+use crate::events::UpstreamFate;
 use crate::support::Layout;
 
 const INSTANCES: usize = 3;
 const MAX_REMEMBERED: usize = 3;
 const REMEMBER_MS: u64 = 400;
 
-/// What names a request: the model's own number, whichever way it is named to the runners.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Request {
-    Ticket(usize),
-    Key(u8),
-}
-
-#[derive(Clone, Copy, Debug)]
-enum StoreFate {
-    Answered,
-    AnswerLost,
-    Down,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum UpstreamFate {
-    Run,
-    RunAndFail,
-    RunAndLoseReply,
-    Refuse(u32),
-    LoseAll,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum MessageFate {
-    Deliver,
-    DeliverTwice,
-    Lose,
-}
-
-#[derive(Clone, Debug)]
-enum Transition {
-    Issue(usize),
-    Start {
-        at: usize,
-        request: Request,
-        body: u8,
-        deadline_ms: u64,
-    },
-    Claim(usize, StoreFate),
-    Message(usize, MessageFate),
-    Dispatch(usize, UpstreamFate),
-    ReplyAgain(usize),
-    Advance(u64),
-    /// Replaces an instance by a new one that knows nothing.
-    Replace(usize),
-    /// Tells an instance that all replaced ones are gone.
-    Gone(usize),
-}
-
-/// Only generates events: what they find depends on what the runners decided.
-#[derive(Clone, Debug)]
-struct Events;
-
-impl ReferenceStateMachine for Events {
-    type State = Events;
-    type Transition = Transition;
-
-    fn init_state() -> BoxedStrategy<Events> {
-        Just(Events).boxed()
-    }
-
-    fn transitions(_: &Events) -> BoxedStrategy<Transition> {
-        let at = || 0..INSTANCES;
-        let pick = any::<usize>;
-        let request = prop_oneof![
-            any::<usize>().prop_map(Request::Ticket),
-            (0..3_u8).prop_map(Request::Key),
-        ];
-        let store = prop_oneof![
-            4 => Just(StoreFate::Answered),
-            1 => Just(StoreFate::AnswerLost),
-            1 => Just(StoreFate::Down),
-        ];
-        let upstream = prop_oneof![
-            4 => Just(UpstreamFate::Run),
-            1 => Just(UpstreamFate::RunAndFail),
-            1 => Just(UpstreamFate::RunAndLoseReply),
-            3 => (0..100_u32).prop_map(UpstreamFate::Refuse),
-            1 => Just(UpstreamFate::LoseAll),
-        ];
-        let message = prop_oneof![
-            4 => Just(MessageFate::Deliver),
-            1 => Just(MessageFate::DeliverTwice),
-            1 => Just(MessageFate::Lose),
-        ];
-        let body = prop_oneof![9 => Just(0_u8), 1 => Just(1_u8)];
-        prop_oneof![
-            2 => at().prop_map(Transition::Issue),
-            8 => (at(), request, body, 0..500_u64).prop_map(|(at, request, body, deadline_ms)| {
-                Transition::Start { at, request, body, deadline_ms }
-            }),
-            6 => (pick(), store).prop_map(|(at, fate)| Transition::Claim(at, fate)),
-            8 => (pick(), message).prop_map(|(at, fate)| Transition::Message(at, fate)),
-            8 => (pick(), upstream).prop_map(|(at, fate)| Transition::Dispatch(at, fate)),
-            1 => pick().prop_map(Transition::ReplyAgain),
-            4 => (1..120_u64).prop_map(Transition::Advance),
-            1 => at().prop_map(Transition::Replace),
-            1 => at().prop_map(Transition::Gone),
-        ]
-        .boxed()
-    }
-
-    fn apply(events: Events, _: &Transition) -> Events {
-        events
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Issued {
     by: InstanceId,
@@ -569,114 +468,12 @@
                 if let RunOutcome::NotRun(refusal) = outcome {
                     self.check_not_run(by, request, refusal);
                 }
-                self.note_unknown(request, &outcome);
+                self.note_unknown(by, request, &outcome);
                 self.messages.push(Message::Ended { to, id, outcome });
             }
             RunCommand::Decision(_) => (),
         }
     }
-
-    fn check_dispatch(&self, query: QueryId, deadline: Time) {
-        let call = &self.calls[&query];
-        let refused = matches!(call.outcome, Some(RunOutcome::NotRun(_)));
-        assert!(
-            !refused,
-            "a request runs for a call that was told it did not run: {call:?}"
-        );
-        assert!(self.now < deadline && deadline <= call.deadline);
-        let sealed = self.unknown.contains(&call.request);
-        assert!(!sealed, "told that it may have run, and then run: {call:?}");
-        for earlier in self.sent_for(call.request) {
-            assert!(
-                earlier.refused,
-                "{earlier:?} may run, and is dispatched again"
-            );
-            assert_eq!(earlier.body, call.body);
-        }
-    }
-
-    fn sent_for(&self, request: Request) -> impl Iterator<Item = &Sent> {
-        self.sent.iter().filter(move |sent| sent.request == request)
-    }
-
-    /// Checks a refusal by the instance `by`, which without the store knows of requests by key only
-    /// what it did itself.
-    fn check_not_run(&self, by: InstanceId, request: Request, refusal: Refusal) {
-        let mut may_have_run = self.sent_for(request).filter(|sent| !sent.refused);
-        let blind = matches!(request, Request::Key(_))
-            && matches!(
-                refusal.reason,
-                Reason::StoreDown | Reason::Deadline | Reason::Overloaded
-            );
-        let lie = may_have_run.find(|sent| {
-            let remembered = sent.by == by && self.now < sent.at + REMEMBER_MS;
-            remembered || !blind
-        });
-        assert!(
-            lie.is_none(),
-            "told that it did not run: {lie:?}, {refusal}"
-        );
-    }
-
-    /// Notes that the instance that may run a request told that it may have run.
-    fn note_unknown(&mut self, request: Request, outcome: &RunOutcome) {
-        let may_have_run = self.sent_for(request).any(|sent| !sent.refused);
-        if may_have_run && *outcome == RunOutcome::Unknown {
-            self.unknown.push(request);
-        }
-    }
-
-    fn check_answer(&mut self, id: QueryId, outcome: RunOutcome) {
-        let call = self.calls.get_mut(&id).expect("only calls are answered");
-        assert_eq!(call.outcome, None, "one answer for each call");
-        assert!(self.now <= call.deadline, "answered after the deadline");
-        call.outcome = Some(outcome.clone());
-        let request = call.request;
-        let forwarded = call.forwarded;
-        // Only the issuer of a ticket can know.
-        let elsewhere = matches!(request, Request::Ticket(number)
-            if self.tickets[number].by != id.origin);
-        if !forwarded && !elsewhere {
-            self.note_unknown(request, &outcome);
-        }
-        let call = &self.calls[&id];
-        let may_have_run = self.sent_for(call.request).any(|sent| !sent.refused);
-        match outcome {
-            RunOutcome::Done { body } => {
-                assert_eq!(body, result(call.request));
-                let run = self.sent_for(call.request).find(|sent| sent.ran);
-                assert_eq!(run.expect("it ran").body, call.body);
-            }
-            RunOutcome::NotRun(refusal) if !call.forwarded => {
-                self.check_not_run(id.origin, call.request, refusal);
-            }
-            RunOutcome::NotRun(_) => (),
-            RunOutcome::Unknown => {
-                // It may yet run for another caller.
-                let awaited =
-                    |other: &Call| other.request == call.request && other.outcome.is_none();
-                let awaited = self.calls.values().any(awaited);
-                let forgotten = self.calls.values().any(|other| {
-                    other.request == call.request && other.started + REMEMBER_MS <= self.now
-                });
-                let expired = matches!(request, Request::Ticket(number)
-                    if self.tickets[number].at + REMEMBER_MS <= self.now);
-                let forgotten = forgotten || expired;
-                assert!(
-                    may_have_run || awaited || elsewhere || forwarded || forgotten,
-                    "told unknown, but nothing ran: {call:?}"
-                );
-            }
-            RunOutcome::Conflict => {
-                let others = self
-                    .calls
-                    .values()
-                    .filter(|other| other.request == call.request);
-                let mut others = others.filter(|other| other.body != call.body);
-                assert!(others.next().is_some(), "{call:?}");
-            }
-        }
-    }
 }
 
 fn customer() -> CustomerKey {
