--- a/hemlockrouter-lab/src/upstream/counts.rs
+++ b/hemlockrouter-lab/src/upstream/counts.rs
@@ -45,6 +45,8 @@
     pub last_after_leaving_ms: u64,
     /// Whether it is cold now.
     pub cold: bool,
+    /// Whether it is cold now and the other end can know it, so that its cold bound counts.
+    pub known_cold: bool,
 }
 
 impl Counts {
--- a/hemlockrouter-lab/src/upstream/mod.rs
+++ b/hemlockrouter-lab/src/upstream/mod.rs
@@ -124,7 +124,7 @@
 
     /// Returns what was counted.
     pub fn counts(&self) -> Counts {
-        self.shared.lock().counts()
+        self.shared.lock().counts(self.shared.clock.now())
     }
 
     /// Returns how it behaves.
@@ -208,7 +208,7 @@
                 exchange.answer(Answer::json(200, &health));
             }
             (Method::Get, "/lab/counts") => {
-                let counts = shared.lock().counts();
+                let counts = shared.lock().counts(shared.clock.now());
                 exchange.answer(Answer::json(200, &counts));
             }
             (Method::Put, "/lab/control") => {
@@ -344,9 +344,10 @@
         admission
     }
 
-    fn counts(&self) -> Counts {
+    fn counts(&self, now: Time) -> Counts {
         let mut counts = self.model.counts.clone();
         counts.cold = self.model.is_cold();
+        counts.known_cold = self.model.is_known_cold(now);
         counts
     }
 
--- a/hemlockrouter-lab/tests/upstream.rs
+++ b/hemlockrouter-lab/tests/upstream.rs
@@ -146,3 +146,20 @@
     both();
     assert_eq!(upstream.counts().cold_bound_passed, 1);
 }
+
+#[test]
+fn a_silent_cold_start_counts_once_answers_show_it() {
+    let upstream = start(|spec| {
+        spec.warm = true;
+        spec.cold_ms = 1;
+        spec.warm_answers = 1_000;
+    });
+    let agent = agent();
+    upstream.turn_cold();
+    for id in 0..8 {
+        assert!(!upstream.counts().known_cold);
+        assert_eq!(post(&agent, &upstream, "/search", search(id, None)).0, 200);
+    }
+    thread::sleep(Duration::from_millis(100));
+    assert!(upstream.counts().known_cold);
+}
