Answer instances that membership does not know yet

Cause: in a rolling restart one run of the load ended as one that may have run. The new instance that had taken it was 470 ms old; the owner had refused the run as not its own, but did not know the new instance's address, and dropped the refusal.

Ruled out: the leaving owner losing its queue, which is refused item by item.

Change: an envelope names the address at which its sender takes answers, and the receiver remembers it until membership tells of the sender.

--- a/hemlockrouter-wire/src/envelope.rs
+++ b/hemlockrouter-wire/src/envelope.rs
@@ -1,5 +1,7 @@
 //! The envelope around messages and its encoding.
 
+use std::net::SocketAddr;
+
 use derive_more::Display;
 use derive_more::Error;
 use hemlockrouter_types::InstanceId;
@@ -24,6 +26,8 @@
     version: u16,
     /// The instance that sends the messages.
     pub from: InstanceId,
+    /// Where the sender takes answers, for a receiver that has not heard of it yet.
+    pub reply_to: Option<SocketAddr>,
     /// The messages, in the order in which they were sent.
     pub messages: Vec<Message>,
 }
@@ -74,10 +78,17 @@
         Envelope {
             version: VERSION,
             from,
+            reply_to: None,
             messages,
         }
     }
 
+    /// Names the address at which the sender takes answers.
+    pub fn with_reply_to(mut self, address: SocketAddr) -> Envelope {
+        self.reply_to = Some(address);
+        self
+    }
+
     /// Encodes the envelope as MessagePack.
     ///
     /// # Panics
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -123,8 +123,19 @@
             Arc::clone(&metrics),
         )
         .wrap_err_with(|| cannot_listen("instances_listen", settings.instances_listen))?;
-        let peers = Peers::start(id, keys.instances, &settings.limits, clock, mailbox.clone())
-            .wrap_err("can't start the threads that call other instances")?;
+        let me = Peer {
+            id,
+            address: advertised(&settings, instances.address()),
+            zone: settings.zone.clone(),
+        };
+        let peers = Peers::start(
+            me.clone(),
+            keys.instances,
+            &settings.limits,
+            clock,
+            mailbox.clone(),
+        )
+        .wrap_err("can't start the threads that call other instances")?;
         let platform = Platform::start(
             settings.platform.clone(),
             settings.timing.clone(),
@@ -145,11 +156,6 @@
         .wrap_err_with(|| cannot_listen("operators_listen", settings.operators_listen))?;
         let upstreams = Upstreams::start(&settings, clock, mailbox.clone())
             .wrap_err("can't start the threads that call upstreams")?;
-        let me = Peer {
-            id,
-            address: advertised(&settings, instances.address()),
-            zone: settings.zone.clone(),
-        };
         let seed = id.0;
         let member = Member::new(
             crate::tuning::member(&settings),
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -56,11 +56,16 @@
 /// When to come back after the owner of an upstream could not be reached, in milliseconds.
 const RETRY_MS: u32 = 200;
 
+/// How many instances that membership does not know are remembered.
+const STRANGERS_MAX: usize = 1_024;
+
 /// The actor that keeps membership and configuration.
 pub(crate) struct Control {
     parts: ControlParts,
     catalog: Arc<Catalog>,
     links: Option<Links>,
+    /// Where instances take answers that asked something before membership told of them.
+    strangers: BTreeMap<InstanceId, SocketAddr>,
     commands: Vec<Command>,
     timer: MinTimerKey,
 }
@@ -91,6 +96,7 @@
             parts,
             catalog: Arc::default(),
             links: None,
+            strangers: BTreeMap::new(),
             commands: Vec::new(),
             timer: MinTimerKey::default(),
         })
@@ -197,6 +203,9 @@
     pub(crate) fn envelope(&mut self, cx: CX![], envelope: Envelope) {
         let now = self.parts.clock.now();
         let from = envelope.from;
+        if let (None, Some(address)) = (self.parts.member.peer(from), envelope.reply_to) {
+            self.strangers.insert(from, address);
+        }
         self.parts.member.heard(now, from);
         for message in envelope.messages {
             self.message(now, from, message);
@@ -300,11 +309,11 @@
             self.message(self.parts.clock.now(), to, message);
             return;
         }
-        let Some(peer) = self.parts.member.peer(to) else {
+        let known = self.parts.member.peer(to).map(|peer| peer.address);
+        let Some(address) = known.or_else(|| self.strangers.get(&to).copied()) else {
             self.not_delivered(Some(to), message, false);
             return;
         };
-        let address = peer.address;
         if let Err(message) = self.parts.peers.send(Some(to), address, message) {
             self.not_delivered(Some(to), message, false);
         }
@@ -393,8 +402,13 @@
         self.forget_addresses();
     }
 
-    /// Forgets the addresses of instances that are gone.
-    fn forget_addresses(&self) {
+    /// Forgets the addresses of instances that are gone, and of those that membership knows by now.
+    fn forget_addresses(&mut self) {
+        let member = &self.parts.member;
+        self.strangers.retain(|id, _| member.peer(*id).is_none());
+        if self.strangers.len() > STRANGERS_MAX {
+            self.strangers.clear();
+        }
         let member = &self.parts.member;
         let known: BTreeSet<SocketAddr> = member.table().map(|row| row.peer.address).collect();
         self.parts.peers.retain(|address| known.contains(&address));
--- a/src/outbound/peers.rs
+++ b/src/outbound/peers.rs
@@ -25,6 +25,7 @@
 use hemlockrouter_types::Clock;
 use hemlockrouter_types::InstanceId;
 use hemlockrouter_types::Time;
+use hemlockrouter_wire::member::Peer;
 use hemlockrouter_wire::Envelope;
 use hemlockrouter_wire::Message;
 use xxhash_rust::xxh3::Xxh3;
@@ -85,7 +86,7 @@
 struct Shared {
     queues: Mutex<Queues>,
     ready: Condvar,
-    me: InstanceId,
+    me: Peer,
     key: SecretKey,
     batch_max: usize,
     clock: Clock,
@@ -142,7 +143,7 @@
     ///
     /// Returns the error of starting a thread.
     pub(crate) fn start(
-        me: InstanceId,
+        me: Peer,
         key: SecretKey,
         limits: &Limits,
         clock: Clock,
@@ -263,7 +264,7 @@
     fn send_all(&self, agent: &ureq::Agent) {
         loop {
             let (address, to, messages) = self.next_batch();
-            let envelope = Envelope::new(self.me, messages);
+            let envelope = Envelope::new(self.me.id, messages).with_reply_to(self.me.address);
             let sent = self.post(agent, address, &envelope);
             let failed = sent.is_err();
             if let Err(why) = sent {
