--- a/hemlockrouter-route/src/search/replan.rs
+++ b/hemlockrouter-route/src/search/replan.rs
@@ -75,29 +75,21 @@
         plan: &mut Plan,
         out: &mut Vec<SearchCommand>,
     ) {
-        let best = snapshot::best(&self.upstreams, plan.shards());
         let held = answer::most_common_snapshot(plan);
         let held_count = held.map_or(0, |snapshot| answer::count(plan, snapshot));
-        let chosen = match best {
-            Some(best) if best.shards > held_count && self.may_move(now, plan) => {
-                Some(best.snapshot)
-            }
-            _ => held,
-        };
-        let Some(chosen) = chosen else {
+        let best = snapshot::best(&self.upstreams, plan.shards());
+        let better = best.filter(|best| best.shards > held_count && self.may_move(now, plan));
+        let Some(better) = better else {
+            plan.snapshot = held;
             return;
         };
-        let missing = plan.parts.len() - answer::count(plan, chosen);
-        if missing == 0 || Some(chosen) == held && missing == plan.given_up {
-            plan.snapshot = Some(chosen);
-            return;
-        }
-        if !self.may_move(now, plan) {
-            plan.snapshot = Some(chosen);
+        let only_given_up = plan.parts.len() - held_count == plan.given_up;
+        if held == Some(better.snapshot) && only_given_up {
+            plan.snapshot = held;
             return;
         }
         plan.replans += 1;
-        plan.move_to(chosen);
+        plan.move_to(better.snapshot);
         self.place_all(now, plan, out);
     }
 
