limit: learn usual times from windows that ended well, and doubt the end of a cold start

Two faults: slow answers of a cold turn, as far as they were under the bound for late ones, raised the usual time until the cold start looked like usual; and an upstream that turned cold again just when it had become warm taught the first window its cold times, after which each cold start was ended too soon and the upstream fell over again and again.

--- a/hemlockrouter-limit/src/ramp.rs
+++ b/hemlockrouter-limit/src/ramp.rs
@@ -8,8 +8,8 @@
 //! That a cold start is over shows in one of three ways. Where the usual time of the warm upstream is
 //! known, answers take about that again. Where it is not, they take little more than half of what
 //! they took before. Failing both, they have been equally slow for so long that this is the usual
-//! time now. If the upstream turns cold again soon afterwards, the last way was wrong and needs twice
-//! the time.
+//! time now. If the upstream fails again soon afterwards, its cold start was not over: the usual times
+//! are forgotten, and the last way needs twice the time.
 
 use hemlockrouter_types::prelude::*;
 
@@ -60,7 +60,11 @@
 #[derive(Debug)]
 enum Phase {
     Cold(Cold),
-    Warm { since: Time, settled: bool },
+    Warm {
+        since: Time,
+        /// Since when no window has ended well.
+        late_since: Option<Time>,
+    },
 }
 
 /// What was seen of a cold start.
@@ -134,11 +138,13 @@
         Some(by_factor.max(usual_ms + u64::from(config.late_slack_ms)))
     }
 
-    /// Takes the upstream for cold.
-    pub(crate) fn cool(&mut self, now: Time, config: &Config) -> Change {
+    /// Takes the upstream for cold. If it `failed`, the end of the last cold start is judged by it.
+    pub(crate) fn cool(&mut self, now: Time, failed: bool, config: &Config) -> Change {
         let was_cold = self.is_cold();
-        if let Phase::Warm { since, settled } = self.phase {
-            self.judge_settling(now.since(since), settled, config);
+        if let Phase::Warm { since, .. } = self.phase {
+            if failed {
+                self.judge_warming(now.since(since), config);
+            }
         }
         self.limit = 1;
         self.phase = Phase::Cold(Cold::new());
@@ -177,15 +183,14 @@
             self.window.add_late(customer);
             return self.observe_trouble(now, config);
         }
-        self.window.add_timely(customer);
-        match &mut self.phase {
-            Phase::Cold(cold) => cold.observe(now, customer, served_ms, &mut self.history),
-            Phase::Warm { .. } => self.history.observe_warm(customer, served_ms),
+        self.window.add_timely(customer, served_ms);
+        if let Phase::Cold(cold) = &mut self.phase {
+            cold.observe(now, customer, served_ms, &mut self.history);
         }
         if let Some(warmed) = self.end_run(now, config) {
             return self.warm(now, warmed);
         }
-        self.end_window(config)
+        self.end_window(now, config)
     }
 
     /// Takes in that work of `customer` failed or was not answered in time.
@@ -207,9 +212,9 @@
             return self.halve();
         }
         if self.window.is_mostly_late(self.window_size(config)) {
-            return self.cool(now, config);
+            return self.cool(now, true, config);
         }
-        self.end_window(config)
+        self.end_window(now, config)
     }
 
     /// Ends a run of answers in a cold start. Returns what shows that the cold start is over.
@@ -239,26 +244,32 @@
     }
 
     fn warm(&mut self, now: Time, warmed: Warmed) -> Change {
-        let settled = warmed == Warmed::Settled;
-        if settled {
+        if warmed == Warmed::Settled {
             self.history.forget_usual();
         }
         self.phase = Phase::Warm {
             since: now,
-            settled,
+            late_since: None,
         };
         self.window = Window::default();
         Change::Warm
     }
 
-    fn end_window(&mut self, config: &Config) -> Change {
+    fn end_window(&mut self, now: Time, config: &Config) -> Change {
         if !self.window.is_full(self.window_size(config)) {
             return Change::None;
         }
         if self.window.is_partly_late() {
+            self.forget_if_slower(now, config);
             return self.halve();
         }
-        self.window = Window::default();
+        let window = std::mem::take(&mut self.window);
+        if let Phase::Warm { late_since, .. } = &mut self.phase {
+            *late_since = None;
+            for (customer, served_ms) in window.into_lessons() {
+                self.history.observe_warm(customer, served_ms);
+            }
+        }
         let grown = match config.growth {
             Growth::Double => self.limit * 2,
             Growth::Add => self.limit + 1,
@@ -268,15 +279,24 @@
         Change::None
     }
 
-    /// Lengthens the settling time if it ended the last cold start wrongly.
-    fn judge_settling(&mut self, warm_ms: u64, settled: bool, config: &Config) {
-        if !settled {
-            self.doublings = 0;
+    /// Forgets the usual times if no window has ended well for so long that they must have changed.
+    /// Otherwise the limit would stay low for ever.
+    fn forget_if_slower(&mut self, now: Time, config: &Config) {
+        let Phase::Warm { late_since, .. } = &mut self.phase else {
             return;
+        };
+        let since = *late_since.get_or_insert(now);
+        if now.since(since) >= u64::from(config.slower_ms) {
+            *late_since = None;
+            self.history.forget_usual();
         }
-        // What was learned since may come from the cold start.
-        self.history.forget_usual();
+    }
+
+    /// Lengthens the settling time if the last cold start ended too soon. What was taken for the usual
+    /// time may then come from the cold start, and would end the next one too soon as well.
+    fn judge_warming(&mut self, warm_ms: u64, config: &Config) {
         if warm_ms < self.settle_ms(false, config) {
+            self.history.forget_usual();
             self.doublings += 1;
         } else {
             self.doublings = 0;
--- a/hemlockrouter-limit/src/upstream.rs
+++ b/hemlockrouter-limit/src/upstream.rs
@@ -22,6 +22,10 @@
 /// After how long a request is late whose customer's usual time is unknown, in milliseconds.
 const LATE_UNKNOWN_MS: u64 = 1_000;
 
+/// Why an upstream is taken for cold that may have broken down under its load.
+const REFUSED: &str = "the connection was refused";
+const RESTARTED: &str = "the upstream restarted";
+
 /// One upstream.
 #[derive(Debug)]
 pub(crate) struct Upstream {
@@ -368,7 +372,7 @@
             return;
         }
         if self.start.is_some() && self.start != start {
-            self.cool(now, "the upstream restarted", config, out);
+            self.cool(now, RESTARTED, config, out);
         }
         self.start = start;
     }
@@ -434,7 +438,7 @@
     }
 
     fn observe_unreachable(&mut self, now: Time, config: &Config, out: &mut Vec<Command>) {
-        self.cool(now, "the connection was refused", config, out);
+        self.cool(now, REFUSED, config, out);
         if self
             .pause(now)
             .is_some_and(|pause| pause.reason == Reason::Unreachable)
@@ -462,7 +466,8 @@
     }
 
     fn cool(&mut self, now: Time, why: &'static str, config: &Config, out: &mut Vec<Command>) {
-        let change = self.ramp.cool(now, config);
+        let failed = matches!(why, REFUSED | RESTARTED);
+        let change = self.ramp.cool(now, failed, config);
         self.suspect_since = None;
         self.epoch = self.epoch.wrapping_add(1);
         if change == Change::Cold {
--- a/hemlockrouter-limit/src/window.rs
+++ b/hemlockrouter-limit/src/window.rs
@@ -15,6 +15,8 @@
     late: u32,
     timely_of: Customers,
     late_of: Customers,
+    /// Timely answers, in milliseconds, from which the usual time is learned if the window ends well.
+    lessons: Vec<(CustomerKey, u64)>,
 }
 
 /// None, one or several customers.
@@ -27,10 +29,16 @@
 }
 
 impl Window {
-    /// Counts an answer in time.
-    pub(crate) fn add_timely(&mut self, customer: CustomerKey) {
+    /// Counts an answer in time, of `served_ms`.
+    pub(crate) fn add_timely(&mut self, customer: CustomerKey, served_ms: u64) {
         self.timely += 1;
         self.timely_of.add(customer);
+        self.lessons.push((customer, served_ms));
+    }
+
+    /// Returns the timely answers.
+    pub(crate) fn into_lessons(self) -> Vec<(CustomerKey, u64)> {
+        self.lessons
     }
 
     /// Counts a late answer.
--- a/hemlockrouter-limit/tests/limit/limiter.rs
+++ b/hemlockrouter-limit/tests/limit/limiter.rs
@@ -166,6 +166,7 @@
     hold(&mut limiter, ms(0), out);
     let (mut now, mut last) = (ms(250), 0);
     while limiter.status(upstream(0)).unwrap().limit < 8 {
+        assert!(now < ms(20_000), "the limit does not grow");
         let first = last + 1;
         last += 8;
         offer_all(&mut limiter, now, first..=last, out);
