Freeze and kill the instance that owns an upstream, and look for secrets in logs and metrics

Cause: the tests took a fixed instance, which need not own anything of interest. Change: they ask for the owner. New test: keys of all kinds and what customers send appear in no log line, no metric and no refusal.

--- a/hemlockrouter-cli/tests/e2e/failures.rs
+++ b/hemlockrouter-cli/tests/e2e/failures.rs
@@ -20,8 +20,9 @@
     let mut cluster = Cluster::start(Layout::new());
     let load = Load::start(cluster.load(11));
     run_for_ms(CALM_MS);
-    let name = cluster.instances[1].place.name.clone();
-    cluster.instances[1].kill();
+    let owner = cluster.owner_of("finder-1-east");
+    let name = cluster.instances[owner].place.name.clone();
+    cluster.instances[owner].kill();
     run_for_ms(CALM_MS);
     cluster.deregister(&name);
     cluster.wait_until_whole();
@@ -38,19 +39,20 @@
     options.operators = cluster.operators();
     let load = Load::start(options);
     run_for_ms(CALM_MS);
-    cluster.instances[0].freeze();
+    let owner = cluster.owner_of("finder-1-east");
+    cluster.instances[owner].freeze();
     run_for_ms(FREEZE_MS / 2);
     // An upstream that is cold when the old owner wakes shows any work beyond the new owner's.
     for upstream in &cluster.upstreams {
         upstream.restart();
     }
     run_for_ms(FREEZE_MS / 2);
-    cluster.instances[0].wake();
+    cluster.instances[owner].wake();
     run_for_ms(CALM_MS);
     cluster.wait_until_whole();
     let report = load.stop();
     cluster.check(&report);
-    assert!(cluster.instances[0].is_running());
+    assert!(cluster.instances[owner].is_running());
 }
 
 #[test]
--- a/hemlockrouter-cli/tests/e2e/harness/client.rs
+++ b/hemlockrouter-cli/tests/e2e/harness/client.rs
@@ -82,6 +82,12 @@
         read(sent).unwrap_or_else(|err| panic!("no answer from {to}{path}: {err}"))
     }
 
+    /// Gets a path whose answer is text.
+    pub(crate) fn get_text(&self, to: SocketAddr, path: &str) -> Result<String, ureq::Error> {
+        let request = self.agent.get(format!("http://{to}{path}"));
+        request.call()?.body_mut().read_to_string()
+    }
+
     /// Gets a path.
     pub(crate) fn get(&self, to: SocketAddr, path: &str) -> Result<Answer, ureq::Error> {
         let request = self.agent.get(format!("http://{to}{path}"));
--- a/hemlockrouter-cli/tests/e2e/harness/cluster.rs
+++ b/hemlockrouter-cli/tests/e2e/harness/cluster.rs
@@ -207,6 +207,29 @@
         matches!(self.operator.get(operators, "/readyz"), Ok((200, _)))
     }
 
+    /// Returns the metrics of an instance.
+    pub(crate) fn metrics(&self, at: usize) -> String {
+        let operators = self.instances[at].place.operators;
+        let metrics = self.operator.get_text(operators, "/metrics");
+        metrics.expect("the operators' port answers")
+    }
+
+    /// Returns the instance that owns an upstream.
+    pub(crate) fn owner_of(&self, upstream: &str) -> usize {
+        let owns = |at: &usize| {
+            let operators = self.instances[*at].place.operators;
+            let (_, status) = self
+                .operator
+                .get(operators, "/v1/status")
+                .expect("a status");
+            let rows = status["upstreams"].as_array().into_iter().flatten();
+            let mut owned = rows.filter(|row| row["owned_here"] == true);
+            owned.any(|row| row["name"] == upstream)
+        };
+        let mut all = 0..self.instances.len();
+        all.find(owns).expect("the upstream has an owner")
+    }
+
     /// Returns the number of the configuration that an instance has in force.
     pub(crate) fn config_number(&self, at: usize) -> Option<u64> {
         let operators = self.instances[at].place.operators;
--- a/hemlockrouter-cli/tests/e2e/main.rs
+++ b/hemlockrouter-cli/tests/e2e/main.rs
@@ -8,6 +8,7 @@
 mod harness;
 mod leaving;
 mod platform;
+mod secrets;
 mod serving;
 mod versions;
 mod zones;
