--- a/hemlockrouter-member/src/member.rs
+++ b/hemlockrouter-member/src/member.rs
@@ -291,6 +291,12 @@
         self.membership.is_established()
     }
 
+    /// Returns whether the platform's list is needed now: this instance is not established, or
+    /// another of its zone is dead and nothing proves its end. Otherwise it need not be read.
+    pub fn needs_list(&self) -> bool {
+        !self.is_established() || self.membership.has_unproved_dead()
+    }
+
     /// Returns whether this instance shall follow the store.
     pub fn is_watcher(&self) -> bool {
         self.is_watcher
--- a/hemlockrouter-member/src/membership/contact.rs
+++ b/hemlockrouter-member/src/membership/contact.rs
@@ -5,7 +5,9 @@
 //! within its zone what it hears travels with the rumours. Digests find what rumours left out.
 
 use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::member::Condition;
 use hemlockrouter_wire::member::MemberKind;
+use hemlockrouter_wire::member::Rumour;
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -16,6 +18,10 @@
 /// How many contacts a zone has.
 pub(crate) const CONTACTS: usize = 2;
 
+/// How long an instance of another zone is known before its absence from a table counts, in
+/// milliseconds.
+const MISSED_MS: u64 = 10_000;
+
 /// When which zone is talked to next.
 #[derive(Debug)]
 pub(crate) struct Contact {
@@ -100,14 +106,71 @@
         }
     }
 
-    /// Compares the table of one zone with a random member of the own one.
+    /// Compares the table of one zone: of the own one with a random member, of another one with a
+    /// contact, which has it from that zone.
     fn compare_one(&mut self, out: &mut Vec<Command>) {
-        let Some(id) = self.pick(1, |entry| entry.is_living()).pop() else {
-            return;
-        };
         let zones = self.table.zones();
         let zone = zones[self.rng.random_range(0..zones.len())].clone();
-        self.send_compare(id, zone, out);
+        let is_own = zone == self.me.zone;
+        let contacts = ranked(&self.table, &self.me.zone, "contact", CONTACTS);
+        let asked = self.pick(1, |entry| {
+            entry.is_living() && (is_own || contacts.contains(&entry.peer.id))
+        });
+        if let Some(id) = asked.first() {
+            self.send_compare(*id, zone, out);
+        }
+    }
+
+    /// Replaces what is believed of another zone by the table of one who knows better: a member of
+    /// that zone, or a contact of the own zone. Rumours alone can't repair what was missed long ago.
+    pub(crate) fn adopt(&mut self, now: Time, from: InstanceId, rumours: &[Rumour]) {
+        let Some(zone) = rumours.first().map(|rumour| rumour.peer.zone.clone()) else {
+            return;
+        };
+        let is_whole = rumours.iter().all(|rumour| rumour.peer.zone == zone);
+        if zone == self.me.zone || !is_whole || !self.knows_better(from, &zone) {
+            return;
+        }
+        let missed: Vec<InstanceId> = self
+            .table
+            .zone(&zone)
+            .filter(|entry| now.since(entry.since) >= MISSED_MS)
+            .map(|entry| entry.peer.id)
+            .filter(|id| !rumours.iter().any(|rumour| rumour.peer.id == *id))
+            .collect();
+        for id in missed {
+            self.table.remove(now, id);
+            self.table.readmit(id);
+        }
+        for rumour in rumours {
+            self.adopt_one(now, rumour);
+        }
+    }
+
+    fn adopt_one(&mut self, now: Time, rumour: &Rumour) {
+        if rumour.condition >= Condition::Dead {
+            return;
+        }
+        let id = rumour.peer.id;
+        self.table.readmit(id);
+        self.table.merge(now, rumour);
+        let is_older = self
+            .table
+            .get(id)
+            .is_some_and(|entry| entry.refutations <= rumour.refutations);
+        if is_older {
+            self.table.set_condition(now, id, rumour.condition);
+        }
+    }
+
+    /// Returns whether an instance has its table of a zone from nearer to it.
+    fn knows_better(&self, id: InstanceId, zone: &str) -> bool {
+        let is_member = self
+            .table
+            .get(id)
+            .is_some_and(|entry| entry.peer.zone == zone);
+        let contacts = ranked(&self.table, &self.me.zone, "contact", CONTACTS);
+        is_member || (contacts.contains(&id) && !contacts.contains(&self.me.id))
     }
 
     fn send_compare(&mut self, to: InstanceId, zone: String, out: &mut Vec<Command>) {
--- a/hemlockrouter-member/src/membership/mod.rs
+++ b/hemlockrouter-member/src/membership/mod.rs
@@ -44,10 +44,6 @@
 /// How often one instance answers a comparison with the table of one zone, in milliseconds.
 const TABLE_EVERY_MS: u64 = 500;
 
-/// How long an instance of another zone is known before its absence from that zone's table counts,
-/// in milliseconds.
-const MISSED_MS: u64 = 10_000;
-
 /// The membership of this instance.
 #[derive(Debug)]
 pub(crate) struct Membership {
@@ -179,7 +175,7 @@
             self.learn(now, rumour, is_fresh);
         }
         if message.kind == MemberKind::Table {
-            self.miss(now, from, &message.rumours);
+            self.adopt(now, from, &message.rumours);
         }
         self.heard(now, from, out);
         if let Some(entry) = self.table.get_mut(from) {
@@ -238,28 +234,6 @@
         }
     }
 
-    /// Takes the instances for dead that a member of another zone leaves out of its own zone's table.
-    fn miss(&mut self, now: Time, from: InstanceId, rumours: &[Rumour]) {
-        let Some(sender) = self.table.get(from) else {
-            return;
-        };
-        let zone = sender.peer.zone.clone();
-        let is_told = |id| rumours.iter().any(|rumour| rumour.peer.id == id);
-        if zone == self.me.zone || !is_told(from) {
-            return;
-        }
-        let missed: Vec<InstanceId> = self
-            .table
-            .zone(&zone)
-            .filter(|entry| now.since(entry.since) >= MISSED_MS && !is_told(entry.peer.id))
-            .map(|entry| entry.peer.id)
-            .collect();
-        for id in missed {
-            self.table.set_condition(now, id, Condition::Dead);
-            self.gossip.add(id, self.zone_size());
-        }
-    }
-
     /// Answers a rumour that calls this instance anything but alive.
     fn refute(&mut self, now: Time, rumour: &Rumour) {
         if rumour.condition == Condition::Dead && !rumour.established {
--- a/hemlockrouter-member/src/membership/proof.rs
+++ b/hemlockrouter-member/src/membership/proof.rs
@@ -53,6 +53,12 @@
         self.gossip.add(id, self.zone_size());
     }
 
+    /// Returns whether a member of the zone is dead and nothing proves its end yet.
+    pub(crate) fn has_unproved_dead(&self) -> bool {
+        self.others()
+            .any(|entry| entry.condition == Condition::Dead && entry.proved_at.is_none())
+    }
+
     /// Notes that the end of `id` is proved.
     pub(crate) fn prove(&mut self, now: Time, id: InstanceId) {
         if let Some(entry) = self.table.get_mut(id) {
