--- a/hemlockrouter-member/src/member.rs
+++ b/hemlockrouter-member/src/member.rs
@@ -201,8 +201,10 @@
             return;
         }
         self.leaving_at = Some(now);
-        self.membership.leave(now, out);
+        self.membership.leave(now);
         self.settle(out);
+        let successors = self.ownership.successors();
+        self.membership.announce(successors, out);
         self.ownership.leave(now, out);
     }
 
@@ -291,6 +293,12 @@
         self.membership.is_established()
     }
 
+    /// Returns whether the platform's list is needed now: this instance is not established, or
+    /// another of its zone is dead and nothing proves its end. Otherwise it need not be read.
+    pub fn needs_list(&self) -> bool {
+        !self.is_established() || self.membership.has_unproved_dead()
+    }
+
     /// Returns whether this instance shall follow the store.
     pub fn is_watcher(&self) -> bool {
         self.is_watcher
--- a/hemlockrouter-member/src/membership/mod.rs
+++ b/hemlockrouter-member/src/membership/mod.rs
@@ -44,10 +44,6 @@
 /// How often one instance answers a comparison with the table of one zone, in milliseconds.
 const TABLE_EVERY_MS: u64 = 500;
 
-/// How long an instance of another zone is known before its absence from that zone's table counts,
-/// in milliseconds.
-const MISSED_MS: u64 = 10_000;
-
 /// The membership of this instance.
 #[derive(Debug)]
 pub(crate) struct Membership {
@@ -179,7 +175,7 @@
             self.learn(now, rumour, is_fresh);
         }
         if message.kind == MemberKind::Table {
-            self.miss(now, from, &message.rumours);
+            self.adopt(now, from, &message.rumours);
         }
         self.heard(now, from, out);
         if let Some(entry) = self.table.get_mut(from) {
@@ -238,28 +234,6 @@
         }
     }
 
-    /// Takes the instances for dead that a member of another zone leaves out of its own zone's table.
-    fn miss(&mut self, now: Time, from: InstanceId, rumours: &[Rumour]) {
-        let Some(sender) = self.table.get(from) else {
-            return;
-        };
-        let zone = sender.peer.zone.clone();
-        let is_told = |id| rumours.iter().any(|rumour| rumour.peer.id == id);
-        if zone == self.me.zone || !is_told(from) {
-            return;
-        }
-        let missed: Vec<InstanceId> = self
-            .table
-            .zone(&zone)
-            .filter(|entry| now.since(entry.since) >= MISSED_MS && !is_told(entry.peer.id))
-            .map(|entry| entry.peer.id)
-            .collect();
-        for id in missed {
-            self.table.set_condition(now, id, Condition::Dead);
-            self.gossip.add(id, self.zone_size());
-        }
-    }
-
     /// Answers a rumour that calls this instance anything but alive.
     fn refute(&mut self, now: Time, rumour: &Rumour) {
         if rumour.condition == Condition::Dead && !rumour.established {
@@ -416,23 +390,27 @@
     }
 
     /// Starts to leave: others choose owners without this instance from now on.
-    pub(crate) fn leave(&mut self, now: Time, out: &mut Vec<Command>) {
+    pub(crate) fn leave(&mut self, now: Time) {
         self.leaving = true;
-        self.declare(now, Condition::Leaving, 0, out);
+        self.declare(now, Condition::Leaving, 0);
     }
 
     /// Tells the zone that this instance ends, which nothing outweighs.
     pub(crate) fn end(&mut self, now: Time, out: &mut Vec<Command>) {
-        self.declare(now, Condition::Dead, Rumour::FINAL, out);
+        self.declare(now, Condition::Dead, Rumour::FINAL);
+        let told = self.pick(DIRECT_NEWS, |entry| entry.is_living());
+        self.announce(told, out);
     }
 
-    fn declare(
-        &mut self,
-        now: Time,
-        condition: Condition,
-        refutations: u32,
-        out: &mut Vec<Command>,
-    ) {
+    /// Tells some instances at once what this one has declared.
+    pub(crate) fn announce(&mut self, told: Vec<InstanceId>, out: &mut Vec<Command>) {
+        for id in told {
+            self.gossip.add(self.me.id, self.zone_size());
+            self.send(id, MemberKind::News, out);
+        }
+    }
+
+    fn declare(&mut self, now: Time, condition: Condition, refutations: u32) {
         let id = self.me.id;
         let own = self
             .table
@@ -441,11 +419,6 @@
         own.refutations = refutations.max(own.refutations);
         self.table.set_condition(now, id, condition);
         self.gossip.add(id, self.zone_size());
-        let told = self.pick(DIRECT_NEWS, |entry| entry.is_living());
-        for id in told {
-            self.gossip.add(self.me.id, self.zone_size());
-            self.send(id, MemberKind::News, out);
-        }
     }
 
     /// Picks at most `max` random other members of the zone.
@@ -481,5 +454,5 @@
     }
 }
 
-/// How many members hear of a departure at once; the others hear it from them.
+/// How many members hear of an end at once; the others hear it from them.
 const DIRECT_NEWS: usize = 8;
