--- a/hemlockrouter-lab/src/bin/hemlock-lab.rs
+++ b/hemlockrouter-lab/src/bin/hemlock-lab.rs
@@ -6,7 +6,13 @@
 use std::thread;
 
 use eyre::bail;
+use eyre::eyre;
 use eyre::WrapErr;
+use hemlockrouter_lab::experiment;
+use hemlockrouter_lab::experiment::Deployment;
+use hemlockrouter_lab::experiment::Options;
+use hemlockrouter_lab::experiment::Policy;
+use hemlockrouter_lab::experiment::Scenario;
 use hemlockrouter_lab::link::Condition;
 use hemlockrouter_lab::link::Link;
 use hemlockrouter_lab::load::Load;
@@ -45,6 +51,10 @@
             With --operators, one for each target, only instances that say they are ready
   ports     Free ports on the loopback interface, kept for the caller until it is stopped
             --count N
+  experiment
+            The tier's decisions in virtual time, beside baselines, as a table
+            [--deployment NAME] [--scenario NAME] [--policy NAME] [--seed N] [--seconds N] [--json]
+            What is left out is run for all
   --help    This text
 
 Each stand-in prints the addresses that it listens on, one a line, and runs until it is stopped.
@@ -60,6 +70,7 @@
             "link" => link(args),
             "load" => load(args),
             "ports" => ports(args),
+            "experiment" => experiments(args),
             other => bail!("unknown command {other:?}; see hemlock-lab --help"),
         },
         Some(Short('h') | Long("help")) => {
@@ -197,6 +208,55 @@
     parsed.wrap_err_with(|| format!("{text:?} is not a list of addresses"))
 }
 
+fn experiments(mut args: Parser) -> eyre::Result<()> {
+    let mut deployments = Deployment::ALL.to_vec();
+    let mut scenarios = Scenario::ALL.to_vec();
+    let mut policies = Policy::ALL.to_vec();
+    let (mut seed, mut seconds, mut json) = (1, None, false);
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("deployment") => deployments = vec![one_of(&mut args, &Deployment::ALL)?],
+            Long("scenario") => scenarios = vec![one_of(&mut args, &Scenario::ALL)?],
+            Long("policy") => policies = vec![one_of(&mut args, &Policy::ALL)?],
+            Long("seed") => seed = args.value()?.parse()?,
+            Long("seconds") => seconds = Some(args.value()?.parse()?),
+            Long("json") => json = true,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let mut reports = Vec::new();
+    for deployment in deployments {
+        for &scenario in &scenarios {
+            for &policy in &policies {
+                let options = Options::new(deployment, scenario, policy).seed(seed);
+                let options = match seconds {
+                    Some(seconds) => options.seconds(seconds),
+                    None => options,
+                };
+                reports.push(experiment::run(options));
+            }
+        }
+    }
+    match json {
+        true => println!("{}", serde_json::to_string_pretty(&reports)?),
+        false => print!("{}", experiment::table(&reports)),
+    }
+    Ok(())
+}
+
+/// Reads the name of one of `all`.
+fn one_of<T>(args: &mut Parser, all: &[T]) -> eyre::Result<T>
+where
+    T: Copy + ToString,
+{
+    let name = args.value()?.string()?;
+    let found = all.iter().find(|one| one.to_string() == name);
+    let names: Vec<String> = all.iter().map(T::to_string).collect();
+    found
+        .copied()
+        .ok_or_else(|| eyre!("unknown name {name:?}; there are {}", names.join(", ")))
+}
+
 fn ports(mut args: Parser) -> eyre::Result<()> {
     let mut count = 1;
     while let Some(arg) = args.next()? {
--- /dev/null
+++ b/hemlockrouter-lab/src/experiment/aimd.rs
@@ -0,0 +1,125 @@
+//! A baseline: each instance dispatches directly, with a limit for each upstream that it raises on
+//! answers and halves on shed ones.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use hemlockrouter_limit::Command;
+use hemlockrouter_limit::Ended;
+use hemlockrouter_limit::Work;
+use hemlockrouter_types::prelude::*;
+
+/// Work that waits for one upstream at most.
+const QUEUE_MAX: usize = 256;
+
+/// When to come back to a full queue, in milliseconds.
+const RETRY_MS: u32 = 50;
+
+/// The limits of one instance.
+#[derive(Debug, Default)]
+pub(super) struct Aimd {
+    /// By the slot of the upstream's key.
+    upstreams: Vec<Limit>,
+    works: BTreeMap<SubId, (UpstreamKey, bool)>,
+}
+
+#[derive(Debug)]
+struct Limit {
+    limit: f64,
+    most: f64,
+    in_flight: u32,
+    in_service: bool,
+    waiting: VecDeque<Work>,
+}
+
+impl Aimd {
+    pub(super) fn configure(&mut self, catalog: &Catalog) {
+        for (key, upstream) in catalog.upstreams.iter() {
+            if self.upstreams.len() <= key.slot() {
+                self.upstreams.push(Limit {
+                    limit: 1.0,
+                    most: f64::from(upstream.slots),
+                    in_flight: 0,
+                    in_service: true,
+                    waiting: VecDeque::new(),
+                });
+            }
+            self.upstreams[key.slot()].in_service = catalog.in_service(key);
+        }
+    }
+
+    pub(super) fn offer(&mut self, now: Time, work: Work, out: &mut Vec<Command>) {
+        let limit = &mut self.upstreams[work.upstream.slot()];
+        let reason = match limit.in_service {
+            false => Some(Reason::Leaving),
+            true if limit.waiting.len() >= QUEUE_MAX => Some(Reason::Overloaded),
+            true => None,
+        };
+        if let Some(reason) = reason {
+            out.push(refuse(work.id, reason));
+            return;
+        }
+        self.works.insert(work.id, (work.upstream, false));
+        limit.waiting.push_back(work);
+        self.pump(now, work.upstream, out);
+    }
+
+    pub(super) fn cancel(&mut self, id: SubId, out: &mut Vec<Command>) {
+        let Some(&(upstream, in_flight)) = self.works.get(&id) else {
+            return;
+        };
+        if in_flight {
+            out.push(Command::CancelUpstream { id, upstream });
+            return;
+        }
+        self.works.remove(&id);
+        let waiting = &mut self.upstreams[upstream.slot()].waiting;
+        waiting.retain(|work| work.id != id);
+        out.push(refuse(id, Reason::Cancelled));
+    }
+
+    pub(super) fn finish(&mut self, now: Time, id: SubId, ended: Ended, out: &mut Vec<Command>) {
+        let Some((upstream, _)) = self.works.remove(&id) else {
+            return;
+        };
+        let limit = &mut self.upstreams[upstream.slot()];
+        limit.in_flight -= 1;
+        match ended {
+            Ended::Answered { .. } => limit.limit += 1.0 / limit.limit,
+            Ended::Cancelled => (),
+            _ => limit.limit /= 2.0,
+        }
+        limit.limit = limit.limit.clamp(1.0, limit.most);
+        self.pump(now, upstream, out);
+    }
+
+    fn pump(&mut self, now: Time, upstream: UpstreamKey, out: &mut Vec<Command>) {
+        let limit = &mut self.upstreams[upstream.slot()];
+        while f64::from(limit.in_flight + 1) <= limit.limit {
+            let Some(work) = limit.waiting.pop_front() else {
+                return;
+            };
+            if work.deadline <= now {
+                self.works.remove(&work.id);
+                out.push(refuse(work.id, Reason::Deadline));
+                continue;
+            }
+            limit.in_flight += 1;
+            self.works.insert(work.id, (upstream, true));
+            out.push(Command::Dispatch {
+                id: work.id,
+                upstream,
+                lease_until: Time::MAX,
+                deadline: work.deadline,
+            });
+        }
+    }
+}
+
+fn refuse(id: SubId, reason: Reason) -> Command {
+    let refusal = Refusal {
+        reason,
+        retry_after_ms: RETRY_MS,
+    };
+    Command::Refuse { id, refusal }
+}
--- /dev/null
+++ b/hemlockrouter-lab/src/experiment/fake.rs
@@ -0,0 +1,303 @@
+//! A small fake of an upstream: slots, a short queue, connections and a cold start.
+//!
+//! It follows the rules of the stand-in [`upstream`](crate::upstream) in microseconds and without
+//! HTTP: an upstream that has more in flight while it is cold than it can bear, once the other end
+//! could know that it is cold, falls over, and everything fails for a while.
+
+use std::collections::VecDeque;
+
+use hemlockrouter_types::prelude::*;
+use rand::rngs::StdRng;
+use rand::RngExt;
+
+use super::layout::Sizes;
+
+/// Requests beyond the slots that wait.
+const QUEUE: usize = 2;
+
+/// When a shed sender is told to come back, in milliseconds.
+const SHED_RETRY_MS: u32 = 20;
+
+/// How many times longer a cold upstream takes.
+const COLD_TIMES: u64 = 4;
+
+/// Answers that it needs to become warm.
+const WARM_ANSWERS: u32 = 10;
+
+/// Time that it needs to become warm, in microseconds.
+const WARM_US: u64 = 500_000;
+
+/// Time for which everything fails after an overload while cold, in microseconds.
+const FALL_US: u64 = 2_000_000;
+
+/// How long after a sign of the cold start work may still arrive that was sent before the other end
+/// took notice, in microseconds.
+const NOTICE_US: u64 = 50_000;
+
+/// How many times longer a straggler takes.
+const STRAGGLER_TIMES: u64 = 20;
+
+/// A sub-request on its way to an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Job {
+    pub(super) id: SubId,
+    /// The instance that dispatches it.
+    pub(super) dispatcher: usize,
+    pub(super) upstream: UpstreamKey,
+    /// The query's place in the record of queries.
+    pub(super) query: usize,
+    pub(super) shard: ShardNo,
+    /// Mean time that a warm upstream works on it, in microseconds.
+    pub(super) serve_us: u64,
+    pub(super) deadline_us: u64,
+    /// Whether it opens a connection.
+    pub(super) connects: bool,
+}
+
+/// How an upstream ended a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum End {
+    Answered { start: u64 },
+    Shed { retry_after_ms: u32, start: u64 },
+    Cancelled,
+    Failed,
+    Broken,
+    Unreachable,
+}
+
+/// What follows from an event.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Said {
+    /// The upstream begins to work on a job, which is done after a time.
+    Begun { job: Job, after_us: u64 },
+    /// The upstream ended a job.
+    Ended { job: Job, end: End },
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub(super) struct Fake {
+    pub(super) sizes: Sizes,
+    lost: bool,
+    start: u64,
+    open: u32,
+    running: Vec<Job>,
+    waiting: VecDeque<Job>,
+    cold: Option<Cold>,
+    fallen_until_us: u64,
+    pub(super) peak_cold: usize,
+    /// How often more than the cold bound was in flight once that could be known.
+    pub(super) bound_passed: u64,
+    pub(super) shed: u64,
+}
+
+#[derive(Debug)]
+struct Cold {
+    since_us: u64,
+    answers: u32,
+    enforced_us: Option<u64>,
+}
+
+impl Fake {
+    /// Makes a warm upstream.
+    pub(super) fn new(sizes: Sizes) -> Fake {
+        Fake {
+            sizes,
+            lost: false,
+            start: 1,
+            open: 0,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            cold: None,
+            fallen_until_us: 0,
+            peak_cold: 0,
+            bound_passed: 0,
+            shed: 0,
+        }
+    }
+
+    /// Returns the share of the slots that is taken, as its health endpoint reports it.
+    pub(super) fn load(&self) -> f64 {
+        (self.in_flight() as f64 / self.sizes.slots as f64).min(1.0)
+    }
+
+    /// Takes a job in.
+    pub(super) fn arrive(
+        &mut self,
+        now_us: u64,
+        job: Job,
+        straggler_share: f64,
+        rng: &mut StdRng,
+        out: &mut Vec<Said>,
+    ) {
+        let full = job.connects && self.open >= self.sizes.connections;
+        if self.lost || full {
+            let end = End::Unreachable;
+            out.push(Said::Ended { job, end });
+            return;
+        }
+        self.open += u32::from(job.connects);
+        if now_us < self.fallen_until_us {
+            let end = End::Failed;
+            out.push(Said::Ended { job, end });
+            return;
+        }
+        if self.in_flight() >= self.sizes.slots + QUEUE {
+            self.shed(job, out);
+            return;
+        }
+        self.waiting.push_back(job);
+        if let Some(cold) = &self.cold {
+            let enforced = cold.enforced_us.is_some_and(|from| from <= now_us);
+            self.peak_cold = self.peak_cold.max(self.in_flight());
+            if enforced && self.in_flight() > self.sizes.cold_slots {
+                self.fall_over(now_us, out);
+                return;
+            }
+        }
+        self.begin(now_us, straggler_share, rng, out);
+    }
+
+    /// Ends a job that was worked on for its time. One that was cancelled meanwhile is passed over.
+    pub(super) fn done(
+        &mut self,
+        now_us: u64,
+        id: SubId,
+        straggler_share: f64,
+        rng: &mut StdRng,
+        out: &mut Vec<Said>,
+    ) {
+        let Some(place) = self.running.iter().position(|job| job.id == id) else {
+            return;
+        };
+        let job = self.running.swap_remove(place);
+        self.warm_up(now_us);
+        let end = End::Answered { start: self.start };
+        out.push(Said::Ended { job, end });
+        self.begin(now_us, straggler_share, rng, out);
+    }
+
+    /// Ends a job early.
+    pub(super) fn cancel(
+        &mut self,
+        now_us: u64,
+        id: SubId,
+        straggler_share: f64,
+        rng: &mut StdRng,
+        out: &mut Vec<Said>,
+    ) {
+        let end = End::Cancelled;
+        if let Some(place) = self.running.iter().position(|job| job.id == id) {
+            let job = self.running.swap_remove(place);
+            out.push(Said::Ended { job, end });
+            self.begin(now_us, straggler_share, rng, out);
+        } else if let Some(place) = self.waiting.iter().position(|job| job.id == id) {
+            let job = self
+                .waiting
+                .remove(place)
+                .expect("the place was just found");
+            out.push(Said::Ended { job, end });
+        }
+    }
+
+    /// Starts anew without warning, cold: what was in flight is lost, which tells the other end.
+    pub(super) fn restart(&mut self, now_us: u64, out: &mut Vec<Said>) {
+        let broken = self.in_flight() > 0;
+        self.break_off(out);
+        self.start += 1;
+        self.turn_cold(now_us, broken.then_some(now_us + NOTICE_US));
+    }
+
+    /// Starts anew, cold, while it gets no work and the other end knows that.
+    pub(super) fn restart_while_out(&mut self, now_us: u64, out: &mut Vec<Said>) {
+        self.break_off(out);
+        self.start += 1;
+        self.turn_cold(now_us, Some(now_us));
+    }
+
+    /// Is lost for good.
+    pub(super) fn lose(&mut self, out: &mut Vec<Said>) {
+        self.break_off(out);
+        self.lost = true;
+    }
+
+    fn in_flight(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+
+    fn begin(&mut self, now_us: u64, straggler_share: f64, rng: &mut StdRng, out: &mut Vec<Said>) {
+        while self.running.len() < self.sizes.slots {
+            let Some(job) = self.waiting.pop_front() else {
+                return;
+            };
+            if job.deadline_us <= now_us {
+                self.shed(job, out);
+                continue;
+            }
+            let mut after_us = service_us(job.serve_us, rng);
+            if self.cold.is_some() {
+                after_us *= COLD_TIMES;
+            }
+            if rng.random_bool(straggler_share) {
+                after_us *= STRAGGLER_TIMES;
+            }
+            if job.connects {
+                after_us += self.sizes.connect_us;
+            }
+            self.running.push(job);
+            out.push(Said::Begun { job, after_us });
+        }
+    }
+
+    fn shed(&mut self, job: Job, out: &mut Vec<Said>) {
+        self.shed += 1;
+        let end = End::Shed {
+            retry_after_ms: SHED_RETRY_MS,
+            start: self.start,
+        };
+        out.push(Said::Ended { job, end });
+    }
+
+    fn turn_cold(&mut self, since_us: u64, enforced_us: Option<u64>) {
+        self.cold = Some(Cold {
+            since_us,
+            answers: 0,
+            enforced_us,
+        });
+    }
+
+    fn fall_over(&mut self, now_us: u64, out: &mut Vec<Said>) {
+        self.bound_passed += 1;
+        let end = End::Failed;
+        let all = self.running.drain(..).chain(self.waiting.drain(..));
+        out.extend(all.map(|job| Said::Ended { job, end }));
+        self.fallen_until_us = now_us + FALL_US;
+        self.turn_cold(self.fallen_until_us, Some(self.fallen_until_us));
+    }
+
+    fn break_off(&mut self, out: &mut Vec<Said>) {
+        let end = End::Broken;
+        let all = self.running.drain(..).chain(self.waiting.drain(..));
+        out.extend(all.map(|job| Said::Ended { job, end }));
+        self.open = 0;
+    }
+
+    fn warm_up(&mut self, now_us: u64) {
+        let Some(cold) = &mut self.cold else {
+            return;
+        };
+        cold.answers += 1;
+        cold.enforced_us = cold.enforced_us.or(Some(now_us + NOTICE_US));
+        if cold.answers >= WARM_ANSWERS && now_us >= cold.since_us + WARM_US {
+            self.cold = None;
+        }
+    }
+}
+
+/// Draws a service time: a fixed part and an exponential one, with a mean of `mean_us`.
+fn service_us(mean_us: u64, rng: &mut StdRng) -> u64 {
+    let fixed_us = mean_us * 7 / 10;
+    let varied_us = (mean_us - fixed_us) as f64;
+    let drawn: f64 = rng.random_range(f64::EPSILON..1.0);
+    fixed_us + (-drawn.ln() * varied_us) as u64
+}
--- /dev/null
+++ b/hemlockrouter-lab/src/experiment/fault.rs
@@ -0,0 +1,133 @@
+//! What goes wrong in each scenario.
+
+use std::sync::Arc;
+
+use hemlockrouter_types::prelude::*;
+use rand::RngExt;
+
+use super::layout;
+use super::sim::Event;
+use super::sim::Sim;
+use super::Scenario;
+
+/// The zone that is taken out.
+const ZONE_OUT: u32 = 0;
+
+/// The replica that is lost.
+const LOST: usize = 7;
+
+/// One upstream in so many restarts.
+const RESTART_EVERY: usize = 10;
+
+/// How soon a note is in force at an instance, in microseconds: the first and the last.
+const NOTE_US: (u64, u64) = (100_000, 2_000_000);
+
+/// How far the balancer lags behind the note, in microseconds.
+const BALANCER_US: u64 = 1_000_000;
+
+/// When a zone that is taken out must get no further work, in microseconds.
+const OUT_US: u64 = 3_000_000;
+
+/// Something that goes wrong, or right again.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Fault {
+    LoseReplica,
+    Restart,
+    /// A note takes the zone out of service or back in.
+    Note {
+        in_service: bool,
+    },
+    /// The balancer stops or starts to send callers to the zone's instances.
+    Balancer {
+        in_service: bool,
+    },
+    /// The zone must not get work from now on.
+    ZoneIsOut,
+}
+
+impl Sim {
+    /// Sets when what goes wrong, from the start of the measured time at `from_us`.
+    pub(super) fn plan_faults(&mut self, from_us: u64, length_us: u64) {
+        let quarter_us = from_us + length_us / 4;
+        match self.options.scenario {
+            Scenario::Calm | Scenario::Stragglers | Scenario::Overload | Scenario::StoreDown => (),
+            Scenario::ReplicaLost => self.at(quarter_us, Event::Fault(Fault::LoseReplica)),
+            Scenario::ColdRestart => self.at(quarter_us, Event::Fault(Fault::Restart)),
+            Scenario::ZoneOut => {
+                let back_us = from_us + length_us / 2;
+                self.plan_note(quarter_us, false);
+                self.plan_note(back_us, true);
+                self.at(quarter_us + OUT_US, Event::Fault(Fault::ZoneIsOut));
+            }
+        }
+    }
+
+    fn plan_note(&mut self, at_us: u64, in_service: bool) {
+        self.at(at_us, Event::Fault(Fault::Note { in_service }));
+        let balancer = Fault::Balancer { in_service };
+        self.at(at_us + BALANCER_US, Event::Fault(balancer));
+    }
+
+    pub(super) fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::LoseReplica => {
+                let mut said = Vec::new();
+                self.fakes[LOST].lose(&mut said);
+                self.forget_connections(LOST);
+                self.execute_said(said);
+            }
+            Fault::Restart => {
+                for upstream in (0..self.fakes.len()).step_by(RESTART_EVERY) {
+                    let mut said = Vec::new();
+                    self.fakes[upstream].restart(self.now_us, &mut said);
+                    self.forget_connections(upstream);
+                    self.execute_said(said);
+                }
+            }
+            Fault::Note { in_service } => self.accept_note(in_service),
+            Fault::Balancer { in_service } => {
+                self.balancer = (0..self.instances.len())
+                    .filter(|&index| in_service || self.instances[index].zone != ZONE_OUT)
+                    .collect();
+            }
+            Fault::ZoneIsOut => self.closed_zone = Some(ZONE_OUT),
+        }
+    }
+
+    /// Accepts a note, which comes into force at each instance a little later. A zone that comes
+    /// back was restarted while it was out.
+    fn accept_note(&mut self, in_service: bool) {
+        let mut catalog = Catalog::clone(&self.catalog);
+        catalog.number = catalog.number.next();
+        let key = catalog.find_zone(&layout::zone_name(ZONE_OUT));
+        let zone = key.and_then(|key| catalog.zones.get_mut(key));
+        zone.expect("the zone exists").in_service = in_service;
+        self.catalog = Arc::new(catalog);
+        if in_service {
+            self.closed_zone = None;
+            self.restart_zone();
+        }
+        for index in 0..self.instances.len() {
+            let delay_us = self.rng.random_range(NOTE_US.0..NOTE_US.1);
+            let catalog = Arc::clone(&self.catalog);
+            self.at(self.now_us + delay_us, Event::Configure(index, catalog));
+        }
+    }
+
+    fn restart_zone(&mut self) {
+        for upstream in 0..self.fakes.len() {
+            if self.fakes[upstream].sizes.zone == ZONE_OUT {
+                let mut said = Vec::new();
+                self.fakes[upstream].restart_while_out(self.now_us, &mut said);
+                self.forget_connections(upstream);
+                self.execute_said(said);
+            }
+        }
+    }
+
+    fn forget_connections(&mut self, upstream: usize) {
+        for instance in &mut self.instances {
+            instance.idle[upstream] = 0;
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrouter-lab/src/experiment/layout.rs
@@ -0,0 +1,260 @@
+//! The deployments: places, services, customers and queries, as their operators size them today.
+//!
+//! The sizes of services and the delays between places are given; how long an upstream works on a
+//! query, the mix of queries and the delay within a zone are not, and stand here as assumptions.
+
+use hemlockrouter_types::catalog::Customer;
+use hemlockrouter_types::catalog::Search;
+use hemlockrouter_types::catalog::Shard;
+use hemlockrouter_types::catalog::Upstream;
+use hemlockrouter_types::catalog::Zone;
+use hemlockrouter_types::prelude::*;
+
+use super::Deployment;
+
+/// Zones, each in a region of its own.
+pub(super) const ZONES: u32 = 3;
+
+/// One-way delay within a zone, in microseconds.
+const NEAR_US: u64 = 100;
+
+/// One-way delay between zones of two regions, in microseconds.
+const FAR_US: u64 = 10_000;
+
+/// One-way delay between a caller and its entry instance, in microseconds.
+pub(super) const CLIENT_US: u64 = 1_000;
+
+/// Services that every fan-out query searches.
+const SHARDS: u32 = 50;
+
+const SHARD_REPLICAS: u32 = 2;
+const SHARD_SLOTS: u32 = 2;
+
+/// More than any scenario asks for, so that upstreams are what limits it.
+const CUSTOMER_IN_FLIGHT: u32 = 2_000;
+const CUSTOMER_PER_SECOND: u32 = 5_000;
+
+/// A deployment.
+pub(super) struct Layout {
+    pub(super) catalog: Catalog,
+    /// The zone of each instance.
+    pub(super) instances: Vec<u32>,
+    /// By the slot of the upstream's key.
+    pub(super) upstreams: Vec<Sizes>,
+    pub(super) kinds: Vec<Kind>,
+}
+
+/// What the catalogue does not say of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sizes {
+    pub(super) zone: u32,
+    pub(super) slots: usize,
+    pub(super) cold_slots: usize,
+    pub(super) connections: u32,
+    pub(super) connect_us: u64,
+}
+
+/// One kind of query.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Kind {
+    pub(super) customer: CustomerKey,
+    pub(super) search: SearchKey,
+    pub(super) shards: u32,
+    /// How much an answer counts.
+    pub(super) weight: u32,
+    /// Mean time that a warm upstream works on one shard, in microseconds.
+    pub(super) serve_us: u64,
+    /// How many are asked for each fan-out query.
+    pub(super) share: f64,
+}
+
+impl Kind {
+    /// Returns whether it searches all shards.
+    pub(super) fn is_fan_out(&self) -> bool {
+        self.shards > 1
+    }
+}
+
+/// A service whose replicas all hold the same.
+struct Service {
+    name: &'static str,
+    replicas: u32,
+    slots: u32,
+    connections: u32,
+    connect_us: u64,
+}
+
+impl Layout {
+    /// Lays out `deployment`.
+    pub(super) fn new(deployment: Deployment) -> Layout {
+        match deployment {
+            Deployment::Daegu => daegu(),
+            Deployment::Brazos => brazos(),
+        }
+    }
+
+    /// Returns the one-way delay between two zones, in microseconds.
+    pub(super) fn hop_us(from: u32, to: u32) -> u64 {
+        match from == to {
+            true => NEAR_US,
+            false => FAR_US,
+        }
+    }
+
+    /// Returns how many fan-out queries a second take `load` of the slots of their services.
+    pub(super) fn rate(&self, load: f64) -> f64 {
+        let slots = f64::from(SHARD_REPLICAS * SHARD_SLOTS);
+        let fan_out = self.kinds.iter().filter(|kind| kind.is_fan_out());
+        let busy_us: f64 = fan_out.map(|kind| kind.share * kind.serve_us as f64).sum();
+        load * slots * 1_000_000.0 / busy_us
+    }
+
+    /// Returns the slots of all services that fan-out queries search.
+    pub(super) fn fan_out_slots(&self) -> u32 {
+        SHARDS * SHARD_REPLICAS * SHARD_SLOTS
+    }
+
+    fn empty(instances: u32) -> Layout {
+        let mut catalog = Catalog {
+            number: ConfigNumber(1),
+            ..Catalog::default()
+        };
+        for zone in 0..ZONES {
+            catalog.zones.insert(Zone {
+                name: zone_name(zone),
+                region: format!("region-{zone}"),
+                in_service: true,
+            });
+        }
+        Layout {
+            catalog,
+            instances: (0..instances).map(|instance| instance % ZONES).collect(),
+            upstreams: Vec::new(),
+            kinds: Vec::new(),
+        }
+    }
+
+    /// Adds the replicas of a service, the first of them in `zone`.
+    fn service(&mut self, service: &Service, name: &str, zone: u32) -> Shard {
+        let mut keys = Vec::new();
+        for replica in 0..service.replicas {
+            let zone = (zone + replica) % ZONES;
+            keys.push(self.catalog.upstreams.insert(Upstream {
+                name: format!("{name}-{replica}"),
+                address: ([127, 0, 0, 1], 9).into(),
+                zone: ZoneKey::from_raw(zone),
+                slots: service.slots,
+                cold_slots: 1,
+                connections: service.connections,
+                in_service: true,
+            }));
+            self.upstreams.push(Sizes {
+                zone,
+                slots: service.slots as usize,
+                cold_slots: 1,
+                connections: service.connections,
+                connect_us: service.connect_us,
+            });
+        }
+        Shard {
+            name: name.to_owned(),
+            upstreams: keys,
+        }
+    }
+
+    /// Adds the services that fan-out queries search.
+    fn shards(&mut self, name: &'static str) -> Vec<Shard> {
+        let service = Service {
+            name,
+            replicas: SHARD_REPLICAS,
+            slots: SHARD_SLOTS,
+            connections: 25,
+            connect_us: 6_000,
+        };
+        let mut shards = Vec::new();
+        for n in 0..SHARDS {
+            let name = format!("{}-{n}", service.name);
+            shards.push(self.service(&service, &name, n));
+        }
+        shards
+    }
+
+    fn customer(&mut self, name: &str) -> CustomerKey {
+        self.catalog.customers.insert(Customer {
+            name: name.to_owned(),
+            key_sha256: [0; 32],
+            max_in_flight: CUSTOMER_IN_FLIGHT,
+            max_per_second: CUSTOMER_PER_SECOND,
+        })
+    }
+
+    fn kind(
+        &mut self,
+        customer: CustomerKey,
+        name: &str,
+        shards: &[Shard],
+        weight: u32,
+        serve_us: u64,
+        share: f64,
+    ) {
+        let search = self.catalog.searches.insert(Search {
+            name: name.to_owned(),
+            customer,
+            weight,
+            map: MapVersion(1),
+            shards: shards.to_vec(),
+        });
+        self.kinds.push(Kind {
+            customer,
+            search,
+            shards: shards.len() as u32,
+            weight,
+            serve_us,
+            share,
+        });
+    }
+}
+
+/// Returns the name of a zone.
+pub(super) fn zone_name(zone: u32) -> String {
+    format!("zone-{zone}")
+}
+
+fn daegu() -> Layout {
+    let mut layout = Layout::empty(9);
+    let halls = layout.shards("halls");
+    let ledger = layout.service(&single("ledger", 7, 3, 100), "ledger", 0);
+    let board = layout.service(&single("notice-board", 3, 3, 100), "notice-board", 0);
+    for name in ["universities", "associations", "schoolteachers"] {
+        let customer = layout.customer(name);
+        layout.kind(customer, "halls", &halls, 1, 10_000, 1.0 / 3.0);
+        layout.kind(customer, "ledger", &[ledger.clone()], 1, 5_000, 0.25);
+        layout.kind(customer, "notices", &[board.clone()], 1, 5_000, 0.1);
+    }
+    layout
+}
+
+fn brazos() -> Layout {
+    let mut layout = Layout::empty(8);
+    let woodyards = layout.shards("woodyards");
+    let scale_house = layout.service(&single("scale-house", 3, 6, 50), "scale-house", 0);
+    let mill_board = layout.service(&single("mill-board", 3, 6, 50), "mill-board", 1);
+    let mills = layout.customer("mills");
+    let foremen = layout.customer("foremen");
+    let truckers = layout.customer("truckers");
+    layout.kind(mills, "mill-query", &woodyards, 2, 12_000, 1.0 / 3.0);
+    layout.kind(foremen, "crew-query", &woodyards, 1, 5_000, 2.0 / 3.0);
+    layout.kind(truckers, "scale-ticket", &[scale_house], 1, 4_000, 1.0);
+    layout.kind(mills, "mill-board", &[mill_board], 1, 4_000, 0.25);
+    layout
+}
+
+fn single(name: &'static str, replicas: u32, slots: u32, connections: u32) -> Service {
+    Service {
+        name,
+        replicas,
+        slots,
+        connections,
+        connect_us: 1_000,
+    }
+}
--- /dev/null
+++ b/hemlockrouter-lab/src/experiment/record.rs
@@ -0,0 +1,245 @@
+//! What is recorded of each query, and the report that is made of it.
+
+use hemlockrouter_types::prelude::*;
+use serde::Serialize;
+
+use super::fake::Fake;
+use super::layout::Kind;
+use super::layout::Layout;
+use super::Options;
+
+/// How a query ended, as its caller saw it.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Final {
+    Answered { covered: u32 },
+    Refused(Reason),
+}
+
+/// One query.
+pub(super) struct Record {
+    pub(super) kind: usize,
+    pub(super) entry: usize,
+    pub(super) sent_us: u64,
+    pub(super) ended_us: u64,
+    pub(super) end: Option<Final>,
+    /// How often upstreams began to work on each shard.
+    pub(super) begun: Vec<u8>,
+}
+
+/// The time that is measured.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Window {
+    pub(super) from_us: u64,
+    pub(super) until_us: u64,
+}
+
+/// What came of an experiment.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// What was run.
+    pub options: Options,
+    /// Queries that were asked.
+    pub queries: u64,
+    /// Latency of the fan-out queries that were answered, in milliseconds.
+    pub fan_out: Latency,
+    /// Latency of the single-shard queries that were answered, in milliseconds.
+    pub single: Latency,
+    /// Share of their shards that answers covered, over fan-out queries, in percent.
+    pub coverage_percent: f64,
+    /// Share of queries that were answered whole in time, by weight, in percent.
+    pub whole_percent: f64,
+    /// Share of queries that were answered in time, by weight and coverage, in percent.
+    pub service_percent: f64,
+    /// Share of queries that were refused, in percent.
+    pub refused_percent: f64,
+    /// Work that upstreams began beyond one try for each shard, in percent.
+    pub extra_percent: f64,
+    /// Share of the slots of the searched services that answered shards took up, in percent.
+    pub carried_percent: f64,
+    /// Queries without a final answer or refusal.
+    pub lost: u64,
+    /// Refusals that said "not run" of a query of which something ran.
+    pub untrue_refusals: u64,
+    /// Most in flight at an upstream while it was cold.
+    pub peak_cold: usize,
+    /// How often more than the cold bound was in flight at an upstream that could be known as cold.
+    pub cold_bound_passed: u64,
+    /// Sub-requests that upstreams shed.
+    pub shed: u64,
+    /// Sub-requests that reached a zone more than 3 s after it was taken out.
+    pub late_work: u64,
+    /// Service by the second in which queries were sent, in percent.
+    pub seconds: Vec<f64>,
+}
+
+/// Quantiles of a latency in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Latency {
+    /// The median.
+    pub p50_ms: f64,
+    /// The 99th percentile.
+    pub p99_ms: f64,
+    /// The 99.9th percentile.
+    pub p999_ms: f64,
+}
+
+impl Record {
+    fn covered(&self) -> u32 {
+        match self.end {
+            Some(Final::Answered { covered }) => covered,
+            _ => 0,
+        }
+    }
+
+    /// Returns whether the caller was told that nothing ran although something did.
+    fn is_untrue(&self) -> bool {
+        let not_run = match self.end {
+            Some(Final::Refused(reason)) => reason != Reason::Coverage,
+            _ => false,
+        };
+        not_run && self.begun.iter().any(|begun| *begun > 0)
+    }
+}
+
+impl Latency {
+    fn new(mut latencies_us: Vec<u64>) -> Latency {
+        latencies_us.sort_unstable();
+        let quantile = |quantile: f64| {
+            let rank = (latencies_us.len() as f64 * quantile).ceil() as usize;
+            let value_us = latencies_us.get(rank.max(1) - 1);
+            value_us.map_or(0.0, |us| *us as f64 / 1_000.0)
+        };
+        Latency {
+            p50_ms: quantile(0.5),
+            p99_ms: quantile(0.99),
+            p999_ms: quantile(0.999),
+        }
+    }
+}
+
+/// Sums over the queries that were sent within the window.
+#[derive(Default)]
+struct Sums {
+    queries: u64,
+    refused: u64,
+    lost: u64,
+    untrue: u64,
+    weight: f64,
+    whole: f64,
+    service: f64,
+    answered_shards: u64,
+    answers_shards: u64,
+    first_tries: u64,
+    extra: u64,
+    fan_out_us: Vec<u64>,
+    single_us: Vec<u64>,
+}
+
+impl Sums {
+    fn add(&mut self, record: &Record, kind: &Kind) {
+        let weight = f64::from(kind.weight);
+        let covered = record.covered();
+        self.queries += 1;
+        self.weight += weight;
+        self.service += weight * f64::from(covered) / f64::from(kind.shards);
+        self.whole += f64::from(u32::from(covered == kind.shards)) * weight;
+        self.untrue += u64::from(record.is_untrue());
+        match record.end {
+            None => self.lost += 1,
+            Some(Final::Refused(_)) => self.refused += 1,
+            Some(Final::Answered { .. }) => self.add_answer(record, kind),
+        }
+        for begun in &record.begun {
+            self.first_tries += u64::from(*begun > 0);
+            self.extra += u64::from(begun.saturating_sub(1));
+        }
+    }
+
+    fn add_answer(&mut self, record: &Record, kind: &Kind) {
+        let latency_us = record.ended_us - record.sent_us;
+        if kind.is_fan_out() {
+            self.fan_out_us.push(latency_us);
+            self.answered_shards += u64::from(record.covered());
+            self.answers_shards += u64::from(kind.shards);
+        } else {
+            self.single_us.push(latency_us);
+        }
+    }
+}
+
+/// Makes the report.
+pub(super) fn report(
+    options: Options,
+    layout: &Layout,
+    window: Window,
+    records: &[Record],
+    fakes: &[Fake],
+    late_work: u64,
+) -> Report {
+    let mut sums = Sums::default();
+    for record in records {
+        if window.contains(record.sent_us) {
+            sums.add(record, &layout.kinds[record.kind]);
+        }
+    }
+    Report {
+        options,
+        queries: sums.queries,
+        coverage_percent: percent(sums.answered_shards as f64, sums.answers_shards as f64),
+        whole_percent: percent(sums.whole, sums.weight),
+        service_percent: percent(sums.service, sums.weight),
+        refused_percent: percent(sums.refused as f64, sums.queries as f64),
+        extra_percent: percent(sums.extra as f64, sums.first_tries as f64),
+        carried_percent: carried_percent(layout, window, records),
+        lost: sums.lost,
+        untrue_refusals: sums.untrue,
+        peak_cold: fakes.iter().map(|fake| fake.peak_cold).max().unwrap_or(0),
+        cold_bound_passed: fakes.iter().map(|fake| fake.bound_passed).sum(),
+        shed: fakes.iter().map(|fake| fake.shed).sum(),
+        late_work,
+        seconds: seconds(layout, window, records),
+        fan_out: Latency::new(sums.fan_out_us),
+        single: Latency::new(sums.single_us),
+    }
+}
+
+/// Returns the share of the slots that fan-out answers within the window took up.
+fn carried_percent(layout: &Layout, window: Window, records: &[Record]) -> f64 {
+    let mut busy_us = 0;
+    for record in records {
+        let kind = &layout.kinds[record.kind];
+        if kind.is_fan_out() && window.contains(record.ended_us) {
+            busy_us += u64::from(record.covered()) * kind.serve_us;
+        }
+    }
+    let slots_us = u64::from(layout.fan_out_slots()) * (window.until_us - window.from_us);
+    percent(busy_us as f64, slots_us as f64)
+}
+
+/// Returns the service of each second, by weight and coverage.
+fn seconds(layout: &Layout, window: Window, records: &[Record]) -> Vec<f64> {
+    let count = (window.until_us - window.from_us) / 1_000_000;
+    let mut sums = Vec::new();
+    sums.resize_with(count as usize, Sums::default);
+    for record in records {
+        if window.contains(record.sent_us) {
+            let second = (record.sent_us - window.from_us) / 1_000_000;
+            sums[second as usize].add(record, &layout.kinds[record.kind]);
+        }
+    }
+    let service = sums.iter().map(|sums| percent(sums.service, sums.weight));
+    service.collect()
+}
+
+fn percent(part: f64, whole: f64) -> f64 {
+    match whole > 0.0 {
+        true => 100.0 * part / whole,
+        false => 0.0,
+    }
+}
+
+impl Window {
+    pub(super) fn contains(&self, at_us: u64) -> bool {
+        (self.from_us..self.until_us).contains(&at_us)
+    }
+}
--- /dev/null
+++ b/hemlockrouter-lab/src/experiment/sim.rs
@@ -0,0 +1,664 @@
+//! The queue of messages in virtual time, and who does what with them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use hemlockrouter_limit::Command;
+use hemlockrouter_limit::Ended;
+use hemlockrouter_limit::Work;
+use hemlockrouter_route::Query;
+use hemlockrouter_route::SearchCommand;
+use hemlockrouter_route::Searcher;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::SubOutcome;
+use hemlockrouter_wire::SubReply;
+use rand::rngs::StdRng;
+use rand::RngExt;
+use rand::SeedableRng;
+
+use super::fake::End;
+use super::fake::Fake;
+use super::fake::Job;
+use super::fake::Said;
+use super::fault::Fault;
+use super::instance::Dispatcher;
+use super::instance::Instance;
+use super::instance::Sub;
+use super::layout::Kind;
+use super::layout::Layout;
+use super::layout::CLIENT_US;
+use super::record;
+use super::record::Final;
+use super::record::Record;
+use super::record::Report;
+use super::record::Window;
+use super::Options;
+use super::Policy;
+use super::Scenario;
+
+/// What callers give as their deadline, in milliseconds.
+const DEADLINE_MS: u64 = 500;
+
+/// Time before the measured one, in which upstreams become known, in microseconds.
+const WARM_UP_US: u64 = 6_000_000;
+
+/// Time after the measured one, in which all ends, in microseconds.
+const DRAIN_US: u64 = 10_000_000;
+
+/// The share of the slots that queries ask for.
+const CALM_LOAD: f64 = 0.3;
+const OVERLOAD: f64 = 1.5;
+
+const STRAGGLER_SHARE: f64 = 0.01;
+
+/// How often health endpoints are read, in microseconds.
+const HEALTH_EVERY_US: u64 = 1_000_000;
+
+/// How many readings health endpoints lag behind.
+const HEALTH_LAG: usize = 2;
+
+/// When to come back after a refused connection, in milliseconds.
+const RETRY_MS: u32 = 200;
+
+/// The one snapshot that all upstreams serve.
+const SNAPSHOT: Snapshot = Snapshot(1);
+
+/// Something that happens.
+pub(super) enum Event {
+    /// A caller sends a query of this kind.
+    Arrive(usize),
+    /// A query reaches its entry instance.
+    Query(usize),
+    /// A sub-request reaches its dispatcher.
+    Offer {
+        job: Job,
+        left_ms: u64,
+    },
+    /// A cancellation reaches the dispatcher.
+    Cancel(usize, SubId),
+    /// A sub-request reaches its upstream.
+    Reach(Job),
+    /// A cancellation reaches the upstream.
+    CancelAt(UpstreamKey, SubId),
+    /// An upstream has worked on a sub-request for its time.
+    Done(UpstreamKey, SubId),
+    /// The end of a sub-request reaches its dispatcher.
+    Ended(Job, End),
+    /// The end of a sub-request reaches the entry instance.
+    Reply(SubReply),
+    /// A caller learns the end of its query.
+    Told(usize, Final),
+    WakeSearcher(usize),
+    WakeDispatcher(usize),
+    Configure(usize, Arc<Catalog>),
+    Health,
+    Fault(Fault),
+}
+
+/// An experiment under way.
+pub(super) struct Sim {
+    pub(super) options: Options,
+    layout: Layout,
+    pub(super) catalog: Arc<Catalog>,
+    window: Window,
+    pub(super) rng: StdRng,
+    /// Draws when queries are asked, so that all policies get the same ones.
+    arrivals: StdRng,
+    pub(super) now_us: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    next_event: u64,
+    pub(super) instances: Vec<Instance>,
+    pub(super) fakes: Vec<Fake>,
+    /// The owner of each upstream, by the slot of its key.
+    owners: Vec<usize>,
+    /// The instances that the balancer sends callers to.
+    pub(super) balancer: Vec<usize>,
+    records: Vec<Record>,
+    /// The loads that health endpoints reported, the latest last.
+    health: Vec<Vec<f64>>,
+    /// Which replicas a shard of a query was sent to, where they are chosen by health.
+    asked: BTreeMap<(usize, ShardNo), Vec<UpstreamKey>>,
+    /// The zone that must not get work.
+    pub(super) closed_zone: Option<u32>,
+    late_work: u64,
+}
+
+impl Sim {
+    pub(super) fn new(options: Options) -> Sim {
+        let layout = Layout::new(options.deployment);
+        let total = layout.instances.len();
+        let instances = layout.instances.iter().enumerate();
+        let instances = instances
+            .map(|(index, &zone)| Instance::new(index, zone, total, options.policy, options.seed));
+        let fakes = layout.upstreams.iter().map(|sizes| Fake::new(*sizes));
+        let length_us = options.seconds * 1_000_000;
+        Sim {
+            options,
+            catalog: Arc::new(layout.catalog.clone()),
+            window: Window {
+                from_us: WARM_UP_US,
+                until_us: WARM_UP_US + length_us,
+            },
+            rng: StdRng::seed_from_u64(options.seed),
+            arrivals: StdRng::seed_from_u64(!options.seed),
+            now_us: 0,
+            events: BTreeMap::new(),
+            next_event: 0,
+            instances: instances.collect(),
+            fakes: fakes.collect(),
+            owners: owners(&layout),
+            balancer: (0..total).collect(),
+            records: Vec::new(),
+            health: Vec::new(),
+            asked: BTreeMap::new(),
+            closed_zone: None,
+            late_work: 0,
+            layout,
+        }
+    }
+
+    /// Runs it to its end.
+    pub(super) fn run(mut self) -> Report {
+        for index in 0..self.instances.len() {
+            self.configure(index, Arc::clone(&self.catalog));
+            self.hold(index);
+        }
+        for kind in 0..self.layout.kinds.len() {
+            self.plan_arrival(kind);
+        }
+        self.at(0, Event::Health);
+        let length_us = self.window.until_us - self.window.from_us;
+        self.plan_faults(self.window.from_us, length_us);
+        let end_us = self.window.until_us + DRAIN_US;
+        while let Some(((at_us, _), event)) = self.events.pop_first() {
+            if at_us > end_us {
+                break;
+            }
+            self.now_us = at_us;
+            self.take(event);
+        }
+        record::report(
+            self.options,
+            &self.layout,
+            self.window,
+            &self.records,
+            &self.fakes,
+            self.late_work,
+        )
+    }
+
+    pub(super) fn at(&mut self, at_us: u64, event: Event) {
+        self.next_event += 1;
+        self.events.insert((at_us, self.next_event), event);
+    }
+
+    fn now(&self) -> Time {
+        Time::from_ms(self.now_us / 1_000)
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Arrive(kind) => self.arrive(kind),
+            Event::Query(query) => self.start(query),
+            Event::Offer { job, left_ms } => self.offer(job, left_ms),
+            Event::Cancel(index, id) => {
+                self.drive_dispatcher(index, |dispatcher, now, out| {
+                    dispatcher.cancel(now, id, out);
+                });
+            }
+            Event::Reach(job) => self.reach(job),
+            Event::CancelAt(upstream, id) => {
+                self.drive_fake(upstream, |fake, now_us, share, rng, out| {
+                    fake.cancel(now_us, id, share, rng, out);
+                })
+            }
+            Event::Done(upstream, id) => {
+                self.drive_fake(upstream, |fake, now_us, share, rng, out| {
+                    fake.done(now_us, id, share, rng, out);
+                })
+            }
+            Event::Ended(job, end) => self.ended(job, end),
+            Event::Reply(reply) => {
+                let entry = reply.id.origin.0 as usize;
+                self.drive_searcher(entry, |searcher, now, out| searcher.reply(now, reply, out));
+            }
+            Event::Told(query, end) => {
+                self.records[query].end = Some(end);
+                self.records[query].ended_us = self.now_us;
+            }
+            Event::WakeSearcher(index) => {
+                self.instances[index].searcher_wake_us = u64::MAX;
+                self.drive_searcher(index, |searcher, now, out| searcher.tick(now, out));
+            }
+            Event::WakeDispatcher(index) => {
+                self.instances[index].dispatcher_wake_us = u64::MAX;
+                self.drive_dispatcher(index, |dispatcher, now, out| dispatcher.tick(now, out));
+            }
+            Event::Configure(index, catalog) => self.configure(index, catalog),
+            Event::Health => self.read_health(),
+            Event::Fault(fault) => self.fault(fault),
+        }
+    }
+
+    fn configure(&mut self, index: usize, catalog: Arc<Catalog>) {
+        let now = self.now();
+        self.instances[index].configure_entry(now, &catalog);
+        let catalog = self.instances[index].dispatcher_catalog(&catalog);
+        self.drive_dispatcher(index, |dispatcher, now, out| {
+            dispatcher.configure(now, &catalog, out);
+        });
+    }
+
+    /// Gives an instance the leases on what it owns, or on everything where all dispatch directly.
+    fn hold(&mut self, index: usize) {
+        let direct = self.options.policy.is_direct();
+        for slot in 0..self.owners.len() {
+            if direct || self.owners[slot] == index {
+                let upstream = UpstreamKey::from_raw(slot as u32);
+                self.drive_dispatcher(index, |dispatcher, now, out| {
+                    dispatcher.hold(now, upstream, out);
+                });
+            }
+        }
+    }
+
+    fn plan_arrival(&mut self, kind: usize) {
+        let overload = self.options.scenario == Scenario::Overload;
+        let load = match overload && self.now_us >= self.window.from_us {
+            true => OVERLOAD,
+            false => CALM_LOAD,
+        };
+        let rate = self.layout.rate(load) * self.layout.kinds[kind].share;
+        let drawn: f64 = self.arrivals.random_range(f64::EPSILON..1.0);
+        let gap_us = (-drawn.ln() * 1_000_000.0 / rate) as u64;
+        let at_us = self.now_us + gap_us;
+        if at_us < self.window.until_us {
+            self.at(at_us, Event::Arrive(kind));
+        }
+    }
+
+    fn arrive(&mut self, kind: usize) {
+        let query = self.records.len();
+        self.records.push(Record {
+            kind,
+            entry: self.balancer[query % self.balancer.len()],
+            sent_us: self.now_us,
+            ended_us: 0,
+            end: None,
+            begun: vec![0; self.layout.kinds[kind].shards as usize],
+        });
+        self.at(self.now_us + CLIENT_US, Event::Query(query));
+        self.plan_arrival(kind);
+    }
+
+    fn kind(&self, query: usize) -> Kind {
+        self.layout.kinds[self.records[query].kind]
+    }
+
+    fn start(&mut self, query: usize) {
+        let now = self.now();
+        let kind = self.kind(query);
+        let entry = self.records[query].entry;
+        let admitted = self.instances[entry].admission.admit(now, kind.customer);
+        if let Err(refusal) = admitted {
+            self.tell(query, Final::Refused(refusal.reason));
+            return;
+        }
+        let query = Query {
+            id: QueryId {
+                origin: InstanceId(entry as u64),
+                seq: query as u64,
+            },
+            customer: kind.customer,
+            search: kind.search,
+            deadline: now + DEADLINE_MS,
+            min_coverage: None,
+        };
+        self.drive_searcher(entry, |searcher, now, out| searcher.start(now, query, out));
+    }
+
+    fn drive_searcher<F>(&mut self, index: usize, action: F)
+    where
+        F: FnOnce(&mut Searcher, Time, &mut Vec<SearchCommand>),
+    {
+        let now = self.now();
+        let mut out = Vec::new();
+        action(&mut self.instances[index].searcher, now, &mut out);
+        for command in out {
+            self.execute_search(index, command);
+        }
+        let instance = &mut self.instances[index];
+        let wake = instance.searcher.next_wake();
+        let wake_us = wake.map_or(u64::MAX, |wake| wake.as_ms() * 1_000);
+        if wake_us < instance.searcher_wake_us {
+            instance.searcher_wake_us = wake_us;
+            self.at(wake_us.max(self.now_us), Event::WakeSearcher(index));
+        }
+    }
+
+    fn execute_search(&mut self, index: usize, command: SearchCommand) {
+        match command {
+            SearchCommand::Send {
+                query,
+                seq,
+                upstream,
+                shard,
+                deadline,
+                ..
+            } => self.send(index, query.seq as usize, seq, upstream, shard, deadline),
+            SearchCommand::Cancel { id, upstream } => {
+                let to = self.dispatcher_of(index, upstream);
+                let at_us = self.now_us + self.instance_hop_us(index, to);
+                self.at(at_us, Event::Cancel(to, id));
+            }
+            SearchCommand::Answer { query, answer } => {
+                let covered = answer.shards.len() as u32;
+                self.finish_query(index, query, Final::Answered { covered });
+            }
+            SearchCommand::Refuse { query, refusal } => {
+                self.finish_query(index, query, Final::Refused(refusal.reason));
+            }
+            SearchCommand::Decision(_) => (),
+        }
+    }
+
+    fn finish_query(&mut self, index: usize, query: QueryId, end: Final) {
+        let query = query.seq as usize;
+        let customer = self.kind(query).customer;
+        self.instances[index].admission.done(customer);
+        self.tell(query, end);
+    }
+
+    fn tell(&mut self, query: usize, end: Final) {
+        self.at(self.now_us + CLIENT_US, Event::Told(query, end));
+    }
+
+    fn send(
+        &mut self,
+        index: usize,
+        query: usize,
+        seq: u64,
+        upstream: UpstreamKey,
+        shard: ShardNo,
+        deadline: Time,
+    ) {
+        let upstream = match self.options.policy {
+            Policy::LeastLoaded => self.least_loaded(query, shard, upstream),
+            _ => upstream,
+        };
+        let dispatcher = self.dispatcher_of(index, upstream);
+        let id = SubId {
+            origin: InstanceId(index as u64),
+            seq,
+        };
+        let job = Job {
+            id,
+            dispatcher,
+            upstream,
+            query,
+            shard,
+            serve_us: self.kind(query).serve_us,
+            deadline_us: 0,
+            connects: false,
+        };
+        let left_ms = deadline.left(self.now());
+        let at_us = self.now_us + self.instance_hop_us(index, dispatcher);
+        self.at(at_us, Event::Offer { job, left_ms });
+    }
+
+    /// Returns the replica whose health endpoint reports the least load, among those that the shard
+    /// was not sent to before.
+    fn least_loaded(&mut self, query: usize, shard: ShardNo, chosen: UpstreamKey) -> UpstreamKey {
+        let Some(loads) = self.health.iter().rev().nth(HEALTH_LAG) else {
+            return chosen;
+        };
+        let search = self.catalog.searches.get(self.kind(query).search);
+        let replicas = &search.expect("queries name searches").shards[usize::from(shard.0)];
+        let asked = self.asked.entry((query, shard)).or_default();
+        let mut best = None;
+        for &key in &replicas.upstreams {
+            let possible = self.catalog.in_service(key) && !asked.contains(&key);
+            let load = loads[key.slot()];
+            if possible && best.is_none_or(|(least, _)| load < least) {
+                best = Some((load, key));
+            }
+        }
+        let key = best.map_or(chosen, |(_, key)| key);
+        asked.push(key);
+        key
+    }
+
+    fn read_health(&mut self) {
+        self.health
+            .push(self.fakes.iter().map(Fake::load).collect());
+        if self.now_us < self.window.until_us {
+            self.at(self.now_us + HEALTH_EVERY_US, Event::Health);
+        }
+    }
+
+    /// Returns the instance that dispatches what instance `index` sends to `upstream`.
+    fn dispatcher_of(&self, index: usize, upstream: UpstreamKey) -> usize {
+        match self.options.policy.is_direct() {
+            true => index,
+            false => self.owners[upstream.slot()],
+        }
+    }
+
+    fn instance_hop_us(&self, from: usize, to: usize) -> u64 {
+        match from == to {
+            true => 0,
+            false => Layout::hop_us(self.instances[from].zone, self.instances[to].zone),
+        }
+    }
+
+    fn upstream_hop_us(&self, instance: usize, upstream: UpstreamKey) -> u64 {
+        let zone = self.instances[instance].zone;
+        Layout::hop_us(zone, self.fakes[upstream.slot()].sizes.zone)
+    }
+
+    fn offer(&mut self, job: Job, left_ms: u64) {
+        let kind = self.kind(job.query);
+        let deadline = self.now() + left_ms;
+        let sub = Sub {
+            job: Job {
+                deadline_us: deadline.as_ms() * 1_000,
+                ..job
+            },
+            dispatched_us: 0,
+        };
+        self.instances[job.dispatcher].subs.insert(job.id, sub);
+        let search = self.catalog.searches.get(kind.search);
+        let work = Work {
+            id: job.id,
+            customer: kind.customer,
+            upstream: job.upstream,
+            weight: search.expect("queries name searches").weight,
+            deadline,
+            once: false,
+        };
+        self.drive_dispatcher(job.dispatcher, |dispatcher, now, out| {
+            dispatcher.offer(now, work, out);
+        });
+    }
+
+    fn drive_dispatcher<F>(&mut self, index: usize, action: F)
+    where
+        F: FnOnce(&mut Dispatcher, Time, &mut Vec<Command>),
+    {
+        let now = self.now();
+        let mut out = Vec::new();
+        action(&mut self.instances[index].dispatcher, now, &mut out);
+        for command in out {
+            self.execute_dispatcher(index, command);
+        }
+        let instance = &mut self.instances[index];
+        let wake = instance.dispatcher.next_wake();
+        let wake_us = wake.map_or(u64::MAX, |wake| wake.as_ms() * 1_000);
+        if wake_us < instance.dispatcher_wake_us {
+            instance.dispatcher_wake_us = wake_us;
+            self.at(wake_us.max(self.now_us), Event::WakeDispatcher(index));
+        }
+    }
+
+    fn execute_dispatcher(&mut self, index: usize, command: Command) {
+        match command {
+            Command::Dispatch { id, .. } => self.dispatch(index, id),
+            Command::Refuse { id, refusal } => {
+                if let Some(sub) = self.instances[index].subs.remove(&id) {
+                    self.reply(sub.job, SubOutcome::NotRun(refusal));
+                }
+            }
+            Command::CancelUpstream { id, upstream } => {
+                let at_us = self.now_us + self.upstream_hop_us(index, upstream);
+                self.at(at_us, Event::CancelAt(upstream, id));
+            }
+            Command::Decision(_) => (),
+        }
+    }
+
+    fn dispatch(&mut self, index: usize, id: SubId) {
+        let instance = &mut self.instances[index];
+        let sub = instance.subs.get_mut(&id);
+        let sub = sub.expect("only offered work is dispatched");
+        let idle = &mut instance.idle[sub.job.upstream.slot()];
+        sub.dispatched_us = self.now_us;
+        sub.job.connects = *idle == 0;
+        *idle = idle.saturating_sub(1);
+        let job = sub.job;
+        let at_us = self.now_us + self.upstream_hop_us(index, job.upstream);
+        self.at(at_us, Event::Reach(job));
+    }
+
+    fn reach(&mut self, job: Job) {
+        let zone = self.fakes[job.upstream.slot()].sizes.zone;
+        self.late_work += u64::from(self.closed_zone == Some(zone));
+        self.drive_fake(job.upstream, |fake, now_us, share, rng, out| {
+            fake.arrive(now_us, job, share, rng, out);
+        });
+    }
+
+    fn drive_fake<F>(&mut self, upstream: UpstreamKey, action: F)
+    where
+        F: FnOnce(&mut Fake, u64, f64, &mut StdRng, &mut Vec<Said>),
+    {
+        let stragglers = self.options.scenario == Scenario::Stragglers;
+        let share = match stragglers && self.now_us >= self.window.from_us {
+            true => STRAGGLER_SHARE,
+            false => 0.0,
+        };
+        let mut out = Vec::new();
+        let fake = &mut self.fakes[upstream.slot()];
+        action(fake, self.now_us, share, &mut self.rng, &mut out);
+        self.execute_said(out);
+    }
+
+    /// Carries out what follows at an upstream.
+    pub(super) fn execute_said(&mut self, said: Vec<Said>) {
+        for said in said {
+            match said {
+                Said::Begun { job, after_us } => {
+                    let begun = &mut self.records[job.query].begun[usize::from(job.shard.0)];
+                    *begun = begun.saturating_add(1);
+                    self.at(self.now_us + after_us, Event::Done(job.upstream, job.id));
+                }
+                Said::Ended { job, end } => {
+                    let at_us = self.now_us + self.upstream_hop_us(job.dispatcher, job.upstream);
+                    self.at(at_us, Event::Ended(job, end));
+                }
+            }
+        }
+    }
+
+    /// Takes the end of a sub-request at its dispatcher.
+    fn ended(&mut self, job: Job, end: End) {
+        let instance = &mut self.instances[job.dispatcher];
+        let sub = instance.subs.remove(&job.id);
+        let sub = sub.expect("a dispatched sub-request ends once");
+        if !matches!(end, End::Broken | End::Unreachable) {
+            instance.idle[job.upstream.slot()] += 1;
+        }
+        let served_ms = (self.now_us - sub.dispatched_us) / 1_000;
+        let (ended, outcome) = outcome(end, served_ms as u32);
+        self.drive_dispatcher(job.dispatcher, |dispatcher, now, out| {
+            dispatcher.finish(now, job.id, ended, out);
+        });
+        self.reply(job, outcome);
+    }
+
+    fn reply(&mut self, job: Job, outcome: SubOutcome) {
+        let entry = job.id.origin.0 as usize;
+        let at_us = self.now_us + self.instance_hop_us(job.dispatcher, entry);
+        let reply = SubReply {
+            id: job.id,
+            outcome,
+            queued_ms: 0,
+            served_ms: 0,
+        };
+        self.at(at_us, Event::Reply(reply));
+    }
+}
+
+/// Says to the limiter and to the searcher how a sub-request ended, as the daemon does.
+fn outcome(end: End, served_ms: u32) -> (Ended, SubOutcome) {
+    let not_run = |reason, retry_after_ms| {
+        SubOutcome::NotRun(Refusal {
+            reason,
+            retry_after_ms,
+        })
+    };
+    match end {
+        End::Answered { start } => {
+            let ended = Ended::Answered {
+                served_ms,
+                start: Some(StartId(start)),
+                leaving: false,
+            };
+            let serves = SnapshotRange {
+                oldest: SNAPSHOT,
+                newest: SNAPSHOT,
+            };
+            let outcome = SubOutcome::Answered {
+                snapshot: SNAPSHOT,
+                map: MapVersion(1),
+                serves,
+                body: Vec::new(),
+            };
+            (ended, outcome)
+        }
+        End::Shed {
+            retry_after_ms,
+            start,
+        } => {
+            let ended = Ended::Shed {
+                retry_after_ms,
+                start: Some(StartId(start)),
+            };
+            (ended, not_run(Reason::Shed, retry_after_ms))
+        }
+        End::Cancelled => (Ended::Cancelled, SubOutcome::Failed),
+        End::Failed | End::Broken => (Ended::Failed, SubOutcome::Failed),
+        End::Unreachable => (Ended::Unreachable, not_run(Reason::Unreachable, RETRY_MS)),
+    }
+}
+
+/// Returns the owner of each upstream: the instance of its zone that rendezvous hashing ranks first.
+fn owners(layout: &Layout) -> Vec<usize> {
+    let owner = |upstream: usize, zone: u32| {
+        let instances = layout.instances.iter().enumerate();
+        let of_zone = instances.filter(|(_, other)| **other == zone);
+        let best = of_zone.max_by_key(|(index, _)| mix(upstream as u64, *index as u64));
+        best.expect("each zone has instances").0
+    };
+    let upstreams = layout.upstreams.iter().enumerate();
+    upstreams
+        .map(|(upstream, sizes)| owner(upstream, sizes.zone))
+        .collect()
+}
+
+/// Mixes two numbers (the finalizer of SplitMix64).
+fn mix(upstream: u64, instance: u64) -> u64 {
+    let mut hash = (upstream << 32 | instance).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    hash = (hash ^ hash >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ hash >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ hash >> 31
+}
--- /dev/null
+++ b/hemlockrouter-lab/src/experiment/table.rs
@@ -0,0 +1,43 @@
+//! Reports as text.
+
+use std::fmt::Write;
+
+use super::Report;
+
+/// Writes reports as a table, a line each.
+pub fn table(reports: &[Report]) -> String {
+    let mut text = String::from(
+        "deployment scenario     policy         queries | p50 ms p99 ms p99.9 ms | single p99 \
+         | cover % whole % service % refused % | extra % carried % | cold peak passed | lost untrue shed late\n",
+    );
+    for report in reports {
+        let options = &report.options;
+        writeln!(
+            text,
+            "{:<10} {:<12} {:<14} {:>7} | {:>6.1} {:>6.1} {:>8.1} | {:>10.1} | {:>7.2} {:>7.2} {:>9.2} \
+             {:>9.2} | {:>7.2} {:>9.1} | {:>9} {:>6} | {:>4} {:>6} {:>4} {:>4}",
+            options.deployment.to_string(),
+            options.scenario.to_string(),
+            options.policy.to_string(),
+            report.queries,
+            report.fan_out.p50_ms,
+            report.fan_out.p99_ms,
+            report.fan_out.p999_ms,
+            report.single.p99_ms,
+            report.coverage_percent,
+            report.whole_percent,
+            report.service_percent,
+            report.refused_percent,
+            report.extra_percent,
+            report.carried_percent,
+            report.peak_cold,
+            report.cold_bound_passed,
+            report.lost,
+            report.untrue_refusals,
+            report.shed,
+            report.late_work,
+        )
+        .expect("writing to a string succeeds");
+    }
+    text
+}
--- a/hemlockrouter-lab/src/lib.rs
+++ b/hemlockrouter-lab/src/lib.rs
@@ -22,6 +22,7 @@
 //!
 //! # Modules
 //!
+//! - [`experiment`]: the tier's decisions under load and faults, in virtual time.
 //! - [`store`]: the platform's key-value store and instance list.
 //! - [`upstream`]: upstreams with slots, cold starts, snapshots and stragglers.
 //! - [`link`]: a TCP relay that can be cut, delayed or left half open.
@@ -30,6 +31,7 @@
 //! - [`server`]: the HTTP server under them.
 //! - [`timer`]: actions at a later time.
 
+pub mod experiment;
 pub mod link;
 pub mod load;
 pub mod ports;
