--- a/hemlockrouter-lab/src/experiment/layout.rs
+++ b/hemlockrouter-lab/src/experiment/layout.rs
@@ -3,6 +3,8 @@
 //! The sizes of services and the delays between places are given; how long an upstream works on a
 //! query, the mix of queries and the delay within a zone are not, and stand here as assumptions.
 
+use std::slice;
+
 use hemlockrouter_types::catalog::Customer;
 use hemlockrouter_types::catalog::Search;
 use hemlockrouter_types::catalog::Shard;
@@ -228,8 +230,8 @@
     for name in ["universities", "associations", "schoolteachers"] {
         let customer = layout.customer(name);
         layout.kind(customer, "halls", &halls, 1, 10_000, 1.0 / 3.0);
-        layout.kind(customer, "ledger", &[ledger.clone()], 1, 5_000, 0.25);
-        layout.kind(customer, "notices", &[board.clone()], 1, 5_000, 0.1);
+        layout.kind(customer, "ledger", slice::from_ref(&ledger), 1, 5_000, 0.25);
+        layout.kind(customer, "notices", slice::from_ref(&board), 1, 5_000, 0.1);
     }
     layout
 }
--- a/hemlockrouter-lab/src/experiment/record.rs
+++ b/hemlockrouter-lab/src/experiment/record.rs
@@ -72,6 +72,22 @@
     pub seconds: Vec<f64>,
 }
 
+impl Report {
+    /// Returns after how many seconds of the second half each further second had at least `share` of
+    /// the service of the first quarter; `None` if the last one had not. In [`Scenario::ZoneOut`] the
+    /// zone is back from the second half on, and the first quarter is calm.
+    ///
+    /// [`Scenario::ZoneOut`]: super::Scenario::ZoneOut
+    pub fn seconds_until_back(&self, share: f64) -> Option<usize> {
+        let (before, after) = self.seconds.split_at(self.seconds.len() / 2);
+        let calm = &before[..before.len() / 2];
+        let wanted = share * calm.iter().sum::<f64>() / calm.len() as f64;
+        let last_below = after.iter().rposition(|service| *service < wanted);
+        let back = last_below.map_or(0, |second| second + 1);
+        (back < after.len()).then_some(back)
+    }
+}
+
 /// Quantiles of a latency in milliseconds.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Latency {
