--- a/hemlockrouter-member/tests/member/fuzz.rs
+++ b/hemlockrouter-member/tests/member/fuzz.rs
@@ -47,7 +47,7 @@
     StoreUp(bool),
     StaleStore(usize),
     PlatformCut(usize),
-    Submit,
+    Submit(usize),
 }
 
 /// The size of a case; the steps need no other state.
@@ -98,7 +98,7 @@
             1 => any::<bool>().prop_map(Step::StoreUp),
             1 => (0..5_usize).prop_map(Step::StaleStore),
             1 => any::<usize>().prop_map(Step::PlatformCut),
-            2 => Just(Step::Submit),
+            2 => (1..15_usize).prop_map(Step::Submit),
         ]
         .boxed()
     }
@@ -192,7 +192,7 @@
             Step::StoreUp(is_up) => self.net.faults.is_store_up = is_up,
             Step::StaleStore(notes) => self.net.faults.stale_notes = notes,
             Step::PlatformCut(pick) => self.cut_zone(pick),
-            Step::Submit => self.net.submit(),
+            Step::Submit(notes) => self.net.submit(notes),
         }
     }
 
--- a/hemlockrouter-member/tests/member/measure.rs
+++ b/hemlockrouter-member/tests/member/measure.rs
@@ -196,7 +196,7 @@
     net.faults.loss_percent = 1;
     let mut worst_ms = 0;
     for _ in 0..5 {
-        net.submit();
+        net.submit(1);
         let start = net.now;
         while !net.is_in_force() && net.now < start + 60_000 {
             net.run(STEP_MS);
@@ -235,7 +235,7 @@
         node.group = 50;
     }
     net.faults.cut_from_platform.insert("zone-0".to_owned());
-    net.submit();
+    net.submit(1);
     net.run(600_000);
     let before = net.take_overs;
     for node in &mut net.nodes {
--- a/hemlockrouter-member/tests/member/net/platform.rs
+++ b/hemlockrouter-member/tests/member/net/platform.rs
@@ -54,9 +54,9 @@
         });
     }
 
-    /// Accepts a note; the watchers' blocking reads return at once.
-    pub(crate) fn submit(&mut self) {
-        self.notes += 1;
+    /// Accepts notes; the watchers' blocking reads return at once.
+    pub(crate) fn submit(&mut self, notes: usize) {
+        self.notes += notes;
         for index in 0..self.nodes.len() {
             self.read_store(index);
         }
--- a/hemlockrouter-member/tests/member/scenario.rs
+++ b/hemlockrouter-member/tests/member/scenario.rs
@@ -137,6 +137,42 @@
     assert!(ends.iter().all(|end| *end == now + 6_500), "{ends:?}");
 }
 
+/// A release that is overtaken by a later ask of its sender does not undo the later promise.
+#[test]
+fn late_release_undoes_no_promise() {
+    let mut net = Net::new(Config::default(), 1, 12, 10);
+    net.settle(1, 3);
+    let mut guard = net.stand_in(0);
+    let (first, second) = (net.nodes[1].peer.id, net.nodes[2].peer.id);
+    let upstreams = vec![net.upstreams()[0]];
+    let config = ConfigNumber(1);
+    let ask = |sent_ms| LeaseMessage::Ask {
+        sent_at: Time::from_ms(sent_ms),
+        config,
+        upstreams: upstreams.clone(),
+    };
+    let release = LeaseMessage::Release {
+        sent_at: Time::from_ms(200),
+        config,
+        upstreams: upstreams.clone(),
+    };
+    let now = Time::from_ms(1_000);
+    let mut out = Vec::new();
+    guard.receive_lease(now, first, ask(100), &mut out);
+    guard.receive_lease(now, first, ask(300), &mut out);
+    guard.receive_lease(now, first, release, &mut out);
+    out.clear();
+    guard.receive_lease(now, second, ask(400), &mut out);
+    let is_refused = out.iter().any(|command| match command {
+        Command::Send {
+            message: Message::Lease(LeaseMessage::Answer { refused, .. }),
+            ..
+        } => refused.iter().any(|refusal| refusal.holder == first),
+        _ => false,
+    });
+    assert!(is_refused, "{out:?}");
+}
+
 fn asked_upstreams(command: &Command) -> Option<Vec<UpstreamKey>> {
     match command {
         Command::Send {
