lab: break ties among equal loads at random; part the owner's side from the queue

Cause: the baseline that chooses by the health endpoint took the first of equal loads, so that at low load all went to the first replica: a weakness of the stand-in and not of the policy.

Change: ties are broken at random. The owner's side of the simulation moves to dispatch.rs unchanged.

--- /dev/null
+++ b/hemlockrouter-lab/src/experiment/dispatch.rs
@@ -0,0 +1,214 @@
+//! The owner's side: from the offer of a sub-request to its dispatch, its upstream and back.
+
+use hemlockrouter_limit::Command;
+use hemlockrouter_limit::Ended;
+use hemlockrouter_limit::Work;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::SubOutcome;
+use hemlockrouter_wire::SubReply;
+use rand::rngs::StdRng;
+
+use super::fake::End;
+use super::fake::Fake;
+use super::fake::Job;
+use super::fake::Said;
+use super::instance::Dispatcher;
+use super::instance::Sub;
+use super::sim::Event;
+use super::sim::Sim;
+use super::Scenario;
+
+/// The share of sub-requests that straggle, where some do.
+const STRAGGLER_SHARE: f64 = 0.01;
+
+/// When to come back after a refused connection, in milliseconds.
+const RETRY_MS: u32 = 200;
+
+/// The one snapshot that all upstreams serve.
+const SNAPSHOT: Snapshot = Snapshot(1);
+
+impl Sim {
+    pub(super) fn offer(&mut self, job: Job, left_ms: u64) {
+        let kind = self.kind(job.query);
+        let deadline = self.now() + left_ms;
+        let sub = Sub {
+            job: Job {
+                deadline_us: deadline.as_ms() * 1_000,
+                ..job
+            },
+            dispatched_us: 0,
+        };
+        self.instances[job.dispatcher].subs.insert(job.id, sub);
+        let search = self.catalog.searches.get(kind.search);
+        let work = Work {
+            id: job.id,
+            customer: kind.customer,
+            upstream: job.upstream,
+            weight: search.expect("queries name searches").weight,
+            deadline,
+            once: false,
+        };
+        self.drive_dispatcher(job.dispatcher, |dispatcher, now, out| {
+            dispatcher.offer(now, work, out);
+        });
+    }
+
+    pub(super) fn drive_dispatcher<F>(&mut self, index: usize, action: F)
+    where
+        F: FnOnce(&mut Dispatcher, Time, &mut Vec<Command>),
+    {
+        let now = self.now();
+        let mut out = Vec::new();
+        action(&mut self.instances[index].dispatcher, now, &mut out);
+        for command in out {
+            self.execute_dispatcher(index, command);
+        }
+        let instance = &mut self.instances[index];
+        let wake = instance.dispatcher.next_wake();
+        let wake_us = wake.map_or(u64::MAX, |wake| wake.as_ms() * 1_000);
+        if wake_us < instance.dispatcher_wake_us {
+            instance.dispatcher_wake_us = wake_us;
+            self.at(wake_us.max(self.now_us), Event::WakeDispatcher(index));
+        }
+    }
+
+    fn execute_dispatcher(&mut self, index: usize, command: Command) {
+        match command {
+            Command::Dispatch { id, .. } => self.dispatch(index, id),
+            Command::Refuse { id, refusal } => {
+                if let Some(sub) = self.instances[index].subs.remove(&id) {
+                    self.reply(sub.job, SubOutcome::NotRun(refusal));
+                }
+            }
+            Command::CancelUpstream { id, upstream } => {
+                let at_us = self.now_us + self.upstream_hop_us(index, upstream);
+                self.at(at_us, Event::CancelAt(upstream, id));
+            }
+            Command::Decision(_) => (),
+        }
+    }
+
+    fn dispatch(&mut self, index: usize, id: SubId) {
+        let instance = &mut self.instances[index];
+        let sub = instance.subs.get_mut(&id);
+        let sub = sub.expect("only offered work is dispatched");
+        let idle = &mut instance.idle[sub.job.upstream.slot()];
+        sub.dispatched_us = self.now_us;
+        sub.job.connects = *idle == 0;
+        *idle = idle.saturating_sub(1);
+        let job = sub.job;
+        let at_us = self.now_us + self.upstream_hop_us(index, job.upstream);
+        self.at(at_us, Event::Reach(job));
+    }
+
+    pub(super) fn reach(&mut self, job: Job) {
+        let zone = self.fakes[job.upstream.slot()].sizes.zone;
+        self.late_work += u64::from(self.closed_zone == Some(zone));
+        self.drive_fake(job.upstream, |fake, now_us, share, rng, out| {
+            fake.arrive(now_us, job, share, rng, out);
+        });
+    }
+
+    pub(super) fn drive_fake<F>(&mut self, upstream: UpstreamKey, action: F)
+    where
+        F: FnOnce(&mut Fake, u64, f64, &mut StdRng, &mut Vec<Said>),
+    {
+        let stragglers = self.options.scenario == Scenario::Stragglers;
+        let share = match stragglers && self.now_us >= self.window.from_us {
+            true => STRAGGLER_SHARE,
+            false => 0.0,
+        };
+        let mut out = Vec::new();
+        let fake = &mut self.fakes[upstream.slot()];
+        action(fake, self.now_us, share, &mut self.rng, &mut out);
+        self.execute_said(out);
+    }
+
+    /// Carries out what follows at an upstream.
+    pub(super) fn execute_said(&mut self, said: Vec<Said>) {
+        for said in said {
+            match said {
+                Said::Begun { job, after_us } => {
+                    let begun = &mut self.records[job.query].begun[usize::from(job.shard.0)];
+                    *begun = begun.saturating_add(1);
+                    self.at(self.now_us + after_us, Event::Done(job.upstream, job.id));
+                }
+                Said::Ended { job, end } => {
+                    let at_us = self.now_us + self.upstream_hop_us(job.dispatcher, job.upstream);
+                    self.at(at_us, Event::Ended(job, end));
+                }
+            }
+        }
+    }
+
+    /// Takes the end of a sub-request at its dispatcher.
+    pub(super) fn ended(&mut self, job: Job, end: End) {
+        let instance = &mut self.instances[job.dispatcher];
+        let sub = instance.subs.remove(&job.id);
+        let sub = sub.expect("a dispatched sub-request ends once");
+        if !matches!(end, End::Broken | End::Unreachable) {
+            instance.idle[job.upstream.slot()] += 1;
+        }
+        let served_ms = (self.now_us - sub.dispatched_us) / 1_000;
+        let (ended, outcome) = outcome(end, served_ms as u32);
+        self.drive_dispatcher(job.dispatcher, |dispatcher, now, out| {
+            dispatcher.finish(now, job.id, ended, out);
+        });
+        self.reply(job, outcome);
+    }
+
+    fn reply(&mut self, job: Job, outcome: SubOutcome) {
+        let entry = job.id.origin.0 as usize;
+        let at_us = self.now_us + self.instance_hop_us(job.dispatcher, entry);
+        let reply = SubReply {
+            id: job.id,
+            outcome,
+            queued_ms: 0,
+            served_ms: 0,
+        };
+        self.at(at_us, Event::Reply(reply));
+    }
+}
+
+/// Says to the limiter and to the searcher how a sub-request ended, as the daemon does.
+fn outcome(end: End, served_ms: u32) -> (Ended, SubOutcome) {
+    let not_run = |reason, retry_after_ms| {
+        SubOutcome::NotRun(Refusal {
+            reason,
+            retry_after_ms,
+        })
+    };
+    match end {
+        End::Answered { start } => {
+            let ended = Ended::Answered {
+                served_ms,
+                start: Some(StartId(start)),
+                leaving: false,
+            };
+            let serves = SnapshotRange {
+                oldest: SNAPSHOT,
+                newest: SNAPSHOT,
+            };
+            let outcome = SubOutcome::Answered {
+                snapshot: SNAPSHOT,
+                map: MapVersion(1),
+                serves,
+                body: Vec::new(),
+            };
+            (ended, outcome)
+        }
+        End::Shed {
+            retry_after_ms,
+            start,
+        } => {
+            let ended = Ended::Shed {
+                retry_after_ms,
+                start: Some(StartId(start)),
+            };
+            (ended, not_run(Reason::Shed, retry_after_ms))
+        }
+        End::Cancelled => (Ended::Cancelled, SubOutcome::Failed),
+        End::Failed | End::Broken => (Ended::Failed, SubOutcome::Failed),
+        End::Unreachable => (Ended::Unreachable, not_run(Reason::Unreachable, RETRY_MS)),
+    }
+}
--- a/hemlockrouter-lab/src/experiment/mod.rs
+++ b/hemlockrouter-lab/src/experiment/mod.rs
@@ -25,12 +25,14 @@
 //! - `fake`: upstreams.
 //! - `instance`: instances of the tier.
 //! - `aimd`: the dispatcher of one of the baselines.
-//! - `sim`: the queue of messages, and who does what with them.
+//! - `sim`: the queue of messages, and the entry's side of it.
+//! - `dispatch`: the owner's side.
 //! - `fault`: what goes wrong in each scenario.
 //! - `record`: what is recorded of queries, and the report.
 //! - `table`: reports as text.
 
 mod aimd;
+mod dispatch;
 mod fake;
 mod fault;
 mod instance;
--- a/hemlockrouter-lab/src/experiment/sim.rs
+++ b/hemlockrouter-lab/src/experiment/sim.rs
@@ -1,16 +1,12 @@
-//! The queue of messages in virtual time, and who does what with them.
+//! The queue of messages in virtual time, and the entry's side of it.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use hemlockrouter_limit::Command;
-use hemlockrouter_limit::Ended;
-use hemlockrouter_limit::Work;
 use hemlockrouter_route::Query;
 use hemlockrouter_route::SearchCommand;
 use hemlockrouter_route::Searcher;
 use hemlockrouter_types::prelude::*;
-use hemlockrouter_wire::SubOutcome;
 use hemlockrouter_wire::SubReply;
 use rand::rngs::StdRng;
 use rand::RngExt;
@@ -19,11 +15,8 @@
 use super::fake::End;
 use super::fake::Fake;
 use super::fake::Job;
-use super::fake::Said;
 use super::fault::Fault;
-use super::instance::Dispatcher;
 use super::instance::Instance;
-use super::instance::Sub;
 use super::layout::Kind;
 use super::layout::Layout;
 use super::layout::CLIENT_US;
@@ -49,20 +42,12 @@
 const CALM_LOAD: f64 = 0.3;
 const OVERLOAD: f64 = 1.5;
 
-const STRAGGLER_SHARE: f64 = 0.01;
-
 /// How often health endpoints are read, in microseconds.
 const HEALTH_EVERY_US: u64 = 1_000_000;
 
 /// How many readings health endpoints lag behind.
 const HEALTH_LAG: usize = 2;
 
-/// When to come back after a refused connection, in milliseconds.
-const RETRY_MS: u32 = 200;
-
-/// The one snapshot that all upstreams serve.
-const SNAPSHOT: Snapshot = Snapshot(1);
-
 /// Something that happens.
 pub(super) enum Event {
     /// A caller sends a query of this kind.
@@ -100,7 +85,7 @@
     pub(super) options: Options,
     layout: Layout,
     pub(super) catalog: Arc<Catalog>,
-    window: Window,
+    pub(super) window: Window,
     pub(super) rng: StdRng,
     /// Draws when queries are asked, so that all policies get the same ones.
     arrivals: StdRng,
@@ -113,14 +98,14 @@
     owners: Vec<usize>,
     /// The instances that the balancer sends callers to.
     pub(super) balancer: Vec<usize>,
-    records: Vec<Record>,
+    pub(super) records: Vec<Record>,
     /// The loads that health endpoints reported, the latest last.
     health: Vec<Vec<f64>>,
     /// Which replicas a shard of a query was sent to, where they are chosen by health.
     asked: BTreeMap<(usize, ShardNo), Vec<UpstreamKey>>,
     /// The zone that must not get work.
     pub(super) closed_zone: Option<u32>,
-    late_work: u64,
+    pub(super) late_work: u64,
 }
 
 impl Sim {
@@ -192,7 +177,7 @@
         self.events.insert((at_us, self.next_event), event);
     }
 
-    fn now(&self) -> Time {
+    pub(super) fn now(&self) -> Time {
         Time::from_ms(self.now_us / 1_000)
     }
 
@@ -291,7 +276,7 @@
         self.plan_arrival(kind);
     }
 
-    fn kind(&self, query: usize) -> Kind {
+    pub(super) fn kind(&self, query: usize) -> Kind {
         self.layout.kinds[self.records[query].kind]
     }
 
@@ -406,8 +391,8 @@
         self.at(at_us, Event::Offer { job, left_ms });
     }
 
-    /// Returns the replica whose health endpoint reports the least load, among those that the shard
-    /// was not sent to before.
+    /// Returns a replica whose health endpoint reports the least load, among those that the shard was
+    /// not sent to before.
     fn least_loaded(&mut self, query: usize, shard: ShardNo, chosen: UpstreamKey) -> UpstreamKey {
         let Some(loads) = self.health.iter().rev().nth(HEALTH_LAG) else {
             return chosen;
@@ -415,15 +400,23 @@
         let search = self.catalog.searches.get(self.kind(query).search);
         let replicas = &search.expect("queries name searches").shards[usize::from(shard.0)];
         let asked = self.asked.entry((query, shard)).or_default();
-        let mut best = None;
-        for &key in &replicas.upstreams {
-            let possible = self.catalog.in_service(key) && !asked.contains(&key);
+        let fresh = |key: &&UpstreamKey| self.catalog.in_service(**key) && !asked.contains(key);
+        let mut best = Vec::new();
+        let mut least = f64::MAX;
+        for &key in replicas.upstreams.iter().filter(fresh) {
             let load = loads[key.slot()];
-            if possible && best.is_none_or(|(least, _)| load < least) {
-                best = Some((load, key));
+            if load < least {
+                least = load;
+                best.clear();
+            }
+            if load <= least {
+                best.push(key);
             }
         }
-        let key = best.map_or(chosen, |(_, key)| key);
+        let key = match best.len() {
+            0 => chosen,
+            count => best[self.rng.random_range(0..count)],
+        };
         asked.push(key);
         key
     }
@@ -444,201 +437,17 @@
         }
     }
 
-    fn instance_hop_us(&self, from: usize, to: usize) -> u64 {
+    pub(super) fn instance_hop_us(&self, from: usize, to: usize) -> u64 {
         match from == to {
             true => 0,
             false => Layout::hop_us(self.instances[from].zone, self.instances[to].zone),
         }
     }
 
-    fn upstream_hop_us(&self, instance: usize, upstream: UpstreamKey) -> u64 {
+    pub(super) fn upstream_hop_us(&self, instance: usize, upstream: UpstreamKey) -> u64 {
         let zone = self.instances[instance].zone;
         Layout::hop_us(zone, self.fakes[upstream.slot()].sizes.zone)
     }
-
-    fn offer(&mut self, job: Job, left_ms: u64) {
-        let kind = self.kind(job.query);
-        let deadline = self.now() + left_ms;
-        let sub = Sub {
-            job: Job {
-                deadline_us: deadline.as_ms() * 1_000,
-                ..job
-            },
-            dispatched_us: 0,
-        };
-        self.instances[job.dispatcher].subs.insert(job.id, sub);
-        let search = self.catalog.searches.get(kind.search);
-        let work = Work {
-            id: job.id,
-            customer: kind.customer,
-            upstream: job.upstream,
-            weight: search.expect("queries name searches").weight,
-            deadline,
-            once: false,
-        };
-        self.drive_dispatcher(job.dispatcher, |dispatcher, now, out| {
-            dispatcher.offer(now, work, out);
-        });
-    }
-
-    fn drive_dispatcher<F>(&mut self, index: usize, action: F)
-    where
-        F: FnOnce(&mut Dispatcher, Time, &mut Vec<Command>),
-    {
-        let now = self.now();
-        let mut out = Vec::new();
-        action(&mut self.instances[index].dispatcher, now, &mut out);
-        for command in out {
-            self.execute_dispatcher(index, command);
-        }
-        let instance = &mut self.instances[index];
-        let wake = instance.dispatcher.next_wake();
-        let wake_us = wake.map_or(u64::MAX, |wake| wake.as_ms() * 1_000);
-        if wake_us < instance.dispatcher_wake_us {
-            instance.dispatcher_wake_us = wake_us;
-            self.at(wake_us.max(self.now_us), Event::WakeDispatcher(index));
-        }
-    }
-
-    fn execute_dispatcher(&mut self, index: usize, command: Command) {
-        match command {
-            Command::Dispatch { id, .. } => self.dispatch(index, id),
-            Command::Refuse { id, refusal } => {
-                if let Some(sub) = self.instances[index].subs.remove(&id) {
-                    self.reply(sub.job, SubOutcome::NotRun(refusal));
-                }
-            }
-            Command::CancelUpstream { id, upstream } => {
-                let at_us = self.now_us + self.upstream_hop_us(index, upstream);
-                self.at(at_us, Event::CancelAt(upstream, id));
-            }
-            Command::Decision(_) => (),
-        }
-    }
-
-    fn dispatch(&mut self, index: usize, id: SubId) {
-        let instance = &mut self.instances[index];
-        let sub = instance.subs.get_mut(&id);
-        let sub = sub.expect("only offered work is dispatched");
-        let idle = &mut instance.idle[sub.job.upstream.slot()];
-        sub.dispatched_us = self.now_us;
-        sub.job.connects = *idle == 0;
-        *idle = idle.saturating_sub(1);
-        let job = sub.job;
-        let at_us = self.now_us + self.upstream_hop_us(index, job.upstream);
-        self.at(at_us, Event::Reach(job));
-    }
-
-    fn reach(&mut self, job: Job) {
-        let zone = self.fakes[job.upstream.slot()].sizes.zone;
-        self.late_work += u64::from(self.closed_zone == Some(zone));
-        self.drive_fake(job.upstream, |fake, now_us, share, rng, out| {
-            fake.arrive(now_us, job, share, rng, out);
-        });
-    }
-
-    fn drive_fake<F>(&mut self, upstream: UpstreamKey, action: F)
-    where
-        F: FnOnce(&mut Fake, u64, f64, &mut StdRng, &mut Vec<Said>),
-    {
-        let stragglers = self.options.scenario == Scenario::Stragglers;
-        let share = match stragglers && self.now_us >= self.window.from_us {
-            true => STRAGGLER_SHARE,
-            false => 0.0,
-        };
-        let mut out = Vec::new();
-        let fake = &mut self.fakes[upstream.slot()];
-        action(fake, self.now_us, share, &mut self.rng, &mut out);
-        self.execute_said(out);
-    }
-
-    /// Carries out what follows at an upstream.
-    pub(super) fn execute_said(&mut self, said: Vec<Said>) {
-        for said in said {
-            match said {
-                Said::Begun { job, after_us } => {
-                    let begun = &mut self.records[job.query].begun[usize::from(job.shard.0)];
-                    *begun = begun.saturating_add(1);
-                    self.at(self.now_us + after_us, Event::Done(job.upstream, job.id));
-                }
-                Said::Ended { job, end } => {
-                    let at_us = self.now_us + self.upstream_hop_us(job.dispatcher, job.upstream);
-                    self.at(at_us, Event::Ended(job, end));
-                }
-            }
-        }
-    }
-
-    /// Takes the end of a sub-request at its dispatcher.
-    fn ended(&mut self, job: Job, end: End) {
-        let instance = &mut self.instances[job.dispatcher];
-        let sub = instance.subs.remove(&job.id);
-        let sub = sub.expect("a dispatched sub-request ends once");
-        if !matches!(end, End::Broken | End::Unreachable) {
-            instance.idle[job.upstream.slot()] += 1;
-        }
-        let served_ms = (self.now_us - sub.dispatched_us) / 1_000;
-        let (ended, outcome) = outcome(end, served_ms as u32);
-        self.drive_dispatcher(job.dispatcher, |dispatcher, now, out| {
-            dispatcher.finish(now, job.id, ended, out);
-        });
-        self.reply(job, outcome);
-    }
-
-    fn reply(&mut self, job: Job, outcome: SubOutcome) {
-        let entry = job.id.origin.0 as usize;
-        let at_us = self.now_us + self.instance_hop_us(job.dispatcher, entry);
-        let reply = SubReply {
-            id: job.id,
-            outcome,
-            queued_ms: 0,
-            served_ms: 0,
-        };
-        self.at(at_us, Event::Reply(reply));
-    }
-}
-
-/// Says to the limiter and to the searcher how a sub-request ended, as the daemon does.
-fn outcome(end: End, served_ms: u32) -> (Ended, SubOutcome) {
-    let not_run = |reason, retry_after_ms| {
-        SubOutcome::NotRun(Refusal {
-            reason,
-            retry_after_ms,
-        })
-    };
-    match end {
-        End::Answered { start } => {
-            let ended = Ended::Answered {
-                served_ms,
-                start: Some(StartId(start)),
-                leaving: false,
-            };
-            let serves = SnapshotRange {
-                oldest: SNAPSHOT,
-                newest: SNAPSHOT,
-            };
-            let outcome = SubOutcome::Answered {
-                snapshot: SNAPSHOT,
-                map: MapVersion(1),
-                serves,
-                body: Vec::new(),
-            };
-            (ended, outcome)
-        }
-        End::Shed {
-            retry_after_ms,
-            start,
-        } => {
-            let ended = Ended::Shed {
-                retry_after_ms,
-                start: Some(StartId(start)),
-            };
-            (ended, not_run(Reason::Shed, retry_after_ms))
-        }
-        End::Cancelled => (Ended::Cancelled, SubOutcome::Failed),
-        End::Failed | End::Broken => (Ended::Failed, SubOutcome::Failed),
-        End::Unreachable => (Ended::Unreachable, not_run(Reason::Unreachable, RETRY_MS)),
-    }
 }
 
 /// Returns the owner of each upstream: the instance of its zone that rendezvous hashing ranks first.
