Read the instance list for as long as the member needs it

Cause: a member of a zone whose host was lost stays in the quorums until the list shows its end, but only the two watchers of a zone read the list; and the start of all instances at once could read the store 2,160 times in a second.

Ruled out: reading the list on every instance at all times, which grows with the fleet.

Change: one thread reads the list as a watcher, or while the member says that it needs it, then twice as often. A new instance waits up to 10 ms for each listed instance before it reads the store. A follow loop that finds nothing waits at least 50 ms.

The reads at a start of 720 are arithmetic, not measured.

--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -16,7 +16,7 @@
 pub(crate) struct Shared {
     config: AtomicU64,
     leaving: AtomicBool,
-    established: AtomicBool,
+    needs_list: AtomicBool,
     store_up: AtomicBool,
     callers_closed: AtomicBool,
     left: AtomicBool,
@@ -45,14 +45,14 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
-    /// Notes whether the instance counts in the quorums of its zone.
-    pub(crate) fn set_established(&self, established: bool) {
-        self.established.store(established, Ordering::Relaxed);
+    /// Notes whether the member needs the platform's list now.
+    pub(crate) fn set_needs_list(&self, needs_list: bool) {
+        self.needs_list.store(needs_list, Ordering::Relaxed);
     }
 
-    /// Returns whether the instance counts in the quorums of its zone.
-    pub(crate) fn is_established(&self) -> bool {
-        self.established.load(Ordering::Relaxed)
+    /// Returns whether the member needs the platform's list now.
+    pub(crate) fn needs_list(&self) -> bool {
+        self.needs_list.load(Ordering::Relaxed)
     }
 
     /// Notes that the callers' port is closed.
--- a/src/outbound/platform.rs
+++ b/src/outbound/platform.rs
@@ -46,9 +46,12 @@
 /// How many notes the base document in the store may lag before it is written again.
 const BASE_EVERY_NOTES: u64 = 64;
 
-/// The longest wait of a new instance before it first reads the store, in milliseconds, so that all
-/// instances can start at once without a burst of reads.
-const START_JITTER_MS: u64 = 1_000;
+/// The longest wait of a new instance before it first reads the store, in milliseconds for each
+/// listed instance, so that all can start at once without a burst of reads.
+const START_JITTER_MS: u64 = 10;
+
+/// The shortest time between two blocking reads of the store that found nothing.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(50);
 
 /// How often a thread looks whether it is to stop, in milliseconds.
 const PAUSE_MS: u64 = 50;
@@ -69,7 +72,7 @@
 pub(crate) struct Platform {
     caller: Arc<Caller>,
     claims: SyncSender<ClaimJob>,
-    /// Stops the watching threads when set.
+    /// Stops the following thread when set.
     watching: Option<Arc<AtomicBool>>,
 }
 
@@ -80,6 +83,8 @@
     timing: Timing,
     mailbox: Mailbox,
     shared: Arc<Shared>,
+    /// Whether this instance follows store and list for its zone.
+    is_watcher: AtomicBool,
     /// The catalogue in force, for base documents and for checking notes.
     catalog: Mutex<Arc<Catalog>>,
 }
@@ -103,6 +108,7 @@
             timing,
             mailbox,
             shared,
+            is_watcher: AtomicBool::new(false),
             catalog: Mutex::default(),
         });
         let (claims, receiver) = std::sync::mpsc::sync_channel(CLAIMS_MAX);
@@ -120,6 +126,9 @@
         thread::Builder::new()
             .name("first-read".to_owned())
             .spawn(start)?;
+        let lister = Arc::clone(&caller);
+        let list = move || lister.follow_list();
+        thread::Builder::new().name("list".to_owned()).spawn(list)?;
         Ok(Platform {
             caller,
             claims,
@@ -137,23 +146,20 @@
         sent.map_err(|_| ClaimResult::Unavailable)
     }
 
-    /// Starts to follow the store and the instance list.
+    /// Starts to follow the store, and to read the instance list at intervals.
     pub(crate) fn watch(&mut self, after: ConfigNumber) {
         self.unwatch();
         let stop = Arc::new(AtomicBool::new(false));
         self.watching = Some(Arc::clone(&stop));
         let caller = Arc::clone(&self.caller);
-        let follow_stop = Arc::clone(&stop);
-        let follow = move || caller.follow(after, &follow_stop);
-        let caller = Arc::clone(&self.caller);
-        let list = move || caller.follow_list(&stop);
-        let started = thread::Builder::new()
+        let follow = move || caller.follow(after, &stop);
+        if let Err(err) = thread::Builder::new()
             .name("follow".to_owned())
             .spawn(follow)
-            .and_then(|_| thread::Builder::new().name("list".to_owned()).spawn(list));
-        if let Err(err) = started {
-            warn!(error = err.to_string(); "can't start to follow the platform");
+        {
+            warn!(error = err.to_string(); "can't start to follow the store");
         }
+        self.caller.is_watcher.store(true, Ordering::Relaxed);
     }
 
     /// Stops following.
@@ -161,6 +167,7 @@
         if let Some(stop) = self.watching.take() {
             stop.store(true, Ordering::Relaxed);
         }
+        self.caller.is_watcher.store(false, Ordering::Relaxed);
     }
 
     /// Takes the catalogue in force.
@@ -238,22 +245,15 @@
         }
     }
 
-    /// Reads the configuration until one is in force, from here or from a peer, and the list until
-    /// the instance counts in the quorums of its zone.
+    /// Reads the configuration until one is in force, from here or from a peer.
     fn first_read(&self) {
+        // Peers may be quicker, and all instances may start at once.
+        let listed = self.read_list() as u64;
+        let jitter_ms = rand::rng().random_range(0..=listed * START_JITTER_MS);
+        thread::sleep(Duration::from_millis(jitter_ms));
         let mut backoff = Backoff::new(&self.timing);
-        if self.read_list() > 1 {
-            // Peers may be quicker, and many instances may start at once.
-            let jitter_ms = rand::rng().random_range(0..START_JITTER_MS);
-            thread::sleep(Duration::from_millis(jitter_ms));
-        }
-        loop {
-            let is_configured = self.number() > ConfigNumber::default() || self.load();
-            if is_configured && self.shared.is_established() {
-                return;
-            }
+        while self.number() == ConfigNumber::default() && !self.load() {
             thread::sleep(backoff.next());
-            self.read_list();
         }
     }
 
@@ -294,11 +294,15 @@
                         .put(Event::StoreRead(StoreRead { notes, base: None }));
                     base = self.write_base(base);
                 }
-                Followed::Nothing => self.shared.set_store_up(true),
+                Followed::Nothing => {
+                    self.shared.set_store_up(true);
+                    // A store that does not wait must not be asked without end.
+                    pause(FOLLOW_PAUSE, stop);
+                }
                 Followed::Behind => {
-                    if !self.load() {
-                        pause(backoff.next(), stop);
-                    }
+                    self.load();
+                    // The node needs a moment to put it in force.
+                    pause(backoff.next(), stop);
                     continue;
                 }
                 Followed::Down(down) => {
@@ -337,11 +341,18 @@
         }
     }
 
-    /// Reads the instance list again and again until it is told to stop.
-    fn follow_list(&self, stop: &AtomicBool) {
-        while !stop.load(Ordering::Relaxed) {
-            self.read_list();
-            pause(Duration::from_millis(self.platform.list_every_ms), stop);
+    /// Reads the instance list again and again: as a watcher, and while the member needs it, which
+    /// is then urgent.
+    fn follow_list(&self) {
+        let every_ms = self.platform.list_every_ms;
+        loop {
+            let is_urgent = self.shared.needs_list();
+            let wait_ms = if is_urgent { every_ms / 2 } else { every_ms };
+            let jitter_ms = rand::rng().random_range(0..=wait_ms / 4);
+            thread::sleep(Duration::from_millis(wait_ms - jitter_ms));
+            if self.is_watcher.load(Ordering::Relaxed) || self.shared.needs_list() {
+                self.read_list();
+            }
         }
     }
 
