--- a/hemlockrouter-cli/tests/e2e/leaving.rs
+++ b/hemlockrouter-cli/tests/e2e/leaving.rs
@@ -2,6 +2,7 @@
 
 use hemlockrouter_lab::load::Load;
 use hemlockrouter_lab::upstream::Behaviour;
+use hemlockrouter_lab::upstream::Upstream;
 use serde_json::json;
 
 use crate::harness::eventually;
@@ -52,6 +53,10 @@
     let arrived = west_arrivals(&cluster);
     run_for_ms(SHOWN_FOR_MS);
     assert_eq!(west_arrivals(&cluster), arrived);
+    // What comes back has been restarted meanwhile.
+    for upstream in west(&cluster) {
+        upstream.restart();
+    }
     cluster.submit(&json!({
         "id": "west-in",
         "author": "kim",
@@ -60,6 +65,7 @@
     eventually("the zone gets work again", || {
         west_arrivals(&cluster) > arrived
     });
+    run_for_ms(SHOWN_FOR_MS);
     let report = load.stop();
     cluster.check(&report);
     assert_eq!(
@@ -68,8 +74,13 @@
     );
 }
 
-fn west_arrivals(cluster: &Cluster) -> u64 {
+fn west(cluster: &Cluster) -> Vec<&Upstream> {
     let upstreams = cluster.upstreams.iter();
     let west = upstreams.filter(|upstream| upstream.name().ends_with("west"));
+    west.collect()
+}
+
+fn west_arrivals(cluster: &Cluster) -> u64 {
+    let west = west(cluster).into_iter();
     west.map(|upstream| upstream.counts().arrived).sum()
 }
