lab: tell the searcher how long experiments' sub-requests waited and ran

Cause: replies carried zeros, while the daemon's carry the time in the owner's queue and at the upstream.

Change: both are filled in. The overload test stands alone, so that it runs beside the others.

--- a/hemlockrouter-lab/src/experiment/dispatch.rs
+++ b/hemlockrouter-lab/src/experiment/dispatch.rs
@@ -36,6 +36,7 @@
                 deadline_us: deadline.as_ms() * 1_000,
                 ..job
             },
+            offered_us: self.now_us,
             dispatched_us: 0,
         };
         self.instances[job.dispatcher].subs.insert(job.id, sub);
@@ -77,7 +78,8 @@
             Command::Dispatch { id, .. } => self.dispatch(index, id),
             Command::Refuse { id, refusal } => {
                 if let Some(sub) = self.instances[index].subs.remove(&id) {
-                    self.reply(sub.job, SubOutcome::NotRun(refusal));
+                    let queued_ms = ms(sub.offered_us, self.now_us);
+                    self.reply(sub.job, SubOutcome::NotRun(refusal), queued_ms, 0);
                 }
             }
             Command::CancelUpstream { id, upstream } => {
@@ -149,27 +151,33 @@
         if !matches!(end, End::Broken | End::Unreachable) {
             instance.idle[job.upstream.slot()] += 1;
         }
-        let served_ms = (self.now_us - sub.dispatched_us) / 1_000;
-        let (ended, outcome) = outcome(end, served_ms as u32);
+        let queued_ms = ms(sub.offered_us, sub.dispatched_us);
+        let served_ms = ms(sub.dispatched_us, self.now_us);
+        let (ended, outcome) = outcome(end, served_ms);
         self.drive_dispatcher(job.dispatcher, |dispatcher, now, out| {
             dispatcher.finish(now, job.id, ended, out);
         });
-        self.reply(job, outcome);
+        self.reply(job, outcome, queued_ms, served_ms);
     }
 
-    fn reply(&mut self, job: Job, outcome: SubOutcome) {
+    fn reply(&mut self, job: Job, outcome: SubOutcome, queued_ms: u32, served_ms: u32) {
         let entry = job.id.origin.0 as usize;
         let at_us = self.now_us + self.instance_hop_us(job.dispatcher, entry);
         let reply = SubReply {
             id: job.id,
             outcome,
-            queued_ms: 0,
-            served_ms: 0,
+            queued_ms,
+            served_ms,
         };
         self.at(at_us, Event::Reply(reply));
     }
 }
 
+/// Returns the whole milliseconds between two instants.
+fn ms(from_us: u64, until_us: u64) -> u32 {
+    ((until_us - from_us) / 1_000) as u32
+}
+
 /// Says to the limiter and to the searcher how a sub-request ended, as the daemon does.
 fn outcome(end: End, served_ms: u32) -> (Ended, SubOutcome) {
     let not_run = |reason, retry_after_ms| {
--- a/hemlockrouter-lab/src/experiment/instance.rs
+++ b/hemlockrouter-lab/src/experiment/instance.rs
@@ -38,6 +38,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Sub {
     pub(super) job: Job,
+    pub(super) offered_us: u64,
     pub(super) dispatched_us: u64,
 }
 
--- a/hemlockrouter-lab/tests/experiment.rs
+++ b/hemlockrouter-lab/tests/experiment.rs
@@ -71,8 +71,12 @@
 }
 
 #[test]
-fn faults_and_overload() {
+fn lost_and_restarted_upstreams() {
     compare("lost", &[Scenario::ReplicaLost, Scenario::ColdRestart]);
+}
+
+#[test]
+fn overload() {
     compare("overload", &[Scenario::Overload]);
 }
 
