Tell latencies apart in the load tool; tell the end of an instance before it exits

Cause: the load tool reported every latency as 2 us, since its histogram did not grow and saturated at its first bound. And an instance that had handed everything over could exit before its member had told its end.

Change: the histogram has a range of 120 s; the member gets a last tick.

Figures: a test with answers that take 20 ms failed before and passes.

--- a/hemlockrouter-lab/src/load/report.rs
+++ b/hemlockrouter-lab/src/load/report.rs
@@ -14,6 +14,9 @@
 /// Broken promises that are described at length; the rest are only counted.
 const FAULTS_SHOWN: usize = 10;
 
+/// Largest latency that is told apart, in microseconds.
+const LATENCY_MAX_US: u64 = 120_000_000;
+
 /// Significant digits of the latencies.
 const DIGITS: u8 = 3;
 
@@ -228,7 +231,7 @@
 }
 
 fn new_histogram() -> Histogram<u64> {
-    Histogram::new(DIGITS).expect("three digits are supported")
+    Histogram::new_with_max(LATENCY_MAX_US, DIGITS).expect("the range fits three digits")
 }
 
 fn add_all<K>(to: &mut BTreeMap<K, u64>, from: BTreeMap<K, u64>)
--- a/hemlockrouter-lab/tests/load.rs
+++ b/hemlockrouter-lab/tests/load.rs
@@ -54,6 +54,18 @@
     assert_eq!((report.lost, report.coverage_per_mille), (0, 666));
 }
 
+#[test]
+fn latencies_are_told_apart() {
+    let report = load(|id| {
+        let slow = answer(vec![result("a", 4, id)], 1, &["b", "c"]);
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        slow
+    });
+    // The server takes 20 ms for each answer, so no answer can come sooner.
+    let latency = report.latency;
+    assert!(latency.p50_us >= 20_000, "{latency:?}");
+}
+
 #[test]
 fn broken_promises_are_found() {
     let found = |report: Report| report.faults.into_keys().collect::<Vec<Fault>>();
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -428,9 +428,13 @@
         self.execute(cx, now);
     }
 
-    /// Tells whether all owned upstreams were handed over.
-    pub(crate) fn tell_left(&mut self, _: CX![], shared: Arc<Shared>) {
-        shared.set_left(self.parts.member.left());
+    /// Tells whether all owned upstreams were handed over, and if so has the member tell its end.
+    pub(crate) fn tell_left(&mut self, cx: CX![], shared: Arc<Shared>) {
+        let left = self.parts.member.left();
+        if left {
+            self.tick(cx);
+        }
+        shared.set_left(left);
     }
 
     /// Lets time pass.
