Split the node's actors and the upstreams' protocol by concern

Change: files of their own for the start of requests, for what is carried out, for names, for the way of messages, for operators' answers and for the protocol of upstreams.

--- /dev/null
+++ b/src/node/control/deliver.rs
@@ -0,0 +1,175 @@
+//! The way of messages to their receivers, and what happens to those that do not arrive.
+
+use std::collections::BTreeMap;
+
+use hemlockrouter_route::Claim;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::run::ForwardEnded;
+use hemlockrouter_wire::run::RunMessage;
+use hemlockrouter_wire::run::RunOutcome;
+use hemlockrouter_wire::Cancel;
+use hemlockrouter_wire::Message;
+use hemlockrouter_wire::RunSub;
+use hemlockrouter_wire::SearchBatch;
+use hemlockrouter_wire::SearchSub;
+use hemlockrouter_wire::SubOutcome;
+use hemlockrouter_wire::SubReply;
+use log::info;
+use stakker::call;
+use stakker::CX;
+
+use crate::node::control::Control;
+use crate::outbound::peers::Lost;
+use crate::outbound::peers::Undeliverable;
+
+/// When to come back after the owner of an upstream could not be reached, in milliseconds.
+const RETRY_MS: u32 = 200;
+
+impl Control {
+    /// Sends the sub-requests of a plan to the owners of their upstreams.
+    pub(crate) fn search(&mut self, _: CX![], batch: SearchBatch) {
+        let mut by_owner: BTreeMap<InstanceId, Vec<SearchSub>> = BTreeMap::new();
+        for sub in &batch.subs {
+            match self.parts.member.owner_of(sub.upstream) {
+                Some(owner) => by_owner.entry(owner).or_default().push(*sub),
+                None => self.refuse_search(&batch, sub, Reason::NotOwner),
+            }
+        }
+        for (owner, subs) in by_owner {
+            let batch = SearchBatch {
+                subs,
+                ..batch.clone()
+            };
+            self.send_to(owner, Message::Search(batch));
+        }
+    }
+
+    fn refuse_search(&self, batch: &SearchBatch, sub: &SearchSub, reason: Reason) {
+        let id = SubId {
+            origin: batch.query.origin,
+            seq: sub.seq,
+        };
+        self.reply_here(id, refuse(reason));
+    }
+
+    /// Sends a sub-request that must not be repeated to the owner of its upstream.
+    pub(crate) fn run(&mut self, _: CX![], sub: RunSub) {
+        match self.parts.member.owner_of(sub.upstream) {
+            Some(owner) => self.send_to(owner, Message::Run(sub)),
+            None => self.reply_here(sub.id, refuse(Reason::NotOwner)),
+        }
+    }
+
+    /// Sends a cancellation to the owner of `upstream`.
+    pub(crate) fn cancel(&mut self, _: CX![], upstream: UpstreamKey, cancel: Cancel) {
+        if let Some(owner) = self.parts.member.owner_of(upstream) {
+            self.send_to(owner, Message::Cancel(cancel));
+        }
+    }
+
+    /// Sends the end of a sub-request to the instance that sent it.
+    pub(crate) fn reply(&mut self, _: CX![], reply: SubReply) {
+        self.send_to(reply.id.origin, Message::Reply(reply));
+    }
+
+    /// Sends a message to an instance.
+    pub(crate) fn send(&mut self, _: CX![], to: InstanceId, message: Message) {
+        self.send_to(to, message);
+    }
+
+    /// Has a claim settled by the store.
+    pub(crate) fn claim(&mut self, _: CX![], id: QueryId, key: String, claim: Claim) {
+        if let Err(unsettled) = self.parts.platform.claim(id, key, claim) {
+            call!([self.links().entry], claimed(id, unsettled));
+        }
+    }
+
+    /// Hands a message to its receiver, which may be this instance.
+    pub(super) fn send_to(&mut self, to: InstanceId, message: Message) {
+        if to == self.parts.me {
+            self.message(self.parts.clock.now(), to, message);
+            return;
+        }
+        let known = self.parts.member.peer(to).map(|peer| peer.address);
+        let Some(address) = known.or_else(|| self.strangers.get(&to).copied()) else {
+            self.not_delivered(Some(to), message, false);
+            return;
+        };
+        if let Err(message) = self.parts.peers.send(Some(to), address, message) {
+            self.not_delivered(Some(to), message, false);
+        }
+    }
+
+    /// Takes messages that did not arrive, or may not have.
+    pub(crate) fn undeliverable(&mut self, cx: CX![], lost: Undeliverable) {
+        let now = self.parts.clock.now();
+        if lost.why == Lost::Refused {
+            match lost.to {
+                Some(to) => self.parts.member.undeliverable(now, to, &mut self.commands),
+                None => self.parts.member.address_refused(now, lost.address),
+            }
+        }
+        for message in lost.messages {
+            self.not_delivered(lost.to, message, lost.why == Lost::Unanswered);
+        }
+        self.execute(cx, now);
+    }
+
+    /// Ends what waits for the answer to a message that did not arrive, or may not have.
+    fn not_delivered(&mut self, to: Option<InstanceId>, message: Message, maybe: bool) {
+        let outcome = || {
+            if maybe {
+                SubOutcome::Failed
+            } else {
+                refuse(Reason::Unreachable)
+            }
+        };
+        match message {
+            Message::Search(batch) => {
+                for sub in &batch.subs {
+                    let id = SubId {
+                        origin: batch.query.origin,
+                        seq: sub.seq,
+                    };
+                    self.reply_here(id, outcome());
+                }
+            }
+            Message::Run(sub) => self.reply_here(sub.id, outcome()),
+            Message::Forward(RunMessage::Forward(run)) => {
+                // An earlier try with the same ticket may have run, so that "not run" could be
+                // untrue even though this message did not arrive.
+                info!(target: "decision", id = run.id.to_string(), to = format!("{to:?}");
+                    "the instance that may run the request can't be reached");
+                let outcome = RunOutcome::Unknown;
+                call!([self.links().entry], forward_ended(run.id, outcome));
+            }
+            // Answers and control messages are not repeated: whoever waits for them asks again or
+            // stops waiting by itself.
+            Message::Reply(_)
+            | Message::Cancel(_)
+            | Message::Forward(RunMessage::Ended(ForwardEnded { .. }))
+            | Message::Member(_)
+            | Message::Lease(_)
+            | Message::Relay(_)
+            | Message::Drain => {}
+        }
+    }
+
+    /// Ends a sub-request that this instance sent.
+    fn reply_here(&self, id: SubId, outcome: SubOutcome) {
+        let reply = SubReply {
+            id,
+            outcome,
+            queued_ms: 0,
+            served_ms: 0,
+        };
+        call!([self.links().entry], reply(reply));
+    }
+}
+
+fn refuse(reason: Reason) -> SubOutcome {
+    SubOutcome::NotRun(Refusal {
+        reason,
+        retry_after_ms: RETRY_MS,
+    })
+}
--- a/src/node/control.rs
+++ b/src/node/control/mod.rs
@@ -1,5 +1,8 @@
 //! Control: membership, ownership leases and configuration, and the way to other instances.
 
+mod deliver;
+mod operators;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -13,49 +16,28 @@
 use hemlockrouter_member::Listed;
 use hemlockrouter_member::Member;
 use hemlockrouter_member::To;
-use hemlockrouter_route::Claim;
-use hemlockrouter_route::ShardChoice;
 use hemlockrouter_types::prelude::*;
-use hemlockrouter_wire::run::ForwardEnded;
 use hemlockrouter_wire::run::RunMessage;
-use hemlockrouter_wire::run::RunOutcome;
-use hemlockrouter_wire::Cancel;
 use hemlockrouter_wire::Envelope;
 use hemlockrouter_wire::Message;
-use hemlockrouter_wire::RunSub;
-use hemlockrouter_wire::SearchBatch;
-use hemlockrouter_wire::SearchSub;
-use hemlockrouter_wire::SubOutcome;
-use hemlockrouter_wire::SubReply;
 use log::error;
 use log::info;
-use serde_json::json;
 use stakker::call;
 use stakker::timer_min;
 use stakker::Actor;
 use stakker::MinTimerKey;
 use stakker::CX;
 
-use crate::edge::tiny::Answer;
 use crate::log_line;
 use crate::node::entry::Entry;
-use crate::node::operator::OperatorCall;
-use crate::node::operator::OperatorReply;
-use crate::node::operator::Question;
 use crate::node::owner::Owner;
 use crate::node::status::Shared;
-use crate::node::status::Status;
 use crate::node::Event;
 use crate::node::Mailbox;
-use crate::outbound::peers::Lost;
 use crate::outbound::peers::Peers;
-use crate::outbound::peers::Undeliverable;
 use crate::outbound::platform::Platform;
 use crate::outbound::platform::StoreRead;
 
-/// When to come back after the owner of an upstream could not be reached, in milliseconds.
-const RETRY_MS: u32 = 200;
-
 /// How many instances that membership does not know are remembered.
 const STRANGERS_MAX: usize = 1_024;
 
@@ -114,91 +96,6 @@
             .expect("the actors are linked before any event")
     }
 
-    /// Answers a question of an operator, or passes it on to who can.
-    pub(crate) fn operator(&mut self, cx: CX![], call: OperatorCall) {
-        let reply = call.reply;
-        match call.question {
-            Question::Probe => {
-                self.probe_all(cx);
-                reply.send(Answer::empty(204));
-            }
-            Question::Status => {
-                let now = self.parts.clock.now();
-                let status = Status::new(
-                    self.parts.me,
-                    &self.parts.zone,
-                    &self.parts.member,
-                    &self.catalog,
-                    &self.parts.shared,
-                    now,
-                );
-                call!([self.links().owner], add_status(status, reply));
-            }
-            Question::Explain { customer, search } => {
-                let customer_key = self.catalog.find_customer(&customer);
-                let search_key =
-                    customer_key.and_then(|customer| self.catalog.find_search(customer, &search));
-                match customer_key.zip(search_key) {
-                    Some((customer, search)) => {
-                        call!([self.links().entry], explain(customer, search, reply));
-                    }
-                    None => reply.send(Answer::text(404, "no such customer or search")),
-                }
-            }
-            Question::Drain { instance } => self.drain(cx, &instance, &reply),
-        }
-    }
-
-    /// Has an instance shut down.
-    fn drain(&mut self, _: CX![], instance: &str, reply: &OperatorReply) {
-        let id = u64::from_str_radix(instance, 16).map(InstanceId);
-        match id {
-            Ok(id) if id == self.parts.me => self.parts.mailbox.put_soon(Event::Shutdown),
-            Ok(id) if self.parts.member.peer(id).is_some() => self.send_to(id, Message::Drain),
-            _ => {
-                reply.send(Answer::text(
-                    404,
-                    "no such instance; status lists their ids",
-                ));
-                return;
-            }
-        }
-        info!(target: "decision", instance = instance; "drain asked for by an operator");
-        reply.send(Answer::empty(202));
-    }
-
-    /// Completes the explanation of a search with the owners of the upstreams.
-    pub(crate) fn explained(&mut self, _: CX![], choices: Vec<ShardChoice>, reply: OperatorReply) {
-        let name = |key: UpstreamKey| {
-            self.catalog
-                .upstreams
-                .get(key)
-                .map(|upstream| upstream.name.as_str())
-        };
-        let shards: Vec<serde_json::Value> = choices
-            .iter()
-            .map(|choice| {
-                let owner = choice
-                    .chosen
-                    .and_then(|key| self.parts.member.owner_of(key));
-                let passed_over: Vec<serde_json::Value> = choice
-                    .passed_over
-                    .iter()
-                    .map(|other| json!({ "upstream": name(other.upstream), "why": other.why }))
-                    .collect();
-                json!({
-                    "shard": choice.name,
-                    "upstream": choice.chosen.and_then(name),
-                    "owner": owner.map(|owner| owner.to_string()),
-                    "why": choice.why,
-                    "passed_over": passed_over,
-                })
-            })
-            .collect();
-        let body = json!({ "config": self.catalog.number, "shards": shards });
-        reply.send(Answer::json(200, &body));
-    }
-
     /// Takes messages of another instance.
     pub(crate) fn envelope(&mut self, cx: CX![], envelope: Envelope) {
         let now = self.parts.clock.now();
@@ -245,146 +142,6 @@
         }
     }
 
-    /// Sends the sub-requests of a plan to the owners of their upstreams.
-    pub(crate) fn search(&mut self, _: CX![], batch: SearchBatch) {
-        let mut by_owner: BTreeMap<InstanceId, Vec<SearchSub>> = BTreeMap::new();
-        for sub in &batch.subs {
-            match self.parts.member.owner_of(sub.upstream) {
-                Some(owner) => by_owner.entry(owner).or_default().push(*sub),
-                None => self.refuse_search(&batch, sub, Reason::NotOwner),
-            }
-        }
-        for (owner, subs) in by_owner {
-            let batch = SearchBatch {
-                subs,
-                ..batch.clone()
-            };
-            self.send_to(owner, Message::Search(batch));
-        }
-    }
-
-    fn refuse_search(&self, batch: &SearchBatch, sub: &SearchSub, reason: Reason) {
-        let id = SubId {
-            origin: batch.query.origin,
-            seq: sub.seq,
-        };
-        self.reply_here(id, refuse(reason));
-    }
-
-    /// Sends a sub-request that must not be repeated to the owner of its upstream.
-    pub(crate) fn run(&mut self, _: CX![], sub: RunSub) {
-        match self.parts.member.owner_of(sub.upstream) {
-            Some(owner) => self.send_to(owner, Message::Run(sub)),
-            None => self.reply_here(sub.id, refuse(Reason::NotOwner)),
-        }
-    }
-
-    /// Sends a cancellation to the owner of `upstream`.
-    pub(crate) fn cancel(&mut self, _: CX![], upstream: UpstreamKey, cancel: Cancel) {
-        if let Some(owner) = self.parts.member.owner_of(upstream) {
-            self.send_to(owner, Message::Cancel(cancel));
-        }
-    }
-
-    /// Sends the end of a sub-request to the instance that sent it.
-    pub(crate) fn reply(&mut self, _: CX![], reply: SubReply) {
-        self.send_to(reply.id.origin, Message::Reply(reply));
-    }
-
-    /// Sends a message to an instance.
-    pub(crate) fn send(&mut self, _: CX![], to: InstanceId, message: Message) {
-        self.send_to(to, message);
-    }
-
-    /// Has a claim settled by the store.
-    pub(crate) fn claim(&mut self, _: CX![], id: QueryId, key: String, claim: Claim) {
-        if let Err(unsettled) = self.parts.platform.claim(id, key, claim) {
-            call!([self.links().entry], claimed(id, unsettled));
-        }
-    }
-
-    /// Hands a message to its receiver, which may be this instance.
-    fn send_to(&mut self, to: InstanceId, message: Message) {
-        if to == self.parts.me {
-            self.message(self.parts.clock.now(), to, message);
-            return;
-        }
-        let known = self.parts.member.peer(to).map(|peer| peer.address);
-        let Some(address) = known.or_else(|| self.strangers.get(&to).copied()) else {
-            self.not_delivered(Some(to), message, false);
-            return;
-        };
-        if let Err(message) = self.parts.peers.send(Some(to), address, message) {
-            self.not_delivered(Some(to), message, false);
-        }
-    }
-
-    /// Takes messages that did not arrive, or may not have.
-    pub(crate) fn undeliverable(&mut self, cx: CX![], lost: Undeliverable) {
-        let now = self.parts.clock.now();
-        if lost.why == Lost::Refused {
-            match lost.to {
-                Some(to) => self.parts.member.undeliverable(now, to, &mut self.commands),
-                None => self.parts.member.address_refused(now, lost.address),
-            }
-        }
-        for message in lost.messages {
-            self.not_delivered(lost.to, message, lost.why == Lost::Unanswered);
-        }
-        self.execute(cx, now);
-    }
-
-    /// Ends what waits for the answer to a message that did not arrive, or may not have.
-    fn not_delivered(&mut self, to: Option<InstanceId>, message: Message, maybe: bool) {
-        let outcome = || {
-            if maybe {
-                SubOutcome::Failed
-            } else {
-                refuse(Reason::Unreachable)
-            }
-        };
-        match message {
-            Message::Search(batch) => {
-                for sub in &batch.subs {
-                    let id = SubId {
-                        origin: batch.query.origin,
-                        seq: sub.seq,
-                    };
-                    self.reply_here(id, outcome());
-                }
-            }
-            Message::Run(sub) => self.reply_here(sub.id, outcome()),
-            Message::Forward(RunMessage::Forward(run)) => {
-                // An earlier try with the same ticket may have run, so that "not run" could be
-                // untrue even though this message did not arrive.
-                info!(target: "decision", id = run.id.to_string(), to = format!("{to:?}");
-                    "the instance that may run the request can't be reached");
-                let outcome = RunOutcome::Unknown;
-                call!([self.links().entry], forward_ended(run.id, outcome));
-            }
-            // Answers and control messages are not repeated: whoever waits for them asks again or
-            // stops waiting by itself.
-            Message::Reply(_)
-            | Message::Cancel(_)
-            | Message::Forward(RunMessage::Ended(ForwardEnded { .. }))
-            | Message::Member(_)
-            | Message::Lease(_)
-            | Message::Relay(_)
-            | Message::Drain => {}
-        }
-    }
-
-    /// Ends a sub-request that this instance sent.
-    fn reply_here(&self, id: SubId, outcome: SubOutcome) {
-        let reply = SubReply {
-            id,
-            outcome,
-            queued_ms: 0,
-            served_ms: 0,
-        };
-        call!([self.links().entry], reply(reply));
-    }
-
     /// Takes what was read from the store.
     pub(crate) fn store_read(&mut self, cx: CX![], read: StoreRead) {
         let now = self.parts.clock.now();
@@ -526,10 +283,3 @@
         self.forget_addresses();
     }
 }
-
-fn refuse(reason: Reason) -> SubOutcome {
-    SubOutcome::NotRun(Refusal {
-        reason,
-        retry_after_ms: RETRY_MS,
-    })
-}
--- /dev/null
+++ b/src/node/control/operators.rs
@@ -0,0 +1,104 @@
+//! Answers to operators' questions.
+
+use hemlockrouter_route::ShardChoice;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::Message;
+use log::info;
+use serde_json::json;
+use stakker::call;
+use stakker::CX;
+
+use crate::edge::tiny::Answer;
+use crate::node::control::Control;
+use crate::node::operator::OperatorCall;
+use crate::node::operator::OperatorReply;
+use crate::node::operator::Question;
+use crate::node::status::Status;
+use crate::node::Event;
+
+impl Control {
+    /// Answers a question of an operator, or passes it on to who can.
+    pub(crate) fn operator(&mut self, cx: CX![], call: OperatorCall) {
+        let reply = call.reply;
+        match call.question {
+            Question::Probe => {
+                self.probe_all(cx);
+                reply.send(Answer::empty(204));
+            }
+            Question::Status => {
+                let now = self.parts.clock.now();
+                let status = Status::new(
+                    self.parts.me,
+                    &self.parts.zone,
+                    &self.parts.member,
+                    &self.catalog,
+                    &self.parts.shared,
+                    now,
+                );
+                call!([self.links().owner], add_status(status, reply));
+            }
+            Question::Explain { customer, search } => {
+                let customer_key = self.catalog.find_customer(&customer);
+                let search_key =
+                    customer_key.and_then(|customer| self.catalog.find_search(customer, &search));
+                match customer_key.zip(search_key) {
+                    Some((customer, search)) => {
+                        call!([self.links().entry], explain(customer, search, reply));
+                    }
+                    None => reply.send(Answer::text(404, "no such customer or search")),
+                }
+            }
+            Question::Drain { instance } => self.drain(cx, &instance, &reply),
+        }
+    }
+
+    /// Has an instance shut down.
+    fn drain(&mut self, _: CX![], instance: &str, reply: &OperatorReply) {
+        let id = u64::from_str_radix(instance, 16).map(InstanceId);
+        match id {
+            Ok(id) if id == self.parts.me => self.parts.mailbox.put_soon(Event::Shutdown),
+            Ok(id) if self.parts.member.peer(id).is_some() => self.send_to(id, Message::Drain),
+            _ => {
+                reply.send(Answer::text(
+                    404,
+                    "no such instance; status lists their ids",
+                ));
+                return;
+            }
+        }
+        info!(target: "decision", instance = instance; "drain asked for by an operator");
+        reply.send(Answer::empty(202));
+    }
+
+    /// Completes the explanation of a search with the owners of the upstreams.
+    pub(crate) fn explained(&mut self, _: CX![], choices: Vec<ShardChoice>, reply: OperatorReply) {
+        let name = |key: UpstreamKey| {
+            self.catalog
+                .upstreams
+                .get(key)
+                .map(|upstream| upstream.name.as_str())
+        };
+        let shards: Vec<serde_json::Value> = choices
+            .iter()
+            .map(|choice| {
+                let owner = choice
+                    .chosen
+                    .and_then(|key| self.parts.member.owner_of(key));
+                let passed_over: Vec<serde_json::Value> = choice
+                    .passed_over
+                    .iter()
+                    .map(|other| json!({ "upstream": name(other.upstream), "why": other.why }))
+                    .collect();
+                json!({
+                    "shard": choice.name,
+                    "upstream": choice.chosen.and_then(name),
+                    "owner": owner.map(|owner| owner.to_string()),
+                    "why": choice.why,
+                    "passed_over": passed_over,
+                })
+            })
+            .collect();
+        let body = json!({ "config": self.catalog.number, "shards": shards });
+        reply.send(Answer::json(200, &body));
+    }
+}
--- /dev/null
+++ b/src/node/entry/execute.rs
@@ -0,0 +1,231 @@
+//! What the searcher and the runner decided, carried out.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockrouter_route::RunCommand;
+use hemlockrouter_route::SearchCommand;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::run::ForwardEnded;
+use hemlockrouter_wire::run::ForwardRun;
+use hemlockrouter_wire::run::RunMessage;
+use hemlockrouter_wire::Cancel;
+use hemlockrouter_wire::Message;
+use hemlockrouter_wire::RunSub;
+use hemlockrouter_wire::SearchBatch;
+use hemlockrouter_wire::SearchSub;
+use hemlockrouter_wire::SubOutcome;
+use hemlockrouter_wire::SubReply;
+use stakker::call;
+use stakker::timer_min;
+use stakker::CX;
+
+use crate::log_line;
+use crate::node::entry::Entry;
+use crate::node::entry::PendingKind;
+use crate::node::entry::RunWork;
+use crate::node::CallerAnswer;
+
+/// When to come back after a sub-request was not sent since nobody waits for it, in milliseconds.
+const NOT_SENT_RETRY_MS: u32 = 1_000;
+
+impl Entry {
+    /// Carries out what was decided.
+    pub(super) fn execute(&mut self, cx: CX![], now: Time) {
+        while !self.search_commands.is_empty() || !self.run_commands.is_empty() {
+            let commands = std::mem::take(&mut self.search_commands);
+            self.execute_searches(now, commands);
+            for command in std::mem::take(&mut self.run_commands) {
+                self.execute_run(now, command);
+            }
+        }
+        let wakes = [self.searcher.next_wake(), self.runner.next_wake()];
+        if let Some(at) = wakes.into_iter().flatten().min() {
+            let wait = Duration::from_millis(at.left(now).max(1));
+            timer_min!(&mut self.timer, Instant::now() + wait, [cx], tick());
+        }
+    }
+
+    /// Carries out commands of the searcher; sub-requests of one plan are sent together.
+    fn execute_searches(&mut self, now: Time, commands: Vec<SearchCommand>) {
+        let mut batches: Vec<SearchBatch> = Vec::new();
+        for command in commands {
+            match command {
+                SearchCommand::Send {
+                    query,
+                    seq,
+                    upstream,
+                    shard,
+                    snapshot,
+                    map,
+                    config,
+                    deadline,
+                } => {
+                    let sub = SearchSub {
+                        seq,
+                        upstream,
+                        shard,
+                    };
+                    let same = batches.last_mut().filter(|batch| {
+                        batch.query == query && batch.snapshot == snapshot && batch.map == map
+                    });
+                    if let Some(batch) = same {
+                        batch.subs.push(sub);
+                        continue;
+                    }
+                    let Some(pending) = self.requests.get(&query) else {
+                        continue;
+                    };
+                    let PendingKind::Search(search) = pending.kind else {
+                        continue;
+                    };
+                    batches.push(SearchBatch {
+                        query,
+                        config,
+                        customer: pending.customer,
+                        search,
+                        snapshot,
+                        map,
+                        deadline_in_ms: left_ms(deadline, now),
+                        body: pending.body.to_vec(),
+                        subs: vec![sub],
+                    });
+                }
+                SearchCommand::Cancel { id, upstream } => {
+                    call!([self.control], cancel(upstream, Cancel { ids: vec![id] }));
+                }
+                SearchCommand::Answer { query, answer } => {
+                    self.answer(query, CallerAnswer::Search(answer));
+                }
+                SearchCommand::Refuse { query, refusal } => {
+                    self.answer(query, CallerAnswer::Refused(refusal));
+                }
+                SearchCommand::Decision(decision) => log_line::decision("entry", &decision),
+            }
+        }
+        for batch in batches {
+            call!([self.control], search(batch));
+        }
+    }
+
+    fn execute_run(&mut self, now: Time, command: RunCommand) {
+        match command {
+            RunCommand::Claim { id, key, claim } => {
+                call!([self.control], claim(id, key, claim));
+            }
+            RunCommand::Forward { id, to, ticket } => self.send_forward(now, id, to, ticket),
+            RunCommand::Dispatch {
+                id,
+                query,
+                upstream,
+                run_id,
+                config,
+                deadline,
+            } => {
+                let Some(work) = self.run_work(query) else {
+                    let reply = not_sent(id);
+                    self.runner.reply(now, reply, &mut self.run_commands);
+                    return;
+                };
+                let sub = RunSub {
+                    id,
+                    config,
+                    customer: work.customer,
+                    operation: work.operation,
+                    upstream,
+                    run_id,
+                    deadline_in_ms: left_ms(deadline, now),
+                    body: work.body.to_vec(),
+                };
+                call!([self.control], run(sub));
+            }
+            RunCommand::Answer { id, outcome, .. } => self.answer(id, CallerAnswer::Run(outcome)),
+            RunCommand::ForwardAnswer { to, id, outcome } => {
+                self.forwarded.remove(&id);
+                let ended = RunMessage::Ended(ForwardEnded { id, outcome });
+                call!([self.control], send(to, Message::Forward(ended)));
+            }
+            RunCommand::Decision(decision) => log_line::decision("entry", &decision),
+        }
+    }
+
+    /// Returns what is sent on of the request `id`, of a caller or of another instance.
+    fn run_work(&self, id: QueryId) -> Option<RunWork> {
+        if let Some(work) = self.forwarded.get(&id) {
+            return Some(work.clone());
+        }
+        let pending = self.requests.get(&id)?;
+        let PendingKind::Run(operation) = pending.kind else {
+            return None;
+        };
+        Some(RunWork {
+            customer: pending.customer,
+            operation,
+            body: Arc::clone(&pending.body),
+        })
+    }
+
+    fn send_forward(&self, now: Time, id: QueryId, to: InstanceId, ticket: String) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        let PendingKind::Run(operation) = pending.kind else {
+            return;
+        };
+        let forward = ForwardRun {
+            id,
+            config: self.catalog.number,
+            customer: pending.customer,
+            operation,
+            ticket,
+            deadline_in_ms: left_ms(pending.deadline, now),
+            body: pending.body.to_vec(),
+        };
+        call!(
+            [self.control],
+            send(to, Message::Forward(RunMessage::Forward(forward)))
+        );
+    }
+
+    /// Answers a caller.
+    fn answer(&mut self, id: QueryId, answer: CallerAnswer) {
+        if let Some(pending) = self.requests.remove(&id) {
+            self.admission.done(pending.customer);
+            let took_ms = self.clock.now().since(pending.started_at);
+            self.metrics
+                .request(pending.kind.label(), answer.label(), took_ms);
+            // The caller may have gone away.
+            let _ = pending.answer.send(answer);
+        }
+        self.count_sub_requests();
+    }
+
+    /// Counts the sub-requests that were sent since the last count.
+    fn count_sub_requests(&mut self) {
+        let (sent, extra) = self.searcher.extra_load();
+        let (sent_before, extra_before) = self.counted;
+        let new_extra = extra - extra_before;
+        self.metrics
+            .sub_requests(sent - sent_before - new_extra, new_extra);
+        self.counted = (sent, extra);
+    }
+}
+
+/// The end of a sub-request that was never sent, since nobody waits for it any more.
+fn not_sent(id: SubId) -> SubReply {
+    let refusal = Refusal {
+        reason: Reason::Cancelled,
+        retry_after_ms: NOT_SENT_RETRY_MS,
+    };
+    SubReply {
+        id,
+        outcome: SubOutcome::NotRun(refusal),
+        queued_ms: 0,
+        served_ms: 0,
+    }
+}
+/// Returns what is left until `deadline`, in milliseconds.
+fn left_ms(deadline: Time, now: Time) -> u32 {
+    u32::try_from(deadline.left(now)).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/node/entry/mod.rs
@@ -0,0 +1,237 @@
+//! The entry: takes callers' requests, lets the searcher and the runner decide, and answers.
+
+mod execute;
+mod names;
+mod start;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use hemlockrouter_limit::Admission;
+use hemlockrouter_route::ClaimResult;
+use hemlockrouter_route::RunCommand;
+use hemlockrouter_route::Runner;
+use hemlockrouter_route::SearchCommand;
+use hemlockrouter_route::Searcher;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::run::ForwardRun;
+use hemlockrouter_wire::run::RunOutcome;
+use hemlockrouter_wire::SubReply;
+use sha2::Digest;
+use sha2::Sha256;
+use stakker::call;
+use stakker::Actor;
+use stakker::MinTimerKey;
+use stakker::CX;
+use tokio::sync::oneshot;
+
+use crate::metrics::Metrics;
+use crate::node::control::Control;
+use crate::node::entry::names::Names;
+use crate::node::operator::OperatorReply;
+use crate::node::status::Shared;
+use crate::node::CallerAnswer;
+use crate::node::CallerRequest;
+
+/// The actor that serves callers.
+pub(crate) struct Entry {
+    clock: Clock,
+    catalog: Arc<Catalog>,
+    names: Names,
+    admission: Admission,
+    searcher: Searcher,
+    runner: Runner,
+    control: Actor<Control>,
+    metrics: Arc<Metrics>,
+    requests: BTreeMap<QueryId, Pending>,
+    /// Requests that other instances forwarded here, by the id under which they did.
+    forwarded: BTreeMap<QueryId, RunWork>,
+    search_commands: Vec<SearchCommand>,
+    run_commands: Vec<RunCommand>,
+    /// How many sub-requests were counted, and how many of them were extra ones.
+    counted: (u64, u64),
+    timer: MinTimerKey,
+}
+
+/// A caller's request under way.
+struct Pending {
+    started_at: Time,
+    customer: CustomerKey,
+    kind: PendingKind,
+    body: Arc<[u8]>,
+    deadline: Time,
+    answer: oneshot::Sender<CallerAnswer>,
+}
+
+/// What is sent on of a request that must not be repeated.
+#[derive(Clone)]
+struct RunWork {
+    customer: CustomerKey,
+    operation: OperationKey,
+    body: Arc<[u8]>,
+}
+
+#[derive(Clone, Copy)]
+enum PendingKind {
+    Search(SearchKey),
+    Run(OperationKey),
+}
+
+impl PendingKind {
+    /// The value of the metrics' label.
+    fn label(self) -> &'static str {
+        match self {
+            PendingKind::Search(_) => "search",
+            PendingKind::Run(_) => "run",
+        }
+    }
+}
+
+impl Entry {
+    /// Makes the actor.
+    pub(crate) fn init(
+        _: CX![],
+        clock: Clock,
+        admission: Admission,
+        searcher: Searcher,
+        runner: Runner,
+        control: Actor<Control>,
+        metrics: Arc<Metrics>,
+    ) -> Option<Entry> {
+        Some(Entry {
+            clock,
+            catalog: Arc::default(),
+            names: Names::default(),
+            admission,
+            searcher,
+            runner,
+            control,
+            metrics,
+            requests: BTreeMap::new(),
+            forwarded: BTreeMap::new(),
+            search_commands: Vec::new(),
+            run_commands: Vec::new(),
+            counted: (0, 0),
+            timer: MinTimerKey::default(),
+        })
+    }
+
+    /// Takes a new catalogue.
+    pub(crate) fn configure(&mut self, cx: CX![], catalog: Arc<Catalog>) {
+        let now = self.clock.now();
+        self.names = Names::new(&catalog);
+        self.admission.configure(now, &catalog);
+        self.searcher
+            .configure(now, Arc::clone(&catalog), &mut self.search_commands);
+        self.runner
+            .configure(now, Arc::clone(&catalog), &mut self.run_commands);
+        self.catalog = catalog;
+        self.execute(cx, now);
+    }
+
+    /// Takes a request of a caller.
+    pub(crate) fn request(&mut self, cx: CX![], id: QueryId, request: CallerRequest) {
+        let now = self.clock.now();
+        if let Err((answer, sender)) = self.start(now, id, request) {
+            // The caller may have gone away.
+            let _ = sender.send(answer);
+        }
+        self.execute(cx, now);
+    }
+
+    /// Notes that a caller went away. A search ends; a request that must not be repeated goes on,
+    /// since its outcome may be asked for again.
+    pub(crate) fn abandoned(&mut self, cx: CX![], id: QueryId) {
+        let now = self.clock.now();
+        if let Some(Pending {
+            kind: PendingKind::Search(_),
+            customer,
+            ..
+        }) = self.requests.get(&id)
+        {
+            let customer = *customer;
+            self.searcher.abandon(now, id, &mut self.search_commands);
+            self.requests.remove(&id);
+            self.admission.done(customer);
+        }
+        self.execute(cx, now);
+    }
+
+    /// Takes the end of a sub-request. The ids of searches and of runs are drawn from separate
+    /// halves, so each finds its own.
+    pub(crate) fn reply(&mut self, cx: CX![], reply: SubReply) {
+        let now = self.clock.now();
+        if Runner::sent(reply.id) {
+            self.runner.reply(now, reply, &mut self.run_commands);
+        } else {
+            self.searcher.reply(now, reply, &mut self.search_commands);
+        }
+        self.execute(cx, now);
+    }
+
+    /// Takes a settled claim.
+    pub(crate) fn claimed(&mut self, cx: CX![], id: QueryId, result: ClaimResult) {
+        let now = self.clock.now();
+        self.runner.claimed(now, id, result, &mut self.run_commands);
+        self.execute(cx, now);
+    }
+
+    /// Takes a request that another instance forwards because this one may run it.
+    pub(crate) fn forward(&mut self, cx: CX![], from: InstanceId, run: ForwardRun) {
+        let now = self.clock.now();
+        let body_hash = Sha256::digest(&run.body).into();
+        let deadline = now + u64::from(run.deadline_in_ms);
+        let work = RunWork {
+            customer: run.customer,
+            operation: run.operation,
+            body: Arc::from(run.body),
+        };
+        self.forwarded.insert(run.id, work);
+        self.runner.forwarded(
+            now,
+            from,
+            run.id,
+            run.customer,
+            run.operation,
+            run.ticket,
+            body_hash,
+            deadline,
+            &mut self.run_commands,
+        );
+        self.execute(cx, now);
+    }
+
+    /// Takes the end of a request that this instance forwarded.
+    pub(crate) fn forward_ended(&mut self, cx: CX![], id: QueryId, outcome: RunOutcome) {
+        let now = self.clock.now();
+        self.runner
+            .forward_ended(now, id, outcome, &mut self.run_commands);
+        self.execute(cx, now);
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self, cx: CX![]) {
+        let now = self.clock.now();
+        self.searcher.tick(now, &mut self.search_commands);
+        self.runner.tick(now, &mut self.run_commands);
+        self.execute(cx, now);
+    }
+
+    /// Explains where the sub-requests of a search would go now.
+    pub(crate) fn explain(
+        &mut self,
+        _: CX![],
+        customer: CustomerKey,
+        search: SearchKey,
+        reply: OperatorReply,
+    ) {
+        let now = self.clock.now();
+        let choices = self.searcher.explain(now, customer, search);
+        call!([self.control], explained(choices, reply));
+    }
+
+    /// Tells how many requests have not been answered.
+    pub(crate) fn tell_pending(&mut self, _: CX![], shared: Arc<Shared>) {
+        shared.set_entry_pending(self.requests.len() + self.forwarded.len());
+    }
+}
--- /dev/null
+++ b/src/node/entry/names.rs
@@ -0,0 +1,31 @@
+//! Names of the catalogue, by which callers ask.
+
+use std::collections::BTreeMap;
+
+use hemlockrouter_config::KeyIndex;
+use hemlockrouter_types::prelude::*;
+
+/// Names of the catalogue, by which callers ask.
+#[derive(Default)]
+pub(super) struct Names {
+    pub(super) customers: KeyIndex,
+    pub(super) searches: BTreeMap<(CustomerKey, String), SearchKey>,
+    pub(super) operations: BTreeMap<(CustomerKey, String), OperationKey>,
+}
+
+impl Names {
+    /// Gathers the names of `catalog`.
+    pub(super) fn new(catalog: &Catalog) -> Names {
+        let searches = catalog.searches.iter();
+        let operations = catalog.operations.iter();
+        Names {
+            customers: KeyIndex::new(catalog),
+            searches: searches
+                .map(|(key, s)| ((s.customer, s.name.clone()), key))
+                .collect(),
+            operations: operations
+                .map(|(key, o)| ((o.customer, o.name.clone()), key))
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/entry/start.rs
@@ -0,0 +1,165 @@
+//! The start of callers' requests.
+
+use std::sync::Arc;
+
+use hemlockrouter_route::Query;
+use hemlockrouter_route::Run;
+use hemlockrouter_route::Via;
+use hemlockrouter_types::prelude::*;
+use sha2::Digest;
+use sha2::Sha256;
+use tokio::sync::oneshot;
+
+use crate::node::entry::Entry;
+use crate::node::entry::Pending;
+use crate::node::entry::PendingKind;
+use crate::node::CallerAnswer;
+use crate::node::CallerRequest;
+use crate::node::RequestKind;
+use crate::node::RunVia;
+use crate::tuning::TICKET_MS;
+
+/// When to come back to an instance that is not ready, in milliseconds.
+const NOT_READY_RETRY_MS: u32 = 1_000;
+
+impl Entry {
+    /// Starts a request, or returns its answer if it can't be started.
+    pub(super) fn start(
+        &mut self,
+        now: Time,
+        id: QueryId,
+        request: CallerRequest,
+    ) -> Result<(), (CallerAnswer, oneshot::Sender<CallerAnswer>)> {
+        let CallerRequest {
+            bearer,
+            kind,
+            answer,
+        } = request;
+        if self.catalog.number == ConfigNumber::default() {
+            return Err((refused(Reason::NotReady, NOT_READY_RETRY_MS), answer));
+        }
+        let Some(customer) = self.names.customers.find(&bearer) else {
+            return Err((CallerAnswer::Unauthorized, answer));
+        };
+        if let Err(refusal) = self.admission.admit(now, customer) {
+            return Err((CallerAnswer::Refused(refusal), answer));
+        }
+        let started = match kind {
+            RequestKind::Search {
+                search,
+                query,
+                deadline_ms,
+                min_coverage,
+            } => match self.names.searches.get(&(customer, search)) {
+                None => Err(CallerAnswer::UnknownName { what: "search" }),
+                Some(&search) => Ok(Start {
+                    kind: PendingKind::Search(search),
+                    body: query,
+                    deadline: now + deadline_ms,
+                    with: StartWith::Search { min_coverage },
+                }),
+            },
+            RequestKind::Run {
+                operation,
+                request,
+                deadline_ms,
+                via,
+            } => match self.names.operations.get(&(customer, operation)) {
+                None => Err(CallerAnswer::UnknownName { what: "operation" }),
+                Some(&operation) => Ok(Start {
+                    kind: PendingKind::Run(operation),
+                    body: request,
+                    deadline: now + deadline_ms,
+                    with: StartWith::Run { via },
+                }),
+            },
+            RequestKind::Ticket { operation } => Err(self.ticket(now, customer, operation)),
+        };
+        match started {
+            Ok(start) => {
+                self.start_pending(now, id, customer, start, answer);
+                Ok(())
+            }
+            Err(refusal) => {
+                self.admission.done(customer);
+                Err((refusal, answer))
+            }
+        }
+    }
+
+    fn ticket(&mut self, now: Time, customer: CustomerKey, operation: String) -> CallerAnswer {
+        match self.names.operations.get(&(customer, operation)) {
+            None => CallerAnswer::UnknownName { what: "operation" },
+            Some(&operation) => CallerAnswer::Ticket {
+                ticket: self.runner.issue(now, customer, operation),
+                expires_in_ms: TICKET_MS,
+            },
+        }
+    }
+
+    fn start_pending(
+        &mut self,
+        now: Time,
+        id: QueryId,
+        customer: CustomerKey,
+        start: Start,
+        answer: oneshot::Sender<CallerAnswer>,
+    ) {
+        let body: Arc<[u8]> = Arc::from(start.body);
+        let pending = Pending {
+            started_at: now,
+            customer,
+            kind: start.kind,
+            body: Arc::clone(&body),
+            deadline: start.deadline,
+            answer,
+        };
+        self.requests.insert(id, pending);
+        match (start.kind, start.with) {
+            (PendingKind::Search(search), StartWith::Search { min_coverage }) => {
+                let query = Query {
+                    id,
+                    customer,
+                    search,
+                    deadline: start.deadline,
+                    min_coverage,
+                };
+                self.searcher.start(now, query, &mut self.search_commands);
+            }
+            (PendingKind::Run(operation), StartWith::Run { via }) => {
+                let run = Run {
+                    id,
+                    customer,
+                    operation,
+                    via: match via {
+                        RunVia::Ticket(ticket) => Via::Ticket(ticket),
+                        RunVia::Key(key) => Via::Key(key),
+                    },
+                    body_hash: Sha256::digest(&body).into(),
+                    deadline: start.deadline,
+                };
+                self.runner.start(now, run, &mut self.run_commands);
+            }
+            _ => unreachable!("the kind and its start are made together"),
+        }
+    }
+}
+
+/// What starts a request.
+struct Start {
+    kind: PendingKind,
+    body: Vec<u8>,
+    deadline: Time,
+    with: StartWith,
+}
+
+enum StartWith {
+    Search { min_coverage: Option<f64> },
+    Run { via: RunVia },
+}
+fn refused(reason: Reason, retry_after_ms: u32) -> CallerAnswer {
+    CallerAnswer::Refused(Refusal {
+        reason,
+        retry_after_ms,
+    })
+}
--- a/src/outbound/upstreams.rs
+++ b/src/outbound/upstreams/mod.rs
@@ -4,6 +4,8 @@
 //! the monotonic clock just before they write: an instance that was frozen between the decision and
 //! the call finds its lease over and sends nothing.
 
+mod protocol;
+
 use std::io;
 use std::net::SocketAddr;
 use std::sync::mpsc::Receiver;
@@ -17,13 +19,15 @@
 use hemlockrouter_limit::Ended;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_wire::SubOutcome;
-use serde::Deserialize;
-use serde::Serialize;
-use serde_json::value::RawValue;
 
 use crate::node::Event;
 use crate::node::Mailbox;
 use crate::outbound::peers::never_sent;
+use crate::outbound::upstreams::protocol::answered;
+use crate::outbound::upstreams::protocol::failed;
+use crate::outbound::upstreams::protocol::not_run;
+use crate::outbound::upstreams::protocol::refused;
+use crate::outbound::upstreams::protocol::SHED_RETRY_MS;
 
 /// How long after the deadline the end of a call is waited for, in milliseconds. The entry does not
 /// wait for it; but until the upstream says that it has stopped, the work takes up one of its slots,
@@ -36,9 +40,6 @@
 /// How many cancellations may wait.
 const CANCELS_MAX: usize = 1_024;
 
-/// When to come back after an upstream shed load without saying so, in milliseconds.
-const SHED_RETRY_MS: u32 = 200;
-
 /// One call to one upstream.
 #[derive(Debug)]
 pub(crate) struct UpstreamCall {
@@ -97,74 +98,6 @@
     }
 }
 
-#[derive(Serialize)]
-struct SearchBody<'a> {
-    id: String,
-    customer: &'a str,
-    search: &'a str,
-    shard: &'a str,
-    snapshot: Option<Snapshot>,
-    map: MapVersion,
-    deadline_ms: u64,
-    query: &'a RawValue,
-}
-
-#[derive(Serialize)]
-struct RunBody<'a> {
-    id: String,
-    customer: &'a str,
-    operation: &'a str,
-    run_id: &'a str,
-    deadline_ms: u64,
-    request: &'a RawValue,
-}
-
-#[derive(Serialize)]
-struct CancelBody {
-    id: String,
-}
-
-#[derive(Deserialize)]
-struct SearchAnswer<'a> {
-    start: String,
-    snapshot: Snapshot,
-    map: MapVersion,
-    oldest: Snapshot,
-    newest: Snapshot,
-    #[serde(default)]
-    leaving: bool,
-    #[serde(borrow)]
-    results: &'a RawValue,
-}
-
-#[derive(Deserialize)]
-struct RunAnswer<'a> {
-    start: String,
-    #[serde(default)]
-    leaving: bool,
-    #[serde(borrow)]
-    result: &'a RawValue,
-}
-
-#[derive(Deserialize)]
-#[serde(tag = "code", rename_all = "snake_case")]
-enum RefusalAnswer {
-    WrongSnapshot {
-        oldest: Snapshot,
-        newest: Snapshot,
-        start: Option<String>,
-    },
-    WrongMap {
-        map: MapVersion,
-        start: Option<String>,
-    },
-    Shed {
-        retry_after_ms: Option<u32>,
-        start: Option<String>,
-    },
-    Leaving {},
-}
-
 /// Calls upstreams.
 pub(crate) struct Upstreams {
     sender: SyncSender<UpstreamCall>,
@@ -319,188 +252,3 @@
         }
     }
 }
-
-impl UpstreamCall {
-    fn path(&self) -> &'static str {
-        match self.kind {
-            CallKind::Search { .. } => "/search",
-            CallKind::Run { .. } => "/run",
-            CallKind::Cancel => "/cancel",
-        }
-    }
-
-    fn body(&self, deadline_ms: u64) -> Vec<u8> {
-        let id = self.id.to_string();
-        let body = match &self.kind {
-            CallKind::Search {
-                customer,
-                search,
-                shard,
-                snapshot,
-                map,
-                query,
-            } => serde_json::to_vec(&SearchBody {
-                id,
-                customer,
-                search,
-                shard,
-                snapshot: *snapshot,
-                map: *map,
-                deadline_ms,
-                query: raw(query),
-            }),
-            CallKind::Run {
-                customer,
-                operation,
-                run_id,
-                request,
-            } => serde_json::to_vec(&RunBody {
-                id,
-                customer,
-                operation,
-                run_id,
-                deadline_ms,
-                request: raw(request),
-            }),
-            CallKind::Cancel => serde_json::to_vec(&CancelBody { id }),
-        };
-        body.expect("calls can be represented in JSON")
-    }
-}
-
-/// Returns the JSON that the callers' port checked, or `null` if another instance sent something
-/// else.
-fn raw(bytes: &[u8]) -> &RawValue {
-    serde_json::from_slice(bytes).unwrap_or(RawValue::NULL)
-}
-
-/// Reads an answer to work that ran.
-fn answered(call: &UpstreamCall, body: &[u8], served_ms: u32) -> CallEnded {
-    match &call.kind {
-        CallKind::Search { .. } => search_answered(call.id, body, served_ms),
-        CallKind::Run { .. } => run_answered(call.id, body, served_ms),
-        CallKind::Cancel => failed(call.id, Ended::Cancelled, served_ms),
-    }
-}
-
-fn search_answered(id: SubId, body: &[u8], served_ms: u32) -> CallEnded {
-    let Ok(answer) = serde_json::from_slice::<SearchAnswer<'_>>(body) else {
-        return failed(id, Ended::Failed, served_ms);
-    };
-    if serde_json::from_str::<Vec<&RawValue>>(answer.results.get()).is_err() {
-        return failed(id, Ended::Failed, served_ms);
-    }
-    let serves = SnapshotRange {
-        oldest: answer.oldest,
-        newest: answer.newest,
-    };
-    CallEnded {
-        id,
-        ended: Ended::Answered {
-            served_ms,
-            start: start_id(Some(&answer.start)),
-            leaving: answer.leaving,
-        },
-        outcome: SubOutcome::Answered {
-            snapshot: answer.snapshot,
-            map: answer.map,
-            serves,
-            body: answer.results.get().as_bytes().to_vec(),
-        },
-        served_ms,
-    }
-}
-
-fn run_answered(id: SubId, body: &[u8], served_ms: u32) -> CallEnded {
-    let Ok(answer) = serde_json::from_slice::<RunAnswer<'_>>(body) else {
-        return failed(id, Ended::Failed, served_ms);
-    };
-    CallEnded {
-        id,
-        ended: Ended::Answered {
-            served_ms,
-            start: start_id(Some(&answer.start)),
-            leaving: answer.leaving,
-        },
-        outcome: SubOutcome::Answered {
-            snapshot: Snapshot::default(),
-            map: MapVersion::default(),
-            serves: SnapshotRange::default(),
-            body: answer.result.get().as_bytes().to_vec(),
-        },
-        served_ms,
-    }
-}
-
-/// Reads an answer that says that the work did not run. A refusal in another form says nothing.
-fn refused(call: &UpstreamCall, body: &[u8], served_ms: u32) -> CallEnded {
-    let id = call.id;
-    let answered = |start: Option<String>| Ended::Answered {
-        served_ms,
-        start: start_id(start.as_deref()),
-        leaving: false,
-    };
-    match serde_json::from_slice::<RefusalAnswer>(body) {
-        Ok(RefusalAnswer::WrongSnapshot {
-            oldest,
-            newest,
-            start,
-        }) => CallEnded {
-            id,
-            ended: answered(start),
-            outcome: SubOutcome::WrongSnapshot {
-                serves: SnapshotRange { oldest, newest },
-            },
-            served_ms,
-        },
-        Ok(RefusalAnswer::WrongMap { map, start }) => CallEnded {
-            id,
-            ended: answered(start),
-            outcome: SubOutcome::WrongMap { map },
-            served_ms,
-        },
-        Ok(RefusalAnswer::Shed {
-            retry_after_ms,
-            start,
-        }) => {
-            let retry_after_ms = retry_after_ms.unwrap_or(SHED_RETRY_MS);
-            let start = start_id(start.as_deref());
-            let ended = Ended::Shed {
-                retry_after_ms,
-                start,
-            };
-            not_run(id, ended, Reason::Shed, retry_after_ms)
-        }
-        Ok(RefusalAnswer::Leaving {}) => {
-            not_run(id, Ended::Leaving, Reason::Leaving, SHED_RETRY_MS)
-        }
-        Err(_) => failed(id, Ended::Failed, served_ms),
-    }
-}
-
-fn not_run(id: SubId, ended: Ended, reason: Reason, retry_after_ms: u32) -> CallEnded {
-    let refusal = Refusal {
-        reason,
-        retry_after_ms,
-    };
-    CallEnded {
-        id,
-        ended,
-        outcome: SubOutcome::NotRun(refusal),
-        served_ms: 0,
-    }
-}
-
-fn failed(id: SubId, ended: Ended, served_ms: u32) -> CallEnded {
-    CallEnded {
-        id,
-        ended,
-        outcome: SubOutcome::Failed,
-        served_ms,
-    }
-}
-
-/// Reads the id of an upstream's start, which is hexadecimal.
-fn start_id(text: Option<&str>) -> Option<StartId> {
-    u64::from_str_radix(text?, 16).ok().map(StartId)
-}
