Suspect a restart when an exchange breaks off

Cause: an upstream that restarted without warning while one request was in flight got a second one in its cold start. The failure counted 2 votes of a window of 6, so the limit stayed until the first answer showed the new start.

Ruled out: taking any failure for a sign, which would let one customer's failing queries take slots from others (a test holds that).

Change: an exchange that breaks off without an answer limits the upstream to what it can bear cold until an answer shows the same start.

--- a/hemlockrouter-lab/src/experiment/dispatch.rs
+++ b/hemlockrouter-lab/src/experiment/dispatch.rs
@@ -216,7 +216,8 @@
             (ended, not_run(Reason::Shed, retry_after_ms))
         }
         End::Cancelled => (Ended::Cancelled, SubOutcome::Failed),
-        End::Failed | End::Broken => (Ended::Failed, SubOutcome::Failed),
+        End::Failed => (Ended::Failed, SubOutcome::Failed),
+        End::Broken => (Ended::Broken, SubOutcome::Failed),
         End::Unreachable => (Ended::Unreachable, not_run(Reason::Unreachable, RETRY_MS)),
     }
 }
--- a/hemlockrouter-lab/tests/experiment.rs
+++ b/hemlockrouter-lab/tests/experiment.rs
@@ -127,7 +127,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED: one broken exchange does not lower the limit"]
 fn cold_bound_after_restarts() {
     for deployment in Deployment::ALL {
         for seed in SEEDS {
--- a/hemlockrouter-limit/src/upstream.rs
+++ b/hemlockrouter-limit/src/upstream.rs
@@ -267,6 +267,7 @@
             }
             Ended::Unreachable => self.observe_unreachable(now, config, out),
             Ended::TimedOut | Ended::Failed => self.observe_failure(now, flight, config, out),
+            Ended::Broken => self.observe_broken(now, flight, config, out),
             Ended::Cancelled => self.observe_cancelled(now, flight, config, out),
             Ended::NotSent => {}
         }
@@ -417,6 +418,23 @@
         self.record(change, "failures", out);
     }
 
+    /// Takes in an exchange that broke off. The upstream is suspected of a restart until an answer
+    /// shows the same start: one customer's queries that break exchanges cost the others slots for
+    /// a moment, and the other way round a cold upstream would get more than it can bear.
+    fn observe_broken(
+        &mut self,
+        now: Time,
+        flight: Flight,
+        config: &Config,
+        out: &mut Vec<Command>,
+    ) {
+        self.observe_failure(now, flight, config, out);
+        if !self.ramp.is_cold() && self.suspect_since.is_none() {
+            self.suspect_since = Some(now);
+            self.record_limit("an exchange broke off", out);
+        }
+    }
+
     /// A request that was cancelled when it was late already counts as a late answer.
     fn observe_cancelled(
         &mut self,
--- a/hemlockrouter-limit/src/work.rs
+++ b/hemlockrouter-limit/src/work.rs
@@ -44,7 +44,9 @@
     Unreachable,
     /// No answer came in time.
     TimedOut,
-    /// The upstream failed, or its answer was lost.
+    /// The connection broke off without an answer: the upstream may have restarted.
+    Broken,
+    /// The upstream failed.
     Failed,
     /// The work was not sent, because the lease had run out.
     NotSent,
--- a/hemlockrouter-limit/tests/limit/limiter.rs
+++ b/hemlockrouter-limit/tests/limit/limiter.rs
@@ -140,6 +140,21 @@
     }
 }
 
+#[test]
+fn broken_exchange_lowers_the_limit_until_an_answer_shows_the_same_start() {
+    let mut out = Vec::new();
+    let (mut limiter, now, last) = warm(&mut out);
+    let broken = last + 1;
+    offer_all(&mut limiter, now, broken..=broken, &mut out);
+    limiter.finish(now + 5, id(broken), Ended::Broken, &mut out);
+    let status = limiter.status(upstream(0)).unwrap();
+    assert_eq!((status.limit, status.cold), (3, false));
+    let next = broken + 1;
+    offer_all(&mut limiter, now + 6, next..=next, &mut out);
+    limiter.finish(now + 11, id(next), answered(5, 1), &mut out);
+    assert_eq!(limiter.status(upstream(0)).unwrap().limit, 8);
+}
+
 #[test]
 fn withdrawn_customer_leaves_its_slot_to_another() {
     let mut out = Vec::new();
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -371,6 +371,7 @@
         Ended::Leaving => "leaving",
         Ended::Unreachable => "unreachable",
         Ended::TimedOut => "timed_out",
+        Ended::Broken => "broken",
         Ended::Failed => "failed",
         Ended::NotSent => "not_sent",
         Ended::Cancelled => "cancelled",
--- a/src/outbound/upstreams/mod.rs
+++ b/src/outbound/upstreams/mod.rs
@@ -248,7 +248,7 @@
                 not_run(call.id, Ended::Unreachable, Reason::Unreachable, 0)
             }
             Err(ureq::Error::Timeout(_)) => failed(call.id, Ended::TimedOut, served_ms),
-            Err(_) => failed(call.id, Ended::Failed, served_ms),
+            Err(_) => failed(call.id, Ended::Broken, served_ms),
         }
     }
 }
