route: cap hedge delays by the own zone's median

Cause: a hedge waits at most four medians of the search. That median contains the way to other zones, so with a part of the work far away the cap was 100 ms where the work takes 12 ms.

Change: the cap rests on the recent median of the own zone's upstreams. For an upstream of another zone its own median replaces one of the four, which allows for the way there.

--- a/hemlockrouter-route/src/choose.rs
+++ b/hemlockrouter-route/src/choose.rs
@@ -305,6 +305,11 @@
         (latency.samples() >= samples).then(|| latency.high_ms())?
     }
 
+    /// Returns the median of the latencies of `key` in milliseconds, if it answered.
+    pub(crate) fn median_ms(&self, key: UpstreamKey) -> Option<u64> {
+        self.get(key)?.latency.median_ms()
+    }
+
     /// Returns how many sub-requests of this instance are at `key`.
     pub(crate) fn in_flight(&self, key: UpstreamKey) -> u32 {
         self.get(key).map_or(0, |state| state.in_flight)
--- a/hemlockrouter-route/src/search.rs
+++ b/hemlockrouter-route/src/search.rs
@@ -295,8 +295,9 @@
         if plan.parts[usize::from(sub.shard.0)].progress != Progress::Open {
             return;
         }
-        self.delays
-            .record(now, plan.query.search, now.since(sub.sent_at));
+        let near = self.upstreams.is_near(sub.upstream);
+        let took_ms = now.since(sub.sent_at);
+        self.delays.record(now, plan.query.search, near, took_ms);
         plan.tally.hedges_won += u32::from(sub.hedge);
         plan.hold(sub.shard, answer);
         self.cancel_part(now, plan, sub.shard, out);
--- a/hemlockrouter-route/src/search/hedge.rs
+++ b/hemlockrouter-route/src/search/hedge.rs
@@ -32,7 +32,15 @@
 pub(super) struct Delays {
     quantile: f64,
     start_ms: u64,
-    searches: Vec<Option<(SearchKey, Latency)>>,
+    searches: Vec<Option<(SearchKey, Latencies)>>,
+}
+
+/// The latencies of one search.
+#[derive(Debug)]
+struct Latencies {
+    all: Latency,
+    /// Those of the own zone's upstreams.
+    near: Latency,
 }
 
 impl Delays {
@@ -54,48 +62,78 @@
             if self.searches.len() <= slot {
                 self.searches.resize_with(slot + 1, || None);
             }
-            let new = || (key, Latency::new(self.quantile));
+            let new = || {
+                let latencies = Latencies {
+                    all: Latency::new(self.quantile),
+                    near: Latency::new(self.quantile),
+                };
+                (key, latencies)
+            };
             self.searches[slot] = Some(known.unwrap_or_else(new));
         }
     }
 
-    /// Records a latency of `search` that was seen at `now`.
-    pub(super) fn record(&mut self, now: Time, search: SearchKey, latency_ms: u64) {
+    /// Records a latency of `search` that was seen at `now`, of a `near` upstream or another.
+    pub(super) fn record(&mut self, now: Time, search: SearchKey, near: bool, latency_ms: u64) {
         let entry = self
             .searches
             .get_mut(search.slot())
             .and_then(Option::as_mut);
-        if let Some((key, latency)) = entry {
+        if let Some((key, latencies)) = entry {
             if *key == search {
-                latency.record(now, latency_ms);
+                latencies.all.record(now, latency_ms);
+                if near {
+                    latencies.near.record(now, latency_ms);
+                }
             }
         }
     }
 
     /// Returns the median of `search`, in milliseconds.
     pub(super) fn median_ms(&self, search: SearchKey) -> u64 {
-        let latency = self.get(search);
-        latency.and_then(Latency::median_ms).unwrap_or(UNKNOWN_MS)
+        let median_ms = self.get(search).and_then(|known| known.all.median_ms());
+        median_ms.unwrap_or(UNKNOWN_MS)
+    }
+
+    /// Returns the median of `search` at upstreams of the own zone, in milliseconds, if enough of
+    /// them answered.
+    fn near_median_ms(&self, search: SearchKey) -> Option<u64> {
+        let near = &self.get(search)?.near;
+        (near.samples() >= SEARCH_SAMPLES).then(|| near.median_ms())?
     }
 
-    fn get(&self, search: SearchKey) -> Option<&Latency> {
-        let (key, latency) = self.searches.get(search.slot())?.as_ref()?;
-        (*key == search).then_some(latency)
+    fn get(&self, search: SearchKey) -> Option<&Latencies> {
+        let (key, latencies) = self.searches.get(search.slot())?.as_ref()?;
+        (*key == search).then_some(latencies)
     }
 }
 
 impl Searcher {
     /// Returns how long a sub-request may take before it counts as a straggler, in milliseconds.
     pub(super) fn hedge_delay_ms(&self, search: SearchKey, upstream: UpstreamKey) -> u64 {
-        let of_search = self.delays.get(search);
+        let of_search = self.delays.get(search).map(|known| &known.all);
         let of_search = of_search.filter(|latency| latency.samples() >= SEARCH_SAMPLES);
         let own_ms = self.upstreams.high_ms(upstream, UPSTREAM_SAMPLES);
         let high_ms = own_ms.or_else(|| of_search?.high_ms());
         let Some(high_ms) = high_ms else {
             return self.delays.start_ms;
         };
-        let most_ms = MAX_MEDIANS * self.delays.median_ms(search).max(1);
-        high_ms.min(most_ms) + 1
+        high_ms.min(self.most_ms(search, upstream)) + 1
+    }
+
+    /// Returns the longest delay before a hedge, in milliseconds. It rests on the median of the own
+    /// zone: that of all upstreams contains the way to other zones, which is no work. What an upstream
+    /// of another zone takes longer by its median is allowed for.
+    fn most_ms(&self, search: SearchKey, upstream: UpstreamKey) -> u64 {
+        let Some(near_ms) = self.delays.near_median_ms(search) else {
+            return MAX_MEDIANS * self.delays.median_ms(search).max(1);
+        };
+        let near_ms = near_ms.max(1);
+        let own_ms = match self.upstreams.is_near(upstream) {
+            true => near_ms,
+            false => self.upstreams.median_ms(upstream).unwrap_or(near_ms),
+        };
+        (MAX_MEDIANS - 1) * near_ms + own_ms.max(near_ms)
     }
 
     /// Hedges the sub-requests `seqs`, as far as the budget reaches.
--- a/hemlockrouter-route/tests/search_measures.rs
+++ b/hemlockrouter-route/tests/search_measures.rs
@@ -100,6 +100,7 @@
 
 #[test]
 fn stragglers_after_a_cold_start() {
+    after_a_cold_start(4_000);
     after_a_cold_start(8_000);
 }
 
