route: take the round trip off the deadline that an owner gets

Cause: the owner counts what is left from its receipt, and nothing left time for the way back. In overload it works first on what is due first, so what it finished for far entries came back late.

Change: the least round trip of the current and the last 5 s is learned for each upstream from served replies: arrival less sending, queued_ms and served_ms. It is taken off the deadline of SearchCommand::Send and RunCommand::Dispatch, to not less than 1 ms of work.

--- a/hemlockrouter-route/src/choose.rs
+++ b/hemlockrouter-route/src/choose.rs
@@ -8,10 +8,12 @@
 //! mislead. What counts is how they answered this instance.
 
 use hemlockrouter_types::prelude::*;
+use hemlockrouter_wire::SubReply;
 use rand::rngs::StdRng;
 use rand::RngExt;
 
 use crate::latency::Latency;
+use crate::round_trip::RoundTrip;
 
 /// The latency that is assumed of an upstream that has not answered yet, in milliseconds.
 const UNKNOWN_MS: u64 = 10;
@@ -43,6 +45,7 @@
     in_service: bool,
     in_flight: u32,
     latency: Latency,
+    round_trip: RoundTrip,
     busy_since: Time,
     asked_at: Time,
     /// Until when nothing is sent to it.
@@ -162,6 +165,34 @@
         }
     }
 
+    /// Learns the way to the owner of `key` and back from `reply` to what was sent at `sent_at`.
+    pub(crate) fn learn_round_trip(
+        &mut self,
+        now: Time,
+        key: UpstreamKey,
+        sent_at: Time,
+        reply: &SubReply,
+    ) {
+        // What the upstream did not serve may have been refused on the way, by this instance even.
+        if reply.served_ms == 0 {
+            return;
+        }
+        let there_ms = u64::from(reply.queued_ms) + u64::from(reply.served_ms);
+        let way_ms = now.since(sent_at).saturating_sub(there_ms);
+        if let Some(state) = self.get_mut(key) {
+            state.round_trip.record(now, way_ms);
+        }
+    }
+
+    /// Returns the deadline to send to the owner of `key` for an answer that must be back at
+    /// `back_at`. The owner counts what is left from when it receives it, so the way there is taken
+    /// off as well as the way back. At least 1 ms of work is left.
+    pub(crate) fn deadline_at_owner(&self, now: Time, key: UpstreamKey, back_at: Time) -> Time {
+        let way_ms = self.get(key).map_or(0, |state| state.round_trip.least_ms());
+        let most_ms = back_at.left(now).saturating_sub(1);
+        back_at.before(way_ms.min(most_ms))
+    }
+
     /// Notes that a sub-request to `key` was cancelled. It took at least as long as it was waited
     /// for, which must count: else an upstream that always loses against hedges looks fast.
     pub(crate) fn cancelled(&mut self, now: Time, key: UpstreamKey, sent_at: Time) {
@@ -325,6 +356,7 @@
             in_service: false,
             in_flight: 0,
             latency: Latency::new(high_quantile),
+            round_trip: RoundTrip::default(),
             busy_since: Time::ZERO,
             asked_at: Time::ZERO,
             barred_until: Time::ZERO,
--- a/hemlockrouter-route/src/lib.rs
+++ b/hemlockrouter-route/src/lib.rs
@@ -43,6 +43,7 @@
 //! - [`run`]: requests that must not be repeated: [`Runner`], its events and commands.
 //! - `choose`: which replica, shared by both.
 //! - `latency`: what an upstream's recent latencies were.
+//! - `round_trip`: how long the way to an owner and back takes.
 //! - `timer`: when something is due.
 //! - `budget`: how much extra load may be placed on upstreams.
 //!
@@ -51,6 +52,7 @@
 mod budget;
 mod choose;
 mod latency;
+mod round_trip;
 pub mod run;
 pub mod search;
 mod timer;
--- a/hemlockrouter-route/src/run.rs
+++ b/hemlockrouter-route/src/run.rs
@@ -255,6 +255,8 @@
             self.late_replies += 1;
             return;
         };
+        self.upstreams
+            .learn_round_trip(now, sub.upstream, sub.sent_at, &reply);
         self.take_outcome(now, sub, reply.outcome, out);
     }
 
--- a/hemlockrouter-route/src/run/dispatch.rs
+++ b/hemlockrouter-route/src/run/dispatch.rs
@@ -113,7 +113,9 @@
             upstream: target.upstream,
             run_id: self.run_id(name),
             config: self.catalog.number,
-            deadline: target.deadline,
+            deadline: self
+                .upstreams
+                .deadline_at_owner(now, target.upstream, target.deadline),
         });
     }
 
--- a/hemlockrouter-route/src/run/event.rs
+++ b/hemlockrouter-route/src/run/event.rs
@@ -75,7 +75,7 @@
         run_id: String,
         /// The configuration that the keys belong to.
         config: ConfigNumber,
-        /// When its reply must be back here.
+        /// When the owner must be done: its reply is due here a round trip to it later.
         deadline: Time,
     },
     /// Answer a caller of this instance.
--- a/hemlockrouter-route/src/search.rs
+++ b/hemlockrouter-route/src/search.rs
@@ -156,6 +156,8 @@
             self.late_replies += 1;
             return;
         };
+        self.upstreams
+            .learn_round_trip(now, sub.upstream, sub.sent_at, &reply);
         let mut plan = self
             .plans
             .remove(&sub.query)
--- a/hemlockrouter-route/src/search/dispatch.rs
+++ b/hemlockrouter-route/src/search/dispatch.rs
@@ -145,7 +145,9 @@
             snapshot: plan.snapshot,
             map: plan.map,
             config: plan.catalog.number,
-            deadline: plan.answer_at,
+            deadline: self
+                .upstreams
+                .deadline_at_owner(now, upstream, plan.answer_at),
         });
     }
 
--- a/hemlockrouter-route/src/search/event.rs
+++ b/hemlockrouter-route/src/search/event.rs
@@ -36,7 +36,7 @@
         map: MapVersion,
         /// The configuration that the keys belong to.
         config: ConfigNumber,
-        /// When the answer must be back here.
+        /// When the owner must be done: the answer is due here a round trip to it later.
         deadline: Time,
     },
     /// Cancel a sub-request that is not waited for any more.
