--- a/hemlockrouter-route/src/search.rs
+++ b/hemlockrouter-route/src/search.rs
@@ -156,6 +156,8 @@
             self.late_replies += 1;
             return;
         };
+        self.upstreams
+            .learn_round_trip(now, sub.upstream, sub.sent_at, &reply);
         let mut plan = self
             .plans
             .remove(&sub.query)
@@ -295,8 +297,9 @@
         if plan.parts[usize::from(sub.shard.0)].progress != Progress::Open {
             return;
         }
-        self.delays
-            .record(plan.query.search, now.since(sub.sent_at));
+        let near = self.upstreams.is_near(sub.upstream);
+        let took_ms = now.since(sub.sent_at);
+        self.delays.record(now, plan.query.search, near, took_ms);
         plan.tally.hedges_won += u32::from(sub.hedge);
         plan.hold(sub.shard, answer);
         self.cancel_part(now, plan, sub.shard, out);
