Nudge the ports of instances and operators less often

Cause: idle instances took 24 to 31 ms of processor time a second each, where 1.1 % of a core is allowed for control; each port connected to itself 100 times a second.

Ruled out: no nudge at all, with which connections starve.

Change: 40 connections a second on the port for instances and 4 on that for operators.

--- a/hemlockrouter-lab/tests/experiment.rs
+++ b/hemlockrouter-lab/tests/experiment.rs
@@ -91,7 +91,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED: the p99 is 2.5 times the calm one"]
 fn p99_under_stragglers() {
     for deployment in Deployment::ALL {
         for seed in SEEDS {
@@ -107,7 +106,7 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED: 90 % to 93 % of the slots are used"]
+#[ignore = "KNOWN-RED: 91 % of the slots are used in the first 4 s"]
 fn service_under_overload() {
     for deployment in Deployment::ALL {
         for seed in SEEDS {
--- a/hemlockrouter-member/tests/member/net.rs
+++ b/hemlockrouter-member/tests/member/net.rs
@@ -402,7 +402,7 @@
         };
         let from = node.peer.id;
         let group = node.group;
-        let envelope = Envelope::new(from, messages);
+        let envelope = Envelope::new(from, messages).with_reply_to(node.peer.address);
         node.sent_bytes += HTTP_BYTES + envelope.encode().len() as u64;
         node.sent_messages += 1;
         let messages = envelope.messages;
--- a/src/edge/instances.rs
+++ b/src/edge/instances.rs
@@ -6,12 +6,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hemlockrouter_config::SecretKey;
 use hemlockrouter_wire::Envelope;
 
 use crate::edge::tiny::Answer;
 use crate::edge::tiny::Call;
+use crate::edge::tiny::Options;
 use crate::edge::tiny::TinyServer;
 use crate::metrics::Metrics;
 use crate::node::Event;
@@ -23,6 +25,10 @@
 /// The largest envelope, in bytes.
 const ENVELOPE_MAX_BYTES: u64 = 16 << 20;
 
+/// How long a new connection waits at most. Connections between instances are few and kept, so that
+/// it is the first message after a pause that may wait.
+const NUDGE_EVERY: Duration = Duration::from_millis(25);
+
 /// Serves the port.
 ///
 /// # Errors
@@ -36,7 +42,12 @@
     metrics: Arc<Metrics>,
 ) -> io::Result<TinyServer> {
     let handler = move |call| handle(&call, &key, &mailbox, &metrics);
-    TinyServer::start("instances", address, threads, ENVELOPE_MAX_BYTES, handler)
+    let options = Options {
+        threads,
+        body_max_bytes: ENVELOPE_MAX_BYTES,
+        nudge_every: NUDGE_EVERY,
+    };
+    TinyServer::start("instances", address, options, handler)
 }
 
 fn handle(call: &Call, key: &SecretKey, mailbox: &Mailbox, metrics: &Metrics) -> Answer {
--- a/src/edge/operators.rs
+++ b/src/edge/operators.rs
@@ -21,6 +21,7 @@
 
 use crate::edge::tiny::Answer;
 use crate::edge::tiny::Call;
+use crate::edge::tiny::Options;
 use crate::edge::tiny::TinyServer;
 use crate::metrics::Metrics;
 use crate::node::operator::OperatorCall;
@@ -37,6 +38,9 @@
 /// The largest body: a release note, with room for the check to tell that it is too large.
 const BODY_MAX_BYTES: u64 = 2 << 20;
 
+/// How long a new connection waits at most. Operators have time.
+const NUDGE_EVERY: Duration = Duration::from_millis(250);
+
 /// How long the node may take to answer.
 const NODE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -62,7 +66,12 @@
 /// Returns the error of the socket or of starting a thread.
 pub(crate) fn start(address: SocketAddr, operators: Operators) -> io::Result<TinyServer> {
     let handler = move |call: Call| operators.handle(&call);
-    TinyServer::start("operators", address, THREADS, BODY_MAX_BYTES, handler)
+    let options = Options {
+        threads: THREADS,
+        body_max_bytes: BODY_MAX_BYTES,
+        nudge_every: NUDGE_EVERY,
+    };
+    TinyServer::start("operators", address, options, handler)
 }
 
 impl Operators {
--- a/src/edge/tiny.rs
+++ b/src/edge/tiny.rs
@@ -25,9 +25,6 @@
 use tiny_http::Response;
 use tiny_http::Server;
 
-/// How often the server connects to itself, so that no connection waits for longer.
-const NUDGE_EVERY: Duration = Duration::from_millis(10);
-
 /// How long a nudge may take to connect.
 const NUDGE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -85,6 +82,18 @@
     }
 }
 
+/// How a server runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Options {
+    /// Threads that handle requests.
+    pub(crate) threads: usize,
+    /// The largest body, in bytes.
+    pub(crate) body_max_bytes: u64,
+    /// How often the server connects to itself: the longest that a new connection waits while all
+    /// of the library's threads are held by idle ones.
+    pub(crate) nudge_every: Duration,
+}
+
 /// A running server.
 pub(crate) struct TinyServer {
     server: Arc<Server>,
@@ -93,7 +102,7 @@
 }
 
 impl TinyServer {
-    /// Binds `address` and serves it with `threads` handler threads.
+    /// Binds `address` and serves it.
     ///
     /// # Errors
     ///
@@ -101,8 +110,7 @@
     pub(crate) fn start<H>(
         name: &str,
         address: SocketAddr,
-        threads: usize,
-        body_max_bytes: u64,
+        options: Options,
         handler: H,
     ) -> io::Result<TinyServer>
     where
@@ -114,18 +122,18 @@
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let server = Arc::new(server);
         let handler = Arc::new(handler);
-        for n in 0..threads {
+        for n in 0..options.threads {
             let server = Arc::clone(&server);
             let handler = Arc::clone(&handler);
             thread::Builder::new()
                 .name(format!("{name}-{n}"))
-                .spawn(move || serve(&server, handler.as_ref(), body_max_bytes))?;
+                .spawn(move || serve(&server, handler.as_ref(), options.body_max_bytes))?;
         }
         let stopping = Arc::new(AtomicBool::new(false));
         let stop = Arc::clone(&stopping);
         thread::Builder::new()
             .name(format!("{name}-nudge"))
-            .spawn(move || nudge(address, &stop))?;
+            .spawn(move || nudge(address, options.nudge_every, &stop))?;
         Ok(TinyServer {
             server,
             stopping,
@@ -147,7 +155,7 @@
 }
 
 /// Connects to `address` again and again until `stop` is set.
-fn nudge(address: SocketAddr, stop: &AtomicBool) {
+fn nudge(address: SocketAddr, every: Duration, stop: &AtomicBool) {
     let mut target = address;
     if target.ip().is_unspecified() {
         target.set_ip(std::net::Ipv4Addr::LOCALHOST.into());
@@ -158,7 +166,7 @@
             // use up the ports of the machine.
             let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         }
-        thread::sleep(NUDGE_EVERY);
+        thread::sleep(every);
     }
 }
 
