member: say in every message whether the sender is established

Cause: nine idle instances were started on loopback, and four upstreams had no owner for 91 s: their highest-ranked member asked for them, and the holder refused it as not established. The rumour of it is told a few times, and in a zone of three all of them had gone elsewhere; digests repair it only when the one that missed it happens to compare its own zone.

Ruled out: lost asks, since the hand-over came with the first ask after a probe that carried the rumour; ranks, on which both agreed.

Change: a message of membership says whether its sender counts in quorums.

Figures: the new test, without rumours and digests, failed before and passes; the fuzz test passes.

--- a/hemlockrouter-member/src/membership/mod.rs
+++ b/hemlockrouter-member/src/membership/mod.rs
@@ -174,6 +174,9 @@
         for rumour in &message.rumours {
             self.learn(now, rumour, is_fresh);
         }
+        if message.is_established {
+            self.table.confirm_established(from);
+        }
         if message.kind == MemberKind::Table {
             self.adopt(now, from, &message.rumours);
         }
@@ -307,6 +310,7 @@
     fn message(&self, kind: MemberKind, rumours: Vec<Rumour>) -> Message {
         Message::Member(MemberMessage {
             config: self.number,
+            is_established: self.is_established(),
             rumours,
             kind,
         })
--- a/hemlockrouter-member/src/membership/table.rs
+++ b/hemlockrouter-member/src/membership/table.rs
@@ -211,6 +211,13 @@
         self.touch(&zone);
     }
 
+    /// Notes that an instance says itself that it counts in quorums.
+    pub(crate) fn confirm_established(&mut self, id: InstanceId) {
+        if self.get(id).is_some_and(|entry| !entry.established) {
+            self.set_established(id, true);
+        }
+    }
+
     /// Sets whether an instance counts in quorums.
     pub(crate) fn set_established(&mut self, id: InstanceId, established: bool) {
         let Some(entry) = self.entries.get_mut(&id) else {
--- a/hemlockrouter-member/tests/member/net.rs
+++ b/hemlockrouter-member/tests/member/net.rs
@@ -245,6 +245,7 @@
 
     fn tell(&mut self, node: usize, from: InstanceId, kind: MemberKind, rumours: Vec<Rumour>) {
         let message = MemberMessage {
+            is_established: true,
             config: ConfigNumber(0),
             rumours,
             kind,
@@ -266,6 +267,7 @@
                 continue;
             }
             let message = MemberMessage {
+                is_established: true,
                 config: ConfigNumber(1),
                 rumours: rumours.clone(),
                 kind: MemberKind::Introduced,
--- a/hemlockrouter-member/tests/member/scenario.rs
+++ b/hemlockrouter-member/tests/member/scenario.rs
@@ -29,6 +29,26 @@
     assert!(all_owned(&net));
 }
 
+/// Members that no rumour reaches agree on who owns what all the same. Rumours are told a few times
+/// only, and in a small zone all of them can go elsewhere.
+#[test]
+fn lost_rumours_leave_no_owner_refused() {
+    let config = Config::default()
+        .rumours_per_message(0)
+        .compare_every_ms(600_000);
+    let mut net = Net::new(config, 1, 12, 1);
+    for address in 0..3 {
+        net.start(0, address, &[0, 1, 2]);
+    }
+    net.run(WELL_MS);
+    for upstream in net.upstreams() {
+        let holder = net.holder(upstream).map(|node| net.nodes[node].peer.id);
+        for node in &net.nodes {
+            assert_eq!(node.member.owner_of(upstream), holder, "{upstream}");
+        }
+    }
+}
+
 /// Two newcomers that know nobody and are not on the list yet must not take themselves for the only
 /// ones, although all seeds refuse connections.
 #[test]
--- a/hemlockrouter-wire/src/member.rs
+++ b/hemlockrouter-wire/src/member.rs
@@ -12,6 +12,9 @@
 pub struct MemberMessage {
     /// The last release note that the sender has in force.
     pub config: ConfigNumber,
+    /// Whether the sender counts in the quorums of its zone. Rumours say it too, but are told a few
+    /// times only; who misses them all would refuse the sender what it ranks first for.
+    pub is_established: bool,
     /// News about instances.
     pub rumours: Vec<Rumour>,
     /// What is asked or answered.
