Call an instance ready once its zone counts on it; let owners refuse runs in time

Cause: a rolling restart that waited for readiness restarted all four instances of two zones within 7 s, less than a lease, so that both zones were without owners for 3 s; of the runs that owners could only refuse, four were refused at their deadline, after the entry had answered that they may have run.

Ruled out: replies lost on the way to new instances, which are delivered since envelopes carry an address; work cut off, of which there was none.

Change: readiness waits until the instance is established, at most 30 s. The owner of a run gets nine tenths of what is left, so that its refusal is back in time.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -110,7 +110,7 @@
         let id = InstanceId::random();
         let clock = Clock::new();
         let (mailbox, events) = Mailbox::new(id);
-        let shared = Arc::new(Shared::default());
+        let shared = Arc::new(Shared::new());
         let metrics = Arc::new(Metrics::new());
         let mut stakker = Stakker::new(Instant::now());
 
--- a/src/node/control/mod.rs
+++ b/src/node/control/mod.rs
@@ -208,6 +208,9 @@
                 self.execute_one(now, command);
             }
         }
+        if self.parts.member.is_established() {
+            self.parts.shared.set_joined();
+        }
         let needs_list = self.parts.member.needs_list();
         self.parts.shared.set_needs_list(needs_list);
         if let Some(at) = self.parts.member.next_wake() {
--- a/src/node/entry/execute.rs
+++ b/src/node/entry/execute.rs
@@ -30,6 +30,9 @@
 /// When to come back after a sub-request was not sent since nobody waits for it, in milliseconds.
 const NOT_SENT_RETRY_MS: u32 = 1_000;
 
+/// The part of what is left until a run's deadline that the owner does not get.
+const OWNER_MARGIN: u32 = 10;
+
 impl Entry {
     /// Carries out what was decided.
     pub(super) fn execute(&mut self, cx: CX![], now: Time) {
@@ -135,7 +138,7 @@
                     operation: work.operation,
                     upstream,
                     run_id,
-                    deadline_in_ms: left_ms(deadline, now),
+                    deadline_in_ms: owner_left_ms(left_ms(deadline, now)),
                     body: work.body.to_vec(),
                 };
                 call!([self.control], run(sub));
@@ -229,3 +232,9 @@
 fn left_ms(deadline: Time, now: Time) -> u32 {
     u32::try_from(deadline.left(now)).unwrap_or(u32::MAX)
 }
+
+/// Returns how much of what is left the owner gets. Its refusal of a request that waited in vain must
+/// be back before the caller is answered: without it the request may have run.
+fn owner_left_ms(left_ms: u32) -> u32 {
+    left_ms - left_ms / OWNER_MARGIN
+}
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use hemlockrouter_member::Member;
 use hemlockrouter_types::prelude::*;
@@ -11,12 +13,17 @@
 
 use crate::edge::tiny::Answer;
 
+/// How long an instance waits to join before it calls itself ready without.
+const JOIN_WAIT: Duration = Duration::from_secs(30);
+
 /// What the ports' threads read without asking the node.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Shared {
+    started_at: Instant,
     config: AtomicU64,
     leaving: AtomicBool,
     needs_list: AtomicBool,
+    joined: AtomicBool,
     store_up: AtomicBool,
     callers_closed: AtomicBool,
     left: AtomicBool,
@@ -25,6 +32,27 @@
 }
 
 impl Shared {
+    /// Makes the state of an instance that starts now.
+    pub(crate) fn new() -> Shared {
+        Shared {
+            started_at: Instant::now(),
+            config: AtomicU64::default(),
+            leaving: AtomicBool::default(),
+            needs_list: AtomicBool::default(),
+            joined: AtomicBool::default(),
+            store_up: AtomicBool::default(),
+            callers_closed: AtomicBool::default(),
+            left: AtomicBool::default(),
+            entry_pending: AtomicUsize::default(),
+            owner_pending: AtomicUsize::default(),
+        }
+    }
+
+    /// Notes that the instance counts in the quorums of its zone.
+    pub(crate) fn set_joined(&self) {
+        self.joined.store(true, Ordering::Relaxed);
+    }
+
     /// Notes the configuration in force.
     pub(crate) fn set_config(&self, number: ConfigNumber) {
         self.config.store(number.0, Ordering::Relaxed);
@@ -105,6 +133,12 @@
         if self.config() == ConfigNumber::default() {
             return Some("no configuration: neither the store nor a peer has answered yet");
         }
+        // A rolling restart that goes on earlier would leave a zone without owners. An instance that
+        // can't join serves all the same after a while, through owners in other zones.
+        let is_joining = !self.joined.load(Ordering::Relaxed);
+        if is_joining && self.started_at.elapsed() < JOIN_WAIT {
+            return Some("joining: the instances of the zone do not count on this one yet");
+        }
         None
     }
 }
