--- a/src/edge/instances.rs
+++ b/src/edge/instances.rs
@@ -27,7 +27,7 @@
 
 /// How long a new connection waits at most. Connections between instances are few and kept, so that
 /// it is the first message after a pause that may wait.
-const NUDGE_EVERY: Duration = Duration::from_millis(25);
+const NUDGE_EVERY: Duration = Duration::from_millis(50);
 
 /// Serves the port.
 ///
