--- a/hemlockrouter-limit/src/queue.rs
+++ b/hemlockrouter-limit/src/queue.rs
@@ -1,10 +1,11 @@
 //! The weighted fair queue of one upstream.
 //!
-//! Customers take turns by start-time fair queueing (Goyal, Vin and Cheng, 1996): each dispatch moves
-//! its customer's tag on by the cost of the work divided by its weight, and the customer with the
-//! lowest tag is next. The cost is the time for which the work keeps a slot. It is estimated at the
-//! dispatch and settled at the end, so that a few slow queries weigh as much as many quick ones. Within a customer the earliest deadline goes first. A customer's queue is a
-//! sorted ring: deadlines mostly come in order, so an insert is mostly a push at its end.
+//! Customers take turns by start-time fair queueing (Goyal, Vin and Cheng, 1996): each dispatch
+//! moves its customer's tag on by the cost of the work divided by its weight, and the customer with
+//! the lowest tag is next. The cost is the time for which the work keeps a slot. It is estimated at
+//! the dispatch and settled at the end, so that a few slow queries weigh as much as many quick
+//! ones. Within a customer the earliest deadline goes first. A customer's queue is a sorted ring:
+//! deadlines mostly come in order, so an insert is mostly a push at its end.
 //!
 //! Waiting times are estimated from the customer's own queue and own dispatches alone, so that what
 //! it is told says nothing of others.
