Copy a search batch once for each owner; make one refusal serve both sides

Cause: read-through. And the refusal of a sub-request stood twice, at the sender and at the owner, with the same time to come back.

Ruled out: sharing more of the reading of upstreams' answers, where searches and runs differ in every field but three.

Change: the sub-requests are taken out of the batch first; one function makes the refusal. Behaviour stays.

--- a/src/node/control/deliver.rs
+++ b/src/node/control/deliver.rs
@@ -19,20 +19,19 @@
 use stakker::CX;
 
 use crate::node::control::Control;
+use crate::node::refusal::refuse;
 use crate::outbound::peers::Lost;
 use crate::outbound::peers::Undeliverable;
 
-/// When to come back after the owner of an upstream could not be reached, in milliseconds.
-const RETRY_MS: u32 = 200;
-
 impl Control {
     /// Sends the sub-requests of a plan to the owners of their upstreams.
-    pub(crate) fn search(&mut self, _: CX![], batch: SearchBatch) {
+    pub(crate) fn search(&mut self, _: CX![], mut batch: SearchBatch) {
         let mut by_owner: BTreeMap<InstanceId, Vec<SearchSub>> = BTreeMap::new();
-        for sub in &batch.subs {
+        // Taken out, so that the copy for each owner does not copy all of them first.
+        for sub in std::mem::take(&mut batch.subs) {
             match self.parts.member.owner_of(sub.upstream) {
-                Some(owner) => by_owner.entry(owner).or_default().push(*sub),
-                None => self.refuse_search(&batch, sub, Reason::NotOwner),
+                Some(owner) => by_owner.entry(owner).or_default().push(sub),
+                None => self.refuse_search(&batch, &sub, Reason::NotOwner),
             }
         }
         for (owner, subs) in by_owner {
@@ -166,10 +165,3 @@
         call!([self.links().entry], reply(reply));
     }
 }
-
-fn refuse(reason: Reason) -> SubOutcome {
-    SubOutcome::NotRun(Refusal {
-        reason,
-        retry_after_ms: RETRY_MS,
-    })
-}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod event;
 pub(crate) mod operator;
 pub(crate) mod owner;
+pub(crate) mod refusal;
 pub(crate) mod shutdown;
 pub(crate) mod status;
 
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -26,6 +26,7 @@
 use crate::metrics::Metrics;
 use crate::node::control::Control;
 use crate::node::operator::OperatorReply;
+use crate::node::refusal::refuse;
 use crate::node::status::Shared;
 use crate::node::status::Status;
 use crate::node::status::UpstreamLimits;
@@ -34,9 +35,6 @@
 use crate::outbound::upstreams::UpstreamCall;
 use crate::outbound::upstreams::Upstreams;
 
-/// When to come back after an instance could not take a sub-request, in milliseconds.
-const RETRY_MS: u32 = 200;
-
 /// The actor that owns upstreams.
 pub(crate) struct Owner {
     clock: Clock,
@@ -378,13 +376,6 @@
     }
 }
 
-fn refuse(reason: Reason) -> SubOutcome {
-    SubOutcome::NotRun(Refusal {
-        reason,
-        retry_after_ms: RETRY_MS,
-    })
-}
-
 fn ms(ms: u64) -> u32 {
     u32::try_from(ms).unwrap_or(u32::MAX)
 }
