--- a/hemlockrouter-cli/src/bin/hemlockd/args.rs
+++ b/hemlockrouter-cli/src/bin/hemlockd/args.rs
@@ -9,10 +9,11 @@
 pub(crate) const HELP: &str = "\
 Runs one instance of the hemlockrouter query tier.
 
-Usage: hemlockd --settings FILE [--check]
+Usage: hemlockd (--settings FILE | --settings-env NAME) [--check]
 
 Options:
   --settings FILE  the settings of this instance, JSON with comments
+  --settings-env NAME  the environment variable that names the settings file
   --check          check the settings and the keys, then exit
   --help           show this text
   --version        show the version
@@ -53,6 +54,7 @@
                 Arg::Long("help") | Arg::Short('h') => return Ok(Args::Help),
                 Arg::Long("version") | Arg::Short('V') => return Ok(Args::Version),
                 Arg::Long("settings") => settings = Some(parser.value()?.string()?),
+                Arg::Long("settings-env") => settings = Some(from_env(&parser.value()?.string()?)?),
                 Arg::Long("check") => check = true,
                 _ => return Err(eyre!("{}; see --help", arg.unexpected())),
             }
@@ -65,3 +67,8 @@
         })
     }
 }
+
+/// Returns the settings file that the environment variable `name` names.
+fn from_env(name: &str) -> eyre::Result<String> {
+    std::env::var(name).map_err(|err| eyre!("--settings-env {name}: {err}"))
+}
--- a/hemlockrouter-cli/src/bin/hemlockd/main.rs
+++ b/hemlockrouter-cli/src/bin/hemlockd/main.rs
@@ -5,12 +5,17 @@
 
 use std::fs;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::thread;
 
 use eyre::WrapErr;
 use hemlockrouter::Ended;
 use hemlockrouter::Instance;
+use hemlockrouter_config::DirectSettings;
+use hemlockrouter_config::Dispatch;
+use hemlockrouter_config::ProtocolName;
 use hemlockrouter_config::Settings;
+use hemlockrouter_corporation::Corporation;
 use log::info;
 use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
@@ -42,28 +47,62 @@
         Args::Run { settings } => (settings, false),
         Args::Check { settings } => (settings, true),
     };
-    let settings = match read_settings(&path) {
-        Ok(settings) => settings,
-        Err(err) => return fail(&err, EXIT_SETTINGS),
-    };
+    match read_settings(&path) {
+        Ok(settings) if check_only => check(&path, &settings),
+        Ok(AnySettings::Owners(settings)) => run_owners(settings),
+        Ok(AnySettings::Direct(settings)) => run_direct(settings),
+        Err(err) => fail(&err, EXIT_SETTINGS),
+    }
+}
+
+/// Settings of either form.
+enum AnySettings {
+    Owners(Box<Settings>),
+    Direct(Box<DirectSettings>),
+}
+
+fn read_settings(path: &str) -> eyre::Result<AnySettings> {
+    let text = fs::read_to_string(path).wrap_err_with(|| format!("can't read {path}"))?;
+    Ok(match Dispatch::of(&text, path)? {
+        Dispatch::Owners => AnySettings::Owners(Box::new(Settings::parse(&text, path)?)),
+        Dispatch::Direct => AnySettings::Direct(Box::new(DirectSettings::parse(&text, path)?)),
+    })
+}
+
+/// Checks what the settings point to.
+fn check(path: &str, settings: &AnySettings) -> ExitCode {
+    if let AnySettings::Owners(settings) = settings {
+        if let Err(err) = settings.load_keys() {
+            return fail(&err.into(), EXIT_SETTINGS);
+        }
+    }
+    println!("{path}: the settings are in order");
+    ExitCode::SUCCESS
+}
+
+/// Runs an instance that dispatches through owners.
+fn run_owners(settings: Box<Settings>) -> ExitCode {
     let keys = match settings.load_keys() {
         Ok(keys) => keys,
         Err(err) => return fail(&err.into(), EXIT_SETTINGS),
     };
-    if check_only {
-        println!("{path}: the settings are in order");
-        return ExitCode::SUCCESS;
-    }
     logging::start(&settings.log);
-    match Instance::start(settings, keys) {
+    match Instance::start(*settings, keys) {
         Ok(instance) => run(instance),
         Err(err) => fail(&err, EXIT_START),
     }
 }
 
-fn read_settings(path: &str) -> eyre::Result<Settings> {
-    let text = fs::read_to_string(path).wrap_err_with(|| format!("can't read {path}"))?;
-    Ok(Settings::parse(&text, path)?)
+/// Runs an instance that dispatches directly.
+fn run_direct(settings: Box<DirectSettings>) -> ExitCode {
+    logging::start(&settings.log);
+    let protocol = match settings.protocol {
+        ProtocolName::Corporation => Rc::new(Corporation),
+    };
+    match hemlockrouter::direct::run(*settings, protocol) {
+        Ok(ended) => exit_code(ended),
+        Err(err) => fail(&err, EXIT_START),
+    }
 }
 
 /// Runs the instance until a signal ends it.
@@ -89,7 +128,11 @@
             }
         }
     });
-    match instance.run() {
+    exit_code(instance.run())
+}
+
+fn exit_code(ended: Ended) -> ExitCode {
+    match ended {
         Ended::Finished => ExitCode::SUCCESS,
         Ended::TimedOut => ExitCode::from(EXIT_TIMED_OUT),
     }
--- /dev/null
+++ b/hemlockrouter-config/src/direct.rs
@@ -0,0 +1,203 @@
+//! The settings of an instance that dispatches directly.
+//!
+//! They stand in a file of their own form: such an instance has no keys, leases or other instances
+//! to talk to, and what it would do with a field of the other form is nobody's guess.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::document::Field;
+use crate::document::Source;
+use crate::document::Table;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::settings::Log;
+
+/// The fields of the settings.
+const FIELDS: &[&str] = &[
+    "dispatch",
+    "protocol",
+    "name",
+    "zone",
+    "zones",
+    "callers_listen",
+    "ready_listen",
+    "metrics_listen",
+    "registry_address",
+    "bounds",
+    "log",
+];
+
+/// The fields of `bounds`.
+const BOUNDS: &[&str] = &[
+    "drain_ms",
+    "shutdown_s",
+    "repeat_ratio",
+    "repeat_window_s",
+    "repeat_allowance",
+    "cold_overage",
+    "cold_slack",
+];
+
+/// How an instance dispatches.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Dispatch {
+    /// Through the one owner of each upstream.
+    Owners,
+    /// To upstreams itself.
+    Direct,
+}
+
+/// What a directly dispatching instance speaks to callers, upstreams and the registry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProtocolName {
+    /// The protocol of the Corporation platform.
+    Corporation,
+}
+
+/// The settings of an instance that dispatches directly.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DirectSettings {
+    /// What it speaks.
+    pub protocol: ProtocolName,
+    /// The name of the instance, unique among all and the same after a restart.
+    pub name: String,
+    /// The availability zone that it runs in.
+    pub zone: String,
+    /// The region of each availability zone.
+    pub zones: BTreeMap<String, String>,
+    /// Where callers connect.
+    pub callers_listen: SocketAddr,
+    /// Where the platform asks whether the instance is ready.
+    pub ready_listen: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_listen: Option<SocketAddr>,
+    /// Where the registry is.
+    pub registry_address: SocketAddr,
+    /// How long an upstream that is leaving may still get requests, in milliseconds.
+    pub drain_ms: u64,
+    /// How long a graceful shutdown may take, in milliseconds.
+    pub shutdown_ms: u64,
+    /// Repeats allowed for each request, over all instances.
+    pub repeat_ratio: f64,
+    /// The sliding window over which repeats are counted, in milliseconds.
+    pub repeat_window_ms: u64,
+    /// Repeats allowed beyond the ratio in a window, over all instances.
+    pub repeat_allowance: f64,
+    /// By which factor a cold upstream may get more than it says that it bears.
+    pub cold_overage: f64,
+    /// How many requests a second a cold upstream may get beyond that.
+    pub cold_slack: f64,
+    /// What is logged.
+    pub log: Log,
+}
+
+impl Dispatch {
+    /// Returns how the settings in `text` want to dispatch; `file` names them in errors.
+    ///
+    /// # Errors
+    ///
+    /// Names file, line and what was expected.
+    pub fn of(text: &str, file: &str) -> Result<Dispatch, Error> {
+        let source = Source::new(text, file);
+        let value = source.parse()?;
+        let root = source.root(&value);
+        let fields = root.entries("an object")?;
+        let Some((_, field)) = fields.iter().find(|(name, _)| *name == "dispatch") else {
+            return Ok(Dispatch::Owners);
+        };
+        match field.text("\"owners\" or \"direct\"")? {
+            "owners" => Ok(Dispatch::Owners),
+            "direct" => Ok(Dispatch::Direct),
+            _ => Err(field.expected("\"owners\" or \"direct\"")),
+        }
+    }
+}
+
+impl DirectSettings {
+    /// Parses and checks settings; `file` names them in errors.
+    ///
+    /// # Errors
+    ///
+    /// Names file, line, field and what was expected.
+    pub fn parse(text: &str, file: &str) -> Result<DirectSettings, Error> {
+        let source = Source::new(text, file);
+        let value = source.parse()?;
+        let table = source.root(&value).table(FIELDS)?;
+        let bounds = table.need("bounds", "an object")?.table(BOUNDS)?;
+        let settings = DirectSettings {
+            protocol: protocol(&table)?,
+            name: text_of(&table, "name")?,
+            zone: text_of(&table, "zone")?,
+            zones: zones(&table)?,
+            callers_listen: address(&table, "callers_listen")?,
+            ready_listen: address(&table, "ready_listen")?,
+            metrics_listen: table
+                .get("metrics_listen")
+                .map(Field::address)
+                .transpose()?,
+            registry_address: address(&table, "registry_address")?,
+            drain_ms: bounds.number_or("drain_ms", 3_000, 100, 600_000)?,
+            shutdown_ms: 1_000 * bounds.number_or("shutdown_s", 6, 1, 600)?,
+            repeat_ratio: bounds.number_or("repeat_ratio", 0.2, 0.0, 10.0)?,
+            repeat_window_ms: 1_000 * bounds.number_or("repeat_window_s", 10, 1, 600)?,
+            repeat_allowance: bounds.number_or("repeat_allowance", 50.0, 0.0, 1e6)?,
+            cold_overage: bounds.number_or("cold_overage", 1.0, 0.0, 100.0)?,
+            cold_slack: bounds.number_or("cold_slack", 0.0, 0.0, 1e6)?,
+            log: Log::read(&table)?,
+        };
+        settings.check(&table)?;
+        Ok(settings)
+    }
+
+    /// Checks what several fields say together.
+    fn check(&self, table: &Table<'_, '_>) -> Result<(), Error> {
+        if !self.zones.contains_key(&self.zone) {
+            let field = table.need("zone", "a name")?;
+            let message = format!("zones does not name \"{}\"", self.zone);
+            return Err(field.error(ErrorKind::NotFound, message));
+        }
+        let listens = [
+            ("ready_listen", Some(self.ready_listen)),
+            ("metrics_listen", self.metrics_listen),
+        ];
+        for (name, address) in listens {
+            if address == Some(self.callers_listen) && self.callers_listen.port() != 0 {
+                let field = table.need(name, "an address")?;
+                let message = String::from("is the same address as callers_listen");
+                return Err(field.error(ErrorKind::Conflict, message));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn protocol(table: &Table<'_, '_>) -> Result<ProtocolName, Error> {
+    let field = table.need("protocol", "\"corporation\"")?;
+    match field.text("\"corporation\"")? {
+        "corporation" => Ok(ProtocolName::Corporation),
+        _ => Err(field.expected("\"corporation\"")),
+    }
+}
+
+fn text_of(table: &Table<'_, '_>, name: &str) -> Result<String, Error> {
+    let field = table.need(name, "a name")?;
+    match field.text("a name")? {
+        "" => Err(field.expected("a name")),
+        text => Ok(String::from(text)),
+    }
+}
+
+fn address(table: &Table<'_, '_>, name: &str) -> Result<SocketAddr, Error> {
+    table.need(name, "an IP address with a port")?.address()
+}
+
+fn zones(table: &Table<'_, '_>) -> Result<BTreeMap<String, String>, Error> {
+    let field = table.need("zones", "the region of each availability zone")?;
+    let mut zones = BTreeMap::new();
+    for (zone, region) in field.entries("the region of each availability zone")? {
+        let region = region.text("the name of a region")?;
+        zones.insert(String::from(zone), String::from(region));
+    }
+    Ok(zones)
+}
--- a/hemlockrouter-config/src/lib.rs
+++ b/hemlockrouter-config/src/lib.rs
@@ -36,6 +36,7 @@
 //! # Modules
 //!
 //! - [`settings`]: the settings of one instance.
+//! - [`direct`]: the settings of an instance that dispatches directly.
 //! - [`secret`]: keys of operators and instances.
 //! - [`note`]: release notes, and how one changes the catalogue.
 //! - [`base`]: the catalogue as one document, from which a new instance starts.
@@ -43,6 +44,7 @@
 //! - [`error`]: what is wrong, and where.
 
 pub mod base;
+pub mod direct;
 mod document;
 pub mod error;
 pub mod identity;
@@ -55,6 +57,9 @@
 use sha2::Sha256;
 
 pub use crate::base::Base;
+pub use crate::direct::DirectSettings;
+pub use crate::direct::Dispatch;
+pub use crate::direct::ProtocolName;
 pub use crate::error::Error;
 pub use crate::error::ErrorKind;
 pub use crate::identity::find_customer_by_key;
--- a/hemlockrouter-config/src/settings/log.rs
+++ b/hemlockrouter-config/src/settings/log.rs
@@ -35,7 +35,7 @@
 }
 
 impl Log {
-    pub(super) fn read(settings: &Table<'_, '_>) -> Result<Log, Error> {
+    pub(crate) fn read(settings: &Table<'_, '_>) -> Result<Log, Error> {
         let mut log = Log {
             level: Level::Info,
             filter: None,
--- /dev/null
+++ b/hemlockrouter-edge/src/lib.rs
@@ -0,0 +1,25 @@
+//! What an instance speaks to callers, upstreams and the registry.
+//!
+//! An instance that dispatches directly may stand in front of systems with different headers, paths
+//! and documents. A [`Protocol`] translates between their messages and the types of this project. It
+//! is pure: it does no I/O, decides nothing and keeps nothing, so that each protocol can be tested
+//! with plain values and exchanged without touching a decision.
+//!
+//! # Modules
+//!
+//! - [`caller`]: requests of callers, and answers to them.
+//! - [`registry`]: the store in which routes, upstreams and instances are registered.
+//! - [`protocol`]: the trait itself.
+
+pub mod caller;
+pub mod protocol;
+pub mod registry;
+
+pub use crate::caller::BadRequest;
+pub use crate::caller::CallerRequest;
+pub use crate::protocol::Protocol;
+pub use crate::registry::Change;
+pub use crate::registry::Feed;
+pub use crate::registry::Lease;
+pub use crate::registry::Page;
+pub use crate::registry::RegistryError;
--- /dev/null
+++ b/hemlockrouter-edge/src/protocol.rs
@@ -0,0 +1,92 @@
+//! The trait that protocols implement.
+
+use bytes::Bytes;
+use hemlockrouter_route::direct::Ending;
+use hemlockrouter_route::direct::Reply;
+use http::request;
+use http::response;
+use http::Request;
+use http::Response;
+
+use crate::caller::BadRequest;
+use crate::caller::CallerRequest;
+use crate::registry::Feed;
+use crate::registry::Lease;
+use crate::registry::Page;
+use crate::registry::RegistryError;
+
+/// Translates between the messages of a system and the types of this project.
+pub trait Protocol {
+    /// Reads the head of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with it.
+    fn read_request(&self, head: request::Parts) -> Result<CallerRequest, BadRequest>;
+
+    /// Writes the answer that ends a caller's request.
+    fn write_ending(&self, request: &CallerRequest, ending: Ending) -> Response<Bytes>;
+
+    /// Writes the request to an upstream, which has `left_ms` milliseconds for it.
+    fn write_call(
+        &self,
+        request: &CallerRequest,
+        body: Bytes,
+        upstream_id: &str,
+        left_ms: u64,
+    ) -> Request<Bytes>;
+
+    /// Reads an upstream's complete answer; `None` if it belongs to another request.
+    fn read_reply(
+        &self,
+        request: &CallerRequest,
+        head: response::Parts,
+        body: Bytes,
+    ) -> Option<Reply>;
+
+    /// Asks for a page of a feed, from where an earlier page ended.
+    fn write_read(&self, feed: Feed, from: Option<&str>) -> Request<Bytes>;
+
+    /// Asks for what changes in a feed after a revision, and to wait for it for `wait_ms`.
+    fn write_watch(&self, feed: Feed, after: u64, wait_ms: u64) -> Request<Bytes>;
+
+    /// Reads the answer to [`Protocol::write_read`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no page.
+    fn read_page(&self, feed: Feed, status: u16, body: &[u8]) -> Result<Page, RegistryError>;
+
+    /// Reads the answer to [`Protocol::write_watch`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why there are no changes.
+    fn read_changes(&self, feed: Feed, status: u16, body: &[u8]) -> Result<Page, RegistryError>;
+
+    /// Asks for a lease of `ttl_ms` milliseconds.
+    fn write_lease(&self, ttl_ms: u64) -> Request<Bytes>;
+
+    /// Reads the answer to [`Protocol::write_lease`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no lease.
+    fn read_lease(&self, status: u16, body: &[u8]) -> Result<Lease, RegistryError>;
+
+    /// Asks to register the instance `name` under a lease.
+    fn write_join(&self, name: &str, lease: Lease) -> Request<Bytes>;
+
+    /// Asks to renew a lease.
+    fn write_renewal(&self, lease: Lease) -> Request<Bytes>;
+
+    /// Asks to end a lease.
+    fn write_leave(&self, lease: Lease) -> Request<Bytes>;
+
+    /// Reads the answer to a call that returns nothing of interest.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call was not done.
+    fn read_done(&self, status: u16) -> Result<(), RegistryError>;
+}
--- /dev/null
+++ b/hemlockrouter-edge/src/registry.rs
@@ -0,0 +1,104 @@
+//! The store in which routes, upstreams and instances are registered.
+//!
+//! A feed is read whole once, page by page, and then followed by watches from the revision that the
+//! first page named. Reading it again is always right, and is what an instance does when the
+//! registry has dropped the history that it asks for.
+
+use derive_more::Display;
+use derive_more::Error;
+use hemlockrouter_types::routing::RouteDocument;
+use hemlockrouter_types::routing::UpstreamEntry;
+
+/// What can be read and followed.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Feed {
+    /// Routes, and availability zones that are out of service.
+    #[display("operators")]
+    Operators,
+    /// Registered upstreams.
+    #[display("upstreams")]
+    Upstreams,
+    /// Instances of this tier.
+    #[display("instances")]
+    Instances,
+}
+
+/// One page of a feed, or what has changed in it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Page {
+    /// What was read, in order.
+    pub changes: Vec<Change>,
+    /// From where the next page is read, if there is one.
+    pub next: Option<String>,
+    /// The revision to follow from.
+    pub revision: u64,
+}
+
+/// One entry of a feed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// All routes, in their newest version.
+    Routes(RouteDocument),
+    /// An availability zone is out of service, or back in.
+    Zone {
+        /// The zone.
+        zone: String,
+        /// Whether it is out of service.
+        out: bool,
+    },
+    /// An upstream is registered.
+    Upstream(UpstreamEntry),
+    /// The registration of an upstream has ended.
+    UpstreamGone {
+        /// The upstream's id.
+        id: String,
+    },
+    /// An instance is registered, or its registration has ended.
+    Instance {
+        /// Its name.
+        name: String,
+        /// Whether it is registered.
+        present: bool,
+    },
+    /// An entry can't be read. It names nothing that may be used.
+    Unreadable {
+        /// The entry's key.
+        key: String,
+        /// The upstream that the entry would name, if it would name one.
+        upstream: Option<String>,
+        /// What is wrong with it.
+        why: String,
+    },
+}
+
+/// The lease that keeps an instance registered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Lease {
+    /// The lease's id.
+    pub id: u64,
+    /// How long it lasts without a renewal, in milliseconds.
+    pub ttl_ms: u64,
+}
+
+/// Why the registry did not do what it was asked for.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum RegistryError {
+    /// The history before the revision that was asked for is gone: read the feed again.
+    #[display("the history is gone")]
+    HistoryGone,
+    /// What the call names does not exist any more.
+    #[display("not found")]
+    NotFound,
+    /// The registry does not serve the call now.
+    #[display("status {status}")]
+    Rejected {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The answer can't be read.
+    #[display("unreadable answer: {why}")]
+    Unreadable {
+        /// What is wrong with it.
+        why: String,
+    },
+}
--- /dev/null
+++ b/hemlockrouter-route/src/direct/budget.rs
@@ -0,0 +1,91 @@
+//! The share of repeats that one instance may send.
+//!
+//! The bound on repeats of a service is one sum over all instances and over any window of time:
+//! a ratio of the service's requests and a fixed allowance. No instance sees the sum. Each keeps to
+//! the ratio of its own requests, which adds up by itself, and to an equal part of the allowance. An
+//! instance that restarts forgets what it has spent, so only a part of both is handed out.
+
+use std::collections::VecDeque;
+
+use hemlockrouter_types::prelude::*;
+
+/// The bound that all instances share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatBound {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed beyond the ratio, over all instances.
+    pub allowance: f64,
+    /// The length of the sliding window, in milliseconds.
+    pub window_ms: u64,
+}
+
+/// The part of the ratio that instances hand out.
+const RATIO_PART: f64 = 0.85;
+
+/// The part of the allowance that instances hand out; what an instance spent before a restart comes
+/// out of the rest.
+const ALLOWANCE_PART: f64 = 0.5;
+
+/// How many slices a window is counted in.
+const SLICES: u64 = 20;
+
+/// The requests and repeats of one service in the last window.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Spending {
+    slices: VecDeque<Slice>,
+    requests: u64,
+    repeats: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Slice {
+    number: u64,
+    requests: u64,
+    repeats: u64,
+}
+
+impl Spending {
+    /// Counts a request for the service.
+    pub(super) fn request(&mut self, now: Time, bound: &RepeatBound) {
+        self.slice(now, bound).requests += 1;
+        self.requests += 1;
+    }
+
+    /// Counts a repeat that was sent to the service.
+    pub(super) fn repeat(&mut self, now: Time, bound: &RepeatBound) {
+        self.slice(now, bound).repeats += 1;
+        self.repeats += 1;
+    }
+
+    /// Returns how many repeats may still be sent now. `sharing` instances split the allowance; if
+    /// it is not known how many they are, none of it is used.
+    pub(super) fn left(&mut self, now: Time, bound: &RepeatBound, sharing: Option<u32>) -> f64 {
+        self.slice(now, bound);
+        let part = |instances| bound.allowance * ALLOWANCE_PART / f64::from(instances);
+        let own = sharing.map_or(0.0, part);
+        bound.ratio * RATIO_PART * self.requests as f64 + own - self.repeats as f64
+    }
+
+    /// Returns the current slice after dropping those that have left the window.
+    fn slice(&mut self, now: Time, bound: &RepeatBound) -> &mut Slice {
+        let number = now.as_ms() / (bound.window_ms / SLICES).max(1);
+        // One slice more than the window holds, since the oldest one is cut by its edge.
+        while let Some(first) = self.slices.front() {
+            if first.number + SLICES >= number {
+                break;
+            }
+            self.requests -= first.requests;
+            self.repeats -= first.repeats;
+            self.slices.pop_front();
+        }
+        if self.slices.back().is_none_or(|last| last.number != number) {
+            self.slices.push_back(Slice {
+                number,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        self.slices.back_mut().expect("a slice was just pushed")
+    }
+}
--- /dev/null
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -0,0 +1,152 @@
+//! What goes into a dispatcher and what comes out.
+
+use bytes::Bytes;
+use derive_more::Display;
+use hemlockrouter_types::prelude::*;
+use http::HeaderMap;
+
+/// A request of a caller, counted by its instance.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RequestId(pub u64);
+
+/// One send to one upstream, counted by its instance.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct CallId(pub u64);
+
+/// A complete answer of an upstream.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The HTTP status.
+    pub status: u16,
+    /// The upstream states that it did not run the request and never will.
+    pub not_run: bool,
+    /// The upstream's signature of the answer.
+    pub stamp: Option<String>,
+    /// The headers that the caller gets.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// Returns whether the upstream did what was asked, and signed the answer.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status) && self.stamp.is_some() && !self.not_run
+    }
+}
+
+/// How a call to an upstream ended.
+#[derive(Clone, Debug)]
+pub enum CallEnd {
+    /// The upstream answered.
+    Answered(Reply),
+    /// Nothing of the request reached the upstream.
+    NotSent,
+    /// The upstream may have run the request; its answer is lost.
+    Lost,
+}
+
+/// What the driver has to do.
+#[derive(Debug)]
+pub enum Command {
+    /// Send the request to an upstream.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// The call, for [`Dispatcher::ended`](super::Dispatcher::ended).
+        call: CallId,
+        /// Where to.
+        upstream: UpstreamKey,
+        /// When the upstream's answer is of no use any more.
+        deadline: Time,
+    },
+    /// Break off a call. It does not end by itself any more.
+    Cancel {
+        /// The call.
+        call: CallId,
+    },
+    /// Answer the caller.
+    Finish {
+        /// The request, which has ended.
+        request: RequestId,
+        /// What the caller gets.
+        ending: Ending,
+        /// How it came to that, for the log.
+        summary: Summary,
+    },
+}
+
+/// What a caller gets.
+#[derive(Debug)]
+pub enum Ending {
+    /// The answer of one upstream, as it is.
+    Passed(Reply),
+    /// The merged answer of many shards.
+    Merged {
+        /// The records.
+        body: Vec<u8>,
+        /// The signatures of the parts that are in.
+        stamps: Vec<String>,
+        /// How many shards are left out.
+        missing: usize,
+    },
+    /// The request has not run and never will.
+    NotRun {
+        /// Why.
+        why: Why,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The request was given up, and may have run in part.
+    Failed {
+        /// Why.
+        why: Why,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The time was over before an answer came.
+    TimedOut,
+}
+
+/// Why a request was given up.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Why {
+    /// The instance knows no routes yet.
+    #[display("no routes yet")]
+    NoRoutes,
+    /// No upstream of the service may be used.
+    #[display("no upstream")]
+    NoUpstream,
+    /// Every upstream that was tried rejected the request.
+    #[display("rejected by upstreams")]
+    Rejected,
+    /// An answer was lost and the request must not be repeated.
+    #[display("answer lost")]
+    Lost,
+    /// Too many shards failed.
+    #[display("too few shards")]
+    TooFewShards,
+}
+
+/// How a request went, for the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Summary {
+    /// The version of the routes that it was served by.
+    pub version: u64,
+    /// How many services it needed.
+    pub parts: usize,
+    /// How many of them answered.
+    pub answered: usize,
+    /// Calls that were sent, first ones and repeats.
+    pub sends: u32,
+    /// Repeats because a call was slow.
+    pub hedges: u32,
+    /// Repeats because a call failed.
+    pub retries: u32,
+    /// Repeats that the budget did not allow.
+    pub denied: u32,
+    /// Services without an upstream that may be used.
+    pub unavailable: u32,
+    /// How long it took, in milliseconds.
+    pub took_ms: u64,
+}
--- /dev/null
+++ b/hemlockrouter-route/src/direct/request.rs
@@ -0,0 +1,103 @@
+//! One request and its parts.
+
+use std::rc::Rc;
+
+use hemlockrouter_types::prelude::*;
+
+use super::event::CallId;
+use super::event::Reply;
+use super::event::Summary;
+use super::table::Route;
+use super::table::RouteTarget;
+
+/// One try of one part at one upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Try {
+    pub(super) call: CallId,
+    pub(super) upstream: UpstreamKey,
+    pub(super) sent: Time,
+}
+
+/// What one service has to contribute.
+#[derive(Debug)]
+pub(super) struct Part {
+    pub(super) service: ServiceKey,
+    /// Tries that have not ended.
+    pub(super) open: Vec<Try>,
+    /// Upstreams that the request was sent to.
+    pub(super) tried: Vec<UpstreamKey>,
+    /// Sends that may have reached an upstream.
+    pub(super) sends: u32,
+    /// The answer that counts.
+    pub(super) answer: Option<Reply>,
+    /// The last failure that an upstream answered with.
+    pub(super) failure: Option<Reply>,
+    /// Whether an upstream has run or may have run it.
+    pub(super) ran: bool,
+}
+
+/// A request that has not ended.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) route: Rc<Route>,
+    pub(super) arrived: Time,
+    pub(super) deadline: Time,
+    /// From when on an answer with enough shards is not held for the others.
+    pub(super) settle_at: Time,
+    pub(super) parts: Vec<Part>,
+    pub(super) summary: Summary,
+}
+
+impl Part {
+    pub(super) fn new(service: ServiceKey) -> Part {
+        Part {
+            service,
+            open: Vec::new(),
+            tried: Vec::new(),
+            sends: 0,
+            answer: None,
+            failure: None,
+            ran: false,
+        }
+    }
+
+    /// Returns whether it neither has an answer nor waits for one.
+    pub(super) fn has_failed(&self) -> bool {
+        self.answer.is_none() && self.open.is_empty()
+    }
+
+    /// Removes and returns the try of `call`.
+    pub(super) fn take(&mut self, call: CallId) -> Option<Try> {
+        let at = self.open.iter().position(|open| open.call == call)?;
+        Some(self.open.swap_remove(at))
+    }
+}
+
+impl Request {
+    /// Returns how many parts have an answer.
+    pub(super) fn answered(&self) -> usize {
+        let parts = self.parts.iter();
+        parts.filter(|part| part.answer.is_some()).count()
+    }
+
+    /// Returns how many parts wait for an answer.
+    pub(super) fn waiting(&self) -> usize {
+        let parts = self.parts.iter();
+        let waiting = parts.filter(|part| part.answer.is_none() && !part.open.is_empty());
+        waiting.count()
+    }
+
+    /// Returns how many parts must have an answer.
+    pub(super) fn needed(&self) -> usize {
+        match &self.route.to {
+            RouteTarget::Split(_) => 1,
+            RouteTarget::Shards { needed, .. } => *needed,
+        }
+    }
+
+    /// Returns whether any upstream has run or may have run it, or still may.
+    pub(super) fn may_have_run(&self) -> bool {
+        let mut parts = self.parts.iter();
+        parts.any(|part| part.ran || part.answer.is_some() || !part.open.is_empty())
+    }
+}
--- a/hemlockrouter-route/src/lib.rs
+++ b/hemlockrouter-route/src/lib.rs
@@ -41,6 +41,7 @@
 //!
 //! - [`search`]: searches: [`Searcher`], its configuration, events and commands.
 //! - [`run`]: requests that must not be repeated: [`Runner`], its events and commands.
+//! - [`direct`]: requests that an instance dispatches itself, without owners.
 //! - `choose`: which replica, shared by both.
 //! - `latency`: what an upstream's recent latencies were.
 //! - `round_trip`: how long the way to an owner and back takes.
@@ -51,6 +52,7 @@
 
 mod budget;
 mod choose;
+pub mod direct;
 mod latency;
 mod round_trip;
 pub mod run;
--- a/hemlockrouter-types/src/id.rs
+++ b/hemlockrouter-types/src/id.rs
@@ -42,6 +42,10 @@
     /// An upstream (one replica of a service) in the catalogue.
     UpstreamKey
 );
+key!(
+    /// A service that routes name; its upstreams are equivalent.
+    ServiceKey
+);
 key!(
     /// A customer in the catalogue.
     CustomerKey
--- a/hemlockrouter-types/src/lib.rs
+++ b/hemlockrouter-types/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`arena`]: a map from small `Copy` keys to values.
 //! - [`catalog`]: what the release notes say: zones, upstreams, customers, searches.
 //! - [`outcome`]: refusals and how a request ended.
+//! - [`routing`]: routes, services and registered upstreams, for instances that dispatch directly.
 //! - [`decision`]: the record of one routing or placement decision, for the log.
 
 pub mod arena;
@@ -31,6 +32,7 @@
 pub mod id;
 pub mod outcome;
 pub mod prelude;
+pub mod routing;
 
 pub use crate::clock::Clock;
 pub use crate::clock::Time;
--- a/hemlockrouter-types/src/prelude.rs
+++ b/hemlockrouter-types/src/prelude.rs
@@ -13,6 +13,7 @@
 pub use crate::id::OperationKey;
 pub use crate::id::QueryId;
 pub use crate::id::SearchKey;
+pub use crate::id::ServiceKey;
 pub use crate::id::ShardNo;
 pub use crate::id::Snapshot;
 pub use crate::id::SnapshotRange;
--- /dev/null
+++ b/hemlockrouter-types/src/routing.rs
@@ -0,0 +1,123 @@
+//! What an instance that dispatches directly is told: routes, services and upstreams.
+//!
+//! A [`RouteDocument`] replaces the one before it as a whole, so that an instance that missed
+//! versions needs nothing but the newest. Upstreams register one by one and come and go between
+//! versions; an [`UpstreamEntry`] is one such registration. Names are text here; whoever decides
+//! turns them into keys once.
+
+use std::net::SocketAddr;
+
+/// One version of all routes and services.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteDocument {
+    /// Grows with each version, in uneven steps.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<RouteEntry>,
+    /// All services that routes name.
+    pub services: Vec<ServiceEntry>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+}
+
+/// Where requests of one host and path prefix go, and what may be done with them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteEntry {
+    /// Names the route in logs.
+    pub name: String,
+    /// The host that the request names.
+    pub host: String,
+    /// The beginning of the path. It begins and ends with a slash.
+    pub path_prefix: String,
+    /// What serves the request.
+    pub target: Target,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// To how many upstreams of one service a request may be sent.
+    pub attempts_max: u32,
+    /// How long a request may be kept waiting, in milliseconds.
+    pub timeout_ms: u64,
+    /// Within which time an answer is of full use to the caller, in milliseconds.
+    pub target_latency_ms: u64,
+    /// The rank of the request; 0 is the most urgent.
+    pub priority: u32,
+    /// The regions whose upstreams may serve the request; empty for all.
+    pub regions: Vec<String>,
+}
+
+/// What serves the requests of a route.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Target {
+    /// One upstream of this service.
+    Service(String),
+    /// One upstream of one of these services, by weight.
+    Split(Vec<WeightedService>),
+    /// One upstream of each of these services, whose answers are merged.
+    Shards(ShardTarget),
+}
+
+/// One service of a split.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WeightedService {
+    /// The service.
+    pub service: String,
+    /// Its share, in proportion to the other weights.
+    pub weight: f64,
+}
+
+/// A set of shards whose answers are merged into one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShardTarget {
+    /// The services that hold the shards.
+    pub services: Vec<String>,
+    /// How many records the merged answer holds at most.
+    pub records_max: usize,
+    /// The least share of shards, from 0 to 1, with which an answer is of use.
+    pub coverage_min: f64,
+}
+
+/// What is known of a service beside its upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceEntry {
+    /// The name that routes use.
+    pub name: String,
+    /// How many connections an upstream accepts from all instances together.
+    pub connections_max: u32,
+    /// How many requests a second a cold upstream bears from all instances together; `None` if
+    /// there is no bound.
+    pub cold_per_s: Option<f64>,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    /// The largest head of a request, in bytes.
+    pub header_max_bytes: usize,
+    /// The largest body of a request, in bytes.
+    pub body_max_bytes: usize,
+    /// How long a caller may take to send a head, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// How long a kept connection may stay idle, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+/// What one upstream says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UpstreamEntry {
+    /// The upstream's id; a restart may keep it.
+    pub id: String,
+    /// Tells one start of this id from another.
+    pub incarnation: u64,
+    /// The service that it is an upstream of.
+    pub service: String,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// The availability zone that it runs in.
+    pub zone: String,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// Whether it has said that it is about to stop.
+    pub draining: bool,
+    /// How much longer it stays cold, in milliseconds.
+    pub cold_ms: u64,
+}
--- /dev/null
+++ b/src/direct/callers.rs
@@ -0,0 +1,215 @@
+//! The port for callers.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hemlockrouter_edge::CallerRequest;
+use hemlockrouter_edge::Protocol;
+use hemlockrouter_route::direct::Ending;
+use hemlockrouter_route::direct::RequestId;
+use hemlockrouter_route::direct::Route;
+use hemlockrouter_route::direct::Why;
+use http::header;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use super::node::Node;
+use super::requests_log::RequestsLog;
+use crate::edge::phase::Phase;
+
+/// The smallest buffer for heads that `hyper` allows, in bytes.
+const BUFFER_MIN_BYTES: usize = 8_192;
+
+/// How long the port waits after it could not accept, most likely for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// When a caller is to come back to an instance that has no routes yet, in milliseconds.
+const RETRY_UNCONFIGURED_MS: u64 = 200;
+
+/// The port for callers.
+pub(super) struct Callers {
+    pub(super) node: Rc<Node>,
+    pub(super) protocol: Rc<dyn Protocol>,
+    pub(super) log: RequestsLog,
+    pub(super) phase: watch::Receiver<Phase>,
+    /// Connections that are open.
+    pub(super) open: Cell<usize>,
+}
+
+/// Tells the node if the caller leaves before its request has ended.
+struct Abandon<'n> {
+    node: &'n Node,
+    id: Option<RequestId>,
+}
+
+impl Drop for Abandon<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.node.abandoned(id);
+        }
+    }
+}
+
+/// Why a body can't be read.
+enum BadBody {
+    TooLarge,
+    BrokenOff,
+}
+
+impl Callers {
+    /// Accepts connections for as long as the process runs.
+    pub(super) async fn accept(self: Rc<Callers>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, peer)) => {
+                    let callers = Rc::clone(&self);
+                    tokio::task::spawn_local(callers.serve(stream, peer));
+                }
+                Err(err) => {
+                    log::warn!(why = err.to_string(); "can't accept a caller");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Serves one connection until it ends.
+    async fn serve(self: Rc<Callers>, stream: TcpStream, peer: SocketAddr) {
+        self.open.set(self.open.get() + 1);
+        // The option only saves time; a connection without it still works.
+        let _ = stream.set_nodelay(true);
+        let limits = self.node.limits();
+        let callers = Rc::clone(&self);
+        let service = service_fn(move |request| {
+            let callers = Rc::clone(&callers);
+            async move { Ok::<_, hyper::Error>(callers.respond(request).await) }
+        });
+        // The time for a head begins when the connection falls idle.
+        let head_ms = limits.idle_timeout_ms + limits.header_timeout_ms;
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(head_ms))
+            .max_buf_size(limits.header_max_bytes.max(BUFFER_MIN_BYTES))
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        let mut phase = self.phase.clone();
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(err) = ended {
+            log::debug!(peer = peer.to_string(), why = err.to_string(); "a caller's connection broke");
+        }
+        self.open.set(self.open.get() - 1);
+    }
+
+    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let mut response = self.answer(request).await;
+        if *self.phase.borrow() != Phase::Serving {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response.map(Full::new)
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Bytes> {
+        let (head, body) = request.into_parts();
+        let request = match self.protocol.read_request(head) {
+            Ok(request) => request,
+            Err(err) => return self.reject(StatusCode::BAD_REQUEST, &err.to_string()),
+        };
+        if !self.node.is_configured() {
+            return self.not_configured(&request);
+        }
+        let table = self.node.table();
+        let Some(route) = table.find(&request.host, request.uri.path()) else {
+            self.log.unrouted(&request, table.version());
+            return plain(StatusCode::NOT_FOUND, "no route");
+        };
+        let body = match read_body(body, self.node.limits().body_max_bytes).await {
+            Ok(body) => body,
+            Err(BadBody::TooLarge) => {
+                return self.reject(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+            }
+            Err(BadBody::BrokenOff) => {
+                return self.reject(StatusCode::BAD_REQUEST, "the body broke off")
+            }
+        };
+        self.dispatch(request, body, Rc::clone(route)).await
+    }
+
+    async fn dispatch(
+        &self,
+        request: CallerRequest,
+        body: Bytes,
+        route: Rc<Route>,
+    ) -> Response<Bytes> {
+        let request = Rc::new(request);
+        let deadline_ms = request.deadline_ms.unwrap_or(route.entry.timeout_ms);
+        let started = self
+            .node
+            .start(Rc::clone(&request), body, Rc::clone(&route), deadline_ms);
+        let (id, finished) = started;
+        let mut abandon = Abandon {
+            node: &self.node,
+            id: Some(id),
+        };
+        let finished = finished.await;
+        abandon.id = None;
+        let Ok(finished) = finished else {
+            log::error!(request = id.to_string(); "a request was dropped without an answer");
+            return plain(StatusCode::INTERNAL_SERVER_ERROR, "dropped");
+        };
+        self.log.ended(&request, &route, &finished);
+        self.protocol.write_ending(&request, finished.ending)
+    }
+
+    fn not_configured(&self, request: &CallerRequest) -> Response<Bytes> {
+        self.log.unconfigured(request);
+        let ending = Ending::NotRun {
+            why: Why::NoRoutes,
+            retry_after_ms: RETRY_UNCONFIGURED_MS,
+        };
+        self.protocol.write_ending(request, ending)
+    }
+
+    fn reject(&self, status: StatusCode, why: &str) -> Response<Bytes> {
+        self.log.rejected(status, why);
+        plain(status, why)
+    }
+}
+
+async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, BadBody> {
+    let read = Limited::new(body, max_bytes).collect().await;
+    match read {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(err) if err.is::<LengthLimitError>() => Err(BadBody::TooLarge),
+        Err(_) => Err(BadBody::BrokenOff),
+    }
+}
+
+fn plain(status: StatusCode, why: &str) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::copy_from_slice(why.as_bytes()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/direct/calls.rs
@@ -0,0 +1,205 @@
+//! Calls to upstreams.
+//!
+//! Connections are kept for the next call, a few for each upstream, since upstreams bound how many
+//! they accept from all instances together and a new one costs them time. A connection that may have
+//! been closed meanwhile is only used where the request may be sent once more.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hemlockrouter_edge::CallerRequest;
+use hemlockrouter_edge::Protocol;
+use hemlockrouter_route::direct::CallEnd;
+use hemlockrouter_types::prelude::*;
+use http::header;
+use http::response;
+use http::HeaderMap;
+use http::Request;
+use http_body_util::Full;
+
+use super::connection::within_ms;
+use super::connection::Connection;
+use super::connection::NoAnswer;
+
+/// How long connecting to an upstream may take, in milliseconds.
+const CONNECT_MS: u64 = 1_000;
+
+/// How long a connection is kept without use, if the upstream names no time.
+const IDLE_MAX: Duration = Duration::from_secs(10);
+
+/// How much earlier than the upstream a kept connection is closed, so that no request crosses it.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// How long a connection may have been idle that a request goes out on which must not be repeated.
+const ONCE_IDLE_MAX: Duration = Duration::from_millis(200);
+
+/// What a call needs to know.
+pub(super) struct Call {
+    pub(super) request: Rc<CallerRequest>,
+    pub(super) body: Bytes,
+    pub(super) idempotent: bool,
+    pub(super) upstream: UpstreamKey,
+    pub(super) upstream_id: String,
+    pub(super) address: SocketAddr,
+    pub(super) deadline: Time,
+    /// How many connections are kept.
+    pub(super) keep_max: usize,
+}
+
+/// A connection that waits for its next call.
+struct Idle {
+    connection: Connection,
+    since: Instant,
+    max: Duration,
+}
+
+/// Calls upstreams and keeps connections to them.
+pub(super) struct Calls {
+    clock: Clock,
+    protocol: Rc<dyn Protocol>,
+    idle: RefCell<HashMap<UpstreamKey, Vec<Idle>>>,
+}
+
+impl Calls {
+    pub(super) fn new(clock: Clock, protocol: Rc<dyn Protocol>) -> Calls {
+        Calls {
+            clock,
+            protocol,
+            idle: RefCell::new(HashMap::new()),
+        }
+    }
+
+    /// Makes a call and returns how it ended. Dropping the future breaks the call off.
+    pub(super) async fn make(&self, call: Call) -> CallEnd {
+        let left_ms = call.deadline.left(self.clock.now());
+        within_ms(left_ms, self.try_call(&call))
+            .await
+            .unwrap_or(CallEnd::Lost)
+    }
+
+    /// Closes connections that were idle for too long, and those to upstreams that are gone.
+    pub(super) fn tidy<F>(&self, is_known: F)
+    where
+        F: Fn(UpstreamKey) -> bool,
+    {
+        self.idle.borrow_mut().retain(|key, idle| {
+            idle.retain(Idle::is_usable);
+            !idle.is_empty() && is_known(*key)
+        });
+    }
+
+    async fn try_call(&self, call: &Call) -> CallEnd {
+        let mut kept = self.take_idle(call);
+        loop {
+            let (mut connection, is_new) = match kept.take() {
+                Some(connection) => (connection, false),
+                None => match self.connect(call).await {
+                    Some(connection) => (connection, true),
+                    None => return CallEnd::NotSent,
+                },
+            };
+            match connection.call(self.write(call)).await {
+                Ok((head, body)) => return self.read(call, connection, head, body),
+                Err(NoAnswer::NotSent) if is_new => return CallEnd::NotSent,
+                Err(NoAnswer::NotSent) => kept = self.take_idle(call),
+                Err(NoAnswer::Lost(why)) => {
+                    log::debug!(upstream = call.upstream_id.as_str(), why = why.as_str(); "call lost");
+                    return CallEnd::Lost;
+                }
+            }
+        }
+    }
+
+    fn write(&self, call: &Call) -> Request<Full<Bytes>> {
+        let left_ms = call.deadline.left(self.clock.now());
+        let body = call.body.clone();
+        let id = &call.upstream_id;
+        let request = self.protocol.write_call(&call.request, body, id, left_ms);
+        request.map(Full::new)
+    }
+
+    fn read(
+        &self,
+        call: &Call,
+        connection: Connection,
+        head: response::Parts,
+        body: Bytes,
+    ) -> CallEnd {
+        let kept_for = idle_max(&head.headers);
+        let Some(reply) = self.protocol.read_reply(&call.request, head, body) else {
+            return CallEnd::Lost;
+        };
+        if let Some(max) = kept_for {
+            self.keep(call, connection, max);
+        }
+        CallEnd::Answered(reply)
+    }
+
+    async fn connect(&self, call: &Call) -> Option<Connection> {
+        let left_ms = call.deadline.left(self.clock.now()).min(CONNECT_MS);
+        match within_ms(left_ms, Connection::open(call.address, false)).await? {
+            Ok(connection) => Some(connection),
+            Err(err) => {
+                log::debug!(upstream = call.upstream_id.as_str(), why = err.to_string(); "can't connect");
+                None
+            }
+        }
+    }
+
+    fn take_idle(&self, call: &Call) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&call.upstream)?;
+        while let Some(idle) = kept.pop() {
+            let is_fresh = call.idempotent || idle.since.elapsed() <= ONCE_IDLE_MAX;
+            if idle.is_usable() && is_fresh {
+                return Some(idle.connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, call: &Call, connection: Connection, max: Duration) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(call.upstream).or_default();
+        if kept.len() < call.keep_max {
+            kept.push(Idle {
+                connection,
+                since: Instant::now(),
+                max,
+            });
+        }
+    }
+}
+
+impl Idle {
+    fn is_usable(&self) -> bool {
+        self.connection.is_open() && self.since.elapsed() < self.max
+    }
+}
+
+/// Returns how long a connection may be kept after an answer, if it may be kept at all.
+fn idle_max(headers: &HeaderMap) -> Option<Duration> {
+    let closes = headers
+        .get(header::CONNECTION)
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+    if closes {
+        return None;
+    }
+    let keep_alive = headers
+        .get("keep-alive")
+        .and_then(|value| value.to_str().ok());
+    let Some(keep_alive) = keep_alive else {
+        return Some(IDLE_MAX);
+    };
+    let named = keep_alive
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="));
+    let seconds: u64 = named.and_then(|seconds| seconds.parse().ok())?;
+    Duration::from_secs(seconds).checked_sub(IDLE_MARGIN)
+}
--- /dev/null
+++ b/src/direct/connection.rs
@@ -0,0 +1,123 @@
+//! One client connection.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::response;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// The largest body that is read of an answer, in bytes.
+const BODY_MAX_BYTES: usize = 16 << 20;
+
+/// How long a connection that keeps itself alive may be idle before it is probed.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+
+/// The interval between two probes.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// After how many unanswered probes the connection is closed.
+const PROBES_MAX: u32 = 2;
+
+/// A client connection. Dropping it closes it, whatever is under way.
+pub(super) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub(super) enum NoAnswer {
+    /// Nothing of the request was sent.
+    NotSent,
+    /// The request was sent in whole or in part.
+    Lost(String),
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Connects to `address`. A connection that is `watched` notices by probes when the other end is
+    /// gone; it is for calls that wait long.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no connection.
+    pub(super) async fn open(address: SocketAddr, watched: bool) -> std::io::Result<Connection> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        if watched {
+            let keepalive = TcpKeepalive::new()
+                .with_time(PROBE_AFTER)
+                .with_interval(PROBE_EVERY)
+                .with_retries(PROBES_MAX);
+            SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
+        }
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(std::io::Error::other)?;
+        let task = tokio::task::spawn_local(async move {
+            // How a connection ends shows in the calls on it.
+            let _ = connection.await;
+        });
+        Ok(Connection {
+            sender,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Returns whether another request can be sent.
+    pub(super) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request may have been sent.
+    pub(super) async fn call(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(response::Parts, Bytes), NoAnswer> {
+        if self.sender.ready().await.is_err() {
+            return Err(NoAnswer::NotSent);
+        }
+        let response = match self.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut err) => {
+                return Err(match err.take_message() {
+                    Some(_) => NoAnswer::NotSent,
+                    None => NoAnswer::Lost(err.error().to_string()),
+                })
+            }
+        };
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, BODY_MAX_BYTES).collect().await;
+        let body = body.map_err(|err| NoAnswer::Lost(err.to_string()))?;
+        Ok((head, body.to_bytes()))
+    }
+}
+
+/// Waits for `work`, but no longer than `ms` milliseconds.
+pub(super) async fn within_ms<F>(ms: u64, work: F) -> Option<F::Output>
+where
+    F: Future,
+{
+    let limit = Duration::from_millis(ms);
+    tokio::time::timeout(limit, work).await.ok()
+}
--- /dev/null
+++ b/src/direct/instance.rs
@@ -0,0 +1,183 @@
+//! Starts and stops an instance that dispatches directly.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use hemlockrouter_config::DirectSettings;
+use hemlockrouter_edge::Feed;
+use hemlockrouter_edge::Protocol;
+use hemlockrouter_route::direct::Config;
+use hemlockrouter_route::direct::RepeatBound;
+use hemlockrouter_types::prelude::*;
+use log::info;
+use log::warn;
+use tokio::net::TcpListener;
+use tokio::signal::unix::signal;
+use tokio::signal::unix::SignalKind;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use super::callers::Callers;
+use super::calls::Calls;
+use super::member;
+use super::node::Node;
+use super::operators::Operators;
+use super::registry;
+use super::requests_log::RequestsLog;
+use crate::edge::phase::Phase;
+use crate::instance::Ended;
+use crate::metrics::Metrics;
+
+/// The part of the time for a shutdown during which connections are still accepted. Meanwhile the
+/// platform notices that the instance is not ready.
+const ACCEPTING_PART: f64 = 0.5;
+
+/// How long before the end of the time for a shutdown the process ends, in milliseconds.
+const EXIT_MARGIN_MS: u64 = 300;
+
+/// The interval at which a shutdown looks whether all callers are answered.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// The most of `drain_ms` for which an upstream that is leaving is used. The rest is for learning of
+/// it and for requests that are on their way.
+const LINGER_PART: f64 = 0.4;
+
+/// Runs an instance until a signal ends it.
+///
+/// # Errors
+///
+/// Returns which port can't be bound.
+pub fn run(settings: DirectSettings, protocol: Rc<dyn Protocol>) -> eyre::Result<Ended> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("can't start the event loop")?;
+    LocalSet::new().block_on(&runtime, serve(settings, protocol))
+}
+
+async fn serve(settings: DirectSettings, protocol: Rc<dyn Protocol>) -> eyre::Result<Ended> {
+    let clock = Clock::new();
+    let (phase, phase_rx) = watch::channel(Phase::Serving);
+    let callers_listener = bind("callers_listen", settings.callers_listen).await?;
+    let ready_listener = bind("ready_listen", settings.ready_listen).await?;
+    let calls = Calls::new(clock, Rc::clone(&protocol));
+    let node = Node::new(config(&settings), clock, calls);
+    let metrics = Rc::new(Metrics::new());
+    let keeping = Rc::clone(&node);
+    tokio::task::spawn_local(async move { keeping.keep_time().await });
+    for feed in [Feed::Operators, Feed::Upstreams, Feed::Instances] {
+        let address = settings.registry_address;
+        let following = registry::follow(feed, address, Rc::clone(&protocol), Rc::clone(&node));
+        tokio::task::spawn_local(following);
+    }
+    let name = settings.name.clone();
+    let keeping = member::keep(name, settings.registry_address, Rc::clone(&protocol));
+    tokio::task::spawn_local(keeping);
+    let operators = Rc::new(Operators {
+        node: Rc::clone(&node),
+        metrics: Rc::clone(&metrics),
+        phase: phase_rx.clone(),
+    });
+    serve_metrics(&settings, &operators).await;
+    tokio::task::spawn_local(operators.accept(ready_listener));
+    let callers = Rc::new(Callers {
+        node: Rc::clone(&node),
+        protocol,
+        log: RequestsLog { metrics },
+        phase: phase_rx,
+        open: Cell::new(0),
+    });
+    let accepting = Rc::clone(&callers).accept(callers_listener);
+    tokio::task::spawn_local(accepting);
+    info!(
+        target: "process",
+        instance = settings.name.as_str(),
+        zone = settings.zone.as_str(),
+        callers = settings.callers_listen.to_string();
+        "started"
+    );
+    wait_for_stop().await?;
+    info!(target: "process", open = callers.open.get(); "shutting down");
+    phase.send_replace(Phase::Draining);
+    let ended = shut_down(&settings, &callers, &phase).await;
+    info!(target: "process", open = callers.open.get(), pending = node.pending(); "stopped");
+    Ok(ended)
+}
+
+async fn bind(field: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.wrap_err_with(|| format!("can't listen on {address}, which the settings give as {field}"))
+}
+
+/// Serves metrics on a port of their own, if the settings name one and it is free. An instance
+/// without metrics is better than none.
+async fn serve_metrics(settings: &DirectSettings, operators: &Rc<Operators>) {
+    let Some(address) = settings.metrics_listen else {
+        return;
+    };
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            tokio::task::spawn_local(Rc::clone(operators).accept(listener));
+        }
+        Err(err) => {
+            let address = address.to_string();
+            warn!(target: "process", address = address, why = err.to_string(); "no metrics");
+        }
+    }
+}
+
+/// Waits for a signal that ends the process.
+async fn wait_for_stop() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("can't wait for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for SIGINT")?;
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("can't wait for SIGHUP")?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => {
+                info!(target: "process", "SIGHUP: settings are read at the start only");
+            }
+        }
+    }
+}
+
+/// Ends the callers' connections, idle ones first.
+async fn shut_down(
+    settings: &DirectSettings,
+    callers: &Callers,
+    phase: &watch::Sender<Phase>,
+) -> Ended {
+    let started = tokio::time::Instant::now();
+    let accepting_ms = (settings.shutdown_ms as f64 * ACCEPTING_PART) as u64;
+    tokio::time::sleep(Duration::from_millis(accepting_ms)).await;
+    phase.send_replace(Phase::Closing);
+    let last = Duration::from_millis(settings.shutdown_ms.saturating_sub(EXIT_MARGIN_MS));
+    while callers.open.get() > 0 {
+        if started.elapsed() >= last {
+            return Ended::TimedOut;
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    Ended::Finished
+}
+
+/// Returns what the settings say to the dispatcher.
+fn config(settings: &DirectSettings) -> Config {
+    Config {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        zones: settings.zones.clone(),
+        repeats: RepeatBound {
+            ratio: settings.repeat_ratio,
+            allowance: settings.repeat_allowance,
+            window_ms: settings.repeat_window_ms,
+        },
+        cold_overage: settings.cold_overage,
+        cold_slack: settings.cold_slack,
+        linger_ms: (settings.drain_ms as f64 * LINGER_PART) as u64,
+    }
+}
--- /dev/null
+++ b/src/direct/mod.rs
@@ -0,0 +1,29 @@
+//! An instance that dispatches directly: callers, upstreams and the registry on one event loop.
+//!
+//! Everything runs on one thread, in a current-thread `tokio` runtime. The decisions stand in one
+//! `stakker` actor that the tasks of the loop call; it never waits, and what it decides is carried
+//! out by new tasks. A call to an upstream costs no thread, and ends at once when it is cancelled.
+//!
+//! # Modules
+//!
+//! - `instance`: starts and stops everything.
+//! - `node`: the actor and what connects it to the loop.
+//! - `callers`: the port for callers.
+//! - `calls`: calls to upstreams.
+//! - `connection`: one client connection, used for upstreams and the registry.
+//! - `registry`: follows the registry.
+//! - `member`: keeps this instance registered.
+//! - `operators`: readiness and metrics.
+//! - `requests_log`: the log line of each request.
+
+mod callers;
+mod calls;
+mod connection;
+mod instance;
+mod member;
+mod node;
+mod operators;
+mod registry;
+mod requests_log;
+
+pub use self::instance::run;
--- /dev/null
+++ b/src/direct/requests_log.rs
@@ -0,0 +1,93 @@
+//! The log line of each request, and its metrics.
+
+use std::rc::Rc;
+
+use hemlockrouter_edge::CallerRequest;
+use hemlockrouter_route::direct::Ending;
+use hemlockrouter_route::direct::Route;
+use http::StatusCode;
+use log::info;
+
+use super::node::Finished;
+use crate::metrics::Metrics;
+
+/// Writes the log line of each request and counts it.
+pub(super) struct RequestsLog {
+    pub(super) metrics: Rc<Metrics>,
+}
+
+impl RequestsLog {
+    /// Writes how a request ended.
+    pub(super) fn ended(&self, request: &CallerRequest, route: &Route, finished: &Finished) {
+        let summary = &finished.summary;
+        let (ended, why) = named(&finished.ending);
+        let kind = if route.is_gathered() {
+            "search"
+        } else {
+            "single"
+        };
+        self.metrics.request(kind, ended, summary.took_ms);
+        let extra = summary.hedges + summary.retries;
+        let first = u64::from(summary.sends.saturating_sub(extra));
+        self.metrics.sub_requests(first, u64::from(extra));
+        info!(
+            target: "request",
+            request = request.attempt_id.as_deref().unwrap_or_default(),
+            route = route.entry.name.as_str(),
+            version = summary.version,
+            deadline_ms = request.deadline_ms.unwrap_or_default(),
+            ended = ended,
+            why = why.as_str(),
+            parts = summary.parts,
+            answered = summary.answered,
+            sends = summary.sends,
+            hedges = summary.hedges,
+            retries = summary.retries,
+            denied = summary.denied,
+            unavailable = summary.unavailable,
+            took_ms = summary.took_ms;
+            "ended"
+        );
+    }
+
+    /// Writes that no route takes a request.
+    pub(super) fn unrouted(&self, request: &CallerRequest, version: u64) {
+        self.metrics.request("none", "no_route", 0);
+        info!(
+            target: "request",
+            request = request.attempt_id.as_deref().unwrap_or_default(),
+            host = request.host.as_str(),
+            path = request.uri.path(),
+            version = version;
+            "no route"
+        );
+    }
+
+    /// Writes that there are no routes yet.
+    pub(super) fn unconfigured(&self, request: &CallerRequest) {
+        self.metrics.request("none", "not_configured", 0);
+        info!(
+            target: "request",
+            request = request.attempt_id.as_deref().unwrap_or_default();
+            "no routes are known yet"
+        );
+    }
+
+    /// Writes that a request can't be read.
+    pub(super) fn rejected(&self, status: StatusCode, why: &str) {
+        self.metrics.request("none", "bad_request", 0);
+        info!(target: "request", status = status.as_u16(), why = why; "bad request");
+    }
+}
+
+/// Returns the name of an ending, and why it came to it.
+fn named(ending: &Ending) -> (&'static str, String) {
+    match ending {
+        Ending::Passed(reply) => ("passed", reply.status.to_string()),
+        Ending::Merged { missing: 0, .. } => ("merged", String::new()),
+        Ending::Merged { missing, .. } => ("merged", format!("{missing} shards missing")),
+        Ending::NotRun { why, .. } => ("not_run", why.to_string()),
+        Ending::Failed { why, .. } => ("failed", why.to_string()),
+        Ending::TimedOut => ("timed_out", String::new()),
+    }
+}
--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -32,6 +32,7 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
+use crate::edge::phase::Phase;
 use crate::edge::request;
 use crate::edge::request::CallerError;
 use crate::node::CallerAnswer;
@@ -62,17 +63,6 @@
     bounds: Bounds,
 }
 
-/// How far the shutdown has come.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Phase {
-    /// Connections are kept alive.
-    Serving,
-    /// Every answer closes its connection, so that callers move to other instances.
-    Draining,
-    /// No connection is accepted, idle ones are closed, the others end with their answer.
-    Closing,
-}
-
 impl CallersServer {
     /// Binds `address` and serves it.
     ///
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,5 +3,6 @@
 pub(crate) mod callers;
 pub(crate) mod instances;
 pub(crate) mod operators;
+pub(crate) mod phase;
 pub(crate) mod request;
 pub(crate) mod tiny;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,12 +24,14 @@
 //! # Modules
 //!
 //! - `instance`: starts every part, runs the node, and shuts down gracefully.
+//! - [`direct`]: an instance that dispatches to upstreams itself, on one event loop.
 //! - `node`: the actors that drive the decision packages.
 //! - `edge`: what the instance serves: callers, operators and other instances.
 //! - `outbound`: what the instance calls: other instances, upstreams and the platform.
 //! - `tuning`: what the settings say to each decision package.
 //! - `metrics` and `log_line`: what operators see.
 
+pub mod direct;
 mod edge;
 mod instance;
 mod log_line;
