--- a/src/direct/registry.rs
+++ b/src/direct/registry.rs
@@ -29,6 +29,10 @@
 /// How long a call that does not wait may take, in milliseconds.
 const CALL_MS: u64 = 1_500;
 
+/// How long connecting may take, in milliseconds. A watch may take much longer than this, so it
+/// must not wait for a first packet that a broken link has dropped.
+const CONNECT_MS: u64 = 1_000;
+
 /// How long a watch waits for a change, in milliseconds.
 const WATCH_MS: u64 = 15_000;
 
@@ -93,7 +97,8 @@
         let host = host.map_err(|err| err.to_string())?;
         request.headers_mut().insert(header::HOST, host);
         if !self.connection.as_ref().is_some_and(Connection::is_open) {
-            let opened = Connection::open(self.address, true).await;
+            let opened = within_ms(CONNECT_MS, Connection::open(self.address, true)).await;
+            let opened = opened.ok_or_else(|| String::from("no connection in time"))?;
             self.connection = Some(opened.map_err(|err| err.to_string())?);
         }
         let connection = self.connection.as_mut().expect("it was just opened");
