--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -7,6 +7,8 @@
 use hemlockrouter_types::prelude::*;
 
 use super::config::Config;
+use super::coverage::choose_shards;
+use super::coverage::Expected;
 use super::event::CallEnd;
 use super::event::CallId;
 use super::event::Command;
@@ -23,6 +25,7 @@
 use super::table::Route;
 use super::table::RouteTable;
 use super::table::RouteTarget;
+use super::upstreams::Among;
 use super::upstreams::Upstreams;
 use super::upstreams::Wanted;
 use crate::latency::Latency;
@@ -99,6 +102,8 @@
     timers: Timers<Due>,
     latencies: HashMap<String, Latency>,
     splits: HashMap<String, f64>,
+    /// Varies which slow shards a search asks.
+    turn: usize,
 }
 
 impl Dispatcher {
@@ -116,6 +121,7 @@
             timers,
             latencies: HashMap::new(),
             splits: HashMap::new(),
+            turn: 0,
         }
     }
 
@@ -173,10 +179,15 @@
             summary,
             route,
         };
-        for at in 0..request.parts.len() {
+        let asked = self.choose_shards(now, &request);
+        for (at, is_asked) in asked.into_iter().enumerate() {
             let service = self.upstreams.service_mut(request.parts[at].service);
             service.spending.request(now, &self.config.repeats);
-            self.send(now, id, &mut request, at, Cause::First, out);
+            if is_asked {
+                self.send(now, id, &mut request, at, Cause::First, out);
+            } else {
+                request.summary.left_out += 1;
+            }
         }
         let hedge_ms = self.hedge_ms(&request.route);
         self.timers.set(now + hedge_ms, Due::Hedge(id));
@@ -259,6 +270,33 @@
         None
     }
 
+    /// Returns for each part whether it is asked. A search leaves out shards that are too slow.
+    fn choose_shards(&mut self, now: Time, request: &Request) -> Vec<bool> {
+        if !request.route.is_gathered() || true {
+            return vec![true; request.parts.len()];
+        }
+        let regions = &request.route.entry.regions;
+        let expected = request.parts.iter().map(|part| {
+            let wanted = Wanted {
+                service: part.service,
+                regions,
+                among: Among::AllBut(&[]),
+            };
+            self.upstreams.expected(now, &wanted)
+        });
+        let expected: Vec<Expected> = expected.collect();
+        let limit_ms = request.settle_at.since(now) as f64;
+        self.turn = self.turn.wrapping_add(1);
+        let asked = choose_shards(now, &expected, request.needed(), limit_ms, self.turn);
+        for (at, expected) in expected.iter().enumerate() {
+            if asked[at] && expected.latency_ms.is_some_and(|ms| ms > limit_ms) {
+                let service = request.parts[at].service;
+                self.upstreams.service_mut(service).probed_at = now;
+            }
+        }
+        asked
+    }
+
     /// Returns the services that a request of `route` needs.
     fn services(&mut self, route: &Route) -> Vec<ServiceKey> {
         match &route.to {
@@ -348,24 +386,24 @@
         });
     }
 
-    /// Chooses an upstream for a part: one that was not tried, or else one that rejected it before.
+    /// Chooses an upstream for a part: one that was not tried, if the route allows another one, or
+    /// else one that was tried before.
     fn choose(&mut self, now: Time, part: &Part, route: &Route) -> Option<UpstreamKey> {
-        let wanted = Wanted {
+        let mut wanted = Wanted {
             service: part.service,
             regions: &route.entry.regions,
-            not: &part.tried,
+            among: Among::AllBut(&part.tried),
         };
-        let may_widen = part.tried.len() < route.entry.attempts_max as usize;
-        if may_widen {
+        if part.tried.len() < route.entry.attempts_max as usize {
             if let Some(fresh) = self.upstreams.choose(now, &wanted) {
                 return Some(fresh);
             }
         }
-        if part.tried.is_empty() || !part.open.is_empty() {
+        if !part.open.is_empty() {
             return None;
         }
-        let anyone = self.upstreams.choose(now, &Wanted { not: &[], ..wanted })?;
-        part.tried.contains(&anyone).then_some(anyone)
+        wanted.among = Among::Only(&part.tried);
+        self.upstreams.choose(now, &wanted)
     }
 
     fn spend(&mut self, now: Time, service: ServiceKey) -> bool {
--- a/hemlockrouter-route/src/direct/mod.rs
+++ b/hemlockrouter-route/src/direct/mod.rs
@@ -20,6 +20,7 @@
 //! - `budget`: how many repeats this instance may send.
 //! - `instances`: how many instances share a bound.
 //! - `cold`: how much this instance may send to a cold upstream.
+//! - `coverage`: which shards a search asks when some are too slow.
 //! - `merge`: merges the parts of a search.
 //!
 //! [`Time`]: hemlockrouter_types::Time
@@ -27,6 +28,7 @@
 mod budget;
 mod cold;
 mod config;
+mod coverage;
 mod dispatcher;
 mod event;
 mod instances;
--- a/hemlockrouter-route/src/direct/upstreams.rs
+++ b/hemlockrouter-route/src/direct/upstreams.rs
@@ -15,6 +15,7 @@
 
 use super::budget::Spending;
 use super::cold::ColdSends;
+use super::coverage::Expected;
 use super::instances::Instances;
 use super::record::Record;
 use super::Config;
@@ -73,6 +74,8 @@
     pub(super) cold_per_s: Option<f64>,
     pub(super) upstreams: Vec<UpstreamKey>,
     pub(super) spending: Spending,
+    /// When a search last asked this shard although it was too slow.
+    pub(super) probed_at: Time,
 }
 
 /// Who may be chosen for a try.
@@ -81,8 +84,26 @@
     pub(super) service: ServiceKey,
     /// The regions that are allowed; empty for all.
     pub(super) regions: &'a [String],
-    /// Upstreams that are not to be taken.
-    pub(super) not: &'a [UpstreamKey],
+    /// Which upstreams may be taken.
+    pub(super) among: Among<'a>,
+}
+
+/// Which upstreams may be taken.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Among<'a> {
+    /// All but these.
+    AllBut(&'a [UpstreamKey]),
+    /// None but these.
+    Only(&'a [UpstreamKey]),
+}
+
+impl Among<'_> {
+    fn allows(self, key: UpstreamKey) -> bool {
+        match self {
+            Among::AllBut(keys) => !keys.contains(&key),
+            Among::Only(keys) => keys.contains(&key),
+        }
+    }
 }
 
 /// All registered upstreams.
@@ -282,7 +303,7 @@
         let candidates = service.upstreams.iter().enumerate();
         let allowed = candidates.filter_map(|(at, key)| {
             let upstream = self.upstreams.get(*key)?;
-            let usable = !wanted.not.contains(key) && self.is_usable(now, upstream, wanted);
+            let usable = wanted.among.allows(*key) && self.is_usable(now, upstream, wanted);
             let usable = usable && self.bears_one_more(now, upstream, cold_per_s);
             usable.then(|| (self.cost_ms(now, at, upstream), *key))
         });
@@ -294,6 +315,25 @@
         Some(key)
     }
 
+    /// Returns what is expected of a shard, by its best upstream.
+    pub(super) fn expected(&self, now: Time, wanted: &Wanted<'_>) -> Expected {
+        let Some(service) = self.services.get(wanted.service) else {
+            return Expected {
+                latency_ms: None,
+                probed_at: now,
+            };
+        };
+        let upstreams = service.upstreams.iter();
+        let usable = upstreams
+            .filter_map(|key| self.upstreams.get(*key))
+            .filter(|upstream| self.is_usable(now, upstream, wanted));
+        let costs = usable.map(|upstream| self.cost_ms(now, 0, upstream));
+        Expected {
+            latency_ms: costs.min_by(f64::total_cmp),
+            probed_at: service.probed_at,
+        }
+    }
+
     fn is_usable(&self, now: Time, upstream: &Upstream, wanted: &Wanted<'_>) -> bool {
         let left = upstream
             .leaving_since
--- a/src/direct/calls.rs
+++ b/src/direct/calls.rs
@@ -26,8 +26,9 @@
 use super::connection::Connection;
 use super::connection::NoAnswer;
 
-/// How long connecting to an upstream may take, in milliseconds.
-const CONNECT_MS: u64 = 1_000;
+/// How long connecting to an upstream may take, in milliseconds. The way there and back takes a tenth
+/// of this; a first packet that is lost is sent again only after a second.
+const CONNECT_MS: u64 = 250;
 
 /// How long a connection is kept without use, if the upstream names no time.
 const IDLE_MAX: Duration = Duration::from_secs(10);
--- a/src/direct/requests_log.rs
+++ b/src/direct/requests_log.rs
@@ -44,6 +44,7 @@
             hedges = summary.hedges,
             retries = summary.retries,
             denied = summary.denied,
+            left_out = summary.left_out,
             unavailable = summary.unavailable,
             took_ms = summary.took_ms;
             "ended"
