Let calls that nobody waits for end by themselves at quick upstreams

A cancelled call costs its connection, and the next request at that upstream a new one; the upstream mostly pauses for a moment.

--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -61,6 +61,11 @@
 /// When a caller is to come back after a fault that takes longer to mend, in milliseconds.
 const RETRY_FAULT_MS: u64 = 250;
 
+/// A call that nobody waits for any more is left to end by itself at an upstream that usually answers
+/// within this time, in milliseconds: it pauses, and a new connection costs it more than the answer. At
+/// a slower one the call is cancelled, which frees the upstream.
+const RELEASED_MAX_MS: f64 = 45.0;
+
 /// How often upstreams are looked through for those that have left, in milliseconds.
 const EXPIRE_EVERY_MS: u64 = 250;
 
@@ -564,10 +569,18 @@
     fn cancel_part(&mut self, now: Time, part: &mut Part, seen: Seen, out: &mut Vec<Command>) {
         for open in part.open.drain(..) {
             self.calls.remove(&open.call);
+            let call = open.call;
+            let mut is_released = false;
             if let Some(upstream) = self.upstreams.get_mut(open.upstream) {
+                let is_quick = upstream.record.is_usually_within(RELEASED_MAX_MS);
+                is_released = is_quick && seen == Seen::GivenUp;
                 upstream.record.ended(now, open.sent, seen);
             }
-            out.push(Command::Cancel { call: open.call });
+            out.push(if is_released {
+                Command::Release { call }
+            } else {
+                Command::Cancel { call }
+            });
         }
     }
 
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -65,6 +65,12 @@
         /// The call.
         call: CallId,
     },
+    /// Nobody waits for a call any more, but let it end by itself, so that its connection can be used
+    /// again.
+    Release {
+        /// The call.
+        call: CallId,
+    },
     /// Answer the caller.
     Finish {
         /// The request, which has ended.
--- a/hemlockrouter-route/src/direct/record.rs
+++ b/hemlockrouter-route/src/direct/record.rs
@@ -104,6 +104,11 @@
         self.learned_at = now;
     }
 
+    /// Returns whether it usually answers within `ms` milliseconds.
+    pub(super) fn is_usually_within(&self, ms: f64) -> bool {
+        self.latency_ms <= ms
+    }
+
     /// Returns whether it could not be connected to a moment ago.
     pub(super) fn is_barred(&self, now: Time) -> bool {
         self.barred_until > now
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -380,6 +380,9 @@
                         running.abort();
                     }
                 }
+                Command::Release { call } => {
+                    self.shared.running.borrow_mut().remove(&call);
+                }
                 Command::Finish {
                     request,
                     ending,
