Follow few instances that read the registry; one watch for all that it holds

Now there is one watch for all keys, the first read may lag (a tenth of the price) since the watch goes on from its revision, and in availability zones of over four instances two read the registry and the others follow them, with the age of their last word from it; one that is silent or out of touch is left for the registry at once. Hedges go out after a third of the target at the latest (0.45 before).

--- a/hemlockrouter-config/src/direct.rs
+++ b/hemlockrouter-config/src/direct.rs
@@ -23,6 +23,7 @@
     "callers_listen",
     "ready_listen",
     "metrics_listen",
+    "relay_listen",
     "registry_address",
     "bounds",
     "log",
@@ -72,6 +73,8 @@
     pub ready_listen: SocketAddr,
     /// Where metrics are served.
     pub metrics_listen: Option<SocketAddr>,
+    /// Where other instances learn what this one has read in the registry.
+    pub relay_listen: Option<SocketAddr>,
     /// Where the registry is.
     pub registry_address: SocketAddr,
     /// How long an upstream that is leaving may still get requests, in milliseconds.
@@ -136,6 +139,7 @@
                 .get("metrics_listen")
                 .map(Field::address)
                 .transpose()?,
+            relay_listen: table.get("relay_listen").map(Field::address).transpose()?,
             registry_address: address(&table, "registry_address")?,
             drain_ms: bounds.number_or("drain_ms", 3_000, 100, 600_000)?,
             shutdown_ms: 1_000 * bounds.number_or("shutdown_s", 6, 1, 600)?,
@@ -160,6 +164,7 @@
         let listens = [
             ("ready_listen", Some(self.ready_listen)),
             ("metrics_listen", self.metrics_listen),
+            ("relay_listen", self.relay_listen),
         ];
         for (name, address) in listens {
             if address == Some(self.callers_listen) && self.callers_listen.port() != 0 {
--- a/hemlockrouter-edge/src/protocol.rs
+++ b/hemlockrouter-edge/src/protocol.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use hemlockrouter_route::direct::Ending;
 use hemlockrouter_route::direct::Reply;
+use hemlockrouter_types::routing::InstanceEntry;
 use http::request;
 use http::response;
 use http::Request;
@@ -10,7 +11,6 @@
 
 use crate::caller::BadRequest;
 use crate::caller::CallerRequest;
-use crate::registry::Feed;
 use crate::registry::Lease;
 use crate::registry::Page;
 use crate::registry::RegistryError;
@@ -44,25 +44,26 @@
         body: Bytes,
     ) -> Option<Reply>;
 
-    /// Asks for a page of a feed, from where an earlier page ended.
-    fn write_read(&self, feed: Feed, from: Option<&str>) -> Request<Bytes>;
+    /// Asks for a page of the registry, from where an earlier page ended. A page that `may_lag` is
+    /// cheaper and names an older revision.
+    fn write_read(&self, from: Option<&str>, may_lag: bool) -> Request<Bytes>;
 
-    /// Asks for what changes in a feed after a revision, and to wait for it for `wait_ms`.
-    fn write_watch(&self, feed: Feed, after: u64, wait_ms: u64) -> Request<Bytes>;
+    /// Asks for what changes in the registry after a revision, and to wait for it for `wait_ms`.
+    fn write_watch(&self, after: u64, wait_ms: u64) -> Request<Bytes>;
 
     /// Reads the answer to [`Protocol::write_read`].
     ///
     /// # Errors
     ///
     /// Returns why there is no page.
-    fn read_page(&self, feed: Feed, status: u16, body: &[u8]) -> Result<Page, RegistryError>;
+    fn read_page(&self, status: u16, body: &[u8]) -> Result<Page, RegistryError>;
 
     /// Reads the answer to [`Protocol::write_watch`].
     ///
     /// # Errors
     ///
     /// Returns why there are no changes.
-    fn read_changes(&self, feed: Feed, status: u16, body: &[u8]) -> Result<Page, RegistryError>;
+    fn read_changes(&self, status: u16, body: &[u8]) -> Result<Page, RegistryError>;
 
     /// Asks for a lease of `ttl_ms` milliseconds.
     fn write_lease(&self, ttl_ms: u64) -> Request<Bytes>;
@@ -74,8 +75,8 @@
     /// Returns why there is no lease.
     fn read_lease(&self, status: u16, body: &[u8]) -> Result<Lease, RegistryError>;
 
-    /// Asks to register the instance `name` under a lease.
-    fn write_join(&self, name: &str, lease: Lease) -> Request<Bytes>;
+    /// Asks to register an instance under a lease.
+    fn write_join(&self, instance: &InstanceEntry, lease: Lease) -> Request<Bytes>;
 
     /// Asks to renew a lease.
     fn write_renewal(&self, lease: Lease) -> Request<Bytes>;
--- a/hemlockrouter-edge/src/registry.rs
+++ b/hemlockrouter-edge/src/registry.rs
@@ -1,41 +1,39 @@
 //! The store in which routes, upstreams and instances are registered.
 //!
-//! A feed is read whole once, page by page, and then followed by watches from the revision that the
-//! first page named. Reading it again is always right, and is what an instance does when the
-//! registry has dropped the history that it asks for.
+//! It is read whole once, page by page, and then followed by watches from the revision that the first
+//! page named. Reading it again is always right, and is what an instance does when the registry has
+//! dropped the history that it asks for.
 
 use derive_more::Display;
 use derive_more::Error;
+use hemlockrouter_types::routing::InstanceEntry;
 use hemlockrouter_types::routing::RouteDocument;
 use hemlockrouter_types::routing::UpstreamEntry;
+use serde::Deserialize;
+use serde::Serialize;
 
-/// What can be read and followed.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub enum Feed {
-    /// Routes, and availability zones that are out of service.
-    #[display("operators")]
-    Operators,
-    /// Registered upstreams.
-    #[display("upstreams")]
-    Upstreams,
-    /// Instances of this tier.
-    #[display("instances")]
-    Instances,
-}
-
-/// One page of a feed, or what has changed in it.
+/// One page of the registry, or what has changed in it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Page {
     /// What was read, in order.
-    pub changes: Vec<Change>,
+    pub entries: Vec<Entry>,
     /// From where the next page is read, if there is one.
     pub next: Option<String>,
     /// The revision to follow from.
     pub revision: u64,
 }
 
-/// One entry of a feed.
-#[derive(Clone, Debug, PartialEq)]
+/// One entry of the registry, as it was at a revision.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Entry {
+    /// When it was written or removed.
+    pub revision: u64,
+    /// What it says.
+    pub change: Change,
+}
+
+/// What an entry says.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Change {
     /// All routes, in their newest version.
     Routes(RouteDocument),
@@ -53,12 +51,12 @@
         /// The upstream's id.
         id: String,
     },
-    /// An instance is registered, or its registration has ended.
-    Instance {
-        /// Its name.
+    /// An instance is registered.
+    Instance(InstanceEntry),
+    /// The registration of an instance has ended.
+    InstanceGone {
+        /// The instance's name.
         name: String,
-        /// Whether it is registered.
-        present: bool,
     },
     /// An entry can't be read. It names nothing that may be used.
     Unreadable {
@@ -71,6 +69,19 @@
     },
 }
 
+/// What an instance passes on of the registry to another one.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RelayPage {
+    /// Whether the entries are all that the registry holds, and not only what has changed.
+    pub is_whole: bool,
+    /// The revision to follow from.
+    pub revision: u64,
+    /// How long ago the sender last heard from the registry, in milliseconds.
+    pub age_ms: u64,
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
+
 /// The lease that keeps an instance registered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Lease {
--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -38,7 +38,7 @@
 const HEDGE_MIN_MS: u64 = 12;
 
 /// The largest part of the target latency that passes before a hedge.
-const HEDGE_MAX_PART: f64 = 0.45;
+const HEDGE_MAX_PART: f64 = 0.33;
 
 /// Latencies that the quantile must rest on.
 const HEDGE_SAMPLES: u32 = 32;
--- a/hemlockrouter-route/src/direct/instances.rs
+++ b/hemlockrouter-route/src/direct/instances.rs
@@ -1,12 +1,18 @@
-//! How many instances share a bound.
+//! The instances of the tier: how many share a bound, and who reads the registry for whom.
 //!
 //! Too low a count would let all instances together pass a bound, so an instance that disappears
 //! from the list is counted for a while: it may have lost nothing but its way to the registry. A list
 //! that grows is not complete yet, and gives no count at all.
+//!
+//! The registry bounds its calls over all instances, and each call costs. In an availability zone of
+//! many instances only a few read it, the same ones in everybody's view, and the others follow them.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::InstanceEntry;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// How long an instance that left the list is counted, in milliseconds.
 const KEPT_MS: u64 = 30_000;
@@ -14,29 +20,58 @@
 /// How long the list must not have grown before it counts as complete, in milliseconds.
 const SETTLING_MS: u64 = 3_000;
 
-/// The instances that share a bound.
+/// In an availability zone of no more instances than this, all read the registry.
+const ALL_READ_MAX: usize = 4;
+
+/// How many instances of a larger availability zone read the registry.
+const READERS: usize = 2;
+
+/// How an instance learns what the registry holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reading {
+    /// It reads the registry for itself.
+    Alone,
+    /// It reads the registry, and others follow it.
+    ForOthers,
+    /// It follows another instance.
+    Following(SocketAddr),
+}
+
+/// The instances of the tier.
 #[derive(Clone, Debug, Default)]
 pub struct Instances {
-    /// Each instance, and since when it is gone from the list.
-    known: BTreeMap<String, Option<Time>>,
+    known: BTreeMap<String, Known>,
     grown_at: Time,
 }
 
+#[derive(Clone, Debug)]
+struct Known {
+    entry: InstanceEntry,
+    /// Since when it is gone from the list.
+    gone_since: Option<Time>,
+}
+
 impl Instances {
     /// Takes over that an instance is on the list.
-    pub fn joined(&mut self, now: Time, name: &str) {
-        if self.known.insert(String::from(name), None).is_none() {
+    pub fn joined(&mut self, now: Time, entry: InstanceEntry) {
+        let known = Known {
+            entry: entry.clone(),
+            gone_since: None,
+        };
+        if self.known.insert(entry.name, known).is_none() {
             self.grown_at = now;
         }
     }
 
     /// Takes over that an instance is not on the list any more.
     pub fn left(&mut self, now: Time, name: &str) {
-        if let Some(since) = self.known.get_mut(name) {
-            since.get_or_insert(now);
+        if let Some(known) = self.known.get_mut(name) {
+            known.gone_since.get_or_insert(now);
         }
-        self.known
-            .retain(|_, since| since.is_none_or(|since| now.since(since) <= KEPT_MS));
+        self.known.retain(|_, known| {
+            let gone_since = known.gone_since;
+            gone_since.is_none_or(|since| now.since(since) <= KEPT_MS)
+        });
     }
 
     /// Takes over that only the instances of `names` are on the list.
@@ -45,10 +80,8 @@
         I: Iterator<Item = &'n str>,
     {
         let names: Vec<&str> = names.collect();
-        let gone = self
-            .known
-            .keys()
-            .filter(|name| !names.contains(&name.as_str()));
+        let known = self.known.keys();
+        let gone = known.filter(|name| !names.contains(&name.as_str()));
         let gone: Vec<String> = gone.cloned().collect();
         for name in gone {
             self.left(now, &name);
@@ -67,7 +100,38 @@
 
     /// Returns how many share a bound, if the list is complete.
     pub fn sharing(&self, now: Time) -> Option<u32> {
-        let is_settled = now.since(self.grown_at) >= SETTLING_MS;
-        (is_settled && !self.known.is_empty()).then(|| self.count())
+        self.is_settled(now).then(|| self.count())
+    }
+
+    /// Returns how the instance `me` learns what the registry holds.
+    pub fn reading(&self, now: Time, me: &str) -> Reading {
+        let Some(zone) = self.known.get(me).map(|known| known.entry.zone.as_str()) else {
+            return Reading::Alone;
+        };
+        let present = self
+            .known
+            .values()
+            .filter(|known| known.gone_since.is_none());
+        let in_zone = present.filter(|known| known.entry.zone == zone);
+        let mut ranked: Vec<&InstanceEntry> = in_zone.map(|known| &known.entry).collect();
+        if !self.is_settled(now) || ranked.len() <= ALL_READ_MAX {
+            return Reading::Alone;
+        }
+        ranked.sort_by_key(|entry| (xxh3_64(entry.name.as_bytes()), entry.name.as_str()));
+        let mut readers = ranked
+            .iter()
+            .filter(|entry| entry.relay.is_some())
+            .take(READERS);
+        if readers.clone().any(|entry| entry.name == me) {
+            return Reading::ForOthers;
+        }
+        let which = xxh3_64(me.as_bytes()) as usize % READERS;
+        let reader = readers.clone().nth(which).or_else(|| readers.next());
+        let relay = reader.and_then(|entry| entry.relay);
+        relay.map_or(Reading::Alone, Reading::Following)
+    }
+
+    fn is_settled(&self, now: Time) -> bool {
+        now.since(self.grown_at) >= SETTLING_MS && !self.known.is_empty()
     }
 }
--- a/hemlockrouter-route/src/direct/mod.rs
+++ b/hemlockrouter-route/src/direct/mod.rs
@@ -18,7 +18,7 @@
 //! - `upstreams`: the registered upstreams, and which one is chosen.
 //! - `record`: how one upstream has answered.
 //! - `budget`: how many repeats this instance may send.
-//! - `instances`: how many instances share a bound.
+//! - `instances`: how many instances share a bound, and who reads the registry.
 //! - `cold`: how much this instance may send to a cold upstream.
 //! - `coverage`: which shards a search asks when some are too slow.
 //! - `merge`: merges the parts of a search.
@@ -50,6 +50,7 @@
 pub use self::event::Summary;
 pub use self::event::Why;
 pub use self::instances::Instances;
+pub use self::instances::Reading;
 pub use self::merge::merge;
 pub use self::table::Route;
 pub use self::table::RouteTable;
--- a/hemlockrouter-types/src/routing.rs
+++ b/hemlockrouter-types/src/routing.rs
@@ -7,8 +7,11 @@
 
 use std::net::SocketAddr;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// One version of all routes and services.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RouteDocument {
     /// Grows with each version, in uneven steps.
     pub version: u64,
@@ -21,7 +24,7 @@
 }
 
 /// Where requests of one host and path prefix go, and what may be done with them.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RouteEntry {
     /// Names the route in logs.
     pub name: String,
@@ -46,7 +49,7 @@
 }
 
 /// What serves the requests of a route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Target {
     /// One upstream of this service.
     Service(String),
@@ -57,7 +60,7 @@
 }
 
 /// One service of a split.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct WeightedService {
     /// The service.
     pub service: String,
@@ -66,7 +69,7 @@
 }
 
 /// A set of shards whose answers are merged into one.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ShardTarget {
     /// The services that hold the shards.
     pub services: Vec<String>,
@@ -77,7 +80,7 @@
 }
 
 /// What is known of a service beside its upstreams.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ServiceEntry {
     /// The name that routes use.
     pub name: String,
@@ -89,7 +92,7 @@
 }
 
 /// What callers may send.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CallerLimits {
     /// The largest head of a request, in bytes.
     pub header_max_bytes: usize,
@@ -102,7 +105,7 @@
 }
 
 /// What one upstream says of itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamEntry {
     /// The upstream's id; a restart may keep it.
     pub id: String,
@@ -121,3 +124,14 @@
     /// How much longer it stays cold, in milliseconds.
     pub cold_ms: u64,
 }
+
+/// What one instance of the tier says of itself to the others.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct InstanceEntry {
+    /// Its name, which a restart keeps.
+    pub name: String,
+    /// The availability zone that it runs in.
+    pub zone: String,
+    /// Where it passes on what it reads in the registry, if it does.
+    pub relay: Option<SocketAddr>,
+}
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -7,11 +7,11 @@
 
 use eyre::WrapErr;
 use hemlockrouter_config::DirectSettings;
-use hemlockrouter_edge::Feed;
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_route::direct::Config;
 use hemlockrouter_route::direct::RepeatBound;
 use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::InstanceEntry;
 use log::info;
 use log::warn;
 use tokio::net::TcpListener;
@@ -22,10 +22,13 @@
 
 use super::callers::Callers;
 use super::calls::Calls;
+use super::follower::Follower;
 use super::member;
+use super::mirror::Mirror;
 use super::node::Node;
 use super::operators::Operators;
-use super::registry;
+use super::registry::Registry;
+use super::relay;
 use super::requests_log::RequestsLog;
 use crate::edge::phase::Phase;
 use crate::instance::Ended;
@@ -68,13 +71,26 @@
     let metrics = Rc::new(Metrics::new());
     let keeping = Rc::clone(&node);
     tokio::task::spawn_local(async move { keeping.keep_time().await });
-    for feed in [Feed::Operators, Feed::Upstreams, Feed::Instances] {
-        let address = settings.registry_address;
-        let following = registry::follow(feed, address, Rc::clone(&protocol), Rc::clone(&node));
-        tokio::task::spawn_local(following);
-    }
-    let name = settings.name.clone();
-    let keeping = member::keep(name, settings.registry_address, Rc::clone(&protocol));
+    let mirror = Rc::new(Mirror::new(clock));
+    let relay = serve_relay(&settings, &mirror).await;
+    let follower = Follower {
+        clock,
+        name: settings.name.clone(),
+        registry: Registry::new(settings.registry_address),
+        protocol: Rc::clone(&protocol),
+        node: Rc::clone(&node),
+        mirror,
+        followed: None,
+        alone_until: Time::ZERO,
+        lost_since: None,
+    };
+    tokio::task::spawn_local(follower.run());
+    let me = InstanceEntry {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        relay,
+    };
+    let keeping = member::keep(me, settings.registry_address, Rc::clone(&protocol));
     tokio::task::spawn_local(keeping);
     let operators = Rc::new(Operators {
         node: Rc::clone(&node),
@@ -129,6 +145,23 @@
     }
 }
 
+/// Serves those that follow this instance, and returns where. One that can't be followed still reads
+/// the registry for itself.
+async fn serve_relay(settings: &DirectSettings, mirror: &Rc<Mirror>) -> Option<SocketAddr> {
+    let address = settings.relay_listen?;
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            tokio::task::spawn_local(relay::accept(listener, Rc::clone(mirror)));
+            Some(address)
+        }
+        Err(err) => {
+            let address = address.to_string();
+            warn!(target: "process", address = address, why = err.to_string(); "no relay");
+            None
+        }
+    }
+}
+
 /// Waits for a signal that ends the process.
 async fn wait_for_stop() -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).wrap_err("can't wait for SIGTERM")?;
--- a/src/direct/member.rs
+++ b/src/direct/member.rs
@@ -7,6 +7,7 @@
 use hemlockrouter_edge::Lease;
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_edge::RegistryError;
+use hemlockrouter_types::routing::InstanceEntry;
 use log::info;
 use log::warn;
 
@@ -25,10 +26,10 @@
 /// How long a call may take, in milliseconds.
 const CALL_MS: u64 = 1_500;
 
-/// Registers this instance under `name` for as long as the process runs.
-pub(super) async fn keep(name: String, address: SocketAddr, protocol: Rc<dyn Protocol>) {
+/// Registers this instance for as long as the process runs.
+pub(super) async fn keep(me: InstanceEntry, address: SocketAddr, protocol: Rc<dyn Protocol>) {
     let mut member = Member {
-        name,
+        me,
         registry: Registry::new(address),
         protocol,
     };
@@ -40,7 +41,7 @@
 }
 
 struct Member {
-    name: String,
+    me: InstanceEntry,
     registry: Registry,
     protocol: Rc<dyn Protocol>,
 }
@@ -70,7 +71,7 @@
         let (status, body) = self.registry.call(request, CALL_MS).await?;
         let lease = self.protocol.read_lease(status, &body);
         let lease = lease.map_err(CallError::Refused)?;
-        let request = self.protocol.write_join(&self.name, lease);
+        let request = self.protocol.write_join(&self.me, lease);
         let (status, _) = self.registry.call(request, CALL_MS).await?;
         let done = self.protocol.read_done(status);
         done.map_err(CallError::Refused)?;
--- /dev/null
+++ b/src/direct/mirror.rs
@@ -0,0 +1,142 @@
+//! What this instance has read of the registry, for itself and for those that follow it.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use hemlockrouter_edge::Change;
+use hemlockrouter_edge::Entry;
+use hemlockrouter_edge::RelayPage;
+use hemlockrouter_types::prelude::*;
+use tokio::sync::Notify;
+
+/// How many changes are kept for followers; one that is further behind reads everything again.
+const CHANGES_MAX: usize = 4_096;
+
+/// What an entry is about.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Subject {
+    Routes,
+    Zone(String),
+    Upstream(String),
+    Instance(String),
+}
+
+/// What this instance has read of the registry.
+pub(super) struct Mirror {
+    clock: Clock,
+    state: RefCell<State>,
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    /// Changes after this revision are all kept.
+    kept_from: u64,
+    heard_at: Option<Time>,
+    entries: BTreeMap<Subject, Entry>,
+    changes: VecDeque<Entry>,
+}
+
+impl Mirror {
+    pub(super) fn new(clock: Clock) -> Mirror {
+        Mirror {
+            clock,
+            state: RefCell::default(),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Returns the revision that was read last; `None` before the first.
+    pub(super) fn revision(&self) -> Option<u64> {
+        let state = self.state.borrow();
+        state.heard_at.map(|_| state.revision)
+    }
+
+    /// Takes over what was read. `age_ms` is how long ago the registry was in that state at least.
+    pub(super) fn take(&self, entries: &[Entry], revision: u64, is_whole: bool, age_ms: u64) {
+        let mut state = self.state.borrow_mut();
+        if is_whole {
+            state.entries.clear();
+            state.changes.clear();
+            state.kept_from = revision;
+        }
+        for entry in entries {
+            state.put(entry, is_whole);
+        }
+        state.revision = state.revision.max(revision);
+        state.heard_at = Some(self.clock.now().before(age_ms));
+        drop(state);
+        if !entries.is_empty() {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Returns what a follower lacks that has read up to revision `after`, as soon as there is
+    /// something or `wait` is over.
+    pub(super) async fn page(&self, after: Option<u64>, wait: std::time::Duration) -> RelayPage {
+        let changed = self.changed.notified();
+        let page = self.page_now(after);
+        if page.is_whole || !page.entries.is_empty() {
+            return page;
+        }
+        // Whether a change came or the time is over: the page says it.
+        let _ = tokio::time::timeout(wait, changed).await;
+        self.page_now(after)
+    }
+
+    fn page_now(&self, after: Option<u64>) -> RelayPage {
+        let state = self.state.borrow();
+        let now = self.clock.now();
+        let age_ms = state.heard_at.map_or(u64::MAX, |at| now.since(at));
+        let kept = after.filter(|after| *after >= state.kept_from);
+        let entries = match kept {
+            Some(after) => {
+                let newer = state.changes.iter().filter(|entry| entry.revision > after);
+                newer.cloned().collect()
+            }
+            None => state.entries.values().cloned().collect(),
+        };
+        RelayPage {
+            is_whole: kept.is_none(),
+            revision: state.revision,
+            age_ms,
+            entries,
+        }
+    }
+}
+
+impl State {
+    fn put(&mut self, entry: &Entry, is_whole: bool) {
+        if let Some((subject, is_present)) = subject(&entry.change) {
+            if is_present {
+                self.entries.insert(subject, entry.clone());
+            } else {
+                self.entries.remove(&subject);
+            }
+        }
+        if is_whole {
+            return;
+        }
+        self.changes.push_back(entry.clone());
+        if self.changes.len() > CHANGES_MAX {
+            if let Some(dropped) = self.changes.pop_front() {
+                self.kept_from = self.kept_from.max(dropped.revision);
+            }
+        }
+    }
+}
+
+/// Returns what a change is about, and whether it is there after the change.
+fn subject(change: &Change) -> Option<(Subject, bool)> {
+    Some(match change {
+        Change::Routes(_) => (Subject::Routes, true),
+        Change::Zone { zone, out } => (Subject::Zone(zone.clone()), *out),
+        Change::Upstream(entry) => (Subject::Upstream(entry.id.clone()), true),
+        Change::UpstreamGone { id } => (Subject::Upstream(id.clone()), false),
+        Change::Instance(entry) => (Subject::Instance(entry.name.clone()), true),
+        Change::InstanceGone { name } => (Subject::Instance(name.clone()), false),
+        Change::Unreadable { upstream, .. } => (Subject::Upstream(upstream.clone()?), false),
+    })
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -11,7 +11,10 @@
 //! - `callers`: the port for callers.
 //! - `calls`: calls to upstreams.
 //! - `connection`: one client connection, used for upstreams and the registry.
-//! - `registry`: follows the registry.
+//! - `follower`: keeps up with the registry.
+//! - `registry`: calls to the registry.
+//! - `mirror`: what was read of the registry.
+//! - `relay`: passes it on to other instances.
 //! - `member`: keeps this instance registered.
 //! - `operators`: readiness and metrics.
 //! - `requests_log`: the log line of each request.
@@ -19,11 +22,14 @@
 mod callers;
 mod calls;
 mod connection;
+mod follower;
 mod instance;
 mod member;
+mod mirror;
 mod node;
 mod operators;
 mod registry;
+mod relay;
 mod requests_log;
 
 pub use self::instance::run;
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,13 +10,14 @@
 use bytes::Bytes;
 use hemlockrouter_edge::CallerRequest;
 use hemlockrouter_edge::Change;
-use hemlockrouter_edge::Feed;
 use hemlockrouter_route::direct::CallEnd;
 use hemlockrouter_route::direct::CallId;
 use hemlockrouter_route::direct::Command;
 use hemlockrouter_route::direct::Config;
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::Ending;
+use hemlockrouter_route::direct::Instances;
+use hemlockrouter_route::direct::Reading;
 use hemlockrouter_route::direct::Registered;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
@@ -70,7 +70,8 @@
     running: RefCell<HashMap<CallId, AbortHandle>>,
     table: RefCell<Rc<RouteTable>>,
     limits: Cell<CallerLimits>,
-    loaded: RefCell<BTreeSet<&'static str>>,
+    is_loaded: Cell<bool>,
+    instances: RefCell<Instances>,
     wake_at: Cell<Option<Time>>,
 }
 
@@ -100,7 +101,8 @@
             running: RefCell::default(),
             table: RefCell::default(),
             limits: Cell::new(FIRST_LIMITS),
-            loaded: RefCell::default(),
+            is_loaded: Cell::new(false),
+            instances: RefCell::default(),
             wake_at: Cell::new(None),
         });
         let dispatcher = Dispatcher::new(config);
@@ -130,8 +132,7 @@
 
     /// Returns whether routes and upstreams are known.
     pub(super) fn is_configured(&self) -> bool {
-        let loaded = self.shared.loaded.borrow();
-        !self.shared.table.borrow().is_empty() && loaded.contains(feed_name(Feed::Upstreams))
+        self.shared.is_loaded.get() && !self.shared.table.borrow().is_empty()
     }
 
     /// Returns how many callers wait.
@@ -168,12 +169,17 @@
         self.run();
     }
 
-    /// Takes over changes of a feed; `is_whole` if they are all that the feed holds.
-    pub(super) fn changed(&self, feed: Feed, changes: Vec<Change>, is_whole: bool) {
-        call!([self.decider], changed(feed, changes, is_whole));
+    /// Takes over changes of the registry; `is_whole` if they are all that it holds.
+    pub(super) fn changed(&self, changes: Vec<Change>, is_whole: bool) {
+        call!([self.decider], changed(changes, is_whole));
         self.run();
     }
 
+    /// Returns how the instance `me` learns what the registry holds.
+    pub(super) fn reading(&self, now: Time, me: &str) -> Reading {
+        self.shared.instances.borrow().reading(now, me)
+    }
+
     /// Does what is due, for as long as the process runs.
     pub(super) async fn keep_time(&self) {
         loop {
@@ -262,40 +268,36 @@
         self.shared.calls.tidy(|key| upstreams.get(key).is_some());
     }
 
-    fn changed(&mut self, _: CX![], feed: Feed, changes: Vec<Change>, is_whole: bool) {
+    fn changed(&mut self, _: CX![], changes: Vec<Change>, is_whole: bool) {
         let now = self.shared.clock.now();
         if is_whole {
-            self.keep_only(now, feed, &changes);
+            self.keep_only(now, &changes);
         }
         for change in changes {
             self.change(now, change);
         }
         if is_whole {
-            self.shared.loaded.borrow_mut().insert(feed_name(feed));
+            self.shared.is_loaded.set(true);
         }
+        let instances = self.dispatcher.upstreams().instances().clone();
+        self.shared.instances.replace(instances);
         self.set_timer();
     }
 
-    /// Takes over that a feed holds nothing but `changes`.
-    fn keep_only(&mut self, now: Time, feed: Feed, changes: &[Change]) {
+    /// Takes over that the registry holds nothing but `changes`.
+    fn keep_only(&mut self, now: Time, changes: &[Change]) {
         let upstreams = self.dispatcher.upstreams_mut();
-        match feed {
-            Feed::Operators => upstreams.restore_zones(),
-            Feed::Upstreams => {
-                let ids = changes.iter().filter_map(|change| match change {
-                    Change::Upstream(entry) => Some(entry.id.clone()),
-                    _ => None,
-                });
-                upstreams.keep_only(now, &ids.collect());
-            }
-            Feed::Instances => {
-                let names = changes.iter().filter_map(|change| match change {
-                    Change::Instance { name, .. } => Some(name.as_str()),
-                    _ => None,
-                });
-                upstreams.instances_mut().keep_only(now, names);
-            }
-        }
+        upstreams.restore_zones();
+        let ids = changes.iter().filter_map(|change| match change {
+            Change::Upstream(entry) => Some(entry.id.clone()),
+            _ => None,
+        });
+        upstreams.keep_only(now, &ids.collect());
+        let names = changes.iter().filter_map(|change| match change {
+            Change::Instance(entry) => Some(entry.name.as_str()),
+            _ => None,
+        });
+        upstreams.instances_mut().keep_only(now, names);
     }
 
     fn change(&mut self, now: Time, change: Change) {
@@ -324,7 +326,21 @@
                 self.dispatcher.upstreams_mut().unregister(now, &id);
                 info!(target: "belief", upstream = id.as_str(); "upstream not registered any more");
             }
-            Change::Instance { name, present } => self.member(now, &name, present),
+            Change::Instance(entry) => {
+                let name = entry.name.clone();
+                self.dispatcher
+                    .upstreams_mut()
+                    .instances_mut()
+                    .joined(now, entry);
+                self.log_instance(&name, true);
+            }
+            Change::InstanceGone { name } => {
+                self.dispatcher
+                    .upstreams_mut()
+                    .instances_mut()
+                    .left(now, &name);
+                self.log_instance(&name, false);
+            }
             Change::Unreadable { key, upstream, why } => {
                 warn!(target: "belief", key = key.as_str(), why = why.as_str(); "unreadable entry");
                 if let Some(id) = upstream {
@@ -353,14 +369,8 @@
         }
     }
 
-    fn member(&mut self, now: Time, name: &str, present: bool) {
-        let instances = self.dispatcher.upstreams_mut().instances_mut();
-        if present {
-            instances.joined(now, name);
-        } else {
-            instances.left(now, name);
-        }
-        let count = instances.count();
+    fn log_instance(&self, name: &str, present: bool) {
+        let count = self.dispatcher.upstreams().instances().count();
         info!(target: "belief", instance = name, present = present, count = count; "instance");
     }
 
@@ -430,11 +440,3 @@
         running.borrow_mut().insert(id, task.abort_handle());
     }
 }
-
-fn feed_name(feed: Feed) -> &'static str {
-    match feed {
-        Feed::Operators => "operators",
-        Feed::Upstreams => "upstreams",
-        Feed::Instances => "instances",
-    }
-}
