--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -38,6 +38,12 @@
 /// The largest part of the target latency that passes before a hedge.
 const HEDGE_MAX_PART: f64 = 0.33;
 
+/// A search's parts are hedged when no other part has come for this part of the target latency.
+const HEDGE_QUIET_PART: f64 = 0.07;
+
+/// The part of the target latency after which a search's parts are hedged in any case.
+const HEDGE_LATEST_PART: f64 = 0.45;
+
 /// Latencies that the quantile must rest on.
 const HEDGE_SAMPLES: u32 = 32;
 
@@ -175,6 +181,7 @@
             arrived: now,
             deadline,
             settle_at: now + settle_ms.saturating_sub(REPLY_MS),
+            answered_at: now,
             parts: services.into_iter().map(Part::new).collect(),
             summary,
             route,
@@ -209,6 +216,7 @@
         let part = &mut request.parts[call.part];
         let again = take_end(part, end, request.route.entry.idempotent);
         if part.answer.is_some() {
+            request.answered_at = now;
             self.cancel_part(now, part, Seen::GivenUp, out);
         } else if let Some(cause) = again {
             if part.open.is_empty() {
@@ -390,7 +398,10 @@
         let Some(mut request) = self.requests.remove(&id) else {
             return;
         };
-        if request.route.entry.idempotent {
+        let quiet_at = self.quiet_at(&request);
+        if now < quiet_at {
+            self.timers.set(quiet_at, Due::Hedge(id));
+        } else if request.route.entry.idempotent {
             for at in 0..request.parts.len() {
                 let part = &request.parts[at];
                 if part.answer.is_none() && part.open.len() == 1 && part.sends == 1 {
@@ -401,6 +412,18 @@
         self.requests.insert(id, request);
     }
 
+    /// Returns when the parts of a search that are missing count as slow. While answers come in, the
+    /// instance itself is behind, and the next one may be there already.
+    fn quiet_at(&self, request: &Request) -> Time {
+        if !request.route.is_gathered() {
+            return request.arrived;
+        }
+        let target_ms = request.route.entry.target_latency_ms as f64;
+        let quiet_at = request.answered_at + (target_ms * HEDGE_QUIET_PART) as u64;
+        let latest = request.arrived + (target_ms * HEDGE_LATEST_PART) as u64;
+        quiet_at.min(latest)
+    }
+
     /// Returns after how long a try of `route` is hedged, in milliseconds.
     fn hedge_ms(&self, route: &Route) -> u64 {
         let target_ms = route.entry.target_latency_ms as f64;
--- a/hemlockrouter-route/src/direct/request.rs
+++ b/hemlockrouter-route/src/direct/request.rs
@@ -44,6 +44,8 @@
     pub(super) deadline: Time,
     /// From when on an answer with enough shards is not held for the others.
     pub(super) settle_at: Time,
+    /// When the last part was answered, or the request was sent.
+    pub(super) answered_at: Time,
     pub(super) parts: Vec<Part>,
     pub(super) summary: Summary,
 }
