--- /dev/null
+++ b/hemlockrouter-route/tests/direct/budget.rs
@@ -0,0 +1,102 @@
+//! The bound on repeats over all instances.
+//!
+//! Nine instances share a bound, and their upstreams reject everything, so each request wants
+//! repeats. Some instances are killed and start again without their memory. In no window may all
+//! together have sent more repeats than the bound allows.
+
+use hemlockrouter_route::direct::CallId;
+use rand::rngs::StdRng;
+use rand::RngExt;
+use rand::SeedableRng;
+
+use crate::fixture::instance;
+use crate::fixture::rejected;
+use crate::fixture::routes;
+use crate::fixture::Fixture;
+use crate::fixture::LOOK_UP;
+
+const INSTANCES: usize = 9;
+const WINDOW_MS: u64 = 10_000;
+
+fn fixture(at: usize, now_ms: u64) -> Fixture {
+    let mut fixture = Fixture::with(&format!("instance-{at}"), routes());
+    let zero = hemlockrouter_types::Time::ZERO;
+    for other in 0..INSTANCES {
+        let entry = instance(&format!("instance-{other}"), "north-a");
+        fixture
+            .dispatcher
+            .upstreams_mut()
+            .instances_mut()
+            .joined(zero, entry);
+    }
+    fixture.dispatcher.upstreams_mut().first_read();
+    fixture.now = hemlockrouter_types::Time::from_ms(now_ms);
+    fixture
+}
+
+/// Plays a minute and returns the times of requests and of repeats.
+fn play(seed: u64, restart_every_ms: u64) -> (Vec<u64>, Vec<u64>) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut instances: Vec<Fixture> = (0..INSTANCES).map(|at| fixture(at, 100_000)).collect();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    let mut restart_at = 100_000 + restart_every_ms;
+    let mut now_ms = 100_000;
+    while now_ms < 160_000 {
+        now_ms += rng.random_range(2..30);
+        let at = rng.random_range(0..INSTANCES);
+        if now_ms >= restart_at {
+            restart_at += restart_every_ms;
+            instances[at] = fixture(at, now_ms);
+        }
+        let fixture = &mut instances[at];
+        fixture.now = hemlockrouter_types::Time::from_ms(now_ms);
+        requests.push(now_ms);
+        fixture.start(LOOK_UP);
+        let mut open: Vec<CallId> = fixture.sent().into_iter().map(|(call, _)| call).collect();
+        while let Some(call) = open.pop() {
+            fixture.end(call, rejected());
+            let again = fixture.sent();
+            repeats.extend(again.iter().map(|_| now_ms));
+            open.extend(again.into_iter().map(|(call, _)| call));
+        }
+    }
+    (requests, repeats)
+}
+
+/// Returns by how much the worst window passes the bound; negative if none does.
+fn worst(requests: &[u64], repeats: &[u64]) -> f64 {
+    let within = |times: &[u64], from: u64| {
+        let inside = times
+            .iter()
+            .filter(|at| (from..from + WINDOW_MS).contains(at));
+        inside.count() as f64
+    };
+    let excess = repeats.iter().map(|from| {
+        let allowed = 0.2 * within(requests, *from) + 40.0;
+        within(repeats, *from) - allowed
+    });
+    excess.fold(f64::NEG_INFINITY, f64::max)
+}
+
+#[test]
+fn repeats_of_all_instances_stay_within_the_bound_when_some_start_again() {
+    for seed in 0..20 {
+        let (requests, repeats) = play(seed, 3_000);
+        assert!(!repeats.is_empty(), "rejections were to be repeated");
+        let excess = worst(&requests, &repeats);
+        assert!(
+            excess <= 0.0,
+            "seed {seed}: {excess} repeats too many in a window"
+        );
+    }
+}
+
+#[test]
+fn repeats_are_of_use_while_the_bound_leaves_room() {
+    let (requests, repeats) = play(1, u64::MAX / 2);
+    let share = repeats.len() as f64 / requests.len() as f64;
+    assert!(
+        share > 0.15,
+        "only {share} of the requests were repeated, of 0.2 and some"
+    );
+}
--- /dev/null
+++ b/hemlockrouter-route/tests/direct/cases.rs
@@ -0,0 +1,275 @@
+//! What follows from single events.
+
+use hemlockrouter_route::direct::CallEnd;
+use hemlockrouter_route::direct::Command;
+use hemlockrouter_route::direct::Ending;
+use hemlockrouter_types::routing::Target;
+use hemlockrouter_types::routing::WeightedService;
+
+use crate::fixture::failure;
+use crate::fixture::rejected;
+use crate::fixture::route;
+use crate::fixture::routes;
+use crate::fixture::success;
+use crate::fixture::upstream;
+use crate::fixture::Fixture;
+use crate::fixture::BOOK;
+use crate::fixture::LOOK_UP;
+use crate::fixture::SEARCH;
+use crate::fixture::SHARDS;
+
+fn record(first: u8) -> Vec<u8> {
+    vec![first; 16]
+}
+
+#[test]
+fn a_search_merges_the_greatest_records_of_all_parts() {
+    let mut fixture = Fixture::new();
+    let id = fixture.start(SEARCH);
+    let sent = fixture.sent();
+    assert_eq!(sent.len(), SHARDS);
+    for (at, (call, _)) in sent.into_iter().enumerate() {
+        let at = at as u8;
+        let mut body = [record(at), record(10 + at)].concat();
+        // What is left over after the last whole record is none.
+        body.extend([255; 7]);
+        fixture.end(call, success(&format!("stamp-{at}"), &body));
+    }
+    let Some(Ending::Merged {
+        body,
+        stamps,
+        missing,
+    }) = fixture.ending(id)
+    else {
+        panic!("the search has ended with a merged answer");
+    };
+    assert_eq!(body, [record(13), record(12), record(11)].concat());
+    assert_eq!((stamps.len(), missing), (SHARDS, 0));
+}
+
+#[test]
+fn a_search_answers_in_part_when_the_rest_would_be_late() {
+    let mut fixture = Fixture::new();
+    let id = fixture.start(SEARCH);
+    let sent = fixture.sent();
+    for (call, _) in &sent[1..] {
+        fixture.end(*call, success(&call.to_string(), &record(1)));
+    }
+    assert!(fixture.ending(id).is_none(), "the last part may still come");
+    fixture.wait(129);
+    let Some(Ending::Merged {
+        stamps, missing, ..
+    }) = fixture.ending(id)
+    else {
+        panic!("the search has ended with a merged answer");
+    };
+    assert_eq!((stamps.len(), missing), (SHARDS - 1, 1));
+    assert_eq!(fixture.dispatcher.pending(), 0);
+}
+
+#[test]
+fn a_search_that_can_not_reach_its_coverage_ends_at_once() {
+    let mut fixture = Fixture::new();
+    for zone in ["north-a", "south-b"] {
+        fixture.dispatcher.upstreams_mut().evacuate(zone, true);
+    }
+    let id = fixture.start(SEARCH);
+    assert!(fixture.sent().is_empty());
+    let Some(Ending::NotRun { retry_after_ms, .. }) = fixture.ending(id) else {
+        panic!("nothing can have run");
+    };
+    assert!(retry_after_ms > 0);
+}
+
+#[test]
+fn a_silent_part_is_hedged_at_another_upstream() {
+    let mut fixture = Fixture::new();
+    let id = fixture.start(SEARCH);
+    let sent = fixture.sent();
+    for (call, _) in &sent[1..] {
+        fixture.end(*call, success(&call.to_string(), &record(1)));
+    }
+    fixture.wait(70);
+    let hedges = fixture.sent();
+    assert_eq!(hedges.len(), 1);
+    assert_ne!(hedges[0].1, sent[0].1);
+    fixture.end(hedges[0].0, success("hedge", &record(2)));
+    assert!(matches!(
+        fixture.ending(id),
+        Some(Ending::Merged { missing: 0, .. })
+    ));
+    let is_let_go = |command: &Command| match command {
+        Command::Release { call } | Command::Cancel { call } => *call == sent[0].0,
+        _ => false,
+    };
+    assert!(fixture.out.iter().any(is_let_go));
+}
+
+#[test]
+fn a_request_that_must_not_be_repeated_is_sent_again_only_if_it_did_not_run() {
+    for (end, is_repeated) in [
+        (rejected(), true),
+        (CallEnd::NotSent, true),
+        (CallEnd::Lost, false),
+        (failure(), false),
+    ] {
+        let mut fixture = Fixture::new();
+        let id = fixture.start(BOOK);
+        let (call, _) = fixture.sent().remove(0);
+        fixture.end(call, end.clone());
+        assert_eq!(fixture.sent().len(), usize::from(is_repeated), "{end:?}");
+        assert_eq!(fixture.ending(id).is_none(), is_repeated, "{end:?}");
+        fixture.wait(300);
+        assert!(fixture.sent().is_empty(), "{end:?}: hedged");
+    }
+}
+
+#[test]
+fn a_refusal_is_given_only_where_nothing_ran() {
+    let mut fixture = Fixture::new();
+    let id = fixture.start(BOOK);
+    let mut sends = 0;
+    while let Some((call, _)) = fixture.sent().pop() {
+        sends += 1;
+        fixture.end(call, rejected());
+    }
+    assert!(sends >= 2);
+    assert!(matches!(fixture.ending(id), Some(Ending::NotRun { .. })));
+    let id = fixture.start(BOOK);
+    let (call, _) = fixture.sent().remove(0);
+    fixture.end(call, CallEnd::Lost);
+    assert!(matches!(fixture.ending(id), Some(Ending::Failed { .. })));
+}
+
+#[test]
+fn the_failure_of_the_last_upstream_is_passed_on_as_it_is() {
+    let mut fixture = Fixture::new();
+    let id = fixture.start(LOOK_UP);
+    while let Some((call, _)) = fixture.sent().pop() {
+        fixture.end(call, failure());
+    }
+    let Some(Ending::Passed(reply)) = fixture.ending(id) else {
+        panic!("the upstream's failure is the answer");
+    };
+    assert_eq!((reply.status, &reply.body[..]), (500, &b"failed"[..]));
+}
+
+#[test]
+fn a_route_to_one_upstream_is_repeated_at_that_one_only() {
+    let mut routes = routes();
+    routes[2].attempts_max = 1;
+    let mut fixture = Fixture::with("me", routes);
+    fixture.start(LOOK_UP);
+    let (call, first) = fixture.sent().remove(0);
+    fixture.end(call, CallEnd::Lost);
+    let (_, second) = fixture.sent().remove(0);
+    assert_eq!(first, second);
+}
+
+#[test]
+fn a_route_bound_to_regions_uses_no_upstream_elsewhere() {
+    let mut routes = routes();
+    routes[2].regions = vec![String::from("south")];
+    let mut fixture = Fixture::with("me", routes);
+    for _ in 0..10 {
+        fixture.start(LOOK_UP);
+        let (call, to) = fixture.sent().remove(0);
+        assert_eq!(to, "ledger@south-b");
+        fixture.end(call, rejected());
+        assert!(fixture.sent().iter().all(|(_, to)| to == "ledger@south-b"));
+    }
+}
+
+#[test]
+fn an_upstream_that_leaves_is_avoided_and_soon_not_used_at_all() {
+    let mut fixture = Fixture::new();
+    let now = fixture.now;
+    let mut leaving = upstream("ledger", "north-a");
+    leaving.draining = true;
+    fixture.dispatcher.upstreams_mut().register(now, leaving);
+    fixture.start(LOOK_UP);
+    assert_eq!(fixture.sent()[0].1, "ledger@south-b");
+    // While it may still be used, it serves where there is no other.
+    fixture.dispatcher.upstreams_mut().evacuate("south-b", true);
+    fixture.start(LOOK_UP);
+    assert_eq!(fixture.sent()[0].1, "ledger@north-a");
+    fixture.wait(1_500);
+    let id = fixture.start(LOOK_UP);
+    assert!(fixture.sent().is_empty());
+    assert!(matches!(fixture.ending(id), Some(Ending::NotRun { .. })));
+}
+
+#[test]
+fn a_registration_that_lapses_for_a_moment_stops_nothing() {
+    let mut fixture = Fixture::new();
+    let now = fixture.now;
+    for zone in ["north-a", "south-b"] {
+        let id = upstream("ledger", zone).id;
+        fixture.dispatcher.upstreams_mut().unregister(now, &id);
+    }
+    fixture.wait(1_000);
+    fixture.start(LOOK_UP);
+    assert_eq!(fixture.sent().len(), 1);
+    let now = fixture.now;
+    let back = upstream("ledger", "south-b");
+    fixture.dispatcher.upstreams_mut().register(now, back);
+    fixture.wait(5_000);
+    fixture.start(LOOK_UP);
+    assert_eq!(fixture.sent()[0].1, "ledger@south-b");
+}
+
+#[test]
+fn a_cold_upstream_gets_no_more_than_this_instances_share() {
+    let mut fixture = Fixture::new();
+    let now = fixture.now;
+    for zone in ["north-a", "south-b"] {
+        let mut cold = upstream("ledger", zone);
+        cold.cold_ms = 60_000;
+        fixture.dispatcher.upstreams_mut().register(now, cold);
+    }
+    for _ in 0..100 {
+        fixture.start(LOOK_UP);
+        fixture.wait(10);
+    }
+    // Each of the two bears 6 a second, by a half more and 5.
+    let sent = fixture.sent().len();
+    assert!((8..=28).contains(&sent), "{sent}");
+}
+
+#[test]
+fn a_split_keeps_to_its_weights() {
+    let part = |service: &str, weight| WeightedService {
+        service: String::from(service),
+        weight,
+    };
+    let parts = vec![part("shard-0", 3.0), part("shard-1", 1.0)];
+    let split = vec![route("split", "/look-up/", Target::Split(parts), true)];
+    let mut fixture = Fixture::with("me", split);
+    for _ in 0..200 {
+        fixture.start(LOOK_UP);
+    }
+    let sent = fixture.sent();
+    let first = sent
+        .iter()
+        .filter(|(_, to)| to.starts_with("shard-0"))
+        .count();
+    assert!((146..=154).contains(&first), "{first} of 200");
+}
+
+#[test]
+fn a_caller_that_leaves_ends_what_may_be_repeated_and_nothing_else() {
+    let mut fixture = Fixture::new();
+    let search = fixture.start(SEARCH);
+    let book = fixture.start(BOOK);
+    fixture.sent();
+    let (now, out) = (fixture.now, &mut fixture.out);
+    assert!(fixture.dispatcher.abandoned(now, search, out));
+    let cancelled = out
+        .iter()
+        .filter(|command| matches!(command, Command::Cancel { .. }));
+    assert_eq!(cancelled.count(), SHARDS);
+    out.clear();
+    assert!(!fixture.dispatcher.abandoned(now, book, out));
+    assert!(out.is_empty());
+    assert_eq!(fixture.dispatcher.pending(), 1);
+}
--- /dev/null
+++ b/hemlockrouter-route/tests/direct/fixture.rs
@@ -0,0 +1,245 @@
+//! A small deployment and shorthand for events.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use hemlockrouter_route::direct::CallEnd;
+use hemlockrouter_route::direct::CallId;
+use hemlockrouter_route::direct::Command;
+use hemlockrouter_route::direct::Config;
+use hemlockrouter_route::direct::Dispatcher;
+use hemlockrouter_route::direct::Ending;
+use hemlockrouter_route::direct::RepeatBound;
+use hemlockrouter_route::direct::Reply;
+use hemlockrouter_route::direct::RequestId;
+use hemlockrouter_route::direct::Route;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::CallerLimits;
+use hemlockrouter_types::routing::InstanceEntry;
+use hemlockrouter_types::routing::RouteDocument;
+use hemlockrouter_types::routing::RouteEntry;
+use hemlockrouter_types::routing::ServiceEntry;
+use hemlockrouter_types::routing::ShardTarget;
+use hemlockrouter_types::routing::Target;
+use hemlockrouter_types::routing::UpstreamEntry;
+use http::HeaderMap;
+
+pub(crate) const HOST: &str = "halls.example";
+pub(crate) const SEARCH: &str = "/search/x";
+pub(crate) const BOOK: &str = "/book/x";
+pub(crate) const LOOK_UP: &str = "/look-up/x";
+pub(crate) const SHARDS: usize = 4;
+
+/// When tests begin: long after the list of instances was read.
+pub(crate) const START: Time = Time::from_ms(100_000);
+
+pub(crate) fn config(name: &str) -> Config {
+    let zones = [("north-a", "north"), ("south-b", "south")];
+    Config {
+        name: String::from(name),
+        zone: String::from("north-a"),
+        zones: BTreeMap::from(zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()))),
+        repeats: RepeatBound {
+            ratio: 0.2,
+            allowance: 40.0,
+            window_ms: 10_000,
+        },
+        cold_overage: 1.5,
+        cold_slack: 5.0,
+        linger_ms: 1_200,
+    }
+}
+
+pub(crate) fn route(name: &str, prefix: &str, target: Target, idempotent: bool) -> RouteEntry {
+    RouteEntry {
+        name: String::from(name),
+        host: String::from(HOST),
+        path_prefix: String::from(prefix),
+        target,
+        idempotent,
+        attempts_max: 2,
+        timeout_ms: 2_000,
+        target_latency_ms: 150,
+        priority: 1,
+        regions: Vec::new(),
+    }
+}
+
+pub(crate) fn document(version: u64, routes: Vec<RouteEntry>) -> RouteDocument {
+    let names = shards().into_iter().chain([String::from("ledger")]);
+    let services = names.map(|name| ServiceEntry {
+        name,
+        connections_max: 50,
+        cold_per_s: Some(6.0),
+    });
+    RouteDocument {
+        version,
+        routes,
+        services: services.collect(),
+        limits: CallerLimits {
+            header_max_bytes: 16_384,
+            body_max_bytes: 65_536,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
+
+pub(crate) fn routes() -> Vec<RouteEntry> {
+    let search = Target::Shards(ShardTarget {
+        services: shards(),
+        records_max: 3,
+        coverage_min: 0.75,
+    });
+    let ledger = Target::Service(String::from("ledger"));
+    vec![
+        route("search", "/search/", search, true),
+        route("book", "/book/", ledger.clone(), false),
+        route("look-up", "/look-up/", ledger, true),
+    ]
+}
+
+pub(crate) fn shards() -> Vec<String> {
+    (0..SHARDS)
+        .map(|number| format!("shard-{number}"))
+        .collect()
+}
+
+pub(crate) fn upstream(service: &str, zone: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        id: format!("{service}@{zone}"),
+        incarnation: 1,
+        service: String::from(service),
+        address: "127.0.0.1:1".parse().expect("it is an address"),
+        zone: String::from(zone),
+        slots: 2,
+        draining: false,
+        cold_ms: 0,
+    }
+}
+
+pub(crate) fn instance(name: &str, zone: &str) -> InstanceEntry {
+    InstanceEntry {
+        name: String::from(name),
+        zone: String::from(zone),
+        relay: Some("127.0.0.1:2".parse().expect("it is an address")),
+    }
+}
+
+/// A dispatcher with two upstreams of each service, one in each availability zone.
+pub(crate) struct Fixture {
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) now: Time,
+    pub(crate) out: Vec<Command>,
+    last: u64,
+}
+
+impl Fixture {
+    pub(crate) fn new() -> Fixture {
+        Fixture::with("me", routes())
+    }
+
+    pub(crate) fn with(name: &str, routes: Vec<RouteEntry>) -> Fixture {
+        let mut dispatcher = Dispatcher::new(config(name));
+        let upstreams = dispatcher.upstreams_mut();
+        upstreams
+            .instances_mut()
+            .joined(Time::ZERO, instance(name, "north-a"));
+        for service in shards().into_iter().chain([String::from("ledger")]) {
+            for zone in ["north-a", "south-b"] {
+                upstreams.register(Time::ZERO, upstream(&service, zone));
+            }
+        }
+        assert!(dispatcher.configure(document(1, routes)));
+        Fixture {
+            dispatcher,
+            now: START,
+            out: Vec::new(),
+            last: 0,
+        }
+    }
+
+    pub(crate) fn route(&self, path: &str) -> Rc<Route> {
+        let table = self.dispatcher.table();
+        Rc::clone(table.find(HOST, path).expect("the route is there"))
+    }
+
+    /// Starts a request and returns its id.
+    pub(crate) fn start(&mut self, path: &str) -> RequestId {
+        self.last += 1;
+        let id = RequestId(self.last);
+        let route = self.route(path);
+        self.dispatcher
+            .start(self.now, id, route, 800, &mut self.out);
+        id
+    }
+
+    /// Lets `ms` milliseconds pass and does what is due.
+    pub(crate) fn wait(&mut self, ms: u64) {
+        self.now = self.now + ms;
+        self.dispatcher.tick(self.now, &mut self.out);
+    }
+
+    pub(crate) fn end(&mut self, call: CallId, end: CallEnd) {
+        self.dispatcher.ended(self.now, call, end, &mut self.out);
+    }
+
+    /// Takes the calls that were sent, with the ids of their upstreams.
+    pub(crate) fn sent(&mut self) -> Vec<(CallId, String)> {
+        let mut sent = Vec::new();
+        let upstreams = self.dispatcher.upstreams();
+        self.out.retain(|command| {
+            let Command::Send { call, upstream, .. } = command else {
+                return true;
+            };
+            let upstream = upstreams.get(*upstream).expect("it was just chosen");
+            sent.push((*call, upstream.entry.id.clone()));
+            false
+        });
+        sent
+    }
+
+    /// Takes the end of a request, if it has ended.
+    pub(crate) fn ending(&mut self, id: RequestId) -> Option<Ending> {
+        let is_end = |command: &Command| matches!(command, Command::Finish { request, .. } if *request == id);
+        let at = self.out.iter().position(is_end)?;
+        match self.out.remove(at) {
+            Command::Finish { ending, .. } => Some(ending),
+            _ => None,
+        }
+    }
+}
+
+/// A successful answer whose signature is `stamp`.
+pub(crate) fn success(stamp: &str, body: &[u8]) -> CallEnd {
+    CallEnd::Answered(Reply {
+        status: 200,
+        not_run: false,
+        stamp: Some(String::from(stamp)),
+        headers: HeaderMap::new(),
+        body: Bytes::copy_from_slice(body),
+    })
+}
+
+/// An answer that says that the request was not run.
+pub(crate) fn rejected() -> CallEnd {
+    CallEnd::Answered(Reply {
+        status: 503,
+        not_run: true,
+        stamp: None,
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    })
+}
+
+/// The upstream's own failure, signed.
+pub(crate) fn failure() -> CallEnd {
+    CallEnd::Answered(Reply {
+        status: 500,
+        not_run: false,
+        stamp: Some(String::from("failed")),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"failed"),
+    })
+}
--- /dev/null
+++ b/hemlockrouter-route/tests/direct/main.rs
@@ -0,0 +1,8 @@
+//! Direct dispatch: decisions, bounds, and random events against an oracle.
+
+mod budget;
+mod cases;
+mod fixture;
+mod fuzz;
+mod instances;
+mod table;
--- /dev/null
+++ b/hemlockrouter-route/tests/direct/table.rs
@@ -0,0 +1,84 @@
+//! Which route a request takes.
+
+use hemlockrouter_route::direct::Dispatcher;
+use hemlockrouter_route::direct::RouteTarget;
+use hemlockrouter_types::routing::ShardTarget;
+use hemlockrouter_types::routing::Target;
+
+use crate::fixture::config;
+use crate::fixture::document;
+use crate::fixture::route;
+use crate::fixture::shards;
+use crate::fixture::Fixture;
+use crate::fixture::HOST;
+
+fn to(service: &str) -> Target {
+    Target::Service(String::from(service))
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_the_request() {
+    let mut dispatcher = Dispatcher::new(config("me"));
+    let routes = vec![
+        route("all", "/", to("ledger"), true),
+        route("short", "/a/", to("ledger"), true),
+        route("long", "/a/b/", to("ledger"), true),
+    ];
+    assert!(dispatcher.configure(document(1, routes)));
+    let found = |host: &str, path: &str| {
+        let route = dispatcher.table().find(host, path);
+        route
+            .map(|route| route.entry.name.clone())
+            .unwrap_or_default()
+    };
+    let cases = [
+        (HOST, "/a/b/c", "long"),
+        (HOST, "/a/b/", "long"),
+        (HOST, "/a/b", "short"),
+        (HOST, "/a/bc/d", "short"),
+        (HOST, "/b/a/", "all"),
+        (HOST, "/?next=/a/b/", "all"),
+        ("HALLS.example", "/a/x", "short"),
+        ("other.example", "/a/x", ""),
+    ];
+    for (host, path, expected) in cases {
+        assert_eq!(found(host, path), expected, "{host}{path}");
+    }
+}
+
+#[test]
+fn a_version_is_never_replaced_by_an_older_one() {
+    let mut fixture = Fixture::new();
+    let moved = || vec![route("moved", "/moved/", to("ledger"), true)];
+    assert!(fixture.dispatcher.configure(document(7, moved())));
+    for version in [1, 6, 7] {
+        assert!(!fixture.dispatcher.configure(document(version, Vec::new())));
+        assert_eq!(fixture.dispatcher.table().version(), 7);
+        assert!(fixture.dispatcher.table().find(HOST, "/moved/x").is_some());
+    }
+}
+
+#[test]
+fn the_least_coverage_is_rounded_up_to_whole_shards() {
+    for (shares, coverage_min, expected) in
+        [(20, 0.85, 17), (20, 0.89, 18), (90, 0.95, 86), (4, 0.0, 1)]
+    {
+        let mut dispatcher = Dispatcher::new(config("me"));
+        let services = (0..shares).map(|number| format!("s-{number}")).collect();
+        let target = Target::Shards(ShardTarget {
+            services,
+            records_max: 1,
+            coverage_min,
+        });
+        dispatcher.configure(document(1, vec![route("search", "/s/", target, true)]));
+        let found = dispatcher
+            .table()
+            .find(HOST, "/s/x")
+            .expect("the route is there");
+        let RouteTarget::Shards { needed, .. } = &found.to else {
+            panic!("the route has shards");
+        };
+        assert_eq!(*needed, expected, "{coverage_min} of {shares}");
+    }
+    assert_eq!(shards().len(), 4);
+}
