End the registration at a graceful shutdown; test settings and the platform's messages

An instance that shuts down leaves the list at once, so that those who follow it turn to another one before it is gone. A number that need not be whole is no longer called a whole one in errors.

--- a/hemlockrouter-config/src/direct.rs
+++ b/hemlockrouter-config/src/direct.rs
@@ -148,11 +148,11 @@
             drain_ms: bounds.number_or("drain_ms", 3_000, 100, 600_000)?,
             shutdown_ms: 1_000 * bounds.number_or("shutdown_s", 6, 1, 600)?,
             catch_up_ms: bounds.number_or("catch_up_ms", 5_000, 500, 600_000)?,
-            repeat_ratio: bounds.number_or("repeat_ratio", 0.2, 0.0, 10.0)?,
+            repeat_ratio: decimal(&bounds, "repeat_ratio", 0.2, 10.0)?,
             repeat_window_ms: 1_000 * bounds.number_or("repeat_window_s", 10, 1, 600)?,
-            repeat_allowance: bounds.number_or("repeat_allowance", 50.0, 0.0, 1e6)?,
-            cold_overage: bounds.number_or("cold_overage", 1.0, 0.0, 100.0)?,
-            cold_slack: bounds.number_or("cold_slack", 0.0, 0.0, 1e6)?,
+            repeat_allowance: decimal(&bounds, "repeat_allowance", 50.0, 1e6)?,
+            cold_overage: decimal(&bounds, "cold_overage", 1.0, 100.0)?,
+            cold_slack: decimal(&bounds, "cold_slack", 0.0, 1e6)?,
             log: Log::read(&table)?,
         };
         settings.check(&table)?;
@@ -182,6 +182,15 @@
     }
 }
 
+/// Reads a number that need not be whole, from 0 to `max`.
+fn decimal(table: &Table<'_, '_>, name: &str, default: f64, max: f64) -> Result<f64, Error> {
+    let Some(field) = table.get(name) else {
+        return Ok(default);
+    };
+    let number = field.number(0.0, max);
+    number.map_err(|_| field.expected(format!("a number from 0 to {max}")))
+}
+
 fn protocol(table: &Table<'_, '_>) -> Result<ProtocolName, Error> {
     let field = table.need("protocol", "\"corporation\"")?;
     match field.text("\"corporation\"")? {
--- /dev/null
+++ b/hemlockrouter-config/tests/direct.rs
@@ -0,0 +1,94 @@
+//! Settings of an instance that dispatches directly.
+
+use hemlockrouter_config::DirectSettings;
+use hemlockrouter_config::Dispatch;
+use hemlockrouter_config::ErrorKind;
+
+/// The template that is deployed.
+const TEMPLATE: &str = include_str!("../../deploy/settings.jsonc");
+
+/// What the platform fills in, as JSON or as plain text.
+const FIELDS: &[(&str, &str)] = &[
+    ("{{nodeName|json}}", "\"frontend-daegu-a-1\""),
+    ("{{zone|json}}", "\"daegu-a\""),
+    (
+        "{{zones|json}}",
+        r#"{"daegu-a":"yeongnam","seoul-b":"sudogwon"}"#,
+    ),
+    ("{{listen.front|json}}", "\"10.1.0.9:8104\""),
+    ("{{listen.ready|json}}", "\"10.1.0.9:8108\""),
+    ("{{platform.address|json}}", "\"10.200.1.7:8102\""),
+    ("{{ip}}", "10.1.0.9"),
+    ("{{internalPortRange.1}}", "7395"),
+    ("{{bounds.drainMs|json}}", "3000"),
+    ("{{bounds.graceS|json}}", "6"),
+    ("{{bounds.contactMs|json}}", "5000"),
+    ("{{bounds.retryBudgetRatio|json}}", "0.2"),
+    ("{{bounds.retryWindowS|json}}", "10"),
+    ("{{bounds.retrySlack|json}}", "58"),
+    ("{{bounds.warmupOverage|json}}", "1.5"),
+    ("{{bounds.warmupSlack|json}}", "5"),
+];
+
+fn rendered() -> String {
+    let filled = FIELDS
+        .iter()
+        .fold(String::from(TEMPLATE), |text, (field, value)| {
+            assert!(text.contains(field), "the template does not use {field}");
+            text.replace(field, value)
+        });
+    assert!(!filled.contains("{{"), "a field is not filled in: {filled}");
+    filled
+}
+
+#[test]
+fn the_deployed_template_gives_settings() {
+    let text = rendered();
+    assert_eq!(Dispatch::of(&text, "boot"), Ok(Dispatch::Direct));
+    let settings = DirectSettings::parse(&text, "boot").expect("the settings are in order");
+    insta::assert_debug_snapshot!(settings);
+}
+
+#[test]
+fn settings_of_the_other_form_are_told_apart() {
+    assert_eq!(Dispatch::of("{}", "a"), Ok(Dispatch::Owners));
+    assert_eq!(
+        Dispatch::of(r#"{"dispatch": "owners"}"#, "a"),
+        Ok(Dispatch::Owners)
+    );
+    let err = Dispatch::of(r#"{"dispatch": "magic"}"#, "a").unwrap_err();
+    assert_eq!(
+        err.to_string(),
+        r#"a:1: dispatch: expected "owners" or "direct", found "magic""#
+    );
+}
+
+#[test]
+fn each_error_names_file_line_field_and_what_was_expected() {
+    let text = rendered();
+    let cases = [
+        ("\"zone\":", "\"zon\":", ErrorKind::UnknownField),
+        ("\"daegu-a\",", "\"busan-x\",", ErrorKind::NotFound),
+        ("\"10.1.0.9:8104\"", "8104", ErrorKind::Value),
+        (
+            "\"shutdown_s\": 6",
+            "\"shutdown_s\": \"soon\"",
+            ErrorKind::Value,
+        ),
+        (
+            "\"repeat_ratio\": 0.2",
+            "\"repeat_ratio\": -1",
+            ErrorKind::Value,
+        ),
+        ("10.1.0.9:8108", "10.1.0.9:8104", ErrorKind::Conflict),
+        ("\"protocol\": \"corporation\",", "", ErrorKind::Missing),
+    ];
+    let errors = cases.map(|(from, to, kind)| {
+        let broken = text.replacen(from, to, 1);
+        assert_ne!(broken, text, "{from} is not in the template");
+        let err = DirectSettings::parse(&broken, "boot").unwrap_err();
+        assert_eq!(err.kind(), kind, "{err}");
+        err.to_string()
+    });
+    insta::assert_snapshot!(errors.join("\n"));
+}
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -23,7 +23,7 @@
 use super::callers::Callers;
 use super::calls::Calls;
 use super::follower::Follower;
-use super::member;
+use super::member::Member;
 use super::mirror::Mirror;
 use super::node::Node;
 use super::operators::Operators;
@@ -91,8 +91,10 @@
         zone: settings.zone.clone(),
         relay,
     };
-    let keeping = member::keep(me, settings.registry_address, Rc::clone(&protocol));
-    tokio::task::spawn_local(keeping);
+    let member = Member::new(me, settings.registry_address, Rc::clone(&protocol));
+    let member = Rc::new(member);
+    let keeping = Rc::clone(&member);
+    tokio::task::spawn_local(async move { keeping.keep().await });
     let operators = Rc::new(Operators {
         node: Rc::clone(&node),
         metrics: Rc::clone(&metrics),
@@ -119,6 +121,7 @@
     wait_for_stop().await?;
     info!(target: "process", open = callers.open.get(); "shutting down");
     phase.send_replace(Phase::Draining);
+    tokio::task::spawn_local(async move { member.leave().await });
     let ended = shut_down(&settings, &callers, &phase).await;
     info!(target: "process", open = callers.open.get(), pending = node.pending(); "stopped");
     Ok(ended)
--- a/src/direct/member.rs
+++ b/src/direct/member.rs
@@ -1,5 +1,6 @@
 //! Keeps this instance registered, so that the others count it.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,37 +27,68 @@
 /// How long a call may take, in milliseconds.
 const CALL_MS: u64 = 1_500;
 
-/// Registers this instance for as long as the process runs.
-pub(super) async fn keep(me: InstanceEntry, address: SocketAddr, protocol: Rc<dyn Protocol>) {
-    let mut member = Member {
-        me,
-        registry: Registry::new(address),
-        protocol,
-    };
-    loop {
-        let err = member.join_and_renew().await;
-        warn!(target: "dependency", why = err.to_string(); "registration lost");
-        tokio::time::sleep(PAUSE).await;
-    }
-}
-
-struct Member {
+/// Keeps an instance registered.
+pub(super) struct Member {
     me: InstanceEntry,
-    registry: Registry,
+    address: SocketAddr,
     protocol: Rc<dyn Protocol>,
+    lease: Cell<Option<Lease>>,
+    has_left: Cell<bool>,
 }
 
 impl Member {
+    pub(super) fn new(
+        me: InstanceEntry,
+        address: SocketAddr,
+        protocol: Rc<dyn Protocol>,
+    ) -> Member {
+        Member {
+            me,
+            address,
+            protocol,
+            lease: Cell::new(None),
+            has_left: Cell::new(false),
+        }
+    }
+
+    /// Keeps the instance registered until it leaves.
+    pub(super) async fn keep(&self) {
+        let mut registry = Registry::new(self.address);
+        loop {
+            let err = self.join_and_renew(&mut registry).await;
+            self.lease.set(None);
+            if self.has_left.get() {
+                return;
+            }
+            warn!(target: "dependency", why = err.to_string(); "registration lost");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Ends the registration, so that nobody follows this instance any more.
+    pub(super) async fn leave(&self) {
+        self.has_left.set(true);
+        let Some(lease) = self.lease.take() else {
+            return;
+        };
+        let request = self.protocol.write_leave(lease);
+        let ended = Registry::new(self.address).call(request, CALL_MS).await;
+        if let Err(err) = ended {
+            info!(target: "dependency", why = err.to_string(); "the registration ends by itself");
+        }
+    }
+
     /// Registers and renews the lease until it is lost.
-    async fn join_and_renew(&mut self) -> CallError {
-        let lease = match self.join().await {
+    async fn join_and_renew(&self, registry: &mut Registry) -> CallError {
+        let lease = match self.join(registry).await {
             Ok(lease) => lease,
             Err(err) => return err,
         };
         info!(target: "dependency", lease = lease.id; "registered");
+        self.lease.set(Some(lease));
         loop {
             tokio::time::sleep(RENEW_EVERY).await;
-            match self.renew(lease).await {
+            match self.renew(registry, lease).await {
                 Ok(()) => {}
                 Err(err @ CallError::Refused(RegistryError::NotFound)) => return err,
                 Err(err) => {
@@ -66,21 +98,21 @@
         }
     }
 
-    async fn join(&mut self) -> Result<Lease, CallError> {
+    async fn join(&self, registry: &mut Registry) -> Result<Lease, CallError> {
         let request = self.protocol.write_lease(LEASE_MS);
-        let (status, body) = self.registry.call(request, CALL_MS).await?;
+        let (status, body) = registry.call(request, CALL_MS).await?;
         let lease = self.protocol.read_lease(status, &body);
         let lease = lease.map_err(CallError::Refused)?;
         let request = self.protocol.write_join(&self.me, lease);
-        let (status, _) = self.registry.call(request, CALL_MS).await?;
+        let (status, _) = registry.call(request, CALL_MS).await?;
         let done = self.protocol.read_done(status);
         done.map_err(CallError::Refused)?;
         Ok(lease)
     }
 
-    async fn renew(&mut self, lease: Lease) -> Result<(), CallError> {
+    async fn renew(&self, registry: &mut Registry, lease: Lease) -> Result<(), CallError> {
         let request = self.protocol.write_renewal(lease);
-        let (status, _) = self.registry.call(request, CALL_MS).await?;
+        let (status, _) = registry.call(request, CALL_MS).await?;
         let done = self.protocol.read_done(status);
         done.map_err(CallError::Refused)
     }
