--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -8,13 +8,16 @@
 
 use super::config::Config;
 use super::event::CallEnd;
+use super::event::CallFault;
 use super::event::CallId;
 use super::event::Command;
 use super::event::Ending;
+use super::event::FailedCall;
 use super::event::Reply;
 use super::event::RequestId;
 use super::event::Summary;
 use super::event::Why;
+use super::event::FAILED_CALLS_MAX;
 use super::merge::merge;
 use super::record::Seen;
 use super::request::Part;
@@ -213,6 +216,10 @@
         let part = &mut request.parts[call.part];
         let ended = part.take(id).expect("a call that is known is open");
         self.learn(now, &request.route, &ended, &end);
+        if let Some(fault) = fault(&end) {
+            let service = request.parts[call.part].service;
+            self.note_fault(now, &mut request.summary, service, &ended, fault);
+        }
         let part = &mut request.parts[call.part];
         let again = take_end(part, end, request.route.entry.idempotent);
         if part.answer.is_some() {
@@ -529,13 +536,40 @@
         ending: Ending,
         out: &mut Vec<Command>,
     ) {
-        let mut summary = request.summary;
+        let mut request = request;
+        let mut summary = std::mem::take(&mut request.summary);
+        for part in request.parts.iter().filter(|part| !part.has_answered) {
+            for open in &part.open {
+                self.note_fault(now, &mut summary, part.service, open, CallFault::Unanswered);
+            }
+        }
         summary.took_ms = now.since(request.arrived);
         self.drop_request(now, request, Seen::GivenUp, out);
         out.push(Command::Finish {
             request: id,
             ending,
-            summary,
+            summary: Box::new(summary),
+        });
+    }
+
+    /// Adds a call that brought no answer of use to the summary, if there is room.
+    fn note_fault(
+        &self,
+        now: Time,
+        summary: &mut Summary,
+        service: ServiceKey,
+        call: &Try,
+        how: CallFault,
+    ) {
+        let upstream = self.upstreams.get(call.upstream);
+        if summary.failed_calls.len() >= FAILED_CALLS_MAX {
+            return;
+        }
+        summary.failed_calls.push(FailedCall {
+            service: String::from(self.upstreams.name(service)),
+            upstream: upstream.map_or_else(String::new, |known| known.entry.id.clone()),
+            how,
+            after_ms: now.since(call.sent),
         });
     }
 
@@ -592,12 +626,26 @@
     }
 }
 
+/// Returns what came of a call that brought no answer of use.
+fn fault(end: &CallEnd) -> Option<CallFault> {
+    match end {
+        CallEnd::Answered(reply) if reply.is_success() => None,
+        CallEnd::Answered(reply) if reply.not_run => Some(CallFault::Rejected),
+        CallEnd::Answered(reply) => Some(CallFault::Failed {
+            status: reply.status,
+        }),
+        CallEnd::Lost => Some(CallFault::Lost),
+        CallEnd::NotSent => Some(CallFault::Unreachable),
+    }
+}
+
 /// Takes over the end of a try, and returns why the part may be sent again, if it may.
 fn take_end(part: &mut Part, end: CallEnd, idempotent: bool) -> Option<Cause> {
     match end {
         CallEnd::NotSent => Some(Cause::Unreached),
         CallEnd::Answered(reply) if reply.is_success() => {
             part.ran = true;
+            part.has_answered = true;
             part.answer = Some(reply);
             None
         }
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -78,7 +78,7 @@
         /// What the caller gets.
         ending: Ending,
         /// How it came to that, for the log.
-        summary: Summary,
+        summary: Box<Summary>,
     },
 }
 
@@ -134,8 +134,48 @@
     TooFewShards,
 }
 
+/// How many failed calls of a request are told in its summary.
+pub(super) const FAILED_CALLS_MAX: usize = 8;
+
+/// A call that brought no answer of use.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("{service}@{upstream} {how} after {after_ms} ms")]
+pub struct FailedCall {
+    /// The service.
+    pub service: String,
+    /// The upstream's id.
+    pub upstream: String,
+    /// What came of it.
+    pub how: CallFault,
+    /// How long it took, in milliseconds.
+    pub after_ms: u64,
+}
+
+/// What came of a call that brought no answer of use.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum CallFault {
+    /// The upstream did not run it.
+    #[display("rejected")]
+    Rejected,
+    /// The upstream ran it and failed.
+    #[display("failed with {status}")]
+    Failed {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The answer was lost.
+    #[display("lost")]
+    Lost,
+    /// The upstream could not be connected to.
+    #[display("unreachable")]
+    Unreachable,
+    /// The request ended before it was answered.
+    #[display("unanswered")]
+    Unanswered,
+}
+
 /// How a request went, for the log.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Summary {
     /// The version of the routes that it was served by.
     pub version: u64,
@@ -153,6 +193,8 @@
     pub denied: u32,
     /// Services without an upstream that may be used.
     pub unavailable: u32,
+    /// The first calls that brought no answer of use.
+    pub failed_calls: Vec<FailedCall>,
     /// How long it took, in milliseconds.
     pub took_ms: u64,
 }
--- a/hemlockrouter-route/src/direct/request.rs
+++ b/hemlockrouter-route/src/direct/request.rs
@@ -28,6 +28,8 @@
     pub(super) tried: Vec<UpstreamKey>,
     /// Sends that may have reached an upstream.
     pub(super) sends: u32,
+    /// Whether it got an answer, which may have been taken since.
+    pub(super) has_answered: bool,
     /// The answer that counts.
     pub(super) answer: Option<Reply>,
     /// The last failure that an upstream answered with.
@@ -57,6 +59,7 @@
             open: Vec::new(),
             tried: Vec::new(),
             sends: 0,
+            has_answered: false,
             answer: None,
             failure: None,
             ran: false,
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -51,7 +51,7 @@
 /// How a request ended.
 pub(super) struct Finished {
     pub(super) ending: Ending,
-    pub(super) summary: Summary,
+    pub(super) summary: Box<Summary>,
 }
 
 /// A request whose caller waits.
--- a/src/direct/requests_log.rs
+++ b/src/direct/requests_log.rs
@@ -4,6 +4,7 @@
 
 use hemlockrouter_edge::CallerRequest;
 use hemlockrouter_route::direct::Ending;
+use hemlockrouter_route::direct::FailedCall;
 use hemlockrouter_route::direct::Route;
 use http::StatusCode;
 use log::info;
@@ -45,6 +46,7 @@
             retries = summary.retries,
             denied = summary.denied,
             unavailable = summary.unavailable,
+            failed_calls = failed_calls(&summary.failed_calls).as_str(),
             took_ms = summary.took_ms;
             "ended"
         );
@@ -80,6 +82,12 @@
     }
 }
 
+/// Returns the failed calls as one text.
+fn failed_calls(calls: &[FailedCall]) -> String {
+    let calls: Vec<String> = calls.iter().map(FailedCall::to_string).collect();
+    calls.join("; ")
+}
+
 /// Returns the name of an ending, and why it came to it.
 fn named(ending: &Ending) -> (&'static str, String) {
     match ending {
