--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -73,6 +73,10 @@
 /// a slower one the call is cancelled, which frees the upstream.
 const RELEASED_MAX_MS: f64 = 45.0;
 
+/// The interval at which a request of a route is sent although too few upstreams could be reached, in
+/// milliseconds.
+const PROBE_EVERY_MS: u64 = 250;
+
 /// How often upstreams are looked through for those that have left, in milliseconds.
 const EXPIRE_EVERY_MS: u64 = 250;
 
@@ -114,6 +118,8 @@
     timers: Timers<Due>,
     latencies: HashMap<String, Latency>,
     splits: HashMap<String, f64>,
+    /// When a request of a route was last sent though too few upstreams could be reached.
+    probed_at: HashMap<String, Time>,
 }
 
 impl Dispatcher {
@@ -131,6 +137,7 @@
             timers,
             latencies: HashMap::new(),
             splits: HashMap::new(),
+            probed_at: HashMap::new(),
         }
     }
 
@@ -189,10 +196,14 @@
             summary,
             route,
         };
-        for at in 0..request.parts.len() {
-            let service = self.upstreams.service_mut(request.parts[at].service);
+        for part in &request.parts {
+            let service = self.upstreams.service_mut(part.service);
             service.spending.request(now, &self.config.repeats);
-            self.send(now, id, &mut request, at, Cause::First, out);
+        }
+        if self.can_be_served(now, &mut request) {
+            for at in 0..request.parts.len() {
+                self.send(now, id, &mut request, at, Cause::First, out);
+            }
         }
         let hedge_ms = self.hedge_ms(&request.route);
         self.timers.set(now + hedge_ms, Due::Hedge(id));
@@ -280,6 +291,31 @@
         None
     }
 
+    /// Returns whether enough upstreams can be reached for a request. Now and then one request finds
+    /// out anew.
+    fn can_be_served(&mut self, now: Time, request: &mut Request) -> bool {
+        let route = &request.route;
+        let reachable = request.parts.iter().filter(|part| {
+            let wanted = Wanted {
+                service: part.service,
+                regions: &route.entry.regions,
+                among: Among::AllBut(&[]),
+            };
+            self.upstreams.has_reachable(now, &wanted)
+        });
+        let reachable = reachable.count();
+        if reachable >= request.needed() {
+            return true;
+        }
+        let probed_at = self.probed_at.get(&route.entry.name);
+        if probed_at.is_none_or(|at| now.since(*at) >= PROBE_EVERY_MS) {
+            self.probed_at.insert(route.entry.name.clone(), now);
+            return true;
+        }
+        request.summary.unavailable = (request.parts.len() - reachable) as u32;
+        false
+    }
+
     /// Returns the services that a request of `route` needs.
     fn services(&mut self, route: &Route) -> Vec<ServiceKey> {
         match &route.to {
--- a/hemlockrouter-route/src/direct/record.rs
+++ b/hemlockrouter-route/src/direct/record.rs
@@ -20,6 +20,12 @@
 /// How long an upstream that could not be connected to is avoided, in milliseconds.
 const BARRED_MS: u64 = 500;
 
+/// After so many failed connections in a row an upstream counts as unreachable; one may be chance.
+const UNREACHABLE_AFTER: u32 = 2;
+
+/// How long an upstream counts as unreachable after the last failed connection, in milliseconds.
+const UNREACHABLE_MS: u64 = 1_500;
+
 /// An upstream is silent when its oldest try waits for this many usual latencies.
 const SILENT_LATENCIES: f64 = 3.0;
 
@@ -52,6 +58,8 @@
     /// Since when it has worked without a sign of life.
     silent_since: Time,
     barred_until: Time,
+    /// Failed connections since it last answered.
+    unreached: u32,
 }
 
 impl Default for Record {
@@ -63,6 +71,7 @@
             learned_at: Time::ZERO,
             silent_since: Time::ZERO,
             barred_until: Time::ZERO,
+            unreached: 0,
         }
     }
 }
@@ -83,16 +92,19 @@
         match seen {
             Seen::Success => {
                 self.silent_since = now;
+                self.unreached = 0;
                 self.fail(0.0);
                 self.latency_ms += LATENCY_WEIGHT * (took_ms - self.latency_ms);
             }
             Seen::Failure => {
                 self.silent_since = now;
+                self.unreached = 0;
                 self.fail(1.0);
             }
             Seen::Unreachable => {
                 self.fail(1.0);
                 self.barred_until = now + BARRED_MS;
+                self.unreached += 1;
             }
             Seen::GivenUp => {
                 // It would have taken at least this long.
@@ -109,6 +121,12 @@
         self.latency_ms <= ms
     }
 
+    /// Returns whether no connection to it came about lately.
+    pub(super) fn is_unreachable(&self, now: Time) -> bool {
+        let is_recent = now.since(self.learned_at) < UNREACHABLE_MS;
+        self.unreached >= UNREACHABLE_AFTER && is_recent
+    }
+
     /// Returns whether it could not be connected to a moment ago.
     pub(super) fn is_barred(&self, now: Time) -> bool {
         self.barred_until > now
--- a/hemlockrouter-route/src/direct/upstreams.rs
+++ b/hemlockrouter-route/src/direct/upstreams.rs
@@ -317,6 +317,18 @@
         Some(key)
     }
 
+    /// Returns whether an upstream may be used and can be reached.
+    pub(super) fn has_reachable(&self, now: Time, wanted: &Wanted<'_>) -> bool {
+        let Some(service) = self.services.get(wanted.service) else {
+            return false;
+        };
+        let keys = service.upstreams.iter();
+        let mut upstreams = keys.filter_map(|key| self.upstreams.get(*key));
+        upstreams.any(|upstream| {
+            self.is_usable(now, upstream, wanted) && !upstream.record.is_unreachable(now)
+        })
+    }
+
     fn is_usable(&self, now: Time, upstream: &Upstream, wanted: &Wanted<'_>) -> bool {
         let left = upstream
             .leaving_since
--- a/hemlockrouter-route/tests/direct/cases.rs
+++ b/hemlockrouter-route/tests/direct/cases.rs
@@ -273,3 +273,47 @@
     assert!(out.is_empty());
     assert_eq!(fixture.dispatcher.pending(), 1);
 }
+
+#[test]
+fn a_search_whose_shards_can_not_be_reached_is_refused_at_once_and_tried_now_and_then() {
+    let mut fixture = Fixture::new();
+    // Half of the shards lie behind a cut.
+    let is_cut = |to: &str| to.starts_with("shard-0") || to.starts_with("shard-1");
+    let (mut sent, mut refused) = (0, 0);
+    for _ in 0..100 {
+        let id = fixture.start(SEARCH);
+        let calls = fixture.sent();
+        if calls.is_empty() {
+            refused += 1;
+            assert!(matches!(fixture.ending(id), Some(Ending::NotRun { .. })));
+        } else {
+            sent += 1;
+        }
+        let mut open = calls;
+        while let Some((call, to)) = open.pop() {
+            let end = if is_cut(&to) {
+                CallEnd::NotSent
+            } else {
+                success(&call.to_string(), &record(1))
+            };
+            fixture.end(call, end);
+            open.extend(fixture.sent());
+        }
+        fixture.wait(50);
+    }
+    assert!(refused > 60, "{refused} refused, {sent} sent");
+    assert!(
+        sent > 15,
+        "nothing finds out when the shards can be reached again"
+    );
+    // Once they can, the next searches are served.
+    fixture.wait(1_600);
+    let id = fixture.start(SEARCH);
+    for (call, _) in fixture.sent() {
+        fixture.end(call, success(&call.to_string(), &record(1)));
+    }
+    assert!(matches!(
+        fixture.ending(id),
+        Some(Ending::Merged { missing: 0, .. })
+    ));
+}
