--- a/hemlockrouter-cli/src/bin/hemlockd/main.rs
+++ b/hemlockrouter-cli/src/bin/hemlockd/main.rs
@@ -25,7 +25,7 @@
 
 use crate::args::Args;
 
-/// Exit codes, as documented in `docs/OPERATING.md`.
+/// Exit codes, as documented in `docs/OPERATIONS.md`.
 const EXIT_TIMED_OUT: u8 = 1;
 const EXIT_USAGE: u8 = 2;
 const EXIT_SETTINGS: u8 = 3;
--- a/hemlockrouter-cli/tests/direct/world.rs
+++ b/hemlockrouter-cli/tests/direct/world.rs
@@ -261,6 +261,11 @@
         self.child = Some(child.expect("the daemon starts"));
     }
 
+    /// Returns where others follow it, as its log names it.
+    pub(crate) fn relay_address(&self) -> String {
+        self.relay.to_string()
+    }
+
     pub(crate) fn is_running(&mut self) -> bool {
         let child = self.child.as_mut();
         child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
--- a/hemlockrouter-config/tests/docs.rs
+++ b/hemlockrouter-config/tests/docs.rs
@@ -1,9 +1,9 @@
-//! The table of settings in docs/OPERATING.md holds every limit and timing, with its default and
+//! The table of settings in docs/OPERATIONS.md holds every limit and timing, with its default and
 //! range.
 
 use hemlockrouter_config::Settings;
 
-const PAGE: &str = include_str!("../../docs/OPERATING.md");
+const PAGE: &str = include_str!("../../docs/OPERATIONS.md");
 const SETTINGS: &str = include_str!("../../examples/settings.jsonc");
 
 /// Parses the example settings with one more field, and returns the complaint.
