--- /dev/null
+++ b/hemlockrouter-route/src/direct/dispatcher/finish.rs
@@ -0,0 +1,228 @@
+//! How a request ends: with what is in, with a failure, or as not run.
+
+use hemlockrouter_types::prelude::*;
+
+use super::Dispatcher;
+use crate::direct::event::CallFault;
+use crate::direct::event::Command;
+use crate::direct::event::Ending;
+use crate::direct::event::FailedCall;
+use crate::direct::event::Reply;
+use crate::direct::event::RequestId;
+use crate::direct::event::Summary;
+use crate::direct::event::Why;
+use crate::direct::event::FAILED_CALLS_MAX;
+use crate::direct::merge::merge;
+use crate::direct::record::Seen;
+use crate::direct::request::Part;
+use crate::direct::request::Request;
+use crate::direct::request::Try;
+use crate::direct::table::RouteTarget;
+/// When a caller is to come back after upstreams rejected its request, in milliseconds.
+const RETRY_REJECTED_MS: u64 = 100;
+
+/// When a caller is to come back after a fault that takes longer to mend, in milliseconds.
+const RETRY_FAULT_MS: u64 = 250;
+
+/// A call that nobody waits for any more is left to end by itself at an upstream that usually answers
+/// within this time, in milliseconds: it pauses, and a new connection costs it more than the answer. At
+/// a slower one the call is cancelled, which frees the upstream.
+const RELEASED_MAX_MS: f64 = 45.0;
+
+impl Dispatcher {
+    /// Ends a request if it has an answer or can't get one any more.
+    pub(super) fn check(&mut self, now: Time, id: RequestId, out: &mut Vec<Command>) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let answered = request.answered();
+        let waiting = request.waiting();
+        let needed = request.needed();
+        if answered + waiting < needed {
+            return self.give_up(now, id, out);
+        }
+        let is_settled = waiting == 0 || now >= request.settle_at;
+        if answered >= needed && is_settled {
+            self.answer(now, id, out);
+        }
+    }
+
+    /// Answers with the parts that are in.
+    pub(super) fn answer(&mut self, now: Time, id: RequestId, out: &mut Vec<Command>) {
+        let mut request = self.requests.remove(&id).expect("the request is known");
+        let mut answers: Vec<Reply> = Vec::with_capacity(request.parts.len());
+        let parts = request.parts.iter_mut();
+        answers.extend(parts.filter_map(|part| part.answer.take()));
+        let ending = match &request.route.to {
+            RouteTarget::Split(_) => {
+                let answer = answers.pop().expect("one part has an answer");
+                Ending::Passed(answer)
+            }
+            RouteTarget::Shards { records_max, .. } => {
+                let bodies = answers.iter().map(|answer| &answer.body[..]);
+                Ending::Merged {
+                    body: merge(bodies, *records_max),
+                    missing: request.parts.len() - answers.len(),
+                    stamps: answers
+                        .into_iter()
+                        .filter_map(|answer| answer.stamp)
+                        .collect(),
+                }
+            }
+        };
+        request.summary.answered = match &ending {
+            Ending::Merged { stamps, .. } => stamps.len(),
+            _ => 1,
+        };
+        self.finish(now, id, request, ending, out);
+    }
+
+    /// Ends a request that can't get the answers that it needs.
+    pub(super) fn give_up(&mut self, now: Time, id: RequestId, out: &mut Vec<Command>) {
+        let mut request = self.requests.remove(&id).expect("the request is known");
+        request.summary.answered = request.answered();
+        let retry_after_ms = retry_after_ms(&request);
+        let has_run = request.may_have_run();
+        if !request.route.is_gathered() {
+            let part = &mut request.parts[0];
+            if let Some(failure) = part.failure.take() {
+                return self.finish(now, id, request, Ending::Passed(failure), out);
+            }
+        }
+        let why = why(&request);
+        let ending = if has_run {
+            Ending::Failed {
+                why,
+                retry_after_ms,
+            }
+        } else {
+            Ending::NotRun {
+                why,
+                retry_after_ms,
+            }
+        };
+        self.finish(now, id, request, ending, out);
+    }
+
+    /// Ends a request whose time is over.
+    pub(super) fn time_out(&mut self, now: Time, id: RequestId, out: &mut Vec<Command>) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if request.answered() >= request.needed() {
+            return self.answer(now, id, out);
+        }
+        let mut request = self.requests.remove(&id).expect("it was just found");
+        request.summary.answered = request.answered();
+        self.finish(now, id, request, Ending::TimedOut, out);
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        request: Request,
+        ending: Ending,
+        out: &mut Vec<Command>,
+    ) {
+        let mut request = request;
+        let mut summary = std::mem::take(&mut request.summary);
+        for part in request.parts.iter().filter(|part| !part.has_answered) {
+            for open in &part.open {
+                self.note_fault(now, &mut summary, part.service, open, CallFault::Unanswered);
+            }
+        }
+        summary.took_ms = now.since(request.arrived);
+        self.drop_request(now, request, Seen::GivenUp, out);
+        out.push(Command::Finish {
+            request: id,
+            ending,
+            summary: Box::new(summary),
+        });
+    }
+
+    /// Adds a call that brought no answer of use to the summary, if there is room.
+    pub(super) fn note_fault(
+        &self,
+        now: Time,
+        summary: &mut Summary,
+        service: ServiceKey,
+        call: &Try,
+        how: CallFault,
+    ) {
+        let upstream = self.upstreams.get(call.upstream);
+        if summary.failed_calls.len() >= FAILED_CALLS_MAX {
+            return;
+        }
+        summary.failed_calls.push(FailedCall {
+            service: String::from(self.upstreams.name(service)),
+            upstream: upstream.map_or_else(String::new, |known| known.entry.id.clone()),
+            how,
+            after_ms: now.since(call.sent),
+        });
+    }
+
+    /// Cancels all calls of a request.
+    pub(super) fn drop_request(
+        &mut self,
+        now: Time,
+        mut request: Request,
+        seen: Seen,
+        out: &mut Vec<Command>,
+    ) {
+        for part in &mut request.parts {
+            self.cancel_part(now, part, seen, out);
+        }
+    }
+
+    pub(super) fn cancel_part(
+        &mut self,
+        now: Time,
+        part: &mut Part,
+        seen: Seen,
+        out: &mut Vec<Command>,
+    ) {
+        for open in part.open.drain(..) {
+            self.calls.remove(&open.call);
+            let call = open.call;
+            let mut is_released = false;
+            if let Some(upstream) = self.upstreams.get_mut(open.upstream) {
+                let is_quick = upstream.record.is_usually_within(RELEASED_MAX_MS);
+                is_released = is_quick && seen == Seen::GivenUp;
+                upstream.record.ended(now, open.sent, seen);
+            }
+            out.push(if is_released {
+                Command::Release { call }
+            } else {
+                Command::Cancel { call }
+            });
+        }
+    }
+}
+
+/// Returns why a request can't get the answers that it needs.
+fn why(request: &Request) -> Why {
+    let mut failed = request.parts.iter().filter(|part| part.has_failed());
+    if request.route.is_gathered() {
+        return if failed.all(|part| part.sends == 0) {
+            Why::NoUpstream
+        } else {
+            Why::TooFewShards
+        };
+    }
+    match failed.next() {
+        Some(part) if part.sends == 0 => Why::NoUpstream,
+        Some(part) if part.ran => Why::Lost,
+        _ => Why::Rejected,
+    }
+}
+
+/// Returns when the caller is to come back, in milliseconds.
+fn retry_after_ms(request: &Request) -> u64 {
+    let mut failed = request.parts.iter().filter(|part| part.has_failed());
+    if failed.any(|part| part.sends == 0) {
+        RETRY_FAULT_MS
+    } else {
+        RETRY_REJECTED_MS
+    }
+}
--- /dev/null
+++ b/hemlockrouter-route/src/direct/dispatcher/send.rs
@@ -0,0 +1,171 @@
+//! Sends the parts of a request: whether at all, to which service of a split, to which upstream, and
+//! within which budget.
+
+use hemlockrouter_types::prelude::*;
+
+use super::Call;
+use super::Cause;
+use super::Dispatcher;
+use crate::direct::event::CallId;
+use crate::direct::event::Command;
+use crate::direct::event::RequestId;
+use crate::direct::request::Part;
+use crate::direct::request::Request;
+use crate::direct::request::Try;
+use crate::direct::table::Route;
+use crate::direct::table::RouteTarget;
+use crate::direct::upstreams::Among;
+use crate::direct::upstreams::Wanted;
+/// How often one part is sent at most.
+const SENDS_MAX: u32 = 3;
+
+/// The interval at which a request of a route is sent although too few upstreams could be reached, in
+/// milliseconds.
+const PROBE_EVERY_MS: u64 = 250;
+
+impl Dispatcher {
+    /// Returns whether enough upstreams can be reached for a request. Now and then one request finds
+    /// out anew.
+    pub(super) fn can_be_served(&mut self, now: Time, request: &mut Request) -> bool {
+        let route = &request.route;
+        let reachable = request.parts.iter().filter(|part| {
+            let wanted = Wanted {
+                service: part.service,
+                regions: &route.entry.regions,
+                among: Among::AllBut(&[]),
+            };
+            self.upstreams.has_reachable(now, &wanted)
+        });
+        let reachable = reachable.count();
+        if reachable >= request.needed() {
+            return true;
+        }
+        let probed_at = self.probed_at.get(&route.entry.name);
+        if probed_at.is_none_or(|at| now.since(*at) >= PROBE_EVERY_MS) {
+            self.probed_at.insert(route.entry.name.clone(), now);
+            return true;
+        }
+        request.summary.unavailable = (request.parts.len() - reachable) as u32;
+        false
+    }
+
+    /// Returns the services that a request of `route` needs.
+    pub(super) fn services(&mut self, route: &Route) -> Vec<ServiceKey> {
+        match &route.to {
+            RouteTarget::Split(parts) => vec![self.split(&route.entry.name, parts)],
+            RouteTarget::Shards { services, .. } => services.clone(),
+        }
+    }
+
+    /// Chooses a service of a split by its weight. The points of the golden ratio spread evenly, so
+    /// that few requests already come close to the weights.
+    pub(super) fn split(&mut self, name: &str, parts: &[(ServiceKey, f64)]) -> ServiceKey {
+        const GOLDEN: f64 = 0.618_033_988_749_895;
+        if let [(only, _)] = parts {
+            return *only;
+        }
+        if !self.splits.contains_key(name) {
+            self.splits.insert(String::from(name), rand::random());
+        }
+        let point = self.splits.get_mut(name).expect("it was just put in");
+        *point = (*point + GOLDEN).fract();
+        let total: f64 = parts.iter().map(|(_, weight)| weight).sum();
+        let mut rest = *point * total;
+        for (service, weight) in parts {
+            rest -= weight;
+            if rest < 0.0 {
+                return *service;
+            }
+        }
+        parts[0].0
+    }
+
+    /// Sends a part, if an upstream and the budget allow it.
+    pub(super) fn send(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        request: &mut Request,
+        at: usize,
+        cause: Cause,
+        out: &mut Vec<Command>,
+    ) {
+        let part = &mut request.parts[at];
+        if part.sends >= SENDS_MAX {
+            return;
+        }
+        let Some(upstream) = self.choose(now, part, &request.route) else {
+            request.summary.unavailable += u32::from(part.sends == 0);
+            return;
+        };
+        let is_repeat = matches!(cause, Cause::Slow | Cause::Failed);
+        if is_repeat && !self.spend(now, part.service) {
+            request.summary.denied += 1;
+            return;
+        }
+        match cause {
+            Cause::First | Cause::Unreached => {}
+            Cause::Slow => request.summary.hedges += 1,
+            Cause::Failed => request.summary.retries += 1,
+        }
+        request.summary.sends += 1;
+        self.last_call += 1;
+        let call = CallId(self.last_call);
+        part.sends += 1;
+        part.open.push(Try {
+            call,
+            upstream,
+            sent: now,
+        });
+        if !part.tried.contains(&upstream) {
+            part.tried.push(upstream);
+        }
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.record.sent(now);
+        }
+        self.calls.insert(
+            call,
+            Call {
+                request: id,
+                part: at,
+            },
+        );
+        out.push(Command::Send {
+            request: id,
+            call,
+            upstream,
+            deadline: request.deadline,
+        });
+    }
+
+    /// Chooses an upstream for a part: one that was not tried, if the route allows another one, or
+    /// else one that was tried before.
+    pub(super) fn choose(&mut self, now: Time, part: &Part, route: &Route) -> Option<UpstreamKey> {
+        let mut wanted = Wanted {
+            service: part.service,
+            regions: &route.entry.regions,
+            among: Among::AllBut(&part.tried),
+        };
+        if part.tried.len() < route.entry.attempts_max as usize {
+            if let Some(fresh) = self.upstreams.choose(now, &wanted) {
+                return Some(fresh);
+            }
+        }
+        if !part.open.is_empty() {
+            return None;
+        }
+        wanted.among = Among::Only(&part.tried);
+        self.upstreams.choose(now, &wanted)
+    }
+
+    pub(super) fn spend(&mut self, now: Time, service: ServiceKey) -> bool {
+        let instances = self.upstreams.instances().sharing(now);
+        let bound = &self.config.repeats;
+        let spending = &mut self.upstreams.service_mut(service).spending;
+        if spending.left(now, bound, instances) < 1.0 {
+            return false;
+        }
+        spending.repeat(now, bound);
+        true
+    }
+}
