--- a/hemlockrouter-cli/tests/direct/relays.rs
+++ b/hemlockrouter-cli/tests/direct/relays.rs
@@ -17,8 +17,8 @@
 fn followers(world: &World) -> Vec<(usize, usize)> {
     let of = |at: usize| {
         let log = world.log(at);
-        let lines = log.lines().filter(|line| line.contains("\"following\""));
-        let last = lines.last()?.to_owned();
+        let mut lines = log.lines().filter(|line| line.contains("\"following\""));
+        let last = lines.next_back()?;
         let relay = world
             .daemons
             .iter()
