Accept on all ports in one place, which waits after a failure and closes silent connections

Cause: each of the three ports of a direct instance had an accept loop of its own. The one for operators did not pause after a failed accept: without file descriptors it spun. And the ports for operators and followers held a connection that sent nothing for ever, so that such connections used up the descriptors.

Ruled out: a limit of connections for each port; the wait and the time for a head suffice, and the limit would turn away the platform's own checks.

Change: listener.rs accepts for all ports, pauses after a failure, and serves pages with a time for the head. The three ways to make a response are one.

--- a/hemlockrouter-cli/tests/direct/faults.rs
+++ b/hemlockrouter-cli/tests/direct/faults.rs
@@ -1,5 +1,7 @@
 //! What callers get while something is wrong.
 
+use std::io::Read;
+use std::net::TcpStream;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -284,3 +286,42 @@
     std::thread::sleep(Duration::from_millis(700));
     assert!(world.ledger.runs().is_empty(), "the request ran for nobody");
 }
+
+#[test]
+fn an_instance_without_file_descriptors_waits_and_then_serves_again() {
+    let mut world = World::start(1);
+    let daemon = &mut world.daemons[0];
+    daemon.kill();
+    daemon.files_max = Some(48);
+    world.start_daemon(0);
+    world.wait_ready(0);
+    let daemon = &world.daemons[0];
+    for port in [daemon.ready, daemon.metrics, daemon.relay, daemon.callers] {
+        let held: Vec<TcpStream> = (0..64)
+            .map(|_| TcpStream::connect(port).expect("the port listens"))
+            .collect();
+        std::thread::sleep(Duration::from_millis(200));
+        let before = daemon.processor_ticks();
+        std::thread::sleep(Duration::from_secs(1));
+        let used = daemon.processor_ticks() - before;
+        assert!(used < 20, "port {port} takes {used} ticks of 100");
+        drop(held);
+        world.wait_ready(0);
+    }
+    assert_eq!(world.call(0, SEARCH, 1_000).status, Some(StatusCode::OK));
+}
+
+#[test]
+fn connections_that_send_nothing_are_closed() {
+    let world = World::start(1);
+    let daemon = &world.daemons[0];
+    let ports = [daemon.ready, daemon.metrics, daemon.relay];
+    let silent = ports.map(|port| TcpStream::connect(port).expect("the port listens"));
+    for mut stream in silent {
+        let limit = Some(Duration::from_secs(15));
+        stream.set_read_timeout(limit).expect("the limit is valid");
+        let mut rest = Vec::new();
+        let read = stream.read_to_end(&mut rest);
+        assert!(read.is_ok(), "{stream:?} is open after 15 s: {read:?}");
+    }
+}
--- a/hemlockrouter-cli/tests/direct/world.rs
+++ b/hemlockrouter-cli/tests/direct/world.rs
@@ -53,11 +53,13 @@
     pub(crate) name: String,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
-    metrics: SocketAddr,
-    relay: SocketAddr,
+    pub(crate) metrics: SocketAddr,
+    pub(crate) relay: SocketAddr,
     zone: &'static str,
     /// Between the daemon and the store.
     pub(crate) link: Link,
+    /// How many file descriptors it may have; as many as this process if `None`.
+    pub(crate) files_max: Option<u32>,
     child: Option<Child>,
 }
 
@@ -207,6 +209,7 @@
             relay: ports.next_free(),
             zone: ZONES[at % ZONES.len()],
             link: link.expect("the port was free"),
+            files_max: None,
             child: None,
         }
     }
@@ -251,7 +254,8 @@
             .create(true)
             .append(true)
             .open(self.log(dir));
-        let child = Command::new(env!("CARGO_BIN_EXE_hemlockd"))
+        let child = self
+            .program()
             .arg("--settings")
             .arg(&settings)
             .stdin(Stdio::null())
@@ -261,6 +265,30 @@
         self.child = Some(child.expect("the daemon starts"));
     }
 
+    fn program(&self) -> Command {
+        let program = env!("CARGO_BIN_EXE_hemlockd");
+        let Some(files_max) = self.files_max else {
+            return Command::new(program);
+        };
+        let script = format!(r#"ulimit -n {files_max} && exec "$0" "$@""#);
+        let mut shell = Command::new("sh");
+        shell.args(["-c", &script, program]);
+        shell
+    }
+
+    /// Returns how long it has used a processor, in clock ticks of 10 ms.
+    pub(crate) fn processor_ticks(&self) -> u64 {
+        let child = self.child.as_ref().expect("the daemon runs");
+        let stat = fs::read_to_string(format!("/proc/{}/stat", child.id()));
+        let stat = stat.expect("the daemon runs");
+        // The second field is the name in parentheses; the 14th and 15th are the two times.
+        let (_, fields) = stat.rsplit_once(") ").expect("the name is there");
+        let times = fields.split(' ').skip(11).take(2);
+        times
+            .map(|ticks| ticks.parse::<u64>().expect("a count"))
+            .sum()
+    }
+
     /// Returns where others follow it, as its log names it.
     pub(crate) fn relay_address(&self) -> String {
         self.relay.to_string()
--- a/src/direct/callers.rs
+++ b/src/direct/callers.rs
@@ -30,6 +30,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use super::listener;
+use super::listener::page;
 use super::node::Node;
 use super::requests_log::RequestsLog;
 use crate::edge::phase::Phase;
@@ -37,9 +39,6 @@
 /// The smallest buffer for heads that `hyper` allows, in bytes.
 const BUFFER_MIN_BYTES: usize = 8_192;
 
-/// How long the port waits after it could not accept, most likely for lack of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
 /// When a caller is to come back to an instance that has no routes yet, in milliseconds.
 const RETRY_UNCONFIGURED_MS: u64 = 200;
 
@@ -76,18 +75,10 @@
 impl Callers {
     /// Accepts connections for as long as the process runs.
     pub(super) async fn accept(self: Rc<Callers>, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, peer)) => {
-                    let callers = Rc::clone(&self);
-                    tokio::task::spawn_local(callers.serve(stream, peer));
-                }
-                Err(err) => {
-                    log::warn!(why = err.to_string(); "can't accept a caller");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
+        listener::accept(listener, "callers", |stream, peer| {
+            Rc::clone(&self).serve(stream, peer)
+        })
+        .await;
     }
 
     /// Serves one connection until it ends.
@@ -144,7 +135,7 @@
         let table = self.node.table();
         let Some(route) = table.find(&request.host, request.uri.path()) else {
             self.log.unrouted(&request, table.version());
-            return plain(StatusCode::NOT_FOUND, "no route");
+            return page(StatusCode::NOT_FOUND, "no route");
         };
         let body = match read_body(body, self.node.limits().body_max_bytes).await {
             Ok(body) => body,
@@ -178,7 +169,7 @@
         abandon.id = None;
         let Ok(finished) = finished else {
             log::error!(request = id.to_string(); "a request was dropped without an answer");
-            return plain(StatusCode::INTERNAL_SERVER_ERROR, "dropped");
+            return page(StatusCode::INTERNAL_SERVER_ERROR, "dropped");
         };
         self.log.ended(&request, &route, &finished);
         self.protocol.write_ending(&request, finished.ending)
@@ -195,7 +186,7 @@
 
     fn reject(&self, status: StatusCode, why: &str) -> Response<Bytes> {
         self.log.rejected(status, why);
-        plain(status, why)
+        page(status, String::from(why))
     }
 }
 
@@ -207,9 +198,3 @@
         Err(_) => Err(BadBody::BrokenOff),
     }
 }
-
-fn plain(status: StatusCode, why: &str) -> Response<Bytes> {
-    let mut response = Response::new(Bytes::copy_from_slice(why.as_bytes()));
-    *response.status_mut() = status;
-    response
-}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! - `instance`: starts and stops everything.
 //! - `node`: the actor and what connects it to the loop.
+//! - `listener`: accepts connections on all ports.
 //! - `callers`: the port for callers.
 //! - `calls`: calls to upstreams.
 //! - `connection`: one client connection, used for upstreams and the registry.
@@ -24,6 +25,7 @@
 mod connection;
 mod follower;
 mod instance;
+mod listener;
 mod member;
 mod mirror;
 mod node;
