--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -29,9 +29,6 @@
 use crate::latency::Latency;
 use crate::timer::Timers;
 
-/// The quantile of a route's latencies after which a try is hedged.
-const HEDGE_QUANTILE: f64 = 0.93;
-
 /// The part of the target latency after which an answer with enough shards is not held.
 const SETTLE_PART: f64 = 0.9;
 
@@ -268,7 +265,7 @@
         if seen == Seen::Success {
             let name = &route.entry.name;
             if !self.latencies.contains_key(name) {
-                let latency = Latency::new(HEDGE_QUANTILE);
+                let latency = Latency::new(hedge::QUANTILE);
                 self.latencies.insert(name.clone(), latency);
             }
             let latency = self.latencies.get_mut(name).expect("it was just put in");
--- a/hemlockrouter-route/src/direct/dispatcher/finish.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/finish.rs
@@ -18,6 +18,7 @@
 use crate::direct::request::Request;
 use crate::direct::request::Try;
 use crate::direct::table::RouteTarget;
+
 /// When a caller is to come back after upstreams rejected its request, in milliseconds.
 const RETRY_REJECTED_MS: u64 = 100;
 
@@ -121,11 +122,10 @@
         &mut self,
         now: Time,
         id: RequestId,
-        request: Request,
+        mut request: Request,
         ending: Ending,
         out: &mut Vec<Command>,
     ) {
-        let mut request = request;
         let mut summary = std::mem::take(&mut request.summary);
         for part in request.parts.iter().filter(|part| !part.has_answered) {
             for open in &part.open {
--- a/hemlockrouter-route/src/direct/dispatcher/hedge.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/hedge.rs
@@ -13,6 +13,10 @@
 use crate::direct::request::Request;
 use crate::direct::table::Route;
 use crate::latency::Latency;
+
+/// The quantile of a route's latencies after which a try is hedged.
+pub(super) const QUANTILE: f64 = 0.93;
+
 /// The least time before a hedge, in milliseconds.
 const HEDGE_MIN_MS: u64 = 12;
 
--- a/hemlockrouter-route/src/direct/dispatcher/send.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/send.rs
@@ -16,6 +16,7 @@
 use crate::direct::table::RouteTarget;
 use crate::direct::upstreams::Among;
 use crate::direct::upstreams::Wanted;
+
 /// How often one part is sent at most.
 const SENDS_MAX: u32 = 3;
 
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -21,11 +21,9 @@
 use super::node::Node;
 use super::registry::CallError;
 use super::registry::Registry;
+use super::registry::CALL_MS;
 use super::relay;
 
-/// How long a call that does not wait may take, in milliseconds.
-const CALL_MS: u64 = 1_000;
-
 /// The part of the time to catch up for which a watch waits for a change. A call that the registry
 /// has lost is never answered, and the rest of the time is for noticing that and calling again.
 const WATCH_PART: f64 = 0.5;
--- a/src/direct/member.rs
+++ b/src/direct/member.rs
@@ -14,6 +14,7 @@
 
 use super::registry::CallError;
 use super::registry::Registry;
+use super::registry::CALL_MS;
 
 /// How long the registration lasts without a renewal, in milliseconds. A restart is sooner.
 const LEASE_MS: u64 = 20_000;
@@ -24,9 +25,6 @@
 /// The pause after a failure.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// How long a call may take, in milliseconds.
-const CALL_MS: u64 = 1_500;
-
 /// Keeps an instance registered.
 pub(super) struct Member {
     me: InstanceEntry,
--- a/src/direct/registry.rs
+++ b/src/direct/registry.rs
@@ -14,6 +14,9 @@
 use super::connection::Connection;
 use super::connection::NoAnswer;
 
+/// How long a call that does not wait for a change may take, in milliseconds.
+pub(super) const CALL_MS: u64 = 1_000;
+
 /// How long connecting may take, in milliseconds. A call that waits for a change may take much longer
 /// than this, so it must not wait for a first packet that a broken link has dropped.
 const CONNECT_MS: u64 = 1_000;
