--- a/hemlockrouter-config/src/direct.rs
+++ b/hemlockrouter-config/src/direct.rs
@@ -26,6 +26,7 @@
     "relay_listen",
     "registry_address",
     "bounds",
+    "sharing",
     "log",
 ];
 
@@ -41,6 +42,17 @@
     "cold_slack",
 ];
 
+/// The fields of `sharing`.
+const SHARING: &[&str] = &["parts_min", "parts_each"];
+
+/// The fewest shards of a search that is shared, unless the settings name another number: below, one
+/// instance has sent to all shards before another one could have begun.
+const PARTS_MIN: u64 = 40;
+
+/// How many shards one instance collects, unless the settings name another number: about as many as
+/// cost as much as handing out the other groups.
+const PARTS_EACH: u64 = 14;
+
 /// How an instance dispatches.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Dispatch {
@@ -95,6 +107,10 @@
     pub cold_overage: f64,
     /// How many requests a second a cold upstream may get beyond that.
     pub cold_slack: f64,
+    /// The fewest shards of a search that is shared with other instances of the availability zone.
+    pub sharing_parts_min: usize,
+    /// How many shards one instance collects of a search that is shared.
+    pub sharing_parts_each: usize,
     /// What is logged.
     pub log: Log,
 }
@@ -132,6 +148,12 @@
         let value = source.parse()?;
         let table = source.root(&value).table(FIELDS)?;
         let bounds = table.need("bounds", "an object")?.table(BOUNDS)?;
+        let sharing = table.get("sharing");
+        let sharing = sharing.map(|field| field.table(SHARING)).transpose()?;
+        let parts = |name, default| match &sharing {
+            Some(sharing) => sharing.number_or(name, default, 1, 100_000),
+            None => Ok(default),
+        };
         let settings = DirectSettings {
             protocol: protocol(&table)?,
             name: text_of(&table, "name")?,
@@ -153,6 +175,8 @@
             repeat_allowance: decimal(&bounds, "repeat_allowance", 50.0, 1e6)?,
             cold_overage: decimal(&bounds, "cold_overage", 1.0, 100.0)?,
             cold_slack: decimal(&bounds, "cold_slack", 0.0, 1e6)?,
+            sharing_parts_min: parts("parts_min", PARTS_MIN)? as usize,
+            sharing_parts_each: parts("parts_each", PARTS_EACH)? as usize,
             log: Log::read(&table)?,
         };
         settings.check(&table)?;
--- a/hemlockrouter-edge/src/lib.rs
+++ b/hemlockrouter-edge/src/lib.rs
@@ -7,14 +7,19 @@
 //!
 //! # Modules
 //!
+//! - [`batch`]: what instances say to each other to share a search.
 //! - [`caller`]: requests of callers, and answers to them.
 //! - [`registry`]: the store in which routes, upstreams and instances are registered.
 //! - [`protocol`]: the trait itself.
 
+pub mod batch;
 pub mod caller;
 pub mod protocol;
 pub mod registry;
 
+pub use crate::batch::BadBatch;
+pub use crate::batch::BatchCall;
+pub use crate::batch::CollectedPart;
 pub use crate::caller::BadRequest;
 pub use crate::caller::CallerRequest;
 pub use crate::protocol::Protocol;
--- a/hemlockrouter-route/src/direct/config.rs
+++ b/hemlockrouter-route/src/direct/config.rs
@@ -21,4 +21,15 @@
     pub cold_slack: f64,
     /// How long an upstream that is leaving is still used, in milliseconds.
     pub linger_ms: u64,
+    /// When and how searches are shared with other instances.
+    pub sharing: Sharing,
+}
+
+/// When and how searches are shared with other instances of the availability zone.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Sharing {
+    /// The fewest shards of a search that is shared.
+    pub parts_min: usize,
+    /// How many shards one instance collects.
+    pub parts_each: usize,
 }
--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -1,13 +1,18 @@
 //! What follows from each event of a request.
 //!
-//! This module takes the events; `send`, `hedge` and `finish` below it decide what follows.
+//! This module takes the events; what follows is decided below it: `send`, `hedge` and `finish` for calls
+//! to upstreams, `share` for what other instances collect, `collect` for what this one collects for
+//! them.
 
+mod collect;
 mod finish;
 mod hedge;
 mod send;
+mod share;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use hemlockrouter_types::prelude::*;
@@ -19,7 +24,9 @@
 use super::event::Command;
 use super::event::RequestId;
 use super::event::Summary;
+use super::peers::Peers;
 use super::record::Seen;
+use super::request::AnswerTo;
 use super::request::Part;
 use super::request::Request;
 use super::request::Try;
@@ -47,6 +54,8 @@
     Hedge(RequestId),
     Settle(RequestId),
     Deadline(RequestId),
+    /// Other instances should have shown that they are at work.
+    Silent(RequestId),
     Expire,
 }
 
@@ -57,6 +66,17 @@
     part: usize,
 }
 
+/// A call by which another instance collects parts of a request.
+#[derive(Clone, Debug)]
+struct Share {
+    /// The request; none if the call only finds out whether the instance answers.
+    request: Option<RequestId>,
+    peer: SocketAddr,
+    /// The places of its parts in the request.
+    parts: Vec<usize>,
+    has_reported: bool,
+}
+
 /// Why a part is sent once more.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Cause {
@@ -75,6 +95,8 @@
     upstreams: Upstreams,
     requests: BTreeMap<RequestId, Request>,
     calls: HashMap<CallId, Call>,
+    shares: HashMap<CallId, Share>,
+    peers: Peers,
     last_call: u64,
     timers: Timers<Due>,
     latencies: HashMap<String, Latency>,
@@ -94,6 +116,8 @@
             table: Rc::new(RouteTable::default()),
             requests: BTreeMap::new(),
             calls: HashMap::new(),
+            shares: HashMap::new(),
+            peers: Peers::default(),
             last_call: 0,
             timers,
             latencies: HashMap::new(),
@@ -141,29 +165,22 @@
         out: &mut Vec<Command>,
     ) {
         let services = self.services(&route);
-        let deadline = now + deadline_ms.min(route.entry.timeout_ms);
-        let settle_ms = (route.entry.target_latency_ms as f64 * SETTLE_PART) as u64;
-        let summary = Summary {
-            version: route.version,
-            parts: services.len(),
-            ..Summary::default()
-        };
-        let mut request = Request {
-            arrived: now,
-            deadline,
-            settle_at: now + settle_ms.saturating_sub(REPLY_MS),
-            answered_at: now,
-            parts: services.into_iter().map(Part::new).collect(),
-            summary,
-            route,
-        };
-        for part in &request.parts {
-            let service = self.upstreams.service_mut(part.service);
-            service.spending.request(now, &self.config.repeats);
-        }
-        if self.can_be_served(now, &mut request) {
+        let parts = services.into_iter().map(Part::new).collect();
+        let request = new_request(now, route, parts, deadline_ms, AnswerTo::Caller);
+        self.begin(now, id, request, out);
+    }
+
+    fn begin(&mut self, now: Time, id: RequestId, mut request: Request, out: &mut Vec<Command>) {
+        let is_batch = request.answer_to != AnswerTo::Caller;
+        if is_batch || self.can_be_served(now, &mut request) {
+            self.share(now, id, &mut request, out);
             for at in 0..request.parts.len() {
-                self.send(now, id, &mut request, at, Cause::First, out);
+                let part = &request.parts[at];
+                if part.shared.is_none() {
+                    let service = self.upstreams.service_mut(part.service);
+                    service.spending.request(now, &self.config.repeats);
+                    self.send(now, id, &mut request, at, Cause::First, out);
+                }
             }
         }
         let hedge_ms = self.hedge_ms(&request.route);
@@ -171,7 +188,7 @@
         if request.route.is_gathered() {
             self.timers.set(request.settle_at, Due::Settle(id));
         }
-        let last = deadline.before(DEADLINE_MARGIN_MS);
+        let last = request.deadline.before(DEADLINE_MARGIN_MS);
         self.timers.set(last.max(now), Due::Deadline(id));
         self.requests.insert(id, request);
         self.check(now, id, out);
@@ -194,9 +211,12 @@
         }
         let part = &mut request.parts[call.part];
         let again = take_end(part, end, request.route.entry.idempotent);
-        if part.answer.is_some() {
+        if part.has_answered {
             request.answered_at = now;
             self.cancel_part(now, part, Seen::GivenUp, out);
+            if request.answer_to == (AnswerTo::Peer { late: true }) {
+                Dispatcher::report(call.request, &mut request, out);
+            }
         } else if let Some(cause) = again {
             if part.open.is_empty() {
                 self.send(now, call.request, &mut request, call.part, cause, out);
@@ -226,9 +246,11 @@
             match due {
                 Due::Hedge(id) => self.hedge(now, id, out),
                 Due::Settle(id) => self.check(now, id, out),
+                Due::Silent(id) => self.take_back_silent(now, id, out),
                 Due::Deadline(id) => self.time_out(now, id, out),
                 Due::Expire => {
                     self.upstreams.expire(now);
+                    self.peers.tidy(now);
                     self.timers.set(now + EXPIRE_EVERY_MS, Due::Expire);
                 }
             }
@@ -239,7 +261,7 @@
     pub fn next_wake(&mut self) -> Option<Time> {
         while let Some((at, due)) = self.timers.first() {
             let is_live = match due {
-                Due::Hedge(id) | Due::Settle(id) | Due::Deadline(id) => {
+                Due::Hedge(id) | Due::Settle(id) | Due::Deadline(id) | Due::Silent(id) => {
                     self.requests.contains_key(&id)
                 }
                 Due::Expire => true,
@@ -274,6 +296,32 @@
     }
 }
 
+fn new_request(
+    now: Time,
+    route: Rc<Route>,
+    parts: Vec<Part>,
+    deadline_ms: u64,
+    answer_to: AnswerTo,
+) -> Request {
+    let settle_ms = (route.entry.target_latency_ms as f64 * SETTLE_PART) as u64;
+    let summary = Summary {
+        version: route.version,
+        parts: parts.len(),
+        ..Summary::default()
+    };
+    Request {
+        arrived: now,
+        deadline: now + deadline_ms.min(route.entry.timeout_ms),
+        settle_at: now + settle_ms.saturating_sub(REPLY_MS),
+        answered_at: now,
+        parts,
+        shares: Vec::new(),
+        answer_to,
+        summary,
+        route,
+    }
+}
+
 /// Returns what came of a call that brought no answer of use.
 fn fault(end: &CallEnd) -> Option<CallFault> {
     match end {
@@ -292,9 +340,7 @@
     match end {
         CallEnd::NotSent => Some(Cause::Unreached),
         CallEnd::Answered(reply) if reply.is_success() => {
-            part.ran = true;
-            part.has_answered = true;
-            part.answer = Some(reply);
+            part.set_answer(reply);
             None
         }
         CallEnd::Answered(reply) if reply.not_run => Some(Cause::Failed),
--- /dev/null
+++ b/hemlockrouter-route/src/direct/dispatcher/collect.rs
@@ -0,0 +1,107 @@
+//! What this instance collects for another one.
+//!
+//! Answers are held until the first hedges, since most come at about the same time, and passed on one
+//! by one after that: the other instance answers its caller when enough of them are in.
+
+use std::rc::Rc;
+
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::Batch;
+use hemlockrouter_types::routing::BatchPart;
+use hemlockrouter_types::routing::RouteEntry;
+use hemlockrouter_types::routing::ShardTarget;
+use hemlockrouter_types::routing::Target;
+
+use super::new_request;
+use super::Dispatcher;
+use crate::direct::event::Command;
+use crate::direct::event::RequestId;
+use crate::direct::request::AnswerTo;
+use crate::direct::request::Part;
+use crate::direct::request::Request;
+use crate::direct::table::Route;
+use crate::direct::table::RouteTarget;
+
+impl Dispatcher {
+    /// Starts to collect a batch, which may take `deadline_ms` from now.
+    pub fn start_batch(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        batch: Batch,
+        deadline_ms: u64,
+        out: &mut Vec<Command>,
+    ) {
+        let parts = batch.parts.iter().map(|part| self.part(part));
+        let parts: Vec<Part> = parts.collect();
+        let route = Rc::new(batch_route(batch, &parts, deadline_ms));
+        let answer_to = AnswerTo::Peer { late: false };
+        let request = new_request(now, route, parts, deadline_ms, answer_to);
+        self.begin(now, id, request, out);
+    }
+
+    /// Returns a part of a batch. Upstreams that are not known here are left out.
+    fn part(&mut self, wanted: &BatchPart) -> Part {
+        let mut part = Part::new(self.upstreams.service(&wanted.service));
+        if !wanted.upstreams.is_empty() {
+            let ids = wanted.upstreams.iter();
+            let known = ids.filter_map(|id| self.upstreams.key(id));
+            part.allowed = Some(known.collect());
+        }
+        part
+    }
+
+    /// Passes on the answers that came since the last time.
+    pub(super) fn report(id: RequestId, request: &mut Request, out: &mut Vec<Command>) {
+        let parts = request.parts.iter_mut().enumerate();
+        let answers = parts.filter_map(|(at, part)| Some((at, part.answer.take()?)));
+        out.push(Command::Report {
+            request: id,
+            answers: answers.collect(),
+        });
+    }
+
+    /// Ends a batch: what is not in by now does not come.
+    pub(super) fn end_batch(&mut self, now: Time, id: RequestId, out: &mut Vec<Command>) {
+        let mut request = self.requests.remove(&id).expect("the request is known");
+        let parts = request.parts.iter();
+        request.summary.answered = parts.filter(|part| part.has_answered).count();
+        if request.answered() > 0 {
+            Dispatcher::report(id, &mut request, out);
+        }
+        let summary = self.wind_up(now, request, out);
+        out.push(Command::EndBatch {
+            request: id,
+            summary,
+        });
+    }
+}
+
+/// Returns a route that stands for the one of the search.
+fn batch_route(batch: Batch, parts: &[Part], deadline_ms: u64) -> Route {
+    let target = Target::Shards(ShardTarget {
+        services: Vec::new(),
+        records_max: 0,
+        coverage_min: 1.0,
+    });
+    Route {
+        version: batch.version,
+        entry: RouteEntry {
+            name: batch.route,
+            host: String::new(),
+            path_prefix: String::new(),
+            target,
+            idempotent: true,
+            attempts_max: batch.attempts_max,
+            timeout_ms: deadline_ms,
+            target_latency_ms: batch.target_latency_ms,
+            priority: 0,
+            regions: Vec::new(),
+        },
+        to: RouteTarget::Shards {
+            services: parts.iter().map(|part| part.service).collect(),
+            records_max: 0,
+            needed: parts.len(),
+        },
+    }
+}
--- a/hemlockrouter-route/src/direct/dispatcher/finish.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/finish.rs
@@ -14,6 +14,7 @@
 use crate::direct::event::FAILED_CALLS_MAX;
 use crate::direct::merge::merge;
 use crate::direct::record::Seen;
+use crate::direct::request::AnswerTo;
 use crate::direct::request::Part;
 use crate::direct::request::Request;
 use crate::direct::request::Try;
@@ -36,6 +37,12 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
+        if request.answer_to != AnswerTo::Caller {
+            if request.waiting() == 0 {
+                self.end_batch(now, id, out);
+            }
+            return;
+        }
         let answered = request.answered();
         let waiting = request.waiting();
         let needed = request.needed();
@@ -110,6 +117,9 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
+        if request.answer_to != AnswerTo::Caller {
+            return self.end_batch(now, id, out);
+        }
         if request.answered() >= request.needed() {
             return self.answer(now, id, out);
         }
@@ -122,23 +132,35 @@
         &mut self,
         now: Time,
         id: RequestId,
-        mut request: Request,
+        request: Request,
         ending: Ending,
         out: &mut Vec<Command>,
     ) {
+        let summary = self.wind_up(now, request, out);
+        out.push(Command::Finish {
+            request: id,
+            ending,
+            summary,
+        });
+    }
+
+    /// Breaks off what is open of a request, and returns how it went.
+    pub(super) fn wind_up(
+        &mut self,
+        now: Time,
+        mut request: Request,
+        out: &mut Vec<Command>,
+    ) -> Box<Summary> {
         let mut summary = std::mem::take(&mut request.summary);
         for part in request.parts.iter().filter(|part| !part.has_answered) {
             for open in &part.open {
                 self.note_fault(now, &mut summary, part.service, open, CallFault::Unanswered);
             }
+            self.note_uncollected(now, &mut summary, part, request.arrived);
         }
         summary.took_ms = now.since(request.arrived);
         self.drop_request(now, request, Seen::GivenUp, out);
-        out.push(Command::Finish {
-            request: id,
-            ending,
-            summary: Box::new(summary),
-        });
+        Box::new(summary)
     }
 
     /// Adds a call that brought no answer of use to the summary, if there is room.
@@ -162,6 +184,22 @@
         });
     }
 
+    /// Adds a part that another instance was to collect to the summary, if there is room.
+    fn note_uncollected(&self, now: Time, summary: &mut Summary, part: &Part, sent: Time) {
+        let share = part.shared.and_then(|call| self.shares.get(&call));
+        let Some(share) = share else {
+            return;
+        };
+        if summary.failed_calls.len() < FAILED_CALLS_MAX {
+            summary.failed_calls.push(FailedCall {
+                service: String::from(self.upstreams.name(part.service)),
+                upstream: format!("instance {}", share.peer),
+                how: CallFault::Unanswered,
+                after_ms: now.since(sent),
+            });
+        }
+    }
+
     /// Cancels all calls of a request.
     pub(super) fn drop_request(
         &mut self,
@@ -173,6 +211,14 @@
         for part in &mut request.parts {
             self.cancel_part(now, part, seen, out);
         }
+        for call in request.shares {
+            self.shares.remove(&call);
+            // One that nobody waits for ends soon by itself, and its connection can be used again.
+            out.push(match seen {
+                Seen::GivenUp => Command::Release { call },
+                _ => Command::Cancel { call },
+            });
+        }
     }
 
     pub(super) fn cancel_part(
--- a/hemlockrouter-route/src/direct/dispatcher/hedge.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/hedge.rs
@@ -10,6 +10,7 @@
 use super::Due;
 use crate::direct::event::Command;
 use crate::direct::event::RequestId;
+use crate::direct::request::AnswerTo;
 use crate::direct::request::Request;
 use crate::direct::table::Route;
 use crate::latency::Latency;
@@ -38,13 +39,17 @@
         let Some(mut request) = self.requests.remove(&id) else {
             return;
         };
+        if request.answer_to == (AnswerTo::Peer { late: false }) {
+            request.answer_to = AnswerTo::Peer { late: true };
+            Dispatcher::report(id, &mut request, out);
+        }
         let quiet_at = self.quiet_at(&request);
         if now < quiet_at {
             self.timers.set(quiet_at, Due::Hedge(id));
         } else if request.route.entry.idempotent {
             for at in 0..request.parts.len() {
                 let part = &request.parts[at];
-                if part.answer.is_none() && part.open.len() == 1 && part.sends == 1 {
+                if !part.has_answered && part.open.len() == 1 && part.sends == 1 {
                     self.send(now, id, &mut request, at, Cause::Slow, out);
                 }
             }
--- a/hemlockrouter-route/src/direct/dispatcher/send.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/send.rs
@@ -142,10 +142,16 @@
     /// Chooses an upstream for a part: one that was not tried, if the route allows another one, or
     /// else one that was tried before.
     pub(super) fn choose(&mut self, now: Time, part: &Part, route: &Route) -> Option<UpstreamKey> {
+        let fresh: Vec<UpstreamKey> = part.allowed.iter().flatten().copied().collect();
+        let fresh = fresh.into_iter().filter(|key| !part.tried.contains(key));
+        let fresh: Vec<UpstreamKey> = fresh.collect();
         let mut wanted = Wanted {
             service: part.service,
             regions: &route.entry.regions,
-            among: Among::AllBut(&part.tried),
+            among: match part.allowed {
+                Some(_) => Among::Only(&fresh),
+                None => Among::AllBut(&part.tried),
+            },
         };
         if part.tried.len() < route.entry.attempts_max as usize {
             if let Some(fresh) = self.upstreams.choose(now, &wanted) {
--- /dev/null
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -0,0 +1,317 @@
+//! What other instances of the availability zone collect of a search.
+//!
+//! Both instances together must not ask more upstreams than the route allows, so this one names those
+//! that may be asked: if the other one is silent, its parts are sent from here to the same upstreams.
+
+use std::net::SocketAddr;
+
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::Batch;
+use hemlockrouter_types::routing::BatchPart;
+
+use super::Cause;
+use super::Dispatcher;
+use super::Due;
+use super::Share;
+use crate::direct::event::BatchEnd;
+use crate::direct::event::CallId;
+use crate::direct::event::Command;
+use crate::direct::event::Reply;
+use crate::direct::event::RequestId;
+use crate::direct::peers::assign;
+use crate::direct::peers::Candidate;
+use crate::direct::record::Seen;
+use crate::direct::request::AnswerTo;
+use crate::direct::request::Part;
+use crate::direct::request::Request;
+use crate::direct::table::Route;
+use crate::direct::upstreams::Among;
+use crate::direct::upstreams::Wanted;
+
+/// The part of the target latency after which an instance that collects must have shown that it is at
+/// work. It does so when it hedges, at a third of it at the latest.
+const SILENT_PART: f64 = 0.5;
+
+/// How long an instance may take to show that it answers, in milliseconds.
+const ASK_MS: u64 = 1_000;
+
+impl Dispatcher {
+    /// Has other instances collect parts of a request, if it is a search over many shards.
+    pub(super) fn share(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        request: &mut Request,
+        out: &mut Vec<Command>,
+    ) {
+        if !self.is_shared(request) {
+            return;
+        }
+        let parts = request.parts.len();
+        let collectors = self.collectors(now, parts, out);
+        let groups = collectors.len();
+        for (group, peer) in collectors.into_iter().enumerate() {
+            if let Some(peer) = peer {
+                let places = group * parts / groups..(group + 1) * parts / groups;
+                self.hand_out(now, id, request, peer, places.collect(), out);
+            }
+        }
+        if !request.shares.is_empty() {
+            let target_ms = request.route.entry.target_latency_ms as f64;
+            let silent_ms = (target_ms * SILENT_PART) as u64;
+            self.timers.set(now + silent_ms, Due::Silent(id));
+        }
+    }
+
+    /// Returns whether a request is shared. One that is bound to regions is not: its body must not go
+    /// to instances elsewhere.
+    fn is_shared(&self, request: &Request) -> bool {
+        let entry = &request.route.entry;
+        let is_large = request.parts.len() >= self.config.sharing.parts_min.max(2);
+        let is_free = entry.idempotent && entry.regions.is_empty();
+        request.answer_to == AnswerTo::Caller && request.route.is_gathered() && is_large && is_free
+    }
+
+    /// Returns who collects each group of shards; asks instances that may not be used.
+    fn collectors(
+        &mut self,
+        now: Time,
+        parts: usize,
+        out: &mut Vec<Command>,
+    ) -> Vec<Option<SocketAddr>> {
+        let me = Candidate {
+            name: &self.config.name,
+            address: None,
+        };
+        let mut candidates = vec![me];
+        let mut asked = Vec::new();
+        for entry in self.upstreams.instances().of_zone(&self.config.zone) {
+            let Some(address) = entry.relay.filter(|_| entry.name != me.name) else {
+                continue;
+            };
+            if self.peers.is_usable(now, address) {
+                candidates.push(Candidate {
+                    name: &entry.name,
+                    address: Some(address),
+                });
+            } else if self.peers.is_to_be_asked(now, address) {
+                asked.push(address);
+            }
+        }
+        let groups = parts.div_ceil(self.config.sharing.parts_each.max(1));
+        let collectors = assign(&candidates, groups);
+        for peer in asked {
+            self.ask(now, peer, out);
+        }
+        collectors
+    }
+
+    /// Finds out whether an instance answers.
+    fn ask(&mut self, now: Time, peer: SocketAddr, out: &mut Vec<Command>) {
+        let batch = Batch {
+            route: String::new(),
+            version: self.table.version(),
+            attempts_max: 0,
+            target_latency_ms: 0,
+            parts: Vec::new(),
+        };
+        let share = Share {
+            request: None,
+            peer,
+            parts: Vec::new(),
+            has_reported: false,
+        };
+        let deadline = now + ASK_MS;
+        self.send_share(share, batch, deadline, out);
+    }
+
+    fn hand_out(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        request: &mut Request,
+        peer: SocketAddr,
+        places: Vec<usize>,
+        out: &mut Vec<Command>,
+    ) {
+        let route = &request.route;
+        let mut parts = Vec::with_capacity(places.len());
+        let call = CallId(self.last_call + 1);
+        for place in &places {
+            let part = &mut request.parts[*place];
+            part.allowed = self.pick(now, part, route);
+            part.shared = Some(call);
+            part.sends = 1;
+            parts.push(self.batch_part(part));
+        }
+        request.summary.shared += places.len();
+        let batch = Batch {
+            route: route.entry.name.clone(),
+            version: route.version,
+            attempts_max: route.entry.attempts_max,
+            target_latency_ms: route.entry.target_latency_ms,
+            parts,
+        };
+        let share = Share {
+            request: Some(id),
+            peer,
+            parts: places,
+            has_reported: false,
+        };
+        let sent = self.send_share(share, batch, request.deadline, out);
+        request.shares.push(sent);
+    }
+
+    fn send_share(
+        &mut self,
+        share: Share,
+        batch: Batch,
+        deadline: Time,
+        out: &mut Vec<Command>,
+    ) -> CallId {
+        self.last_call += 1;
+        let call = CallId(self.last_call);
+        out.push(Command::Share {
+            request: share.request,
+            call,
+            peer: share.peer,
+            batch,
+            deadline,
+        });
+        self.shares.insert(call, share);
+        call
+    }
+
+    /// Picks the upstreams that a part may be sent to, if the route allows fewer than there are.
+    fn pick(&mut self, now: Time, part: &Part, route: &Route) -> Option<Vec<UpstreamKey>> {
+        let attempts_max = route.entry.attempts_max as usize;
+        if self.upstreams.service_mut(part.service).upstreams.len() <= attempts_max {
+            return None;
+        }
+        let mut picked = Vec::with_capacity(attempts_max);
+        while picked.len() < attempts_max {
+            let wanted = Wanted {
+                service: part.service,
+                regions: &route.entry.regions,
+                among: Among::AllBut(&picked),
+            };
+            match self.upstreams.choose(now, &wanted) {
+                Some(upstream) => picked.push(upstream),
+                None => break,
+            }
+        }
+        Some(picked)
+    }
+
+    fn batch_part(&self, part: &Part) -> BatchPart {
+        let keys = part.allowed.iter().flatten();
+        let known = keys.filter_map(|key| self.upstreams.get(*key));
+        BatchPart {
+            service: String::from(self.upstreams.name(part.service)),
+            upstreams: known.map(|upstream| upstream.entry.id.clone()).collect(),
+        }
+    }
+
+    /// Takes over answers that another instance has collected; none show that it is at work.
+    pub fn collected(
+        &mut self,
+        now: Time,
+        call: CallId,
+        answers: Vec<(usize, Reply)>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(share) = self.shares.get_mut(&call) else {
+            return;
+        };
+        share.has_reported = true;
+        self.peers.heard(now, share.peer);
+        let Some(id) = share.request else {
+            return;
+        };
+        let Some(mut request) = self.requests.remove(&id) else {
+            return;
+        };
+        let places = share.parts.clone();
+        for (at, answer) in answers {
+            let Some(place) = places.get(at) else {
+                continue;
+            };
+            let part = &mut request.parts[*place];
+            if !part.has_answered && answer.is_success() {
+                part.shared = None;
+                part.set_answer(answer);
+                request.answered_at = now;
+                self.cancel_part(now, part, Seen::GivenUp, out);
+            }
+        }
+        self.requests.insert(id, request);
+        self.check(now, id, out);
+    }
+
+    /// Takes over how a call to an instance that collects has ended. What it has not taken is sent
+    /// from here; what it could not get is not tried again.
+    pub fn batch_ended(&mut self, now: Time, call: CallId, end: BatchEnd, out: &mut Vec<Command>) {
+        let Some(share) = self.shares.remove(&call) else {
+            return;
+        };
+        match end {
+            BatchEnd::Done => self.peers.heard(now, share.peer),
+            BatchEnd::NotTaken | BatchEnd::Lost => self.peers.lost(now, share.peer),
+        }
+        let Some(id) = share.request else {
+            return;
+        };
+        let Some(mut request) = self.requests.remove(&id) else {
+            return;
+        };
+        request.shares.retain(|other| *other != call);
+        for place in share.parts {
+            let part = &mut request.parts[place];
+            if part.shared.take().is_none() {
+                continue;
+            }
+            part.ran |= end != BatchEnd::NotTaken;
+            if !part.open.is_empty() {
+                continue;
+            }
+            match end {
+                BatchEnd::NotTaken => {
+                    part.sends = 0;
+                    let service = self.upstreams.service_mut(part.service);
+                    service.spending.request(now, &self.config.repeats);
+                    self.send(now, id, &mut request, place, Cause::First, out);
+                }
+                BatchEnd::Lost => self.send(now, id, &mut request, place, Cause::Failed, out),
+                BatchEnd::Done => {}
+            }
+        }
+        self.requests.insert(id, request);
+        self.check(now, id, out);
+    }
+
+    /// Sends the parts from here that instances were to collect that have not shown since that they
+    /// are at work.
+    pub(super) fn take_back_silent(&mut self, now: Time, id: RequestId, out: &mut Vec<Command>) {
+        let Some(mut request) = self.requests.remove(&id) else {
+            return;
+        };
+        for call in request.shares.clone() {
+            let share = self
+                .shares
+                .get(&call)
+                .expect("a share of a request is open");
+            if share.has_reported {
+                continue;
+            }
+            self.peers.lost(now, share.peer);
+            for place in share.parts.clone() {
+                let part = &request.parts[place];
+                if part.shared == Some(call) && part.open.is_empty() {
+                    self.send(now, id, &mut request, place, Cause::Failed, out);
+                }
+            }
+        }
+        self.requests.insert(id, request);
+        self.check(now, id, out);
+    }
+}
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -1,8 +1,11 @@
 //! What goes into a dispatcher and what comes out.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use derive_more::Display;
 use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::Batch;
 use http::HeaderMap;
 
 /// A request of a caller, counted by its instance.
@@ -46,6 +49,17 @@
     Lost,
 }
 
+/// How a call to another instance ended that collects a batch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BatchEnd {
+    /// It has collected what it could.
+    Done,
+    /// It has not taken the batch.
+    NotTaken,
+    /// It is lost, with what it may have collected.
+    Lost,
+}
+
 /// What the driver has to do.
 #[derive(Debug)]
 pub enum Command {
@@ -60,6 +74,29 @@
         /// When the upstream's answer is of no use any more.
         deadline: Time,
     },
+    /// Have another instance collect a part of the request. An empty batch only finds out whether the
+    /// instance answers, and belongs to no request.
+    Share {
+        /// The request.
+        request: Option<RequestId>,
+        /// The call, for [`Dispatcher::collected`](super::Dispatcher::collected) and
+        /// [`Dispatcher::batch_ended`](super::Dispatcher::batch_ended).
+        call: CallId,
+        /// Where the other instance takes batches.
+        peer: SocketAddr,
+        /// What it is to collect.
+        batch: Batch,
+        /// When its answer is of no use any more.
+        deadline: Time,
+    },
+    /// Pass answers on to the instance that the batch `request` is collected for; none show it that
+    /// this instance is at work.
+    Report {
+        /// The request.
+        request: RequestId,
+        /// The answers, with their places in the batch.
+        answers: Vec<(usize, Reply)>,
+    },
     /// Break off a call. It does not end by itself any more.
     Cancel {
         /// The call.
@@ -71,6 +108,13 @@
         /// The call.
         call: CallId,
     },
+    /// A batch is collected as far as it could be; its answers were reported.
+    EndBatch {
+        /// The request, which has ended.
+        request: RequestId,
+        /// How it went, for the log.
+        summary: Box<Summary>,
+    },
     /// Answer the caller.
     Finish {
         /// The request, which has ended.
@@ -183,7 +227,9 @@
     pub parts: usize,
     /// How many of them answered.
     pub answered: usize,
-    /// Calls that were sent, first ones and repeats.
+    /// Services that other instances were to ask.
+    pub shared: usize,
+    /// Calls that were sent to upstreams, first ones and repeats.
     pub sends: u32,
     /// Repeats because a call was slow.
     pub hedges: u32,
--- a/hemlockrouter-route/src/direct/instances.rs
+++ b/hemlockrouter-route/src/direct/instances.rs
@@ -112,6 +112,14 @@
         self.is_settled(now).then(|| self.count())
     }
 
+    /// Returns the instances of `zone` that take batches.
+    pub(super) fn of_zone<'i>(&'i self, zone: &'i str) -> impl Iterator<Item = &'i InstanceEntry> {
+        let known = self.known.values();
+        let present = known.filter(|known| known.gone_since.is_none());
+        let entries = present.map(|known| &known.entry);
+        entries.filter(move |entry| entry.zone == zone && entry.relay.is_some())
+    }
+
     /// Returns how the instance `me` learns what the registry holds.
     pub fn reading(&self, now: Time, me: &str) -> Reading {
         let Some(zone) = self.known.get(me).map(|known| known.entry.zone.as_str()) else {
--- a/hemlockrouter-route/src/direct/mod.rs
+++ b/hemlockrouter-route/src/direct/mod.rs
@@ -13,6 +13,7 @@
 //!
 //! - `dispatcher`: the [`Dispatcher`]: what follows from each event.
 //! - `request`: one request and its parts.
+//! - `peers`: which other instances collect a part of a search.
 //! - `event`: what goes in and what comes out.
 //! - `table`: which route a request takes.
 //! - `upstreams`: the registered upstreams, and which one is chosen.
@@ -31,6 +32,7 @@
 mod event;
 mod instances;
 mod merge;
+mod peers;
 mod record;
 mod request;
 mod table;
@@ -38,7 +40,9 @@
 
 pub use self::budget::RepeatBound;
 pub use self::config::Config;
+pub use self::config::Sharing;
 pub use self::dispatcher::Dispatcher;
+pub use self::event::BatchEnd;
 pub use self::event::CallEnd;
 pub use self::event::CallFault;
 pub use self::event::CallId;
--- /dev/null
+++ b/hemlockrouter-route/src/direct/peers.rs
@@ -0,0 +1,101 @@
+//! Which other instances collect a part of a search.
+//!
+//! Load pattern: few searches at a time, each over many shards, on instances with a small part of a
+//! core. One instance alone sends to all shards one after the other, and reads the answers one after
+//! the other, while its neighbours idle. So each group of shards goes to another instance of the same
+//! availability zone. It is the same one in the view of all, so that few instances hold connections
+//! to an upstream, and these are used often.
+//!
+//! A part that goes to an instance that is down comes too late to be sent elsewhere, so only those
+//! are used that have answered lately; the others are asked now and then.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use hemlockrouter_types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// How long after its last answer an instance is used, in milliseconds.
+const HEARD_MAX_MS: u64 = 10_000;
+
+/// The interval at which an instance that is not used is asked whether it answers, in milliseconds.
+const ASK_EVERY_MS: u64 = 1_000;
+
+/// What is known of other instances.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    known: HashMap<SocketAddr, Known>,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    /// When it last answered; `None` if it has failed since.
+    heard_at: Option<Time>,
+    asked_at: Option<Time>,
+}
+
+/// An instance that may collect a group of shards.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate<'n> {
+    pub(super) name: &'n str,
+    /// Where it takes batches; `None` for this instance.
+    pub(super) address: Option<SocketAddr>,
+}
+
+impl Peers {
+    /// Takes over that an instance has answered.
+    pub(super) fn heard(&mut self, now: Time, peer: SocketAddr) {
+        self.known.entry(peer).or_default().heard_at = Some(now);
+    }
+
+    /// Takes over that an instance has not answered.
+    pub(super) fn lost(&mut self, now: Time, peer: SocketAddr) {
+        let known = self.known.entry(peer).or_default();
+        known.heard_at = None;
+        known.asked_at = Some(now);
+    }
+
+    /// Returns whether an instance may be used.
+    pub(super) fn is_usable(&self, now: Time, peer: SocketAddr) -> bool {
+        let heard_at = self.known.get(&peer).and_then(|known| known.heard_at);
+        heard_at.is_some_and(|at| now.since(at) <= HEARD_MAX_MS)
+    }
+
+    /// Returns whether an instance that may not be used is to be asked now.
+    pub(super) fn is_to_be_asked(&mut self, now: Time, peer: SocketAddr) -> bool {
+        let known = self.known.entry(peer).or_default();
+        let is_due = known
+            .asked_at
+            .is_none_or(|at| now.since(at) >= ASK_EVERY_MS);
+        if is_due {
+            known.asked_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Forgets instances that were not heard or asked for long.
+    pub(super) fn tidy(&mut self, now: Time) {
+        self.known.retain(|_, known| {
+            let last = known.heard_at.max(known.asked_at);
+            last.is_some_and(|at| now.since(at) <= 2 * HEARD_MAX_MS)
+        });
+    }
+}
+
+/// Returns who collects each of `groups` groups, each one at most once: its address, or `None` for
+/// this instance.
+pub(super) fn assign(candidates: &[Candidate<'_>], groups: usize) -> Vec<Option<SocketAddr>> {
+    let mut left: Vec<Candidate<'_>> = candidates.to_vec();
+    let mut assigned = Vec::with_capacity(groups);
+    for group in 0..groups.min(candidates.len()) {
+        let score = |candidate: &Candidate<'_>| {
+            let hash = xxh3_64_with_seed(candidate.name.as_bytes(), group as u64);
+            Reverse((hash, candidate.name.len()))
+        };
+        let best = left.iter().enumerate().min_by_key(|(_, one)| score(one));
+        let (at, _) = best.expect("there are as many candidates as groups");
+        assigned.push(left.swap_remove(at).address);
+    }
+    assigned
+}
--- a/hemlockrouter-route/src/direct/request.rs
+++ b/hemlockrouter-route/src/direct/request.rs
@@ -24,6 +24,10 @@
     pub(super) service: ServiceKey,
     /// Tries that have not ended.
     pub(super) open: Vec<Try>,
+    /// The call by which another instance collects it, until that one has answered.
+    pub(super) shared: Option<CallId>,
+    /// The only upstreams that it may be sent to; `None` for all.
+    pub(super) allowed: Option<Vec<UpstreamKey>>,
     /// Upstreams that the request was sent to.
     pub(super) tried: Vec<UpstreamKey>,
     /// Sends that may have reached an upstream.
@@ -49,14 +53,32 @@
     /// When the last part was answered, or the request was sent.
     pub(super) answered_at: Time,
     pub(super) parts: Vec<Part>,
+    /// Calls by which other instances collect parts.
+    pub(super) shares: Vec<CallId>,
+    pub(super) answer_to: AnswerTo,
     pub(super) summary: Summary,
 }
 
+/// Who gets the answers of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum AnswerTo {
+    /// A caller, all at once.
+    Caller,
+    /// Another instance, whose batch this is: at first all at once, and one by one when they are
+    /// `late`.
+    Peer {
+        /// Whether answers are passed on as they come.
+        late: bool,
+    },
+}
+
 impl Part {
     pub(super) fn new(service: ServiceKey) -> Part {
         Part {
             service,
             open: Vec::new(),
+            shared: None,
+            allowed: None,
             tried: Vec::new(),
             sends: 0,
             has_answered: false,
@@ -66,9 +88,21 @@
         }
     }
 
+    /// Returns whether it waits for an answer.
+    pub(super) fn is_waiting(&self) -> bool {
+        !self.has_answered && (!self.open.is_empty() || self.shared.is_some())
+    }
+
     /// Returns whether it neither has an answer nor waits for one.
     pub(super) fn has_failed(&self) -> bool {
-        self.answer.is_none() && self.open.is_empty()
+        !self.has_answered && !self.is_waiting()
+    }
+
+    /// Takes an answer over.
+    pub(super) fn set_answer(&mut self, answer: Reply) {
+        self.ran = true;
+        self.has_answered = true;
+        self.answer = Some(answer);
     }
 
     /// Removes and returns the try of `call`.
@@ -88,8 +122,7 @@
     /// Returns how many parts wait for an answer.
     pub(super) fn waiting(&self) -> usize {
         let parts = self.parts.iter();
-        let waiting = parts.filter(|part| part.answer.is_none() && !part.open.is_empty());
-        waiting.count()
+        parts.filter(|part| part.is_waiting()).count()
     }
 
     /// Returns how many parts must have an answer.
@@ -103,6 +136,6 @@
     /// Returns whether any upstream has run or may have run it, or still may.
     pub(super) fn may_have_run(&self) -> bool {
         let mut parts = self.parts.iter();
-        parts.any(|part| part.ran || part.answer.is_some() || !part.open.is_empty())
+        parts.any(|part| part.ran || part.has_answered || part.is_waiting())
     }
 }
--- a/hemlockrouter-route/src/direct/upstreams.rs
+++ b/hemlockrouter-route/src/direct/upstreams.rs
@@ -282,6 +282,11 @@
         self.upstreams.get(key)
     }
 
+    /// Returns the key of the upstream with an id.
+    pub(super) fn key(&self, id: &str) -> Option<UpstreamKey> {
+        self.by_id.get(id).copied()
+    }
+
     /// Returns the name of a service.
     pub fn name(&self, key: ServiceKey) -> &str {
         self.services.get(key).map_or("", |service| &service.name)
--- a/hemlockrouter-route/tests/direct/fixture.rs
+++ b/hemlockrouter-route/tests/direct/fixture.rs
@@ -14,6 +14,7 @@
 use hemlockrouter_route::direct::Reply;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
+use hemlockrouter_route::direct::Sharing;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::CallerLimits;
 use hemlockrouter_types::routing::InstanceEntry;
@@ -48,6 +49,10 @@
         cold_overage: 1.5,
         cold_slack: 5.0,
         linger_ms: 1_200,
+        sharing: Sharing {
+            parts_min: 40,
+            parts_each: 14,
+        },
     }
 }
 
--- a/hemlockrouter-types/src/routing.rs
+++ b/hemlockrouter-types/src/routing.rs
@@ -125,6 +125,31 @@
     pub cold_ms: u64,
 }
 
+/// The part of a search that one instance collects for another one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Batch {
+    /// The name of the search's route.
+    pub route: String,
+    /// The version of the routes that the search is served by.
+    pub version: u64,
+    /// To how many upstreams of one service the request may be sent.
+    pub attempts_max: u32,
+    /// Within which time an answer is of full use to the caller, in milliseconds.
+    pub target_latency_ms: u64,
+    /// What is to be collected.
+    pub parts: Vec<BatchPart>,
+}
+
+/// What one service contributes to a [`Batch`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BatchPart {
+    /// The service.
+    pub service: String,
+    /// The ids of the upstreams that may be asked, so that both instances together ask no others;
+    /// empty for all.
+    pub upstreams: Vec<String>,
+}
+
 /// What one instance of the tier says of itself to the others.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct InstanceEntry {
--- /dev/null
+++ b/src/direct/batches.rs
@@ -0,0 +1,228 @@
+//! Calls to other instances that collect a part of a search.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use hemlockrouter_edge::BatchCall;
+use hemlockrouter_edge::CollectedPart;
+use hemlockrouter_route::direct::BatchEnd;
+use hemlockrouter_route::direct::Reply;
+use hemlockrouter_types::prelude::*;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use super::connection::within_ms;
+use super::connection::Connection;
+use super::connection::NoAnswer;
+
+/// Where instances take batches.
+pub(super) const PATH: &str = "/batch";
+
+/// How long connecting to an instance of the same availability zone may take, in milliseconds.
+const CONNECT_MS: u64 = 100;
+
+/// How many connections to one instance are kept.
+const KEPT_MAX: usize = 4;
+
+/// The size of the length that precedes each frame, in bytes.
+const LENGTH_BYTES: usize = 4;
+
+/// The largest frame, in bytes.
+const FRAME_MAX_BYTES: usize = 16 << 20;
+
+/// Calls instances, and keeps connections to them.
+pub(super) struct Batches {
+    clock: Clock,
+    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+impl Batches {
+    pub(super) fn new(clock: Clock) -> Batches {
+        Batches {
+            clock,
+            idle: RefCell::default(),
+        }
+    }
+
+    /// Has `peer` collect a batch, and passes the answers on as they come. Dropping the future breaks
+    /// the call off.
+    pub(super) async fn collect<F>(
+        &self,
+        peer: SocketAddr,
+        call: &BatchCall,
+        deadline: Time,
+        on_answers: F,
+    ) -> BatchEnd
+    where
+        F: FnMut(Vec<(usize, Reply)>),
+    {
+        let left_ms = deadline.left(self.clock.now());
+        let collecting = self.try_collect(peer, call, on_answers);
+        let ended = within_ms(left_ms, collecting).await;
+        ended.unwrap_or(BatchEnd::Lost)
+    }
+
+    /// Closes connections that the other end has closed.
+    pub(super) fn tidy(&self) {
+        self.idle.borrow_mut().retain(|_, idle| {
+            idle.retain(Connection::is_open);
+            !idle.is_empty()
+        });
+    }
+
+    async fn try_collect<F>(
+        &self,
+        peer: SocketAddr,
+        call: &BatchCall,
+        mut on_answers: F,
+    ) -> BatchEnd
+    where
+        F: FnMut(Vec<(usize, Reply)>),
+    {
+        let body = match rmp_serde::to_vec(call) {
+            Ok(body) => Bytes::from(body),
+            Err(err) => {
+                log::error!(why = err.to_string(); "a batch can't be written");
+                return BatchEnd::NotTaken;
+            }
+        };
+        let (mut connection, answer) = match self.send(peer, body).await {
+            Ok(sent) => sent,
+            Err(end) => return end,
+        };
+        if answer.status() != StatusCode::OK {
+            return BatchEnd::NotTaken;
+        }
+        match read_frames(answer.into_body(), &mut on_answers).await {
+            Ok(()) => {
+                if connection.is_ready().await {
+                    self.keep(peer, connection);
+                }
+                BatchEnd::Done
+            }
+            Err(why) => {
+                log::debug!(peer = peer.to_string(), why = why.as_str(); "batch lost");
+                BatchEnd::Lost
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        peer: SocketAddr,
+        body: Bytes,
+    ) -> Result<(Connection, http::Response<Incoming>), BatchEnd> {
+        loop {
+            let kept = self.take_idle(peer);
+            let is_new = kept.is_none();
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => connect(peer).await.ok_or(BatchEnd::NotTaken)?,
+            };
+            match connection.send(write(body.clone())).await {
+                Ok(answer) => return Ok((connection, answer)),
+                Err(NoAnswer::NotSent) if !is_new => {}
+                Err(NoAnswer::NotSent) => return Err(BatchEnd::NotTaken),
+                Err(NoAnswer::Lost(_)) => return Err(BatchEnd::Lost),
+            }
+        }
+    }
+
+    fn take_idle(&self, peer: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&peer)?;
+        while let Some(connection) = kept.pop() {
+            if connection.is_open() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, peer: SocketAddr, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(peer).or_default();
+        if kept.len() < KEPT_MAX {
+            kept.push(connection);
+        }
+    }
+}
+
+async fn connect(peer: SocketAddr) -> Option<Connection> {
+    match within_ms(CONNECT_MS, Connection::open(peer, false)).await? {
+        Ok(connection) => Some(connection),
+        Err(err) => {
+            log::debug!(peer = peer.to_string(), why = err.to_string(); "can't connect");
+            None
+        }
+    }
+}
+
+fn write(body: Bytes) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = http::Uri::from_static(PATH);
+    request
+}
+
+async fn read_frames<F>(mut body: Incoming, on_answers: &mut F) -> Result<(), String>
+where
+    F: FnMut(Vec<(usize, Reply)>),
+{
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| err.to_string())?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        read.extend_from_slice(&data);
+        while let Some(parts) = take_frame(&mut read)? {
+            let answers = parts.into_iter().map(|part| (part.at, part.reply()));
+            on_answers(answers.collect());
+        }
+    }
+    if read.is_empty() {
+        Ok(())
+    } else {
+        Err(String::from("the last frame broke off"))
+    }
+}
+
+/// Writes a frame.
+pub(super) fn write_frame(parts: &[CollectedPart]) -> Result<Bytes, rmp_serde::encode::Error> {
+    let frame = rmp_serde::to_vec(parts)?;
+    let mut written = Vec::with_capacity(LENGTH_BYTES + frame.len());
+    written.extend_from_slice(&(frame.len() as u32).to_be_bytes());
+    written.extend_from_slice(&frame);
+    Ok(Bytes::from(written))
+}
+
+/// Takes a frame, if it is there as a whole.
+///
+/// # Errors
+///
+/// Returns what is wrong with it.
+fn take_frame(read: &mut BytesMut) -> Result<Option<Vec<CollectedPart>>, String> {
+    let Some(length) = read.first_chunk::<LENGTH_BYTES>() else {
+        return Ok(None);
+    };
+    let length = u32::from_be_bytes(*length) as usize;
+    if length > FRAME_MAX_BYTES {
+        return Err(format!("a frame of {length} bytes"));
+    }
+    if read.len() < LENGTH_BYTES + length {
+        return Ok(None);
+    }
+    read.advance(LENGTH_BYTES);
+    let frame = read.split_to(length);
+    let parts = rmp_serde::from_slice(&frame).map_err(|err| err.to_string())?;
+    Ok(Some(parts))
+}
--- a/src/direct/callers.rs
+++ b/src/direct/callers.rs
@@ -46,7 +46,7 @@
 pub(super) struct Callers {
     pub(super) node: Rc<Node>,
     pub(super) protocol: Rc<dyn Protocol>,
-    pub(super) log: RequestsLog,
+    pub(super) log: Rc<RequestsLog>,
     pub(super) phase: watch::Receiver<Phase>,
     /// Connections that are open.
     pub(super) open: Cell<usize>,
--- /dev/null
+++ b/src/direct/collector.rs
@@ -0,0 +1,138 @@
+//! Collects parts of searches for other instances.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use hemlockrouter_edge::BatchCall;
+use hemlockrouter_edge::CollectedPart;
+use hemlockrouter_route::direct::Reply;
+use hemlockrouter_route::direct::RequestId;
+use hemlockrouter_route::direct::Summary;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use super::batches::write_frame;
+use super::node::Node;
+use super::requests_log::RequestsLog;
+use crate::edge::phase::Phase;
+
+/// The largest call that is read, in bytes: a caller's body and what is to be collected.
+const CALL_MAX_BYTES: usize = 16 << 20;
+
+/// Collects parts of searches for other instances.
+pub(super) struct Collector {
+    pub(super) node: Rc<Node>,
+    pub(super) log: Rc<RequestsLog>,
+    pub(super) phase: watch::Receiver<Phase>,
+}
+
+/// What happens to a batch.
+pub(super) enum BatchEvent {
+    /// Answers came; none show that the batch is worked on.
+    Answers(Vec<(usize, Reply)>),
+    /// There will be no more.
+    Ended(Box<Summary>),
+}
+
+/// The answer to a call: frames as they come. Dropping it gives the batch up.
+pub(super) struct Frames {
+    node: Rc<Node>,
+    log: Rc<RequestsLog>,
+    call: BatchCall,
+    id: Option<RequestId>,
+    events: mpsc::UnboundedReceiver<BatchEvent>,
+}
+
+impl Collector {
+    /// Takes a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns the status that says why it is not taken; nothing was sent then.
+    pub(super) async fn take(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Frames>, StatusCode> {
+        if !self.node.is_configured() || *self.phase.borrow() == Phase::Closing {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let body = Limited::new(request.into_body(), CALL_MAX_BYTES);
+        let body = body.collect().await.map_err(|_| StatusCode::BAD_REQUEST)?;
+        let call: BatchCall = match rmp_serde::from_slice(&body.to_bytes()) {
+            Ok(call) => call,
+            Err(err) => {
+                log::warn!(why = err.to_string(); "a batch can't be read");
+                return Err(StatusCode::BAD_REQUEST);
+            }
+        };
+        let (caller, body) = call.request().map_err(|_| StatusCode::BAD_REQUEST)?;
+        let (id, events) = self.node.start_batch(caller, body, &call);
+        let frames = Frames {
+            node: Rc::clone(&self.node),
+            log: Rc::clone(&self.log),
+            call,
+            id: Some(id),
+            events,
+        };
+        Ok(Response::new(frames))
+    }
+}
+
+impl Body for Frames {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        match self.events.poll_recv(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(BatchEvent::Answers(answers))) => {
+                let frame = frame(&answers);
+                Poll::Ready(Some(Ok(Frame::data(frame))))
+            }
+            Poll::Ready(Some(BatchEvent::Ended(summary))) => {
+                self.id = None;
+                self.log.collected(&self.call, &summary);
+                Poll::Ready(None)
+            }
+            Poll::Ready(None) => {
+                self.id = None;
+                Poll::Ready(None)
+            }
+        }
+    }
+}
+
+impl Drop for Frames {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.node.abandoned(id);
+        }
+    }
+}
+
+/// Writes answers as a frame.
+fn frame(answers: &[(usize, Reply)]) -> Bytes {
+    let parts = answers.iter();
+    let parts: Vec<CollectedPart> = parts
+        .filter_map(|(at, reply)| CollectedPart::new(*at, reply))
+        .collect();
+    write_frame(&parts).unwrap_or_else(|err| {
+        log::error!(why = err.to_string(); "a frame can't be written");
+        Bytes::new()
+    })
+}
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -7,9 +7,11 @@
 use bytes::Bytes;
 use http::response;
 use http::Request;
+use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -85,6 +87,30 @@
         !self.sender.is_closed()
     }
 
+    /// Waits until the last answer was read, and returns whether another request can be sent.
+    pub(super) async fn is_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and reads the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request may have been sent.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, NoAnswer> {
+        if !self.is_ready().await {
+            return Err(NoAnswer::NotSent);
+        }
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut err| match err.take_message() {
+            Some(_) => NoAnswer::NotSent,
+            None => NoAnswer::Lost(err.error().to_string()),
+        })
+    }
+
     /// Sends a request and reads the whole answer.
     ///
     /// # Errors
@@ -94,19 +120,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<(response::Parts, Bytes), NoAnswer> {
-        if self.sender.ready().await.is_err() {
-            return Err(NoAnswer::NotSent);
-        }
-        let response = match self.sender.try_send_request(request).await {
-            Ok(response) => response,
-            Err(mut err) => {
-                return Err(match err.take_message() {
-                    Some(_) => NoAnswer::NotSent,
-                    None => NoAnswer::Lost(err.error().to_string()),
-                })
-            }
-        };
-        let (head, body) = response.into_parts();
+        let (head, body) = self.send(request).await?.into_parts();
         let body = Limited::new(body, BODY_MAX_BYTES).collect().await;
         let body = body.map_err(|err| NoAnswer::Lost(err.to_string()))?;
         Ok((head, body.to_bytes()))
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -10,6 +10,7 @@
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_route::direct::Config;
 use hemlockrouter_route::direct::RepeatBound;
+use hemlockrouter_route::direct::Sharing;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::InstanceEntry;
 use log::info;
@@ -22,6 +23,7 @@
 
 use super::callers::Callers;
 use super::calls::Calls;
+use super::collector::Collector;
 use super::follower::Follower;
 use super::member::Member;
 use super::mirror::Mirror;
@@ -72,7 +74,15 @@
     let keeping = Rc::clone(&node);
     tokio::task::spawn_local(async move { keeping.keep_time().await });
     let mirror = Rc::new(Mirror::new(clock));
-    let relay = serve_relay(&settings, &mirror).await;
+    let log = Rc::new(RequestsLog {
+        metrics: Rc::clone(&metrics),
+    });
+    let collector = Rc::new(Collector {
+        node: Rc::clone(&node),
+        log: Rc::clone(&log),
+        phase: phase_rx.clone(),
+    });
+    let relay = serve_relay(&settings, &mirror, collector).await;
     let follower = Follower {
         clock,
         catch_up_ms: settings.catch_up_ms,
@@ -105,7 +115,7 @@
     let callers = Rc::new(Callers {
         node: Rc::clone(&node),
         protocol,
-        log: RequestsLog { metrics },
+        log,
         phase: phase_rx,
         open: Cell::new(0),
     });
@@ -149,13 +159,17 @@
     }
 }
 
-/// Serves those that follow this instance, and returns where. One that can't be followed still reads
+/// Serves other instances, and returns where. One that can't be followed still reads
 /// the registry for itself.
-async fn serve_relay(settings: &DirectSettings, mirror: &Rc<Mirror>) -> Option<SocketAddr> {
+async fn serve_relay(
+    settings: &DirectSettings,
+    mirror: &Rc<Mirror>,
+    collector: Rc<Collector>,
+) -> Option<SocketAddr> {
     let address = settings.relay_listen?;
     match TcpListener::bind(address).await {
         Ok(listener) => {
-            tokio::task::spawn_local(relay::accept(listener, Rc::clone(mirror)));
+            tokio::task::spawn_local(relay::accept(listener, Rc::clone(mirror), collector));
             Some(address)
         }
         Err(err) => {
@@ -193,7 +207,7 @@
     tokio::time::sleep(Duration::from_millis(accepting_ms)).await;
     phase.send_replace(Phase::Closing);
     let last = Duration::from_millis(settings.shutdown_ms.saturating_sub(EXIT_MARGIN_MS));
-    while callers.open.get() > 0 {
+    while callers.open.get() > 0 || callers.node.pending() > 0 {
         if started.elapsed() >= last {
             return Ended::TimedOut;
         }
@@ -216,5 +230,9 @@
         cold_overage: settings.cold_overage,
         cold_slack: settings.cold_slack,
         linger_ms: (settings.drain_ms as f64 * LINGER_PART) as u64,
+        sharing: Sharing {
+            parts_min: settings.sharing_parts_min,
+            parts_each: settings.sharing_parts_each,
+        },
     }
 }
--- a/src/direct/listener.rs
+++ b/src/direct/listener.rs
@@ -3,6 +3,7 @@
 //! All ports of an instance accept here, so that each of them bears a lack of file descriptors.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -50,14 +51,16 @@
 }
 
 /// Serves pages on one connection until it ends.
-pub(super) async fn serve_pages<R, F>(stream: TcpStream, peer: SocketAddr, respond: R)
+pub(super) async fn serve_pages<R, F, B>(stream: TcpStream, peer: SocketAddr, respond: R)
 where
     R: Fn(Request<Incoming>) -> F,
-    F: Future<Output = Response<Bytes>>,
+    F: Future<Output = Response<B>>,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let service = service_fn(|request| {
         let response = respond(request);
-        async { Ok::<_, Infallible>(response.await.map(Full::new)) }
+        async { Ok::<_, Infallible>(response.await) }
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -15,13 +15,17 @@
 //! - `follower`: keeps up with the registry.
 //! - `registry`: calls to the registry.
 //! - `mirror`: what was read of the registry.
-//! - `relay`: passes it on to other instances.
+//! - `relay`: the port for other instances: passes it on, and takes batches.
+//! - `batches`: calls to other instances that collect a part of a search.
+//! - `collector`: collects parts for other instances.
 //! - `member`: keeps this instance registered.
 //! - `operators`: readiness and metrics.
 //! - `requests_log`: the log line of each request.
 
+mod batches;
 mod callers;
 mod calls;
+mod collector;
 mod connection;
 mod follower;
 mod instance;
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -10,8 +10,10 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use hemlockrouter_edge::BatchCall;
 use hemlockrouter_edge::CallerRequest;
 use hemlockrouter_edge::Change;
+use hemlockrouter_route::direct::BatchEnd;
 use hemlockrouter_route::direct::CallEnd;
 use hemlockrouter_route::direct::CallId;
 use hemlockrouter_route::direct::Config;
@@ -19,6 +21,7 @@
 use hemlockrouter_route::direct::Ending;
 use hemlockrouter_route::direct::Instances;
 use hemlockrouter_route::direct::Reading;
+use hemlockrouter_route::direct::Reply;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
 use hemlockrouter_route::direct::RouteTable;
@@ -30,12 +33,15 @@
 use stakker::ret_nop;
 use stakker::ActorOwn;
 use stakker::Stakker;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 use self::decider::Decider;
+use super::batches::Batches;
 use super::calls::Calls;
+use super::collector::BatchEvent;
 
 /// What callers may send until the registry has said so.
 const FIRST_LIMITS: CallerLimits = CallerLimits {
@@ -51,18 +57,26 @@
     pub(super) summary: Box<Summary>,
 }
 
-/// A request whose caller waits.
+/// A request that has not ended.
 struct Waiting {
     request: Rc<CallerRequest>,
     body: Bytes,
     idempotent: bool,
-    finished: oneshot::Sender<Finished>,
+    answer_to: AnswerTo,
+}
+
+/// Who waits for a request.
+enum AnswerTo {
+    Caller(oneshot::Sender<Finished>),
+    /// Another instance, whose batch this is.
+    Peer(mpsc::UnboundedSender<BatchEvent>),
 }
 
 /// What the actor and the tasks of the loop share.
 struct Shared {
     clock: Clock,
     calls: Calls,
+    batches: Batches,
     waiting: RefCell<HashMap<RequestId, Waiting>>,
     running: RefCell<HashMap<CallId, AbortHandle>>,
     table: RefCell<Rc<RouteTable>>,
@@ -86,6 +100,7 @@
         let shared = Rc::new(Shared {
             clock,
             calls,
+            batches: Batches::new(clock),
             waiting: RefCell::default(),
             running: RefCell::default(),
             table: RefCell::default(),
@@ -137,14 +152,13 @@
         route: Rc<Route>,
         deadline_ms: u64,
     ) -> (RequestId, oneshot::Receiver<Finished>) {
-        let id = RequestId(self.last_request.get() + 1);
-        self.last_request.set(id.0);
+        let id = self.next_request();
         let (finished, receiver) = oneshot::channel();
         let waiting = Waiting {
             request,
             body,
             idempotent: route.entry.idempotent,
-            finished,
+            answer_to: AnswerTo::Caller(finished),
         };
         self.shared.waiting.borrow_mut().insert(id, waiting);
         call!([self.decider], start(id, route, deadline_ms));
@@ -152,6 +166,35 @@
         (id, receiver)
     }
 
+    /// Starts to collect a batch for another instance.
+    pub(super) fn start_batch(
+        &self,
+        request: CallerRequest,
+        body: Bytes,
+        call: &BatchCall,
+    ) -> (RequestId, mpsc::UnboundedReceiver<BatchEvent>) {
+        let id = self.next_request();
+        let (events, receiver) = mpsc::unbounded_channel();
+        let waiting = Waiting {
+            request: Rc::new(request),
+            body,
+            idempotent: true,
+            answer_to: AnswerTo::Peer(events),
+        };
+        self.shared.waiting.borrow_mut().insert(id, waiting);
+        let batch = call.batch.clone();
+        let left_ms = call.left_ms;
+        call!([self.decider], start_batch(id, batch, left_ms));
+        self.run();
+        (id, receiver)
+    }
+
+    fn next_request(&self) -> RequestId {
+        let id = RequestId(self.last_request.get() + 1);
+        self.last_request.set(id.0);
+        id
+    }
+
     /// Takes over that the caller of a request has left.
     pub(super) fn abandoned(&self, id: RequestId) {
         call!([self.decider], abandoned(id));
@@ -198,6 +241,19 @@
         self.run();
     }
 
+    fn collected(&self, id: CallId, answers: Vec<(usize, Reply)>) {
+        call!([self.decider], collected(id, answers));
+        self.run();
+    }
+
+    fn batch_ended(&self, id: CallId, end: BatchEnd) {
+        if self.shared.running.borrow_mut().remove(&id).is_none() {
+            return;
+        }
+        call!([self.decider], batch_ended(id, end));
+        self.run();
+    }
+
     /// Lets the actor work, and the timer know if something is due earlier than before.
     fn run(&self) {
         let before = self.shared.wake_at.get();
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -1,28 +1,36 @@
 //! The actor: takes events and changes of the registry to the dispatcher, and carries out what it
 //! decides.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::rc::Weak;
 
+use hemlockrouter_edge::BatchCall;
 use hemlockrouter_edge::Change;
+use hemlockrouter_route::direct::BatchEnd;
 use hemlockrouter_route::direct::CallEnd;
 use hemlockrouter_route::direct::CallId;
 use hemlockrouter_route::direct::Command;
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::Registered;
+use hemlockrouter_route::direct::Reply;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
+use hemlockrouter_route::direct::Summary;
 use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::Batch;
 use hemlockrouter_types::routing::RouteDocument;
 use hemlockrouter_types::routing::UpstreamEntry;
 use log::info;
 use log::warn;
 use stakker::CX;
 
+use super::AnswerTo;
 use super::Finished;
 use super::Node;
 use super::Shared;
 use crate::direct::calls::Call;
+use crate::direct::collector::BatchEvent;
 
 /// The actor: the decisions, and how they are carried out.
 pub(super) struct Decider {
@@ -53,6 +61,27 @@
         self.carry_out();
     }
 
+    pub(super) fn start_batch(&mut self, _: CX![], id: RequestId, batch: Batch, left_ms: u64) {
+        let now = self.shared.clock.now();
+        let out = &mut self.commands;
+        self.dispatcher.start_batch(now, id, batch, left_ms, out);
+        self.carry_out();
+    }
+
+    pub(super) fn collected(&mut self, _: CX![], id: CallId, answers: Vec<(usize, Reply)>) {
+        let now = self.shared.clock.now();
+        let out = &mut self.commands;
+        self.dispatcher.collected(now, id, answers, out);
+        self.carry_out();
+    }
+
+    pub(super) fn batch_ended(&mut self, _: CX![], id: CallId, end: BatchEnd) {
+        let now = self.shared.clock.now();
+        self.dispatcher
+            .batch_ended(now, id, end, &mut self.commands);
+        self.carry_out();
+    }
+
     pub(super) fn ended(&mut self, _: CX![], id: CallId, end: CallEnd) {
         let now = self.shared.clock.now();
         self.dispatcher.ended(now, id, end, &mut self.commands);
@@ -74,6 +103,7 @@
         self.carry_out();
         let upstreams = self.dispatcher.upstreams();
         self.shared.calls.tidy(|key| upstreams.get(key).is_some());
+        self.shared.batches.tidy();
     }
 
     pub(super) fn changed(&mut self, _: CX![], changes: Vec<Change>, is_whole: bool) {
@@ -193,6 +223,14 @@
                     upstream,
                     deadline,
                 } => self.send(request, call, upstream, deadline),
+                Command::Share {
+                    request,
+                    call,
+                    peer,
+                    batch,
+                    deadline,
+                } => self.share(request, call, peer, batch, deadline),
+                Command::Report { request, answers } => self.report(request, answers),
                 Command::Cancel { call } => {
                     if let Some(running) = self.shared.running.borrow_mut().remove(&call) {
                         running.abort();
@@ -201,14 +239,17 @@
                 Command::Release { call } => {
                     self.shared.running.borrow_mut().remove(&call);
                 }
+                Command::EndBatch { request, summary } => self.end_batch(request, summary),
                 Command::Finish {
                     request,
                     ending,
                     summary,
                 } => {
-                    if let Some(waiting) = self.shared.waiting.borrow_mut().remove(&request) {
+                    let waiting = self.shared.waiting.borrow_mut().remove(&request);
+                    if let Some(AnswerTo::Caller(caller)) = waiting.map(|waiting| waiting.answer_to)
+                    {
                         // A caller that has left does not wait for its answer.
-                        let _ = waiting.finished.send(Finished { ending, summary });
+                        let _ = caller.send(Finished { ending, summary });
                     }
                 }
             }
@@ -216,6 +257,57 @@
         self.set_timer();
     }
 
+    /// Passes answers on to the instance that a batch is collected for.
+    fn report(&self, request: RequestId, answers: Vec<(usize, Reply)>) {
+        let waiting = self.shared.waiting.borrow();
+        let answer_to = waiting.get(&request).map(|waiting| &waiting.answer_to);
+        if let Some(AnswerTo::Peer(events)) = answer_to {
+            // An instance that has broken the call off gets nothing more.
+            let _ = events.send(BatchEvent::Answers(answers));
+        }
+    }
+
+    fn end_batch(&self, request: RequestId, summary: Box<Summary>) {
+        let waiting = self.shared.waiting.borrow_mut().remove(&request);
+        if let Some(AnswerTo::Peer(events)) = waiting.map(|waiting| waiting.answer_to) {
+            // An instance that has broken the call off does not wait for its end.
+            let _ = events.send(BatchEvent::Ended(summary));
+        }
+    }
+
+    /// Has another instance collect a batch.
+    fn share(
+        &self,
+        request: Option<RequestId>,
+        id: CallId,
+        peer: SocketAddr,
+        batch: Batch,
+        deadline: Time,
+    ) {
+        let left_ms = deadline.left(self.shared.clock.now());
+        let waiting = self.shared.waiting.borrow();
+        let call = match request.and_then(|request| waiting.get(&request)) {
+            Some(waiting) => BatchCall::new(&waiting.request, &waiting.body, batch, left_ms),
+            None => BatchCall::asking(batch, left_ms),
+        };
+        let shared = Rc::clone(&self.shared);
+        let node = self.node.clone();
+        let task = tokio::task::spawn_local(async move {
+            let on_answers = |answers| {
+                if let Some(node) = node.upgrade() {
+                    node.collected(id, answers);
+                }
+            };
+            let collecting = shared.batches.collect(peer, &call, deadline, on_answers);
+            let end = collecting.await;
+            if let Some(node) = node.upgrade() {
+                node.batch_ended(id, end);
+            }
+        });
+        let running = &self.shared.running;
+        running.borrow_mut().insert(id, task.abort_handle());
+    }
+
     fn set_timer(&mut self) {
         let wake_at = self.dispatcher.next_wake();
         self.shared.wake_at.set(wake_at);
--- a/src/direct/operators.rs
+++ b/src/direct/operators.rs
@@ -6,6 +6,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -29,7 +30,7 @@
         listener::accept(listener, "operators", |stream, peer| {
             let operators = Rc::clone(&self);
             listener::serve_pages(stream, peer, move |request| {
-                std::future::ready(operators.respond(&request))
+                std::future::ready(operators.respond(&request).map(Full::new))
             })
         })
         .await;
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -1,4 +1,4 @@
-//! Passes on what this instance reads in the registry.
+//! The port for other instances: passes on what this one reads in the registry, and takes batches.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,9 +8,14 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body_util::Either;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
 
+use super::batches;
+use super::collector::Collector;
+use super::collector::Frames;
 use super::listener;
 use super::listener::page;
 use super::mirror::Mirror;
@@ -19,18 +24,35 @@
 pub(super) const WAIT_MS: u64 = 1_000;
 
 /// Serves followers for as long as the process runs.
-pub(super) async fn accept(listener: TcpListener, mirror: Rc<Mirror>) {
+pub(super) async fn accept(listener: TcpListener, mirror: Rc<Mirror>, collector: Rc<Collector>) {
     listener::accept(listener, "relay", |stream, peer| {
         let mirror = Rc::clone(&mirror);
+        let collector = Rc::clone(&collector);
         listener::serve_pages(stream, peer, move |request| {
             let mirror = Rc::clone(&mirror);
-            async move { respond(&mirror, &request).await }
+            let collector = Rc::clone(&collector);
+            async move { respond(&mirror, &collector, request).await }
         })
     })
     .await;
 }
 
-async fn respond(mirror: &Mirror, request: &Request<Incoming>) -> Response<Bytes> {
+async fn respond(
+    mirror: &Mirror,
+    collector: &Collector,
+    request: Request<Incoming>,
+) -> Response<Either<Full<Bytes>, Frames>> {
+    if request.uri().path() != batches::PATH {
+        let page = changes(mirror, &request).await;
+        return page.map(Full::new).map(Either::Left);
+    }
+    match collector.take(request).await {
+        Ok(response) => response.map(Either::Right),
+        Err(status) => page(status, "not taken").map(Full::new).map(Either::Left),
+    }
+}
+
+async fn changes(mirror: &Mirror, request: &Request<Incoming>) -> Response<Bytes> {
     let Some(after) = read_call(request) else {
         return page(StatusCode::BAD_REQUEST, "no such page");
     };
--- a/src/direct/requests_log.rs
+++ b/src/direct/requests_log.rs
@@ -2,10 +2,12 @@
 
 use std::rc::Rc;
 
+use hemlockrouter_edge::BatchCall;
 use hemlockrouter_edge::CallerRequest;
 use hemlockrouter_route::direct::Ending;
 use hemlockrouter_route::direct::FailedCall;
 use hemlockrouter_route::direct::Route;
+use hemlockrouter_route::direct::Summary;
 use http::StatusCode;
 use log::info;
 
@@ -41,6 +43,7 @@
             why = why.as_str(),
             parts = summary.parts,
             answered = summary.answered,
+            shared = summary.shared,
             sends = summary.sends,
             hedges = summary.hedges,
             retries = summary.retries,
@@ -52,6 +55,34 @@
         );
     }
 
+    /// Writes how a batch went that was collected for another instance.
+    pub(super) fn collected(&self, call: &BatchCall, summary: &Summary) {
+        if call.batch.parts.is_empty() {
+            return;
+        }
+        self.metrics.request("batch", "collected", summary.took_ms);
+        let extra = summary.hedges + summary.retries;
+        let first = u64::from(summary.sends.saturating_sub(extra));
+        self.metrics.sub_requests(first, u64::from(extra));
+        info!(
+            target: "request",
+            request = call.attempt_id().unwrap_or_default(),
+            route = call.batch.route.as_str(),
+            version = summary.version,
+            left_ms = call.left_ms,
+            parts = summary.parts,
+            answered = summary.answered,
+            sends = summary.sends,
+            hedges = summary.hedges,
+            retries = summary.retries,
+            denied = summary.denied,
+            unavailable = summary.unavailable,
+            failed_calls = failed_calls(&summary.failed_calls).as_str(),
+            took_ms = summary.took_ms;
+            "collected"
+        );
+    }
+
     /// Writes that no route takes a request.
     pub(super) fn unrouted(&self, request: &CallerRequest, version: u64) {
         self.metrics.request("none", "no_route", 0);
