--- a/hemlockrouter-config/tests/direct.rs
+++ b/hemlockrouter-config/tests/direct.rs
@@ -82,6 +82,16 @@
         ),
         ("10.1.0.9:8108", "10.1.0.9:8104", ErrorKind::Conflict),
         ("\"protocol\": \"corporation\",", "", ErrorKind::Missing),
+        (
+            "\"log\":",
+            "\"sharing\": {\"parts_min\": 0},\n    \"log\":",
+            ErrorKind::Value,
+        ),
+        (
+            "\"log\":",
+            "\"sharing\": {\"parts\": 4},\n    \"log\":",
+            ErrorKind::UnknownField,
+        ),
     ];
     let errors = cases.map(|(from, to, kind)| {
         let broken = text.replacen(from, to, 1);
