Ask other instances by the clock, so that the first searches are shared as well

Change: instances that may not be used are asked when the dispatcher looks around, at most once a second, if any search is large enough; one counts as usable for 20 s after its last answer.

--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -250,7 +250,7 @@
                 Due::Deadline(id) => self.time_out(now, id, out),
                 Due::Expire => {
                     self.upstreams.expire(now);
-                    self.peers.tidy(now);
+                    self.ask_peers(now, out);
                     self.timers.set(now + EXPIRE_EVERY_MS, Due::Expire);
                 }
             }
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -48,7 +48,7 @@
             return;
         }
         let parts = request.parts.len();
-        let collectors = self.collectors(now, parts, out);
+        let collectors = self.collectors(now, parts);
         let groups = collectors.len();
         for (group, peer) in collectors.into_iter().enumerate() {
             if let Some(peer) = peer {
@@ -72,38 +72,42 @@
         request.answer_to == AnswerTo::Caller && request.route.is_gathered() && is_large && is_free
     }
 
-    /// Returns who collects each group of shards; asks instances that may not be used.
-    fn collectors(
-        &mut self,
-        now: Time,
-        parts: usize,
-        out: &mut Vec<Command>,
-    ) -> Vec<Option<SocketAddr>> {
-        let me = Candidate {
+    /// Returns who collects each group of shards.
+    fn collectors(&self, now: Time, parts: usize) -> Vec<Option<SocketAddr>> {
+        let mut candidates = vec![Candidate {
             name: &self.config.name,
             address: None,
-        };
-        let mut candidates = vec![me];
-        let mut asked = Vec::new();
-        for entry in self.upstreams.instances().of_zone(&self.config.zone) {
-            let Some(address) = entry.relay.filter(|_| entry.name != me.name) else {
-                continue;
-            };
-            if self.peers.is_usable(now, address) {
-                candidates.push(Candidate {
-                    name: &entry.name,
-                    address: Some(address),
-                });
-            } else if self.peers.is_to_be_asked(now, address) {
-                asked.push(address);
-            }
-        }
+        }];
+        let usable = self
+            .peers()
+            .filter(|(_, address)| self.peers.is_usable(now, *address));
+        candidates.extend(usable.map(|(name, address)| Candidate {
+            name,
+            address: Some(address),
+        }));
         let groups = parts.div_ceil(self.config.sharing.parts_each.max(1));
-        let collectors = assign(&candidates, groups);
-        for peer in asked {
-            self.ask(now, peer, out);
+        assign(&candidates, groups)
+    }
+
+    /// Returns the other instances of the availability zone, with where they take batches.
+    fn peers(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
+        let of_zone = self.upstreams.instances().of_zone(&self.config.zone);
+        let others = of_zone.filter(|entry| entry.name != self.config.name);
+        others.filter_map(|entry| Some((entry.name.as_str(), entry.relay?)))
+    }
+
+    /// Asks other instances that may not be used whether they answer, if there are searches to share.
+    pub(super) fn ask_peers(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.peers.tidy(now);
+        if self.table.shards_max() < self.config.sharing.parts_min {
+            return;
+        }
+        let addresses: Vec<SocketAddr> = self.peers().map(|(_, address)| address).collect();
+        for peer in addresses {
+            if !self.peers.is_usable(now, peer) && self.peers.is_to_be_asked(now, peer) {
+                self.ask(now, peer, out);
+            }
         }
-        collectors
     }
 
     /// Finds out whether an instance answers.
--- a/hemlockrouter-route/src/direct/peers.rs
+++ b/hemlockrouter-route/src/direct/peers.rs
@@ -6,8 +6,8 @@
 //! availability zone. It is the same one in the view of all, so that few instances hold connections
 //! to an upstream, and these are used often.
 //!
-//! A part that goes to an instance that is down comes too late to be sent elsewhere, so only those
-//! are used that have answered lately; the others are asked now and then.
+//! A part that goes to an instance that is down is late when it is sent elsewhere, so only those are
+//! used that have answered lately; the others are asked now and then.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -17,7 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How long after its last answer an instance is used, in milliseconds.
-const HEARD_MAX_MS: u64 = 10_000;
+const HEARD_MAX_MS: u64 = 20_000;
 
 /// The interval at which an instance that is not used is asked whether it answers, in milliseconds.
 const ASK_EVERY_MS: u64 = 1_000;
--- a/hemlockrouter-route/src/direct/table.rs
+++ b/hemlockrouter-route/src/direct/table.rs
@@ -47,6 +47,8 @@
     version: u64,
     hosts: HashMap<String, HashMap<String, Rc<Route>>>,
     routes: usize,
+    /// The most shards that a search has.
+    shards_max: usize,
 }
 
 impl RouteTable {
@@ -59,9 +61,13 @@
             version: document.version,
             hosts: HashMap::new(),
             routes: document.routes.len(),
+            shards_max: 0,
         };
         for entry in document.routes {
             let to = compile(&entry.target, upstreams);
+            if let RouteTarget::Shards { services, .. } = &to {
+                table.shards_max = table.shards_max.max(services.len());
+            }
             let host = table.hosts.entry(entry.host.to_ascii_lowercase());
             let prefix = entry.path_prefix.clone();
             let route = Route {
@@ -84,6 +90,11 @@
         self.routes
     }
 
+    /// Returns the most shards that a search has.
+    pub(super) fn shards_max(&self) -> usize {
+        self.shards_max
+    }
+
     /// Returns whether there is no route.
     pub fn is_empty(&self) -> bool {
         self.routes == 0
--- a/hemlockrouter-route/tests/direct/sharing.rs
+++ b/hemlockrouter-route/tests/direct/sharing.rs
@@ -29,6 +29,9 @@
 /// The time after which an instance that collects is silent: half of the route's target latency.
 const SILENT_MS: u64 = 75;
 
+/// The interval at which the dispatcher looks whether others answer.
+const ASKED_MS: u64 = 250;
+
 fn reply(end: CallEnd) -> Reply {
     match end {
         CallEnd::Answered(reply) => reply,
@@ -106,10 +109,7 @@
 /// Lets the other instance of the zone show that it answers.
 fn acquaint(fixture: &mut Fixture) {
     let id = fixture.start(SEARCH);
-    let asked = shared(fixture);
-    assert_eq!(asked.len(), 1, "only the zone's own instance is asked");
-    assert_eq!((asked[0].request, asked[0].peer), (None, address(7)));
-    assert!(asked[0].batch.parts.is_empty());
+    assert!(shared(fixture).is_empty());
     let sent = fixture.sent();
     assert_eq!(
         sent.len(),
@@ -120,6 +120,11 @@
         fixture.end(call, success("stamp", b""));
     }
     assert!(fixture.ending(id).is_some());
+    fixture.wait(ASKED_MS);
+    let asked = shared(fixture);
+    assert_eq!(asked.len(), 1, "only the zone's own instance is asked");
+    assert_eq!((asked[0].request, asked[0].peer), (None, address(7)));
+    assert!(asked[0].batch.parts.is_empty());
     end(fixture, &asked[0], BatchEnd::Done);
 }
 
