Hand back parts that a collecting instance can't send, and replace one that gets too little

Cause: an instance that is cut off from the store does not know new upstreams. In the same way one instance that is cut off from upstreams, but not from its neighbours, would have taken its shards away from its whole zone. Change: a frame says which parts are sent to nobody; the entry instance sends them as first sends. Whoever has collected less than half at half of the target is replaced and not used for 5 s. Tests: both cases, which failed before.

--- a/hemlockrouter-edge/src/batch.rs
+++ b/hemlockrouter-edge/src/batch.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use derive_more::Display;
 use derive_more::Error;
+use hemlockrouter_route::direct::Collected;
 use hemlockrouter_route::direct::Reply;
 use hemlockrouter_types::routing::Batch;
 use http::HeaderMap;
@@ -34,11 +35,17 @@
     pub batch: Batch,
 }
 
+/// A frame: what was collected since the last one.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct CollectedFrame {
+    answers: Vec<CollectedPart>,
+    unsent: Vec<usize>,
+}
+
 /// A part that was collected.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct CollectedPart {
-    /// Its place in the batch.
-    pub at: usize,
+struct CollectedPart {
+    at: usize,
     status: u16,
     stamp: String,
     body: ByteBuf,
@@ -112,9 +119,31 @@
     }
 }
 
+impl CollectedFrame {
+    /// Writes what was collected.
+    pub fn new(collected: &Collected) -> CollectedFrame {
+        let answers = collected.answers.iter();
+        let answers = answers.filter_map(|(at, reply)| CollectedPart::new(*at, reply));
+        CollectedFrame {
+            answers: answers.collect(),
+            unsent: collected.unsent.clone(),
+        }
+    }
+
+    /// Reads what was collected.
+    pub fn collected(self) -> Collected {
+        let answers = self.answers.into_iter();
+        let answers = answers.map(|part| (part.at, part.reply()));
+        Collected {
+            answers: answers.collect(),
+            unsent: self.unsent,
+        }
+    }
+}
+
 impl CollectedPart {
     /// Writes an answer; `None` if it has no signature and so is no part.
-    pub fn new(at: usize, reply: &Reply) -> Option<CollectedPart> {
+    fn new(at: usize, reply: &Reply) -> Option<CollectedPart> {
         Some(CollectedPart {
             at,
             status: reply.status,
@@ -123,8 +152,7 @@
         })
     }
 
-    /// Reads the answer.
-    pub fn reply(self) -> Reply {
+    fn reply(self) -> Reply {
         Reply {
             status: self.status,
             not_run: false,
--- a/hemlockrouter-edge/src/lib.rs
+++ b/hemlockrouter-edge/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use crate::batch::BadBatch;
 pub use crate::batch::BatchCall;
-pub use crate::batch::CollectedPart;
+pub use crate::batch::CollectedFrame;
 pub use crate::caller::BadRequest;
 pub use crate::caller::CallerRequest;
 pub use crate::protocol::Protocol;
--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -177,12 +177,13 @@
             for at in 0..request.parts.len() {
                 let part = &request.parts[at];
                 if part.shared.is_none() {
-                    let service = self.upstreams.service_mut(part.service);
-                    service.spending.request(now, &self.config.repeats);
-                    self.send(now, id, &mut request, at, Cause::First, out);
+                    self.send_first(now, id, &mut request, at, out);
                 }
             }
         }
+        if is_batch {
+            Dispatcher::report_unsent(id, &request, out);
+        }
         let hedge_ms = self.hedge_ms(&request.route);
         self.timers.set(now + hedge_ms, Due::Hedge(id));
         if request.route.is_gathered() {
--- a/hemlockrouter-route/src/direct/dispatcher/collect.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/collect.rs
@@ -14,6 +14,7 @@
 
 use super::new_request;
 use super::Dispatcher;
+use crate::direct::event::Collected;
 use crate::direct::event::Command;
 use crate::direct::event::RequestId;
 use crate::direct::request::AnswerTo;
@@ -40,6 +41,23 @@
         self.begin(now, id, request, out);
     }
 
+    /// Passes on which parts are sent to nobody, so that the other instance sends them itself.
+    pub(super) fn report_unsent(id: RequestId, request: &Request, out: &mut Vec<Command>) {
+        let parts = request.parts.iter().enumerate();
+        let unsent = parts.filter(|(_, part)| part.sends == 0);
+        let unsent: Vec<usize> = unsent.map(|(at, _)| at).collect();
+        if !unsent.is_empty() {
+            let collected = Collected {
+                unsent,
+                ..Collected::default()
+            };
+            out.push(Command::Report {
+                request: id,
+                collected,
+            });
+        }
+    }
+
     /// Returns a part of a batch. Upstreams that are not known here are left out.
     fn part(&mut self, wanted: &BatchPart) -> Part {
         let mut part = Part::new(self.upstreams.service(&wanted.service));
@@ -55,9 +73,13 @@
     pub(super) fn report(id: RequestId, request: &mut Request, out: &mut Vec<Command>) {
         let parts = request.parts.iter_mut().enumerate();
         let answers = parts.filter_map(|(at, part)| Some((at, part.answer.take()?)));
+        let collected = Collected {
+            answers: answers.collect(),
+            ..Collected::default()
+        };
         out.push(Command::Report {
             request: id,
-            answers: answers.collect(),
+            collected,
         });
     }
 
--- a/hemlockrouter-route/src/direct/dispatcher/send.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/send.rs
@@ -81,6 +81,23 @@
         parts[0].0
     }
 
+    /// Sends a part for the first time, which counts for the bound on repeats.
+    pub(super) fn send_first(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        request: &mut Request,
+        at: usize,
+        out: &mut Vec<Command>,
+    ) {
+        self.send(now, id, request, at, Cause::First, out);
+        let part = &request.parts[at];
+        if part.sends > 0 {
+            let service = self.upstreams.service_mut(part.service);
+            service.spending.request(now, &self.config.repeats);
+        }
+    }
+
     /// Sends a part, if an upstream and the budget allow it.
     pub(super) fn send(
         &mut self,
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -15,8 +15,8 @@
 use super::Share;
 use crate::direct::event::BatchEnd;
 use crate::direct::event::CallId;
+use crate::direct::event::Collected;
 use crate::direct::event::Command;
-use crate::direct::event::Reply;
 use crate::direct::event::RequestId;
 use crate::direct::peers::assign;
 use crate::direct::peers::Candidate;
@@ -32,6 +32,9 @@
 /// work. It does so when it hedges, at a third of it at the latest.
 const SILENT_PART: f64 = 0.5;
 
+/// The least part of a batch that an instance must have collected by then, to be waited for.
+const COLLECTED_PART: f64 = 0.5;
+
 /// How long an instance may take to show that it answers, in milliseconds.
 const ASK_MS: u64 = 1_000;
 
@@ -216,12 +219,12 @@
         }
     }
 
-    /// Takes over answers that another instance has collected; none show that it is at work.
+    /// Takes over what another instance has collected. Nothing shows that it is at work.
     pub fn collected(
         &mut self,
         now: Time,
         call: CallId,
-        answers: Vec<(usize, Reply)>,
+        collected: Collected,
         out: &mut Vec<Command>,
     ) {
         let Some(share) = self.shares.get_mut(&call) else {
@@ -236,7 +239,7 @@
             return;
         };
         let places = share.parts.clone();
-        for (at, answer) in answers {
+        for (at, answer) in collected.answers {
             let Some(place) = places.get(at) else {
                 continue;
             };
@@ -248,12 +251,22 @@
                 self.cancel_part(now, part, Seen::GivenUp, out);
             }
         }
+        for at in collected.unsent {
+            let Some(place) = places.get(at) else {
+                continue;
+            };
+            let part = &mut request.parts[*place];
+            if part.shared.take() == Some(call) && part.open.is_empty() {
+                part.sends = 0;
+                self.send_first(now, id, &mut request, *place, out);
+            }
+        }
         self.requests.insert(id, request);
         self.check(now, id, out);
     }
 
     /// Takes over how a call to an instance that collects has ended. What it has not taken is sent
-    /// from here; what it could not get is not tried again.
+    /// from here, and what it has lost. Where it has got most, what is missing is not tried again.
     pub fn batch_ended(&mut self, now: Time, call: CallId, end: BatchEnd, out: &mut Vec<Command>) {
         let Some(share) = self.shares.remove(&call) else {
             return;
@@ -269,6 +282,10 @@
             return;
         };
         request.shares.retain(|other| *other != call);
+        let is_poor = end == BatchEnd::Done && is_poor(&request, call, &share);
+        if is_poor {
+            self.peers.bar(now, share.peer);
+        }
         for place in share.parts {
             let part = &mut request.parts[place];
             if part.shared.take().is_none() {
@@ -281,20 +298,20 @@
             match end {
                 BatchEnd::NotTaken => {
                     part.sends = 0;
-                    let service = self.upstreams.service_mut(part.service);
-                    service.spending.request(now, &self.config.repeats);
-                    self.send(now, id, &mut request, place, Cause::First, out);
+                    self.send_first(now, id, &mut request, place, out);
+                }
+                BatchEnd::Done if !is_poor => {}
+                BatchEnd::Done | BatchEnd::Lost => {
+                    self.send(now, id, &mut request, place, Cause::Failed, out);
                 }
-                BatchEnd::Lost => self.send(now, id, &mut request, place, Cause::Failed, out),
-                BatchEnd::Done => {}
             }
         }
         self.requests.insert(id, request);
         self.check(now, id, out);
     }
 
-    /// Sends the parts from here that instances were to collect that have not shown since that they
-    /// are at work.
+    /// Sends the parts from here that instances were to collect that have shown nothing since, or have
+    /// got too little.
     pub(super) fn take_back_silent(&mut self, now: Time, id: RequestId, out: &mut Vec<Command>) {
         let Some(mut request) = self.requests.remove(&id) else {
             return;
@@ -304,11 +321,12 @@
                 .shares
                 .get(&call)
                 .expect("a share of a request is open");
-            if share.has_reported {
+            let share = share.clone();
+            if share.has_reported && !is_poor(&request, call, &share) {
                 continue;
             }
-            self.peers.lost(now, share.peer);
-            for place in share.parts.clone() {
+            self.peers.bar(now, share.peer);
+            for place in share.parts {
                 let part = &request.parts[place];
                 if part.shared == Some(call) && part.open.is_empty() {
                     self.send(now, id, &mut request, place, Cause::Failed, out);
@@ -319,3 +337,11 @@
         self.check(now, id, out);
     }
 }
+
+/// Returns whether the instance of a share has got less than its least part.
+fn is_poor(request: &Request, call: CallId, share: &Share) -> bool {
+    let parts = share.parts.iter().map(|place| &request.parts[*place]);
+    let missing = parts.filter(|part| part.shared == Some(call)).count();
+    let collected = share.parts.len() - missing;
+    (collected as f64) < share.parts.len() as f64 * COLLECTED_PART
+}
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -49,6 +49,15 @@
     Lost,
 }
 
+/// What an instance passes on of a batch that it collects.
+#[derive(Clone, Debug, Default)]
+pub struct Collected {
+    /// Answers, with their places in the batch.
+    pub answers: Vec<(usize, Reply)>,
+    /// The places of parts that it sends to nobody, since it knows no upstream that may be asked.
+    pub unsent: Vec<usize>,
+}
+
 /// How a call to another instance ended that collects a batch.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BatchEnd {
@@ -89,13 +98,13 @@
         /// When its answer is of no use any more.
         deadline: Time,
     },
-    /// Pass answers on to the instance that the batch `request` is collected for; none show it that
-    /// this instance is at work.
+    /// Pass on what is collected to the instance that the batch `request` is collected for. Nothing
+    /// shows it that this instance is at work.
     Report {
         /// The request.
         request: RequestId,
-        /// The answers, with their places in the batch.
-        answers: Vec<(usize, Reply)>,
+        /// What is collected.
+        collected: Collected,
     },
     /// Break off a call. It does not end by itself any more.
     Cancel {
--- a/hemlockrouter-route/src/direct/mod.rs
+++ b/hemlockrouter-route/src/direct/mod.rs
@@ -46,6 +46,7 @@
 pub use self::event::CallEnd;
 pub use self::event::CallFault;
 pub use self::event::CallId;
+pub use self::event::Collected;
 pub use self::event::Command;
 pub use self::event::Ending;
 pub use self::event::FailedCall;
--- a/hemlockrouter-route/src/direct/peers.rs
+++ b/hemlockrouter-route/src/direct/peers.rs
@@ -22,6 +22,10 @@
 /// The interval at which an instance that is not used is asked whether it answers, in milliseconds.
 const ASK_EVERY_MS: u64 = 1_000;
 
+/// For how long an instance is not used that has collected too little, in milliseconds. It may be cut off
+/// from upstreams and still answer other instances.
+const BARRED_MS: u64 = 5_000;
+
 /// What is known of other instances.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
@@ -33,6 +37,7 @@
     /// When it last answered; `None` if it has failed since.
     heard_at: Option<Time>,
     asked_at: Option<Time>,
+    barred_until: Option<Time>,
 }
 
 /// An instance that may collect a group of shards.
@@ -56,10 +61,21 @@
         known.asked_at = Some(now);
     }
 
+    /// Takes over that an instance has collected too little.
+    pub(super) fn bar(&mut self, now: Time, peer: SocketAddr) {
+        self.lost(now, peer);
+        let known = self.known.entry(peer).or_default();
+        known.barred_until = Some(now + BARRED_MS);
+    }
+
     /// Returns whether an instance may be used.
     pub(super) fn is_usable(&self, now: Time, peer: SocketAddr) -> bool {
-        let heard_at = self.known.get(&peer).and_then(|known| known.heard_at);
-        heard_at.is_some_and(|at| now.since(at) <= HEARD_MAX_MS)
+        let Some(known) = self.known.get(&peer) else {
+            return false;
+        };
+        let is_barred = known.barred_until.is_some_and(|until| now < until);
+        let heard_at = known.heard_at;
+        !is_barred && heard_at.is_some_and(|at| now.since(at) <= HEARD_MAX_MS)
     }
 
     /// Returns whether an instance that may not be used is to be asked now.
--- a/hemlockrouter-route/tests/direct/fuzz.rs
+++ b/hemlockrouter-route/tests/direct/fuzz.rs
@@ -6,6 +6,7 @@
 use hemlockrouter_route::direct::BatchEnd;
 use hemlockrouter_route::direct::CallEnd;
 use hemlockrouter_route::direct::CallId;
+use hemlockrouter_route::direct::Collected;
 use hemlockrouter_route::direct::Command;
 use hemlockrouter_route::direct::Ending;
 use hemlockrouter_route::direct::RequestId;
@@ -188,7 +189,7 @@
 
     fn report(&mut self, fixture: &mut Fixture, call: CallId, mask: u8) {
         let batch = self.batches.get_mut(&call).expect("it is open");
-        batch.has_reported = true;
+        let had_reported = std::mem::replace(&mut batch.has_reported, true);
         let parts = batch.parts.iter().enumerate();
         let taken = parts.filter(|(at, _)| mask >> at & 1 == 1);
         let answers = taken.map(|(at, part)| {
@@ -198,11 +199,20 @@
                 other => panic!("no answer: {other:?}"),
             }
         });
-        let answers: Vec<_> = answers.collect();
+        // The highest bit says that all that is not answered is not sent either, if nothing was said
+        // of the batch before.
+        let is_unsent = mask >= 128 && !had_reported;
+        let unsent = (0..batch.parts.len()).filter(|at| is_unsent && mask >> at & 1 == 0);
+        let collected = Collected {
+            answers: answers.collect(),
+            unsent: unsent.collect(),
+        };
         let request = batch.request;
-        self.note_run(request);
+        if !collected.answers.is_empty() || collected.unsent.is_empty() {
+            self.note_run(request);
+        }
         let (now, out) = (fixture.now, &mut fixture.out);
-        fixture.dispatcher.collected(now, call, answers, out);
+        fixture.dispatcher.collected(now, call, collected, out);
     }
 
     fn end_batch(&mut self, fixture: &mut Fixture, call: CallId, how: u8) {
--- a/hemlockrouter-route/tests/direct/sharing.rs
+++ b/hemlockrouter-route/tests/direct/sharing.rs
@@ -5,6 +5,7 @@
 use hemlockrouter_route::direct::BatchEnd;
 use hemlockrouter_route::direct::CallEnd;
 use hemlockrouter_route::direct::CallId;
+use hemlockrouter_route::direct::Collected;
 use hemlockrouter_route::direct::Command;
 use hemlockrouter_route::direct::Ending;
 use hemlockrouter_route::direct::Reply;
@@ -96,9 +97,18 @@
 fn collect(fixture: &mut Fixture, shared: &Shared) {
     let parts = shared.batch.parts.iter().enumerate();
     let answers = parts.map(|(at, part)| (at, reply(success(&part.service, b"0123456789abcdef"))));
-    let answers = answers.collect();
+    let collected = Collected {
+        answers: answers.collect(),
+        ..Collected::default()
+    };
+    report(fixture, shared, collected);
+}
+
+fn report(fixture: &mut Fixture, shared: &Shared, collected: Collected) {
     let (now, out) = (fixture.now, &mut fixture.out);
-    fixture.dispatcher.collected(now, shared.call, answers, out);
+    fixture
+        .dispatcher
+        .collected(now, shared.call, collected, out);
 }
 
 fn end(fixture: &mut Fixture, shared: &Shared, end: BatchEnd) {
@@ -213,10 +223,11 @@
 fn an_instance_that_has_reported_is_waited_for() {
     let mut fixture = sharing();
     let (id, call, sent) = start_shared(&mut fixture);
-    let (now, out) = (fixture.now, &mut fixture.out);
-    fixture
-        .dispatcher
-        .collected(now, call.call, Vec::new(), out);
+    let half = Collected {
+        answers: vec![(0, reply(success("stamp", b"")))],
+        ..Collected::default()
+    };
+    report(&mut fixture, &call, half);
     for (call, _) in sent {
         fixture.end(call, success("stamp", b""));
     }
@@ -226,6 +237,32 @@
     assert_eq!(stamps(fixture.ending(id)), (SHARDS, 0));
 }
 
+/// An instance that is cut off from upstreams must not take its shards away from the whole zone.
+#[test]
+fn an_instance_that_gets_too_little_is_replaced_and_barred() {
+    let mut fixture = sharing();
+    let (id, call, sent) = start_shared(&mut fixture);
+    report(&mut fixture, &call, Collected::default());
+    for (call, _) in sent {
+        fixture.end(call, success("stamp", b""));
+    }
+    fixture.wait(SILENT_MS);
+    let sent = fixture.sent();
+    assert_eq!(sent.len(), SHARDS / 2);
+    for (call, _) in sent {
+        fixture.end(call, success("stamp", b""));
+    }
+    assert_eq!(stamps(fixture.ending(id)), (SHARDS, 0));
+    for _ in 0..8 {
+        fixture.wait(500);
+        for asked in shared(&mut fixture) {
+            end(&mut fixture, &asked, BatchEnd::Done);
+        }
+    }
+    fixture.start(SEARCH);
+    assert_eq!(fixture.sent().len(), SHARDS, "it answers, but is not used");
+}
+
 #[test]
 fn what_the_other_instance_could_not_get_is_missing() {
     let mut fixture = sharing();
@@ -233,16 +270,38 @@
     for (call, _) in sent {
         fixture.end(call, success("stamp", b""));
     }
-    let answer = (0, reply(success("stamp", b"")));
-    let (now, out) = (fixture.now, &mut fixture.out);
-    fixture
-        .dispatcher
-        .collected(now, call.call, vec![answer], out);
+    let collected = Collected {
+        answers: vec![(0, reply(success("stamp", b"")))],
+        ..Collected::default()
+    };
+    report(&mut fixture, &call, collected);
     end(&mut fixture, &call, BatchEnd::Done);
     assert!(fixture.sent().is_empty());
     assert_eq!(stamps(fixture.ending(id)), (SHARDS - 1, 1));
 }
 
+#[test]
+fn what_the_other_instance_knows_no_upstream_of_is_sent_at_once() {
+    let mut fixture = sharing();
+    let (id, call, sent) = start_shared(&mut fixture);
+    for (call, _) in sent {
+        fixture.end(call, success("stamp", b""));
+    }
+    let unsent = (0..call.batch.parts.len()).collect();
+    let collected = Collected {
+        unsent,
+        ..Collected::default()
+    };
+    report(&mut fixture, &call, collected);
+    end(&mut fixture, &call, BatchEnd::Done);
+    let sent = fixture.sent();
+    assert_eq!(sent.len(), SHARDS / 2);
+    for (call, _) in sent {
+        fixture.end(call, success("stamp", b""));
+    }
+    assert_eq!(stamps(fixture.ending(id)), (SHARDS, 0));
+}
+
 #[test]
 fn a_search_that_loses_too_much_says_that_it_may_have_run() {
     let mut fixture = sharing();
@@ -251,6 +310,15 @@
         fixture.end(call, success("stamp", b""));
     }
     end(&mut fixture, &call, BatchEnd::Done);
+    loop {
+        let sent = fixture.sent();
+        if sent.is_empty() {
+            break;
+        }
+        for (call, _) in sent {
+            fixture.end(call, CallEnd::Lost);
+        }
+    }
     let ending = fixture.ending(id);
     let is_told = matches!(
         ending,
@@ -315,8 +383,9 @@
     let mut has_ended = false;
     for command in std::mem::take(&mut fixture.out) {
         match command {
-            Command::Report { answers, .. } => {
-                reports.push(answers.into_iter().map(|(at, _)| at).collect());
+            Command::Report { collected, .. } => {
+                let answers = collected.answers.into_iter();
+                reports.push(answers.map(|(at, _)| at).collect());
             }
             Command::EndBatch { .. } => has_ended = true,
             _ => {}
@@ -362,6 +431,19 @@
     assert!(ids.iter().all(|id| id == "shard-0@south-b"), "{ids:?}");
 }
 
+#[test]
+fn parts_of_a_batch_without_a_known_upstream_are_handed_back_at_once() {
+    for (ids, expected) in [(["shard-1@north-a"], vec![0]), (["unknown"], vec![0, 1])] {
+        let mut fixture = Fixture::new();
+        start_batch(&mut fixture, &ids);
+        let unsent = fixture.out.iter().find_map(|command| match command {
+            Command::Report { collected, .. } => Some(collected.unsent.clone()),
+            _ => None,
+        });
+        assert_eq!(unsent, Some(expected), "{ids:?}");
+    }
+}
+
 #[test]
 fn a_batch_ends_in_time_whatever_is_missing() {
     let mut fixture = Fixture::new();
--- a/src/direct/batches.rs
+++ b/src/direct/batches.rs
@@ -8,9 +8,9 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use hemlockrouter_edge::BatchCall;
-use hemlockrouter_edge::CollectedPart;
+use hemlockrouter_edge::CollectedFrame;
 use hemlockrouter_route::direct::BatchEnd;
-use hemlockrouter_route::direct::Reply;
+use hemlockrouter_route::direct::Collected;
 use hemlockrouter_types::prelude::*;
 use http::Method;
 use http::Request;
@@ -52,20 +52,20 @@
         }
     }
 
-    /// Has `peer` collect a batch, and passes the answers on as they come. Dropping the future breaks
+    /// Has `peer` collect a batch, and passes on what it has collected as it comes. Dropping the future breaks
     /// the call off.
     pub(super) async fn collect<F>(
         &self,
         peer: SocketAddr,
         call: &BatchCall,
         deadline: Time,
-        on_answers: F,
+        on_collected: F,
     ) -> BatchEnd
     where
-        F: FnMut(Vec<(usize, Reply)>),
+        F: FnMut(Collected),
     {
         let left_ms = deadline.left(self.clock.now());
-        let collecting = self.try_collect(peer, call, on_answers);
+        let collecting = self.try_collect(peer, call, on_collected);
         let ended = within_ms(left_ms, collecting).await;
         ended.unwrap_or(BatchEnd::Lost)
     }
@@ -82,10 +82,10 @@
         &self,
         peer: SocketAddr,
         call: &BatchCall,
-        mut on_answers: F,
+        mut on_collected: F,
     ) -> BatchEnd
     where
-        F: FnMut(Vec<(usize, Reply)>),
+        F: FnMut(Collected),
     {
         let body = match rmp_serde::to_vec(call) {
             Ok(body) => Bytes::from(body),
@@ -101,7 +101,7 @@
         if answer.status() != StatusCode::OK {
             return BatchEnd::NotTaken;
         }
-        match read_frames(answer.into_body(), &mut on_answers).await {
+        match read_frames(answer.into_body(), &mut on_collected).await {
             Ok(()) => {
                 if connection.is_ready().await {
                     self.keep(peer, connection);
@@ -173,9 +173,9 @@
     request
 }
 
-async fn read_frames<F>(mut body: Incoming, on_answers: &mut F) -> Result<(), String>
+async fn read_frames<F>(mut body: Incoming, on_collected: &mut F) -> Result<(), String>
 where
-    F: FnMut(Vec<(usize, Reply)>),
+    F: FnMut(Collected),
 {
     let mut read = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -184,9 +184,8 @@
             continue;
         };
         read.extend_from_slice(&data);
-        while let Some(parts) = take_frame(&mut read)? {
-            let answers = parts.into_iter().map(|part| (part.at, part.reply()));
-            on_answers(answers.collect());
+        while let Some(frame) = take_frame(&mut read)? {
+            on_collected(frame.collected());
         }
     }
     if read.is_empty() {
@@ -197,8 +196,8 @@
 }
 
 /// Writes a frame.
-pub(super) fn write_frame(parts: &[CollectedPart]) -> Result<Bytes, rmp_serde::encode::Error> {
-    let frame = rmp_serde::to_vec(parts)?;
+pub(super) fn write_frame(collected: &Collected) -> Result<Bytes, rmp_serde::encode::Error> {
+    let frame = rmp_serde::to_vec(&CollectedFrame::new(collected))?;
     let mut written = Vec::with_capacity(LENGTH_BYTES + frame.len());
     written.extend_from_slice(&(frame.len() as u32).to_be_bytes());
     written.extend_from_slice(&frame);
@@ -210,7 +209,7 @@
 /// # Errors
 ///
 /// Returns what is wrong with it.
-fn take_frame(read: &mut BytesMut) -> Result<Option<Vec<CollectedPart>>, String> {
+fn take_frame(read: &mut BytesMut) -> Result<Option<CollectedFrame>, String> {
     let Some(length) = read.first_chunk::<LENGTH_BYTES>() else {
         return Ok(None);
     };
@@ -223,6 +222,6 @@
     }
     read.advance(LENGTH_BYTES);
     let frame = read.split_to(length);
-    let parts = rmp_serde::from_slice(&frame).map_err(|err| err.to_string())?;
-    Ok(Some(parts))
+    let frame = rmp_serde::from_slice(&frame).map_err(|err| err.to_string())?;
+    Ok(Some(frame))
 }
--- a/src/direct/collector.rs
+++ b/src/direct/collector.rs
@@ -8,8 +8,7 @@
 
 use bytes::Bytes;
 use hemlockrouter_edge::BatchCall;
-use hemlockrouter_edge::CollectedPart;
-use hemlockrouter_route::direct::Reply;
+use hemlockrouter_route::direct::Collected;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Summary;
 use http::Request;
@@ -40,8 +39,8 @@
 
 /// What happens to a batch.
 pub(super) enum BatchEvent {
-    /// Answers came; none show that the batch is worked on.
-    Answers(Vec<(usize, Reply)>),
+    /// Something is collected; nothing shows that the batch is worked on.
+    Collected(Collected),
     /// There will be no more.
     Ended(Box<Summary>),
 }
@@ -100,8 +99,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
         match self.events.poll_recv(cx) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(BatchEvent::Answers(answers))) => {
-                let frame = frame(&answers);
+            Poll::Ready(Some(BatchEvent::Collected(collected))) => {
+                let frame = frame(&collected);
                 Poll::Ready(Some(Ok(Frame::data(frame))))
             }
             Poll::Ready(Some(BatchEvent::Ended(summary))) => {
@@ -125,13 +124,8 @@
     }
 }
 
-/// Writes answers as a frame.
-fn frame(answers: &[(usize, Reply)]) -> Bytes {
-    let parts = answers.iter();
-    let parts: Vec<CollectedPart> = parts
-        .filter_map(|(at, reply)| CollectedPart::new(*at, reply))
-        .collect();
-    write_frame(&parts).unwrap_or_else(|err| {
+fn frame(collected: &Collected) -> Bytes {
+    write_frame(collected).unwrap_or_else(|err| {
         log::error!(why = err.to_string(); "a frame can't be written");
         Bytes::new()
     })
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -16,12 +16,12 @@
 use hemlockrouter_route::direct::BatchEnd;
 use hemlockrouter_route::direct::CallEnd;
 use hemlockrouter_route::direct::CallId;
+use hemlockrouter_route::direct::Collected;
 use hemlockrouter_route::direct::Config;
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::Ending;
 use hemlockrouter_route::direct::Instances;
 use hemlockrouter_route::direct::Reading;
-use hemlockrouter_route::direct::Reply;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
 use hemlockrouter_route::direct::RouteTable;
@@ -241,8 +241,8 @@
         self.run();
     }
 
-    fn collected(&self, id: CallId, answers: Vec<(usize, Reply)>) {
-        call!([self.decider], collected(id, answers));
+    fn collected(&self, id: CallId, collected: Collected) {
+        call!([self.decider], collected(id, collected));
         self.run();
     }
 
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -10,10 +10,10 @@
 use hemlockrouter_route::direct::BatchEnd;
 use hemlockrouter_route::direct::CallEnd;
 use hemlockrouter_route::direct::CallId;
+use hemlockrouter_route::direct::Collected;
 use hemlockrouter_route::direct::Command;
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::Registered;
-use hemlockrouter_route::direct::Reply;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
 use hemlockrouter_route::direct::Summary;
@@ -68,10 +68,10 @@
         self.carry_out();
     }
 
-    pub(super) fn collected(&mut self, _: CX![], id: CallId, answers: Vec<(usize, Reply)>) {
+    pub(super) fn collected(&mut self, _: CX![], id: CallId, collected: Collected) {
         let now = self.shared.clock.now();
         let out = &mut self.commands;
-        self.dispatcher.collected(now, id, answers, out);
+        self.dispatcher.collected(now, id, collected, out);
         self.carry_out();
     }
 
@@ -230,7 +230,7 @@
                     batch,
                     deadline,
                 } => self.share(request, call, peer, batch, deadline),
-                Command::Report { request, answers } => self.report(request, answers),
+                Command::Report { request, collected } => self.report(request, collected),
                 Command::Cancel { call } => {
                     if let Some(running) = self.shared.running.borrow_mut().remove(&call) {
                         running.abort();
@@ -257,13 +257,13 @@
         self.set_timer();
     }
 
-    /// Passes answers on to the instance that a batch is collected for.
-    fn report(&self, request: RequestId, answers: Vec<(usize, Reply)>) {
+    /// Passes on what is collected to the instance that a batch is collected for.
+    fn report(&self, request: RequestId, collected: Collected) {
         let waiting = self.shared.waiting.borrow();
         let answer_to = waiting.get(&request).map(|waiting| &waiting.answer_to);
         if let Some(AnswerTo::Peer(events)) = answer_to {
             // An instance that has broken the call off gets nothing more.
-            let _ = events.send(BatchEvent::Answers(answers));
+            let _ = events.send(BatchEvent::Collected(collected));
         }
     }
 
@@ -293,12 +293,12 @@
         let shared = Rc::clone(&self.shared);
         let node = self.node.clone();
         let task = tokio::task::spawn_local(async move {
-            let on_answers = |answers| {
+            let on_collected = |collected| {
                 if let Some(node) = node.upgrade() {
-                    node.collected(id, answers);
+                    node.collected(id, collected);
                 }
             };
-            let collecting = shared.batches.collect(peer, &call, deadline, on_answers);
+            let collecting = shared.batches.collect(peer, &call, deadline, on_collected);
             let end = collecting.await;
             if let Some(node) = node.upgrade() {
                 node.batch_ended(id, end);
