--- a/hemlockrouter-cli/src/bin/hemlockctl/args.rs
+++ b/hemlockrouter-cli/src/bin/hemlockctl/args.rs
@@ -27,8 +27,14 @@
   explain CUSTOMER SEARCH       where a search would go now, and why
   drain INSTANCE                shut an instance down gracefully
 
+Commands with --direct, for instances that dispatch directly:
+  status                        routes, instances, upstreams
+  explain HOST PATH             where a request would go now, and why
+
 Options:
   --instance ADDR   the operators' port of any instance, such as 10.0.0.7:7101
+  --direct          the instance dispatches directly; ADDR is its ready or metrics
+                    port, and there is no key
   --key-file FILE   file with the operators' key
                     (default: the environment variable HEMLOCK_OPERATORS_KEY)
   --timeout-ms N    how long one call may take (default: 10000)
@@ -62,6 +68,7 @@
 pub(crate) struct Args {
     pub(crate) instance: SocketAddr,
     pub(crate) key_file: Option<PathBuf>,
+    pub(crate) direct: bool,
     pub(crate) timeout_ms: u64,
     pub(crate) json: bool,
     pub(crate) command: Command,
@@ -77,6 +84,8 @@
     Status,
     Explain { customer: String, search: String },
     Drain { instance: String },
+    DirectStatus,
+    DirectExplain { host: String, path: String },
 }
 
 /// Parses the process's arguments.
@@ -87,6 +96,7 @@
     let mut timeout_ms = 10_000;
     let mut wait_ms = WAIT_DEFAULT_MS;
     let mut json = false;
+    let mut direct = false;
     let mut words: Vec<String> = Vec::new();
     while let Some(arg) = parser.next()? {
         match arg {
@@ -100,14 +110,19 @@
             Arg::Long("timeout-ms") => timeout_ms = parser.value()?.parse()?,
             Arg::Long("wait-ms") => wait_ms = parser.value()?.parse()?,
             Arg::Long("json") => json = true,
+            Arg::Long("direct") => direct = true,
             Arg::Value(word) => words.push(word.string()?),
             _ => return Err(arg.unexpected().into()),
         }
     }
     Ok(Parsed::Run(Args {
-        command: command(&words, wait_ms)?,
+        command: match direct {
+            true => direct_command(&words)?,
+            false => command(&words, wait_ms)?,
+        },
         instance: instance.ok_or_else(|| eyre!("--instance is missing"))?,
         key_file,
+        direct,
         timeout_ms,
         json,
     }))
@@ -143,6 +158,30 @@
     })
 }
 
+fn direct_command(words: &[String]) -> Result<Command> {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    Ok(match words.as_slice() {
+        [] => bail!("a command is missing"),
+        ["status"] => Command::DirectStatus,
+        ["explain", host, path] => Command::DirectExplain {
+            host: plain(host)?,
+            path: plain_path(path)?,
+        },
+        _ => bail!("unknown command with --direct: {}", words.join(" ")),
+    })
+}
+
+/// Checks a path that becomes part of a URL's query.
+fn plain_path(path: &str) -> Result<String> {
+    let names = path.strip_prefix('/').map(|rest| rest.split('/'));
+    let is_plain =
+        names.is_some_and(|mut names| names.all(|name| name.is_empty() || plain(name).is_ok()));
+    if !is_plain {
+        bail!("\"{path}\" is not a path: expected a slash and names between slashes");
+    }
+    Ok(String::from(path))
+}
+
 /// Checks a name that becomes part of a URL.
 fn plain(name: &str) -> Result<String> {
     let fits = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'.' | b'_' | b'-');
--- a/hemlockrouter-cli/src/bin/hemlockctl/client.rs
+++ b/hemlockrouter-cli/src/bin/hemlockctl/client.rs
@@ -28,7 +28,8 @@
 pub(crate) struct Client {
     agent: Agent,
     instance: SocketAddr,
-    key: SecretKey,
+    /// None for an instance that dispatches directly.
+    key: Option<SecretKey>,
     json: bool,
 }
 
@@ -57,7 +58,10 @@
         Ok(Client {
             agent: config.new_agent(),
             instance: args.instance,
-            key: key(args)?,
+            key: match args.direct {
+                true => None,
+                false => Some(key(args)?),
+            },
             json: args.json,
         })
     }
@@ -69,15 +73,19 @@
 
     pub(crate) fn get(&self, path: &str) -> Result<Answer, Lost> {
         let url = format!("http://{}{path}", self.instance);
-        let request = self.agent.get(url);
-        let request = request.header("Authorization", self.key.authorization());
+        let mut request = self.agent.get(url);
+        if let Some(key) = &self.key {
+            request = request.header("Authorization", key.authorization());
+        }
         read(request.call())
     }
 
     pub(crate) fn post(&self, path: &str, body: &[u8]) -> Result<Answer, Lost> {
         let url = format!("http://{}{path}", self.instance);
-        let request = self.agent.post(url);
-        let request = request.header("Authorization", self.key.authorization());
+        let mut request = self.agent.post(url);
+        if let Some(key) = &self.key {
+            request = request.header("Authorization", key.authorization());
+        }
         read(request.content_type("application/json").send(body))
     }
 
--- a/hemlockrouter-cli/src/bin/hemlockctl/main.rs
+++ b/hemlockrouter-cli/src/bin/hemlockctl/main.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod args;
 mod client;
+mod direct;
 mod end;
 mod explain;
 mod note;
@@ -51,5 +52,7 @@
         Command::Status => status::show(&client),
         Command::Explain { customer, search } => explain::show(&client, customer, search),
         Command::Drain { instance } => status::drain(&client, instance),
+        Command::DirectStatus => direct::status(&client),
+        Command::DirectExplain { host, path } => direct::explain(&client, host, path),
     }
 }
--- a/hemlockrouter-cli/tests/direct/serving.rs
+++ b/hemlockrouter-cli/tests/direct/serving.rs
@@ -4,14 +4,17 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::process::Command;
 use std::time::Duration;
 
 use http::StatusCode;
 use serde_json::json;
+use serde_json::Value;
 
 use crate::world::eventually;
 use crate::world::World;
 use crate::world::BOOK;
+use crate::world::HOST;
 use crate::world::LOOK_UP;
 use crate::world::SEARCH;
 
@@ -139,3 +142,56 @@
     assert!(metrics.contains("requests_total"), "{metrics}");
     assert!(metrics.contains("request_ms"), "{metrics}");
 }
+
+/// Runs the operators' client against an instance, and returns what it prints and whether it is done.
+fn hemlockctl(world: &World, at: usize, words: &[&str]) -> (String, bool) {
+    let output = Command::new(env!("CARGO_BIN_EXE_hemlockctl"))
+        .args([
+            "--direct",
+            "--instance",
+            &world.daemons[at].ready.to_string(),
+        ])
+        .args(words)
+        .output()
+        .expect("the client runs");
+    let text = [output.stdout, output.stderr].concat();
+    (
+        String::from_utf8_lossy(&text).into_owned(),
+        output.status.success(),
+    )
+}
+
+#[test]
+fn operators_are_told_what_an_instance_knows_and_where_a_request_would_go() {
+    let world = World::start(2);
+    eventually("the other instance is registered", || {
+        hemlockctl(&world, 0, &["status"]).0.contains("instance-1")
+    });
+    let (status, is_done) = hemlockctl(&world, 0, &["status"]);
+    assert!(is_done, "{status}");
+    let first = "instance instance-0 in north-a: ready, version 1, 3 routes";
+    assert!(status.starts_with(first), "{status}");
+    for upstream in &world.upstreams {
+        assert!(status.contains(upstream.id()), "{status}");
+    }
+    let (explained, is_done) = hemlockctl(&world, 0, &["explain", HOST, SEARCH]);
+    assert!(is_done, "{explained}");
+    assert!(
+        explained.contains("4 of 6 services must answer"),
+        "{explained}"
+    );
+    assert!(explained.contains("shard-5 (by"), "{explained}");
+    let (json, is_done) = hemlockctl(&world, 0, &["--json", "explain", HOST, SEARCH]);
+    let json: Value = serde_json::from_str(&json).expect("it prints JSON");
+    assert!(
+        is_done && json["parts"][0]["upstreams"][0]["state"] == "used",
+        "{json}"
+    );
+    let (refused, is_done) = hemlockctl(&world, 0, &["explain", HOST, "/nowhere"]);
+    assert!(
+        !is_done && refused.contains("no route takes this host and path"),
+        "{refused}"
+    );
+    let (refused, is_done) = hemlockctl(&world, 0, &["explain", HOST, "no path"]);
+    assert!(!is_done && refused.contains("is not a path"), "{refused}");
+}
--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -126,6 +126,10 @@
         }
     }
 
+    pub(super) fn config(&self) -> &Config {
+        &self.config
+    }
+
     /// Returns the routes in force.
     pub fn table(&self) -> &Rc<RouteTable> {
         &self.table
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -4,6 +4,7 @@
 //! that may be asked: if the other one is silent, its parts are sent from here to the same upstreams.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Batch;
@@ -25,6 +26,7 @@
 use crate::direct::request::Part;
 use crate::direct::request::Request;
 use crate::direct::table::Route;
+use crate::direct::table::RouteTarget;
 use crate::direct::upstreams::Among;
 use crate::direct::upstreams::Wanted;
 
@@ -47,7 +49,7 @@
         request: &mut Request,
         out: &mut Vec<Command>,
     ) {
-        if !self.is_shared(request) {
+        if request.answer_to != AnswerTo::Caller || !self.is_route_shared(&request.route) {
             return;
         }
         let parts = request.parts.len();
@@ -55,7 +57,7 @@
         let groups = collectors.len();
         for (group, peer) in collectors.into_iter().enumerate() {
             if let Some(peer) = peer {
-                let places = group * parts / groups..(group + 1) * parts / groups;
+                let places = places(group, groups, parts);
                 self.hand_out(now, id, request, peer, places.collect(), out);
             }
         }
@@ -66,13 +68,42 @@
         }
     }
 
-    /// Returns whether a request is shared. One that is bound to regions is not: its body must not go
-    /// to instances elsewhere.
-    fn is_shared(&self, request: &Request) -> bool {
-        let entry = &request.route.entry;
-        let is_large = request.parts.len() >= self.config.sharing.parts_min.max(2);
-        let is_free = entry.idempotent && entry.regions.is_empty();
-        request.answer_to == AnswerTo::Caller && request.route.is_gathered() && is_large && is_free
+    /// Returns whether requests of a route are shared. Those bound to regions are not: their bodies must
+    /// not go to instances elsewhere.
+    fn is_route_shared(&self, route: &Route) -> bool {
+        let RouteTarget::Shards { services, .. } = &route.to else {
+            return false;
+        };
+        let is_large = services.len() >= self.config.sharing.parts_min.max(2);
+        is_large && route.entry.idempotent && route.entry.regions.is_empty()
+    }
+
+    /// Returns whether parts of searches are given to an instance.
+    pub(in crate::direct) fn collects(&self, now: Time, peer: SocketAddr) -> bool {
+        let is_of_zone = self.peers().any(|(_, address)| address == peer);
+        is_of_zone && self.peers.is_usable(now, peer)
+    }
+
+    /// Returns who would collect each part of a request of `route`; `None` for this instance.
+    pub(in crate::direct) fn collectors_of(
+        &self,
+        now: Time,
+        route: &Route,
+    ) -> Vec<Option<SocketAddr>> {
+        let parts = match &route.to {
+            RouteTarget::Split(parts) => parts.len(),
+            RouteTarget::Shards { services, .. } => services.len(),
+        };
+        if !self.is_route_shared(route) {
+            return vec![None; parts];
+        }
+        let collectors = self.collectors(now, parts);
+        let mut of_parts = Vec::with_capacity(parts);
+        for (group, collector) in collectors.iter().enumerate() {
+            let places = places(group, collectors.len(), parts);
+            of_parts.extend(places.map(|_| *collector));
+        }
+        of_parts
     }
 
     /// Returns who collects each group of shards.
@@ -338,6 +369,11 @@
     }
 }
 
+/// Returns the places of a group's parts.
+fn places(group: usize, groups: usize, parts: usize) -> Range<usize> {
+    group * parts / groups..(group + 1) * parts / groups
+}
+
 /// Returns whether the instance of a share has got less than its least part.
 fn is_poor(request: &Request, call: CallId, share: &Share) -> bool {
     let parts = share.parts.iter().map(|place| &request.parts[*place]);
--- a/hemlockrouter-route/src/direct/instances.rs
+++ b/hemlockrouter-route/src/direct/instances.rs
@@ -112,6 +112,12 @@
         self.is_settled(now).then(|| self.count())
     }
 
+    /// Returns all that are counted, and whether they are on the list.
+    pub(super) fn all(&self) -> impl Iterator<Item = (&InstanceEntry, bool)> {
+        let known = self.known.values();
+        known.map(|known| (&known.entry, known.gone_since.is_none()))
+    }
+
     /// Returns the instances of `zone` that take batches.
     pub(super) fn of_zone<'i>(&'i self, zone: &'i str) -> impl Iterator<Item = &'i InstanceEntry> {
         let known = self.known.values();
--- a/hemlockrouter-route/src/direct/mod.rs
+++ b/hemlockrouter-route/src/direct/mod.rs
@@ -22,6 +22,7 @@
 //! - `instances`: how many instances share a bound, and who reads the registry.
 //! - `cold`: how much this instance may send to a cold upstream.
 //! - `merge`: merges the parts of a search.
+//! - `status`: what is known, and where a request would go, for operators.
 //!
 //! [`Time`]: hemlockrouter_types::Time
 
@@ -35,6 +36,7 @@
 mod peers;
 mod record;
 mod request;
+mod status;
 mod table;
 mod upstreams;
 
@@ -57,6 +59,12 @@
 pub use self::instances::Instances;
 pub use self::instances::Reading;
 pub use self::merge::merge;
+pub use self::status::Explained;
+pub use self::status::ExplainedPart;
+pub use self::status::InstanceStatus;
+pub use self::status::Status;
+pub use self::status::UpstreamState;
+pub use self::status::UpstreamStatus;
 pub use self::table::Route;
 pub use self::table::RouteTable;
 pub use self::table::RouteTarget;
--- a/hemlockrouter-route/src/direct/record.rs
+++ b/hemlockrouter-route/src/direct/record.rs
@@ -116,6 +116,11 @@
         self.learned_at = now;
     }
 
+    /// Returns how many tries have not ended.
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
     /// Returns whether it usually answers within `ms` milliseconds.
     pub(super) fn is_usually_within(&self, ms: f64) -> bool {
         self.latency_ms <= ms
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -90,7 +90,7 @@
         registry: Registry::new(settings.registry_address),
         protocol: Rc::clone(&protocol),
         node: Rc::clone(&node),
-        mirror,
+        mirror: Rc::clone(&mirror),
         followed: None,
         alone_until: Time::ZERO,
         lost_since: None,
@@ -109,6 +109,7 @@
         node: Rc::clone(&node),
         metrics: Rc::clone(&metrics),
         phase: phase_rx.clone(),
+        mirror,
     });
     serve_metrics(&settings, &operators).await;
     tokio::task::spawn_local(operators.accept(ready_listener));
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -54,6 +54,13 @@
         state.heard_at.map(|_| state.revision)
     }
 
+    /// Returns how long ago the registry was in the state that is known, at least; `None` before the
+    /// first read.
+    pub(super) fn age_ms(&self) -> Option<u64> {
+        let heard_at = self.state.borrow().heard_at;
+        heard_at.map(|at| self.clock.now().since(at))
+    }
+
     /// Takes over what was read. `age_ms` is how long ago the registry was in that state at least.
     pub(super) fn take(&self, entries: &[Entry], revision: u64, is_whole: bool, age_ms: u64) {
         let mut state = self.state.borrow_mut();
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -20,16 +20,19 @@
 use hemlockrouter_route::direct::Config;
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::Ending;
+use hemlockrouter_route::direct::Explained;
 use hemlockrouter_route::direct::Instances;
 use hemlockrouter_route::direct::Reading;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
 use hemlockrouter_route::direct::RouteTable;
+use hemlockrouter_route::direct::Status;
 use hemlockrouter_route::direct::Summary;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::CallerLimits;
 use stakker::actor;
 use stakker::call;
+use stakker::query;
 use stakker::ret_nop;
 use stakker::ActorOwn;
 use stakker::Stakker;
@@ -212,6 +215,20 @@
         self.shared.instances.borrow().reading(now, me)
     }
 
+    /// Returns what is known, for operators.
+    pub(super) fn status(&self) -> Option<Status> {
+        query!([self.decider, &mut *self.stakker.borrow_mut()], status())
+    }
+
+    /// Returns where a request would go now, for operators; `None` if no route takes it.
+    pub(super) fn explain(&self, host: &str, path: &str) -> Option<Explained> {
+        let (host, path) = (String::from(host), String::from(path));
+        query!(
+            [self.decider, &mut *self.stakker.borrow_mut()],
+            explain(host, path)
+        )?
+    }
+
     /// Does what is due, for as long as the process runs.
     pub(super) async fn keep_time(&self) {
         loop {
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -13,9 +13,11 @@
 use hemlockrouter_route::direct::Collected;
 use hemlockrouter_route::direct::Command;
 use hemlockrouter_route::direct::Dispatcher;
+use hemlockrouter_route::direct::Explained;
 use hemlockrouter_route::direct::Registered;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
+use hemlockrouter_route::direct::Status;
 use hemlockrouter_route::direct::Summary;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Batch;
@@ -122,6 +124,15 @@
         self.set_timer();
     }
 
+    pub(super) fn status(&mut self, _: CX![]) -> Status {
+        self.dispatcher.status(self.shared.clock.now())
+    }
+
+    pub(super) fn explain(&mut self, _: CX![], host: String, path: String) -> Option<Explained> {
+        let now = self.shared.clock.now();
+        self.dispatcher.explain(now, &host, &path)
+    }
+
     /// Takes over that the registry holds nothing but `changes`.
     fn keep_only(&mut self, now: Time, changes: &[Change]) {
         let upstreams = self.dispatcher.upstreams_mut();
--- a/src/direct/operators.rs
+++ b/src/direct/operators.rs
@@ -1,18 +1,21 @@
-//! Readiness and metrics.
+//! Readiness, metrics, and what operators ask for.
 
 use std::rc::Rc;
 
 use bytes::Bytes;
+use hemlockrouter_route::direct::Status;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use super::listener;
 use super::listener::page;
+use super::mirror::Mirror;
 use super::node::Node;
 use crate::edge::phase::Phase;
 use crate::metrics::Metrics;
@@ -22,6 +25,17 @@
     pub(super) node: Rc<Node>,
     pub(super) metrics: Rc<Metrics>,
     pub(super) phase: watch::Receiver<Phase>,
+    pub(super) mirror: Rc<Mirror>,
+}
+
+/// The answer to a call for the status.
+#[derive(Serialize)]
+struct AnsweredStatus {
+    ready: bool,
+    /// How long ago the registry was heard from; none if never.
+    registry_age_ms: Option<u64>,
+    #[serde(flatten)]
+    status: Status,
 }
 
 impl Operators {
@@ -41,16 +55,67 @@
             "/livez" => page(StatusCode::OK, "alive"),
             "/ready" | "/readyz" => self.ready(),
             "/metrics" => page(StatusCode::OK, self.metrics.text()),
+            "/status" => self.status(),
+            "/explain" => self.explain(request.uri().query().unwrap_or_default()),
             _ => page(StatusCode::NOT_FOUND, "no such page"),
         }
     }
 
+    fn is_ready(&self) -> bool {
+        self.node.is_configured() && *self.phase.borrow() == Phase::Serving
+    }
+
+    fn status(&self) -> Response<Bytes> {
+        let Some(status) = self.node.status() else {
+            return page(StatusCode::SERVICE_UNAVAILABLE, "the instance has ended");
+        };
+        json_page(&AnsweredStatus {
+            ready: self.is_ready(),
+            registry_age_ms: self.mirror.age_ms(),
+            status,
+        })
+    }
+
+    /// Answers where a request would go; the query is `host=HOST&path=PATH`.
+    fn explain(&self, query: &str) -> Response<Bytes> {
+        let field = |name: &str| {
+            let mut fields = query.split('&');
+            fields.find_map(|field| field.strip_prefix(name)?.strip_prefix('='))
+        };
+        let (Some(host), Some(path)) = (field("host"), field("path")) else {
+            return page(
+                StatusCode::BAD_REQUEST,
+                "expected /explain?host=HOST&path=PATH",
+            );
+        };
+        match self.node.explain(host, path) {
+            Some(explained) => json_page(&explained),
+            None => page(StatusCode::NOT_FOUND, "no route takes this host and path"),
+        }
+    }
+
     fn ready(&self) -> Response<Bytes> {
-        let is_ready = self.node.is_configured() && *self.phase.borrow() == Phase::Serving;
-        if is_ready {
+        if self.is_ready() {
             page(StatusCode::OK, "ready")
         } else {
             page(StatusCode::SERVICE_UNAVAILABLE, "not ready")
         }
     }
 }
+
+/// Makes a response of JSON.
+fn json_page<T>(value: &T) -> Response<Bytes>
+where
+    T: Serialize,
+{
+    match serde_json::to_vec(value) {
+        Ok(body) => page(StatusCode::OK, body),
+        Err(err) => {
+            log::error!(why = err.to_string(); "an answer to operators can't be written");
+            page(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "the answer can't be written",
+            )
+        }
+    }
+}
