Collect shards in the zone of their upstreams, within the region

Every part crossed zones with the heads of a request and of an answer, though instances in the upstreams' zone could collect it. Ruled out: choosing other upstreams (each region has one of a shard's three), merging at the collecting instance (an answer that came another way as well could not be told apart). Change: shards whose upstreams are in another zone of the region are collected there.

--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -3,12 +3,13 @@
 //! Both instances together must not ask more upstreams than the route allows, so this one names those
 //! that may be asked: if the other one is silent, its parts are sent from here to the same upstreams.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::ops::Range;
 
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Batch;
 use hemlockrouter_types::routing::BatchPart;
+use hemlockrouter_types::routing::InstanceEntry;
 
 use super::Cause;
 use super::Dispatcher;
@@ -37,6 +38,9 @@
 /// The least part of a batch that an instance must have collected by then, to be waited for.
 const COLLECTED_PART: f64 = 0.5;
 
+/// The fewest parts that are collected in another availability zone.
+const ELSEWHERE_MIN: usize = 4;
+
 /// How long an instance may take to show that it answers, in milliseconds.
 const ASK_MS: u64 = 1_000;
 
@@ -52,13 +56,10 @@
         if request.answer_to != AnswerTo::Caller || !self.is_route_shared(&request.route) {
             return;
         }
-        let parts = request.parts.len();
-        let collectors = self.collectors(now, parts);
-        let groups = collectors.len();
-        for (group, peer) in collectors.into_iter().enumerate() {
-            if let Some(peer) = peer {
-                let places = places(group, groups, parts);
-                self.hand_out(now, id, request, peer, places.collect(), out);
+        let services: Vec<ServiceKey> = request.parts.iter().map(|part| part.service).collect();
+        for (collector, places) in self.plan(now, &services) {
+            if let Some(peer) = collector {
+                self.hand_out(now, id, request, peer, places, out);
             }
         }
         if !request.shares.is_empty() {
@@ -80,8 +81,8 @@
 
     /// Returns whether parts of searches are given to an instance.
     pub(in crate::direct) fn collects(&self, now: Time, peer: SocketAddr) -> bool {
-        let is_of_zone = self.peers().any(|(_, address)| address == peer);
-        is_of_zone && self.peers.is_usable(now, peer)
+        let is_near = self.peers().any(|(_, address)| address == peer);
+        is_near && self.peers.is_usable(now, peer)
     }
 
     /// Returns who would collect each part of a request of `route`; `None` for this instance.
@@ -90,44 +91,97 @@
         now: Time,
         route: &Route,
     ) -> Vec<Option<SocketAddr>> {
-        let parts = match &route.to {
-            RouteTarget::Split(parts) => parts.len(),
-            RouteTarget::Shards { services, .. } => services.len(),
+        let services = match &route.to {
+            RouteTarget::Split(parts) => return vec![None; parts.len()],
+            RouteTarget::Shards { services, .. } => services,
         };
-        if !self.is_route_shared(route) {
-            return vec![None; parts];
+        let mut collectors = vec![None; services.len()];
+        if self.is_route_shared(route) {
+            for (collector, places) in self.plan(now, services) {
+                for place in places {
+                    collectors[place] = collector;
+                }
+            }
+        }
+        collectors
+    }
+
+    /// Returns who collects which parts, by their places; `None` for this instance. Parts are collected
+    /// in the availability zone of their upstreams, as far as that is in the own region: the way
+    /// between zones is the same, but an answer between instances is much smaller.
+    fn plan(&self, now: Time, services: &[ServiceKey]) -> Vec<(Option<SocketAddr>, Vec<usize>)> {
+        let own_zone = self.config.zone.as_str();
+        let mut zones: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+        for (place, service) in services.iter().enumerate() {
+            let wanted = Wanted {
+                service: *service,
+                regions: &[],
+                among: Among::AllBut(&[]),
+            };
+            let zone = self.upstreams.near_zone(now, &wanted);
+            zones
+                .entry(zone.unwrap_or(own_zone))
+                .or_default()
+                .push(place);
         }
-        let collectors = self.collectors(now, parts);
-        let mut of_parts = Vec::with_capacity(parts);
-        for (group, collector) in collectors.iter().enumerate() {
-            let places = places(group, collectors.len(), parts);
-            of_parts.extend(places.map(|_| *collector));
+        let mut own = zones.remove(own_zone).unwrap_or_default();
+        let mut planned = Vec::new();
+        for (zone, places) in zones {
+            let candidates = self.candidates(now, zone);
+            if candidates.is_empty() || places.len() < ELSEWHERE_MIN {
+                own.extend(places);
+            } else {
+                self.plan_zone(&candidates, &places, &mut planned);
+            }
         }
-        of_parts
+        own.sort_unstable();
+        self.plan_zone(&self.candidates(now, own_zone), &own, &mut planned);
+        planned
     }
 
-    /// Returns who collects each group of shards.
-    fn collectors(&self, now: Time, parts: usize) -> Vec<Option<SocketAddr>> {
-        let mut candidates = vec![Candidate {
-            name: &self.config.name,
-            address: None,
-        }];
-        let usable = self
-            .peers()
-            .filter(|(_, address)| self.peers.is_usable(now, *address));
-        candidates.extend(usable.map(|(name, address)| Candidate {
-            name,
-            address: Some(address),
-        }));
-        let groups = parts.div_ceil(self.config.sharing.parts_each.max(1));
-        assign(&candidates, groups)
+    /// Divides parts between the instances of an availability zone.
+    fn plan_zone(
+        &self,
+        candidates: &[Candidate<'_>],
+        places: &[usize],
+        planned: &mut Vec<(Option<SocketAddr>, Vec<usize>)>,
+    ) {
+        let groups = places.len().div_ceil(self.config.sharing.parts_each.max(1));
+        let collectors = assign(candidates, groups);
+        let groups = collectors.len();
+        for (group, collector) in collectors.into_iter().enumerate() {
+            let from = group * places.len() / groups;
+            let until = (group + 1) * places.len() / groups;
+            planned.push((collector, places[from..until].to_vec()));
+        }
     }
 
-    /// Returns the other instances of the availability zone, with where they take batches.
-    fn peers(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
-        let of_zone = self.upstreams.instances().of_zone(&self.config.zone);
-        let others = of_zone.filter(|entry| entry.name != self.config.name);
-        others.filter_map(|entry| Some((entry.name.as_str(), entry.relay?)))
+    /// Returns who may collect in an availability zone.
+    fn candidates<'d>(&'d self, now: Time, zone: &'d str) -> Vec<Candidate<'d>> {
+        let of_zone = self.peers().filter(|(entry, _)| entry.zone == zone);
+        let usable = of_zone.filter(|(_, address)| self.peers.is_usable(now, *address));
+        let mut candidates: Vec<Candidate<'_>> = usable
+            .map(|(entry, address)| Candidate {
+                name: &entry.name,
+                address: Some(address),
+            })
+            .collect();
+        if zone == self.config.zone {
+            candidates.push(Candidate {
+                name: &self.config.name,
+                address: None,
+            });
+        }
+        candidates
+    }
+
+    /// Returns the other instances of the region, with where they take batches.
+    fn peers(&self) -> impl Iterator<Item = (&InstanceEntry, SocketAddr)> {
+        let region = self.upstreams.region_of(&self.config.zone);
+        let others = self.upstreams.instances().collectors();
+        let others = others.filter(|entry| entry.name != self.config.name);
+        let near = others.filter(move |entry| self.upstreams.region_of(&entry.zone) == region);
+        near.filter_map(|entry| Some((entry, entry.relay?)))
     }
 
     /// Asks other instances that may not be used whether they answer, if there are searches to share.
@@ -369,11 +423,6 @@
     }
 }
 
-/// Returns the places of a group's parts.
-fn places(group: usize, groups: usize, parts: usize) -> Range<usize> {
-    group * parts / groups..(group + 1) * parts / groups
-}
-
 /// Returns whether the instance of a share has got less than its least part.
 fn is_poor(request: &Request, call: CallId, share: &Share) -> bool {
     let parts = share.parts.iter().map(|place| &request.parts[*place]);
--- a/hemlockrouter-route/src/direct/instances.rs
+++ b/hemlockrouter-route/src/direct/instances.rs
@@ -118,12 +118,11 @@
         known.map(|known| (&known.entry, known.gone_since.is_none()))
     }
 
-    /// Returns the instances of `zone` that take batches.
-    pub(super) fn of_zone<'i>(&'i self, zone: &'i str) -> impl Iterator<Item = &'i InstanceEntry> {
-        let known = self.known.values();
-        let present = known.filter(|known| known.gone_since.is_none());
-        let entries = present.map(|known| &known.entry);
-        entries.filter(move |entry| entry.zone == zone && entry.relay.is_some())
+    /// Returns the instances on the list that take batches.
+    pub(super) fn collectors(&self) -> impl Iterator<Item = &InstanceEntry> {
+        let present = self.all().filter(|(_, is_present)| *is_present);
+        let entries = present.map(|(entry, _)| entry);
+        entries.filter(|entry| entry.relay.is_some())
     }
 
     /// Returns how the instance `me` learns what the registry holds.
--- a/hemlockrouter-route/src/direct/upstreams.rs
+++ b/hemlockrouter-route/src/direct/upstreams.rs
@@ -284,6 +284,22 @@
         self.upstreams.get(key)
     }
 
+    /// Returns the availability zone of the own region in which a service is to be asked: the own one
+    /// if an upstream is there, or else another one; `None` if there is none in the region.
+    pub(super) fn near_zone(&self, now: Time, wanted: &Wanted<'_>) -> Option<&str> {
+        let service = self.services.get(wanted.service)?;
+        let upstreams = service.upstreams.iter().filter_map(|key| self.get(*key));
+        let usable = upstreams.filter(|one| self.is_usable(now, one, wanted));
+        let near = usable.filter(|one| one.region == self.region);
+        let zones = near.map(|one| one.entry.zone.as_str());
+        zones.min_by_key(|zone| (*zone != self.config.zone, *zone))
+    }
+
+    /// Returns the region of an availability zone.
+    pub(super) fn region_of(&self, zone: &str) -> Option<&str> {
+        self.config.zones.get(zone).map(String::as_str)
+    }
+
     /// Returns what is known of all upstreams, by service and id.
     pub(super) fn status(&self, now: Time) -> Vec<UpstreamStatus> {
         let mut status = Vec::with_capacity(self.upstreams.len());
--- a/hemlockrouter-route/tests/direct/fixture.rs
+++ b/hemlockrouter-route/tests/direct/fixture.rs
@@ -36,7 +36,11 @@
 pub(crate) const START: Time = Time::from_ms(100_000);
 
 pub(crate) fn config(name: &str) -> Config {
-    let zones = [("north-a", "north"), ("south-b", "south")];
+    let zones = [
+        ("north-a", "north"),
+        ("north-c", "north"),
+        ("south-b", "south"),
+    ];
     Config {
         name: String::from(name),
         zone: String::from("north-a"),
--- a/hemlockrouter-route/tests/direct/sharing.rs
+++ b/hemlockrouter-route/tests/direct/sharing.rs
@@ -355,6 +355,38 @@
     assert!(shared(&mut fixture).is_empty());
 }
 
+/// An answer between instances is smaller than one of an upstream, and the way between zones costs.
+#[test]
+fn parts_are_collected_in_the_zone_of_their_upstreams() {
+    let mut fixture = sharing();
+    let upstreams = fixture.dispatcher.upstreams_mut();
+    upstreams
+        .instances_mut()
+        .joined(Time::ZERO, peer("near", "north-c", 9));
+    for service in shards() {
+        upstreams.unregister(Time::ZERO, &format!("{service}@north-a"));
+        upstreams.register(START, upstream(&service, "north-c"));
+    }
+    fixture.wait(ASKED_MS);
+    for asked in shared(&mut fixture) {
+        end(&mut fixture, &asked, BatchEnd::Done);
+    }
+    fixture.start(SEARCH);
+    let calls = shared(&mut fixture);
+    let peers: Vec<SocketAddr> = calls.iter().map(|call| call.peer).collect();
+    assert_eq!(peers, [address(9)]);
+    assert_eq!(calls[0].batch.parts.len(), SHARDS);
+    fixture.dispatcher.upstreams_mut().evacuate("north-c", true);
+    fixture.start(SEARCH);
+    let calls = shared(&mut fixture);
+    let peers: Vec<SocketAddr> = calls.iter().map(|call| call.peer).collect();
+    assert_eq!(
+        peers,
+        [address(7)],
+        "upstreams elsewhere are asked from here"
+    );
+}
+
 /// Starts a batch of two parts for another instance.
 fn start_batch(fixture: &mut Fixture, ids: &[&str]) -> RequestId {
     let services = shards().into_iter().take(2);
