--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -1,12 +1,13 @@
 //! What follows from each event of a request.
 //!
 //! This module takes the events; what follows is decided below it: `send`, `hedge` and `finish` for calls
-//! to upstreams, `share` for what other instances collect, `collect` for what this one collects for
+//! to upstreams, `plan` and `share` for what other instances collect, `collect` for what this one collects for
 //! them.
 
 mod collect;
 mod finish;
 mod hedge;
+mod plan;
 mod send;
 mod share;
 
--- a/hemlockrouter-route/src/direct/dispatcher/send.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/send.rs
@@ -159,14 +159,12 @@
     /// Chooses an upstream for a part: one that was not tried, if the route allows another one, or
     /// else one that was tried before.
     pub(super) fn choose(&mut self, now: Time, part: &Part, route: &Route) -> Option<UpstreamKey> {
-        let fresh: Vec<UpstreamKey> = part.allowed.iter().flatten().copied().collect();
-        let fresh = fresh.into_iter().filter(|key| !part.tried.contains(key));
-        let fresh: Vec<UpstreamKey> = fresh.collect();
+        let untried = part.untried();
         let mut wanted = Wanted {
             service: part.service,
             regions: &route.entry.regions,
-            among: match part.allowed {
-                Some(_) => Among::Only(&fresh),
+            among: match &untried {
+                Some(untried) => Among::Only(untried),
                 None => Among::AllBut(&part.tried),
             },
         };
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -3,13 +3,11 @@
 //! Both instances together must not ask more upstreams than the route allows, so this one names those
 //! that may be asked: if the other one is silent, its parts are sent from here to the same upstreams.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Batch;
 use hemlockrouter_types::routing::BatchPart;
-use hemlockrouter_types::routing::InstanceEntry;
 
 use super::Cause;
 use super::Dispatcher;
@@ -20,14 +18,11 @@
 use crate::direct::event::Collected;
 use crate::direct::event::Command;
 use crate::direct::event::RequestId;
-use crate::direct::peers::assign;
-use crate::direct::peers::Candidate;
 use crate::direct::record::Seen;
 use crate::direct::request::AnswerTo;
 use crate::direct::request::Part;
 use crate::direct::request::Request;
 use crate::direct::table::Route;
-use crate::direct::table::RouteTarget;
 use crate::direct::upstreams::Among;
 use crate::direct::upstreams::Wanted;
 
@@ -38,12 +33,6 @@
 /// The least part of a batch that an instance must have collected by then, to be waited for.
 const COLLECTED_PART: f64 = 0.5;
 
-/// The fewest parts that are collected in another availability zone.
-const ELSEWHERE_MIN: usize = 4;
-
-/// How long an instance may take to show that it answers, in milliseconds.
-const ASK_MS: u64 = 1_000;
-
 impl Dispatcher {
     /// Has other instances collect parts of a request, if it is a search over many shards.
     pub(super) fn share(
@@ -69,154 +58,6 @@
         }
     }
 
-    /// Returns whether requests of a route are shared. Those bound to regions are not: their bodies must
-    /// not go to instances elsewhere.
-    fn is_route_shared(&self, route: &Route) -> bool {
-        let RouteTarget::Shards { services, .. } = &route.to else {
-            return false;
-        };
-        let is_large = services.len() >= self.config.sharing.parts_min.max(2);
-        is_large && route.entry.idempotent && route.entry.regions.is_empty()
-    }
-
-    /// Returns whether parts of searches are given to an instance.
-    pub(in crate::direct) fn collects(&self, now: Time, peer: SocketAddr) -> bool {
-        let is_near = self.peers().any(|(_, address)| address == peer);
-        is_near && self.peers.is_usable(now, peer)
-    }
-
-    /// Returns who would collect each part of a request of `route`; `None` for this instance.
-    pub(in crate::direct) fn collectors_of(
-        &self,
-        now: Time,
-        route: &Route,
-    ) -> Vec<Option<SocketAddr>> {
-        let services = match &route.to {
-            RouteTarget::Split(parts) => return vec![None; parts.len()],
-            RouteTarget::Shards { services, .. } => services,
-        };
-        let mut collectors = vec![None; services.len()];
-        if self.is_route_shared(route) {
-            for (collector, places) in self.plan(now, services) {
-                for place in places {
-                    collectors[place] = collector;
-                }
-            }
-        }
-        collectors
-    }
-
-    /// Returns who collects which parts, by their places; `None` for this instance. Parts are collected
-    /// in the availability zone of their upstreams, as far as that is in the own region: the way
-    /// between zones is the same, but an answer between instances is much smaller.
-    fn plan(&self, now: Time, services: &[ServiceKey]) -> Vec<(Option<SocketAddr>, Vec<usize>)> {
-        let own_zone = self.config.zone.as_str();
-        let mut zones: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
-        for (place, service) in services.iter().enumerate() {
-            let wanted = Wanted {
-                service: *service,
-                regions: &[],
-                among: Among::AllBut(&[]),
-            };
-            let zone = self.upstreams.near_zone(now, &wanted);
-            zones
-                .entry(zone.unwrap_or(own_zone))
-                .or_default()
-                .push(place);
-        }
-        let mut own = zones.remove(own_zone).unwrap_or_default();
-        let mut planned = Vec::new();
-        for (zone, places) in zones {
-            let candidates = self.candidates(now, zone);
-            if candidates.is_empty() || places.len() < ELSEWHERE_MIN {
-                own.extend(places);
-            } else {
-                self.plan_zone(&candidates, &places, &mut planned);
-            }
-        }
-        own.sort_unstable();
-        self.plan_zone(&self.candidates(now, own_zone), &own, &mut planned);
-        planned
-    }
-
-    /// Divides parts between the instances of an availability zone.
-    fn plan_zone(
-        &self,
-        candidates: &[Candidate<'_>],
-        places: &[usize],
-        planned: &mut Vec<(Option<SocketAddr>, Vec<usize>)>,
-    ) {
-        let groups = places.len().div_ceil(self.config.sharing.parts_each.max(1));
-        let collectors = assign(candidates, groups);
-        let groups = collectors.len();
-        for (group, collector) in collectors.into_iter().enumerate() {
-            let from = group * places.len() / groups;
-            let until = (group + 1) * places.len() / groups;
-            planned.push((collector, places[from..until].to_vec()));
-        }
-    }
-
-    /// Returns who may collect in an availability zone.
-    fn candidates<'d>(&'d self, now: Time, zone: &'d str) -> Vec<Candidate<'d>> {
-        let of_zone = self.peers().filter(|(entry, _)| entry.zone == zone);
-        let usable = of_zone.filter(|(_, address)| self.peers.is_usable(now, *address));
-        let mut candidates: Vec<Candidate<'_>> = usable
-            .map(|(entry, address)| Candidate {
-                name: &entry.name,
-                address: Some(address),
-            })
-            .collect();
-        if zone == self.config.zone {
-            candidates.push(Candidate {
-                name: &self.config.name,
-                address: None,
-            });
-        }
-        candidates
-    }
-
-    /// Returns the other instances of the region, with where they take batches.
-    fn peers(&self) -> impl Iterator<Item = (&InstanceEntry, SocketAddr)> {
-        let region = self.upstreams.region_of(&self.config.zone);
-        let others = self.upstreams.instances().collectors();
-        let others = others.filter(|entry| entry.name != self.config.name);
-        let near = others.filter(move |entry| self.upstreams.region_of(&entry.zone) == region);
-        near.filter_map(|entry| Some((entry, entry.relay?)))
-    }
-
-    /// Asks other instances that may not be used whether they answer, if there are searches to share.
-    pub(super) fn ask_peers(&mut self, now: Time, out: &mut Vec<Command>) {
-        self.peers.tidy(now);
-        if self.table.shards_max() < self.config.sharing.parts_min {
-            return;
-        }
-        let addresses: Vec<SocketAddr> = self.peers().map(|(_, address)| address).collect();
-        for peer in addresses {
-            if !self.peers.is_usable(now, peer) && self.peers.is_to_be_asked(now, peer) {
-                self.ask(now, peer, out);
-            }
-        }
-    }
-
-    /// Finds out whether an instance answers.
-    fn ask(&mut self, now: Time, peer: SocketAddr, out: &mut Vec<Command>) {
-        let batch = Batch {
-            route: String::new(),
-            version: self.table.version(),
-            attempts_max: 0,
-            target_latency_ms: 0,
-            parts: Vec::new(),
-        };
-        let share = Share {
-            request: None,
-            peer,
-            parts: Vec::new(),
-            has_reported: false,
-        };
-        let deadline = now + ASK_MS;
-        self.send_share(share, batch, deadline, out);
-    }
-
     fn hand_out(
         &mut self,
         now: Time,
@@ -254,7 +95,7 @@
         request.shares.push(sent);
     }
 
-    fn send_share(
+    pub(super) fn send_share(
         &mut self,
         share: Share,
         batch: Batch,
--- a/hemlockrouter-route/src/direct/request.rs
+++ b/hemlockrouter-route/src/direct/request.rs
@@ -105,6 +105,13 @@
         self.answer = Some(answer);
     }
 
+    /// Returns the upstreams that it may be sent to and was not; `None` if it may be sent to all.
+    pub(super) fn untried(&self) -> Option<Vec<UpstreamKey>> {
+        let allowed = self.allowed.as_ref()?.iter();
+        let untried = allowed.filter(|key| !self.tried.contains(key));
+        Some(untried.copied().collect())
+    }
+
     /// Removes and returns the try of `call`.
     pub(super) fn take(&mut self, call: CallId) -> Option<Try> {
         let at = self.open.iter().position(|open| open.call == call)?;
--- a/hemlockrouter-route/src/direct/upstreams.rs
+++ b/hemlockrouter-route/src/direct/upstreams.rs
@@ -5,6 +5,8 @@
 //! added up from its recent latency, what this instance has in flight there, its recent failures
 //! and its distance. Bad records fade with time, so an upstream that was slow is tried again.
 
+mod status;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -17,8 +19,6 @@
 use super::cold::ColdSends;
 use super::instances::Instances;
 use super::record::Record;
-use super::status::UpstreamState;
-use super::status::UpstreamStatus;
 use super::Config;
 
 /// The cost of an upstream that has failed always, in milliseconds.
@@ -300,61 +300,6 @@
         self.config.zones.get(zone).map(String::as_str)
     }
 
-    /// Returns what is known of all upstreams, by service and id.
-    pub(super) fn status(&self, now: Time) -> Vec<UpstreamStatus> {
-        let mut status = Vec::with_capacity(self.upstreams.len());
-        for (key, service) in self.services.iter() {
-            let wanted = Wanted {
-                service: key,
-                regions: &[],
-                among: Among::AllBut(&[]),
-            };
-            let upstreams = service.upstreams.iter().filter_map(|key| self.get(*key));
-            status.extend(upstreams.map(|one| self.status_of(now, one, &wanted)));
-        }
-        status.sort_by(|a, b| (&a.service, &a.id).cmp(&(&b.service, &b.id)));
-        status
-    }
-
-    /// Returns the upstreams of a service, the one that would be chosen next at the front.
-    pub(super) fn explain(&self, now: Time, wanted: &Wanted<'_>) -> Vec<UpstreamStatus> {
-        let service = self.services.get(wanted.service);
-        let keys = service.map_or(&[][..], |service| &service.upstreams);
-        let upstreams = keys.iter().filter_map(|key| self.get(*key));
-        let mut status: Vec<UpstreamStatus> = upstreams
-            .map(|one| self.status_of(now, one, wanted))
-            .collect();
-        let is_out = |one: &UpstreamStatus| one.state == UpstreamState::Excluded;
-        status.sort_by(|a, b| {
-            let by_state = is_out(a).cmp(&is_out(b));
-            by_state.then(a.cost_ms.total_cmp(&b.cost_ms))
-        });
-        status
-    }
-
-    fn status_of(&self, now: Time, upstream: &Upstream, wanted: &Wanted<'_>) -> UpstreamStatus {
-        let state = if !self.is_usable(now, upstream, wanted) {
-            UpstreamState::Excluded
-        } else if upstream.record.is_unreachable(now) {
-            UpstreamState::Unreachable
-        } else if upstream.leaving_since.is_some() {
-            UpstreamState::Leaving
-        } else if upstream.cold_until > now {
-            UpstreamState::Cold
-        } else {
-            UpstreamState::Used
-        };
-        UpstreamStatus {
-            id: upstream.entry.id.clone(),
-            service: upstream.entry.service.clone(),
-            zone: upstream.entry.zone.clone(),
-            address: upstream.entry.address,
-            state,
-            in_flight: upstream.record.in_flight(),
-            cost_ms: self.cost_ms(now, 0, upstream).round(),
-        }
-    }
-
     /// Returns the key of the upstream with an id.
     pub(super) fn key(&self, id: &str) -> Option<UpstreamKey> {
         self.by_id.get(id).copied()
--- /dev/null
+++ b/hemlockrouter-route/src/direct/upstreams/status.rs
@@ -0,0 +1,67 @@
+//! What is known of upstreams, for operators.
+
+use hemlockrouter_types::prelude::*;
+
+use super::Among;
+use super::Upstream;
+use super::Upstreams;
+use super::Wanted;
+use crate::direct::status::UpstreamState;
+use crate::direct::status::UpstreamStatus;
+
+impl Upstreams {
+    /// Returns what is known of all upstreams, by service and id.
+    pub(in crate::direct) fn status(&self, now: Time) -> Vec<UpstreamStatus> {
+        let mut status = Vec::with_capacity(self.upstreams.len());
+        for (key, service) in self.services.iter() {
+            let wanted = Wanted {
+                service: key,
+                regions: &[],
+                among: Among::AllBut(&[]),
+            };
+            let upstreams = service.upstreams.iter().filter_map(|key| self.get(*key));
+            status.extend(upstreams.map(|one| self.status_of(now, one, &wanted)));
+        }
+        status.sort_by(|a, b| (&a.service, &a.id).cmp(&(&b.service, &b.id)));
+        status
+    }
+
+    /// Returns the upstreams of a service, the one that would be chosen next at the front.
+    pub(in crate::direct) fn explain(&self, now: Time, wanted: &Wanted<'_>) -> Vec<UpstreamStatus> {
+        let service = self.services.get(wanted.service);
+        let keys = service.map_or(&[][..], |service| &service.upstreams);
+        let upstreams = keys.iter().filter_map(|key| self.get(*key));
+        let mut status: Vec<UpstreamStatus> = upstreams
+            .map(|one| self.status_of(now, one, wanted))
+            .collect();
+        let is_out = |one: &UpstreamStatus| one.state == UpstreamState::Excluded;
+        status.sort_by(|a, b| {
+            let by_state = is_out(a).cmp(&is_out(b));
+            by_state.then(a.cost_ms.total_cmp(&b.cost_ms))
+        });
+        status
+    }
+
+    fn status_of(&self, now: Time, upstream: &Upstream, wanted: &Wanted<'_>) -> UpstreamStatus {
+        let state = if !self.is_usable(now, upstream, wanted) {
+            UpstreamState::Excluded
+        } else if upstream.record.is_unreachable(now) {
+            UpstreamState::Unreachable
+        } else if upstream.leaving_since.is_some() {
+            UpstreamState::Leaving
+        } else if upstream.cold_until > now {
+            UpstreamState::Cold
+        } else {
+            UpstreamState::Used
+        };
+        UpstreamStatus {
+            id: upstream.entry.id.clone(),
+            service: upstream.entry.service.clone(),
+            zone: upstream.entry.zone.clone(),
+            address: upstream.entry.address,
+            state,
+            in_flight: upstream.record.in_flight(),
+            cost_ms: self.cost_ms(now, 0, upstream).round(),
+        }
+    }
+}
--- a/src/direct/requests_log.rs
+++ b/src/direct/requests_log.rs
@@ -19,59 +19,75 @@
     pub(super) metrics: Rc<Metrics>,
 }
 
+/// What a line says of a request, or of a batch of one.
+struct Line<'l> {
+    message: &'static str,
+    /// The kind of request, for metrics.
+    kind: &'static str,
+    id: Option<&'l str>,
+    route: &'l str,
+    deadline_ms: Option<u64>,
+    ended: &'static str,
+    why: &'l str,
+    summary: &'l Summary,
+}
+
 impl RequestsLog {
     /// Writes how a request ended.
     pub(super) fn ended(&self, request: &CallerRequest, route: &Route, finished: &Finished) {
-        let summary = &finished.summary;
         let (ended, why) = named(&finished.ending);
         let kind = if route.is_gathered() {
             "search"
         } else {
             "single"
         };
-        self.metrics.request(kind, ended, summary.took_ms);
-        let extra = summary.hedges + summary.retries;
-        let first = u64::from(summary.sends.saturating_sub(extra));
-        self.metrics.sub_requests(first, u64::from(extra));
-        info!(
-            target: "request",
-            request = request.attempt_id.as_deref().unwrap_or_default(),
-            route = route.entry.name.as_str(),
-            version = summary.version,
-            deadline_ms = request.deadline_ms.unwrap_or_default(),
-            ended = ended,
-            why = why.as_str(),
-            parts = summary.parts,
-            answered = summary.answered,
-            shared = summary.shared,
-            sends = summary.sends,
-            hedges = summary.hedges,
-            retries = summary.retries,
-            denied = summary.denied,
-            unavailable = summary.unavailable,
-            failed_calls = failed_calls(&summary.failed_calls).as_str(),
-            took_ms = summary.took_ms;
-            "ended"
-        );
+        self.write(&Line {
+            message: "ended",
+            kind,
+            id: request.attempt_id.as_deref(),
+            route: &route.entry.name,
+            deadline_ms: request.deadline_ms,
+            ended,
+            why: &why,
+            summary: &finished.summary,
+        });
     }
 
     /// Writes how a batch went that was collected for another instance.
     pub(super) fn collected(&self, call: &BatchCall, summary: &Summary) {
+        // An empty batch belongs to no request.
         if call.batch.parts.is_empty() {
             return;
         }
-        self.metrics.request("batch", "collected", summary.took_ms);
+        self.write(&Line {
+            message: "collected",
+            kind: "batch",
+            id: call.attempt_id(),
+            route: &call.batch.route,
+            deadline_ms: Some(call.left_ms),
+            ended: "collected",
+            why: "",
+            summary,
+        });
+    }
+
+    fn write(&self, line: &Line<'_>) {
+        let summary = line.summary;
+        self.metrics.request(line.kind, line.ended, summary.took_ms);
         let extra = summary.hedges + summary.retries;
         let first = u64::from(summary.sends.saturating_sub(extra));
         self.metrics.sub_requests(first, u64::from(extra));
         info!(
             target: "request",
-            request = call.attempt_id().unwrap_or_default(),
-            route = call.batch.route.as_str(),
+            request = line.id.unwrap_or_default(),
+            route = line.route,
             version = summary.version,
-            left_ms = call.left_ms,
+            deadline_ms = line.deadline_ms.unwrap_or_default(),
+            ended = line.ended,
+            why = line.why,
             parts = summary.parts,
             answered = summary.answered,
+            shared = summary.shared,
             sends = summary.sends,
             hedges = summary.hedges,
             retries = summary.retries,
@@ -79,7 +95,7 @@
             unavailable = summary.unavailable,
             failed_calls = failed_calls(&summary.failed_calls).as_str(),
             took_ms = summary.took_ms;
-            "collected"
+            "{}", line.message
         );
     }
 
