Read the settings anew on SIGHUP where an instance dispatches directly

SIGHUP was logged and changed nothing. Bounds, sharing and the log level are taken over while requests go on; a line says what has changed and which fields need a restart; wrong settings are reported by file, line and field and change nothing. Test with real processes.

--- a/hemlockrouter-cli/src/bin/hemlockd/logging.rs
+++ b/hemlockrouter-cli/src/bin/hemlockd/logging.rs
@@ -26,16 +26,26 @@
 pub(crate) fn start(log: &Log) -> std::io::Result<LogWriter> {
     let writer = LogWriter::start()?;
     let mut builder = Builder::new();
-    builder.filter_level(level(log.level));
+    // The level is the limit for all modules, unless a filter names levels for some.
+    builder.filter_level(LevelFilter::Trace);
     if let Some(filter) = &log.filter {
+        builder.filter_level(level(log.level));
         builder.parse_filters(filter);
     }
     builder.target(Target::Pipe(Box::new(writer.clone())));
     builder.format(|out, record| writeln!(out, "{}", line(record)));
     builder.init();
+    set_level(log);
     Ok(writer)
 }
 
+/// Sets the least severe level that is logged. Where a filter goes before it, it stays as it is.
+pub(crate) fn set_level(log: &Log) {
+    if log.filter.is_none() {
+        log::set_max_level(level(log.level));
+    }
+}
+
 fn level(level: Level) -> LevelFilter {
     match level {
         Level::Error => LevelFilter::Error,
--- a/hemlockrouter-cli/src/bin/hemlockd/main.rs
+++ b/hemlockrouter-cli/src/bin/hemlockd/main.rs
@@ -51,7 +51,7 @@
     match read_settings(&path) {
         Ok(settings) if check_only => check(&path, &settings),
         Ok(AnySettings::Owners(settings)) => run_owners(settings),
-        Ok(AnySettings::Direct(settings)) => run_direct(settings),
+        Ok(AnySettings::Direct(settings)) => run_direct(&path, settings),
         Err(err) => fail(&err, EXIT_SETTINGS),
     }
 }
@@ -99,8 +99,8 @@
     code
 }
 
-/// Runs an instance that dispatches directly.
-fn run_direct(settings: Box<DirectSettings>) -> ExitCode {
+/// Runs an instance that dispatches directly, by the settings that were read from `path`.
+fn run_direct(path: &str, settings: Box<DirectSettings>) -> ExitCode {
     let log = match logging::start(&settings.log) {
         Ok(log) => log,
         Err(err) => return fail(&err.into(), EXIT_START),
@@ -108,7 +108,14 @@
     let protocol = match settings.protocol {
         ProtocolName::Corporation => Rc::new(Corporation),
     };
-    let code = match hemlockrouter::direct::run(*settings, protocol) {
+    let reload = || match read_settings(path)? {
+        AnySettings::Direct(settings) => {
+            logging::set_level(&settings.log);
+            Ok(*settings)
+        }
+        AnySettings::Owners(_) => eyre::bail!("{path}: dispatch can't be changed"),
+    };
+    let code = match hemlockrouter::direct::run(*settings, protocol, reload) {
         Ok(ended) => exit_code(ended),
         Err(err) => fail(&err, EXIT_START),
     };
--- a/hemlockrouter-cli/tests/direct/serving.rs
+++ b/hemlockrouter-cli/tests/direct/serving.rs
@@ -195,3 +195,39 @@
     let (refused, is_done) = hemlockctl(&world, 0, &["explain", HOST, "no path"]);
     assert!(!is_done && refused.contains("is not a path"), "{refused}");
 }
+
+#[test]
+fn changed_settings_are_taken_over_and_wrong_ones_change_nothing() {
+    let mut world = World::start(1);
+    let dir = world.dir.clone();
+    let cases = [
+        (
+            r#""repeat_ratio":0.2"#,
+            r#""repeat_ratio":0.3"#,
+            r#""changed":"bounds.repeat_ratio""#,
+        ),
+        (
+            r#""level":"info""#,
+            r#""level":"debug""#,
+            r#""changed":"bounds.repeat_ratio log.level""#,
+        ),
+        (
+            r#""name":"instance-0""#,
+            r#""name":"other""#,
+            r#""fields":"name""#,
+        ),
+        (
+            r#""repeat_ratio":0.2"#,
+            r#""repeat_ratio":-1"#,
+            "bounds.repeat_ratio: expected",
+        ),
+    ];
+    for (from, to, expected) in cases {
+        world.daemons[0].change_settings(&dir, |text| {
+            assert!(text.contains(from), "{text}");
+            *text = text.replace(from, to);
+        });
+        eventually(expected, || world.log(0).contains(expected));
+        assert_eq!(world.call(0, SEARCH, 1_000).status, Some(StatusCode::OK));
+    }
+}
--- a/hemlockrouter-cli/tests/direct/world.rs
+++ b/hemlockrouter-cli/tests/direct/world.rs
@@ -239,6 +239,18 @@
         })
     }
 
+    /// Writes its settings with a change, and has it read them.
+    pub(crate) fn change_settings<F>(&mut self, dir: &std::path::Path, change: F)
+    where
+        F: FnOnce(&mut String),
+    {
+        let mut text = self.settings().to_string();
+        change(&mut text);
+        let path = dir.join(format!("{}.jsonc", self.name));
+        fs::write(path, text).expect("the directory is writable");
+        self.signal("HUP");
+    }
+
     fn log(&self, dir: &std::path::Path) -> PathBuf {
         dir.join(format!("{}.log", self.name))
     }
--- a/hemlockrouter-config/src/direct.rs
+++ b/hemlockrouter-config/src/direct.rs
@@ -115,6 +115,21 @@
     pub log: Log,
 }
 
+/// The fields in which two settings differ.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ChangedFields {
+    /// Those that a running instance takes over.
+    pub live: Vec<&'static str>,
+    /// Those that need a restart.
+    pub fixed: Vec<&'static str>,
+}
+
+/// Returns the names of the fields that differ.
+fn names(fields: &[(&'static str, bool)]) -> Vec<&'static str> {
+    let differing = fields.iter().filter(|(_, differs)| *differs);
+    differing.map(|(name, _)| *name).collect()
+}
+
 impl Dispatch {
     /// Returns how the settings in `text` want to dispatch; `file` names them in errors.
     ///
@@ -183,6 +198,80 @@
         Ok(settings)
     }
 
+    /// Returns the fields in which `newer` differs: those that a running instance takes over, and those
+    /// that it can't.
+    pub fn changed(&self, newer: &DirectSettings) -> ChangedFields {
+        let live = [
+            ("bounds.drain_ms", self.drain_ms != newer.drain_ms),
+            ("bounds.shutdown_s", self.shutdown_ms != newer.shutdown_ms),
+            (
+                "bounds.repeat_ratio",
+                self.repeat_ratio != newer.repeat_ratio,
+            ),
+            (
+                "bounds.repeat_allowance",
+                self.repeat_allowance != newer.repeat_allowance,
+            ),
+            (
+                "bounds.cold_overage",
+                self.cold_overage != newer.cold_overage,
+            ),
+            ("bounds.cold_slack", self.cold_slack != newer.cold_slack),
+            (
+                "sharing.parts_min",
+                self.sharing_parts_min != newer.sharing_parts_min,
+            ),
+            (
+                "sharing.parts_each",
+                self.sharing_parts_each != newer.sharing_parts_each,
+            ),
+            ("log.level", self.log.level != newer.log.level),
+        ];
+        let fixed = [
+            ("protocol", self.protocol != newer.protocol),
+            ("name", self.name != newer.name),
+            ("zone", self.zone != newer.zone),
+            ("zones", self.zones != newer.zones),
+            (
+                "callers_listen",
+                self.callers_listen != newer.callers_listen,
+            ),
+            ("ready_listen", self.ready_listen != newer.ready_listen),
+            (
+                "metrics_listen",
+                self.metrics_listen != newer.metrics_listen,
+            ),
+            ("relay_listen", self.relay_listen != newer.relay_listen),
+            (
+                "registry_address",
+                self.registry_address != newer.registry_address,
+            ),
+            ("bounds.catch_up_ms", self.catch_up_ms != newer.catch_up_ms),
+            (
+                "bounds.repeat_window_s",
+                self.repeat_window_ms != newer.repeat_window_ms,
+            ),
+            ("log.filter", self.log.filter != newer.log.filter),
+        ];
+        ChangedFields {
+            live: names(&live),
+            fixed: names(&fixed),
+        }
+    }
+
+    /// Takes over the fields of `newer` that a running instance can take over.
+    pub fn take_over(&mut self, newer: &DirectSettings) {
+        self.drain_ms = newer.drain_ms;
+        self.shutdown_ms = newer.shutdown_ms;
+        self.repeat_ratio = newer.repeat_ratio;
+        self.repeat_allowance = newer.repeat_allowance;
+        self.cold_overage = newer.cold_overage;
+        self.cold_slack = newer.cold_slack;
+        self.sharing_parts_min = newer.sharing_parts_min;
+        self.sharing_parts_each = newer.sharing_parts_each;
+        self.log.level = newer.log.level;
+    }
+
     /// Checks what several fields say together.
     fn check(&self, table: &Table<'_, '_>) -> Result<(), Error> {
         if !self.zones.contains_key(&self.zone) {
--- a/hemlockrouter-config/src/lib.rs
+++ b/hemlockrouter-config/src/lib.rs
@@ -57,6 +57,7 @@
 use sha2::Sha256;
 
 pub use crate::base::Base;
+pub use crate::direct::ChangedFields;
 pub use crate::direct::DirectSettings;
 pub use crate::direct::Dispatch;
 pub use crate::direct::ProtocolName;
--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -131,6 +131,18 @@
         &self.config
     }
 
+    /// Takes over other settings. The name and the availability zone stay.
+    pub fn reconfigure(&mut self, config: Config) {
+        let config = Config {
+            name: self.config.name.clone(),
+            zone: self.config.zone.clone(),
+            zones: self.config.zones.clone(),
+            ..config
+        };
+        self.upstreams.reconfigure(config.clone());
+        self.config = config;
+    }
+
     /// Returns the routes in force.
     pub fn table(&self) -> &Rc<RouteTable> {
         &self.table
--- a/hemlockrouter-route/src/direct/upstreams.rs
+++ b/hemlockrouter-route/src/direct/upstreams.rs
@@ -135,6 +135,10 @@
         }
     }
 
+    pub(super) fn reconfigure(&mut self, config: Config) {
+        self.config = config;
+    }
+
     /// Returns the key of a service, which stays the same as long as the process runs.
     pub fn service(&mut self, name: &str) -> ServiceKey {
         if let Some(key) = self.by_name.get(name) {
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -13,6 +13,7 @@
 use hemlockrouter_route::direct::Sharing;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::InstanceEntry;
+use log::error;
 use log::info;
 use log::warn;
 use tokio::net::TcpListener;
@@ -50,20 +51,34 @@
 /// it and for requests that are on their way.
 const LINGER_PART: f64 = 0.4;
 
-/// Runs an instance until a signal ends it.
+/// Runs an instance until a signal ends it. `reload` reads its settings anew, on SIGHUP.
 ///
 /// # Errors
 ///
 /// Returns which port can't be bound.
-pub fn run(settings: DirectSettings, protocol: Rc<dyn Protocol>) -> eyre::Result<Ended> {
+pub fn run<R>(
+    settings: DirectSettings,
+    protocol: Rc<dyn Protocol>,
+    reload: R,
+) -> eyre::Result<Ended>
+where
+    R: Fn() -> eyre::Result<DirectSettings>,
+{
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .wrap_err("can't start the event loop")?;
-    LocalSet::new().block_on(&runtime, serve(settings, protocol))
+    LocalSet::new().block_on(&runtime, serve(settings, protocol, reload))
 }
 
-async fn serve(settings: DirectSettings, protocol: Rc<dyn Protocol>) -> eyre::Result<Ended> {
+async fn serve<R>(
+    mut settings: DirectSettings,
+    protocol: Rc<dyn Protocol>,
+    reload: R,
+) -> eyre::Result<Ended>
+where
+    R: Fn() -> eyre::Result<DirectSettings>,
+{
     let clock = Clock::new();
     let (phase, phase_rx) = watch::channel(Phase::Serving);
     let callers_listener = bind("callers_listen", settings.callers_listen).await?;
@@ -129,7 +144,12 @@
         callers = settings.callers_listen.to_string();
         "started"
     );
-    wait_for_stop().await?;
+    wait_for_stop(|| {
+        if reread(&mut settings, &reload) {
+            node.reconfigure(config(&settings));
+        }
+    })
+    .await?;
     info!(target: "process", open = callers.open.get(); "shutting down");
     phase.send_replace(Phase::Draining);
     tokio::task::spawn_local(async move { member.leave().await });
@@ -181,8 +201,34 @@
     }
 }
 
-/// Waits for a signal that ends the process.
-async fn wait_for_stop() -> eyre::Result<()> {
+/// Reads the settings anew, and returns whether there is anything to take over. Settings that are wrong
+/// change nothing.
+fn reread<R>(settings: &mut DirectSettings, reload: R) -> bool
+where
+    R: Fn() -> eyre::Result<DirectSettings>,
+{
+    let newer = match reload() {
+        Ok(newer) => newer,
+        Err(err) => {
+            error!(target: "process", why = format!("{err:#}"); "settings not reloaded");
+            return false;
+        }
+    };
+    let changed = settings.changed(&newer);
+    info!(target: "process", changed = changed.live.join(" "); "settings reloaded");
+    if !changed.fixed.is_empty() {
+        let fixed = changed.fixed.join(" ");
+        warn!(target: "process", fields = fixed; "changed settings need a restart");
+    }
+    settings.take_over(&newer);
+    !changed.live.is_empty()
+}
+
+/// Waits for a signal that ends the process, and calls `reload` at each SIGHUP.
+async fn wait_for_stop<F>(mut reload: F) -> eyre::Result<()>
+where
+    F: FnMut(),
+{
     let mut terminate = signal(SignalKind::terminate()).wrap_err("can't wait for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for SIGINT")?;
     let mut hangup = signal(SignalKind::hangup()).wrap_err("can't wait for SIGHUP")?;
@@ -190,9 +236,7 @@
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => {
-                info!(target: "process", "SIGHUP: settings are read at the start only");
-            }
+            _ = hangup.recv() => reload(),
         }
     }
 }
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -215,6 +215,12 @@
         self.shared.instances.borrow().reading(now, me)
     }
 
+    /// Takes over other settings.
+    pub(super) fn reconfigure(&self, config: Config) {
+        call!([self.decider], reconfigure(config));
+        self.run();
+    }
+
     /// Returns what is known, for operators.
     pub(super) fn status(&self) -> Option<Status> {
         query!([self.decider, &mut *self.stakker.borrow_mut()], status())
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -12,6 +12,7 @@
 use hemlockrouter_route::direct::CallId;
 use hemlockrouter_route::direct::Collected;
 use hemlockrouter_route::direct::Command;
+use hemlockrouter_route::direct::Config;
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::Explained;
 use hemlockrouter_route::direct::Registered;
@@ -124,6 +125,10 @@
         self.set_timer();
     }
 
+    pub(super) fn reconfigure(&mut self, _: CX![], config: Config) {
+        self.dispatcher.reconfigure(config);
+    }
+
     pub(super) fn status(&mut self, _: CX![]) -> Status {
         self.dispatcher.status(self.shared.clock.now())
     }
