Give idle parts of the bound on repeats to the instances that collect

Cause: each instance has an equal part of the allowance for repeats, but shared searches are sent by few. Ruled out: parts by role, named by a rank over the list of instances (two in a role while their views differ could pass the bound). Change: an entry instance books a piece of what it has left as spent, half a repeat at most for each part, and sends it along; one repeat is kept for what it may have to send itself. The sum stays what it was. Tests: what is given and kept, and that it may be spent.

--- a/hemlockrouter-route/src/direct/budget.rs
+++ b/hemlockrouter-route/src/direct/budget.rs
@@ -4,6 +4,9 @@
 //! a ratio of the service's requests and a fixed allowance. No instance sees the sum. Each keeps to
 //! the ratio of its own requests, which adds up by itself, and to an equal part of the allowance. An
 //! instance that restarts forgets what it has spent, so only a part of both is handed out.
+//!
+//! Where another instance sends the requests of a service, this one's part of the allowance would lie
+//! idle. It is given away with the requests, in small pieces, but for one repeat that is kept.
 
 use std::collections::VecDeque;
 
@@ -27,22 +30,30 @@
 /// out of the rest.
 const ALLOWANCE_PART: f64 = 0.5;
 
+/// Repeats that an instance keeps when it gives some away, in thousandths of one.
+const KEPT_PERMILLE: i64 = 1_000;
+
+/// The most that is given away with one request, in thousandths of a repeat.
+const GIVEN_MAX_PERMILLE: i64 = 500;
+
 /// How many slices a window is counted in.
 const SLICES: u64 = 20;
 
-/// The requests and repeats of one service in the last window.
+/// The requests and repeats of one service in the last window. Repeats are counted in thousandths.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Spending {
     slices: VecDeque<Slice>,
     requests: u64,
-    repeats: u64,
+    spent_permille: u64,
+    got_permille: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Slice {
     number: u64,
     requests: u64,
-    repeats: u64,
+    spent_permille: u64,
+    got_permille: u64,
 }
 
 impl Spending {
@@ -54,8 +65,26 @@
 
     /// Counts a repeat that was sent to the service.
     pub(super) fn repeat(&mut self, now: Time, bound: &RepeatBound) {
-        self.slice(now, bound).repeats += 1;
-        self.repeats += 1;
+        self.spend(now, bound, 1_000);
+    }
+
+    /// Counts what another instance has given.
+    pub(super) fn get(&mut self, now: Time, bound: &RepeatBound, permille: u32) {
+        self.slice(now, bound).got_permille += u64::from(permille);
+        self.got_permille += u64::from(permille);
+    }
+
+    /// Gives a piece away, and returns how much, in thousandths of a repeat.
+    pub(super) fn give(&mut self, now: Time, bound: &RepeatBound, sharing: Option<u32>) -> u32 {
+        let left_permille = (self.left(now, bound, sharing) * 1_000.0) as i64;
+        let given = (left_permille - KEPT_PERMILLE).clamp(0, GIVEN_MAX_PERMILLE) as u32;
+        self.spend(now, bound, u64::from(given));
+        given
+    }
+
+    fn spend(&mut self, now: Time, bound: &RepeatBound, permille: u64) {
+        self.slice(now, bound).spent_permille += permille;
+        self.spent_permille += permille;
     }
 
     /// Returns how many repeats may still be sent now. `sharing` instances split the allowance; if
@@ -64,7 +93,9 @@
         self.slice(now, bound);
         let part = |instances| bound.allowance * ALLOWANCE_PART / f64::from(instances);
         let own = sharing.map_or(0.0, part);
-        bound.ratio * RATIO_PART * self.requests as f64 + own - self.repeats as f64
+        let got = self.got_permille as f64 / 1_000.0;
+        let spent = self.spent_permille as f64 / 1_000.0;
+        bound.ratio * RATIO_PART * self.requests as f64 + own + got - spent
     }
 
     /// Returns the current slice after dropping those that have left the window.
@@ -76,14 +107,16 @@
                 break;
             }
             self.requests -= first.requests;
-            self.repeats -= first.repeats;
+            self.spent_permille -= first.spent_permille;
+            self.got_permille -= first.got_permille;
             self.slices.pop_front();
         }
         if self.slices.back().is_none_or(|last| last.number != number) {
             self.slices.push_back(Slice {
                 number,
                 requests: 0,
-                repeats: 0,
+                spent_permille: 0,
+                got_permille: 0,
             });
         }
         self.slices.back_mut().expect("a slice was just pushed")
--- a/hemlockrouter-route/src/direct/dispatcher/collect.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/collect.rs
@@ -33,7 +33,7 @@
         deadline_ms: u64,
         out: &mut Vec<Command>,
     ) {
-        let parts = batch.parts.iter().map(|part| self.part(part));
+        let parts = batch.parts.iter().map(|part| self.part(now, part));
         let parts: Vec<Part> = parts.collect();
         let route = Rc::new(batch_route(batch, &parts, deadline_ms));
         let answer_to = AnswerTo::Peer { late: false };
@@ -59,8 +59,10 @@
     }
 
     /// Returns a part of a batch. Upstreams that are not known here are left out.
-    fn part(&mut self, wanted: &BatchPart) -> Part {
+    fn part(&mut self, now: Time, wanted: &BatchPart) -> Part {
         let mut part = Part::new(self.upstreams.service(&wanted.service));
+        let spending = &mut self.upstreams.service_mut(part.service).spending;
+        spending.get(now, &self.config.repeats, wanted.repeats_permille);
         if !wanted.upstreams.is_empty() {
             let ids = wanted.upstreams.iter();
             let known = ids.filter_map(|id| self.upstreams.key(id));
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -75,7 +75,8 @@
             part.allowed = self.pick(now, part, route);
             part.shared = Some(call);
             part.sends = 1;
-            parts.push(self.batch_part(part));
+            let given = self.give(now, part.service);
+            parts.push(self.batch_part(part, given));
         }
         request.summary.shared += places.len();
         let batch = Batch {
@@ -136,12 +137,20 @@
         Some(picked)
     }
 
-    fn batch_part(&self, part: &Part) -> BatchPart {
+    /// Gives a piece of this instance's part of the bound on repeats away.
+    fn give(&mut self, now: Time, service: ServiceKey) -> u32 {
+        let sharing = self.upstreams.instances().sharing(now);
+        let spending = &mut self.upstreams.service_mut(service).spending;
+        spending.give(now, &self.config.repeats, sharing)
+    }
+
+    fn batch_part(&self, part: &Part, repeats_permille: u32) -> BatchPart {
         let keys = part.allowed.iter().flatten();
         let known = keys.filter_map(|key| self.upstreams.get(*key));
         BatchPart {
             service: String::from(self.upstreams.name(part.service)),
             upstreams: known.map(|upstream| upstream.entry.id.clone()).collect(),
+            repeats_permille,
         }
     }
 
--- a/hemlockrouter-route/tests/direct/sharing.rs
+++ b/hemlockrouter-route/tests/direct/sharing.rs
@@ -17,6 +17,7 @@
 
 use crate::fixture::failure;
 use crate::fixture::instance;
+use crate::fixture::rejected;
 use crate::fixture::routes;
 use crate::fixture::shards;
 use crate::fixture::success;
@@ -387,8 +388,59 @@
     );
 }
 
+/// The part of the bound on repeats that one of three instances has: half of the allowance is split.
+const PART_PERMILLE: u32 = 40_000 / 2 / 3;
+
+/// What the one request earns that was sent from here: 0.85 of the ratio of 0.2.
+const EARNED_PERMILLE: u32 = 170;
+
+/// Load pattern: upstreams of many shards fail at once, and the instances that collect need more
+/// repeats than their own part, while those of the others lie idle.
+#[test]
+fn repeats_that_are_not_needed_here_are_given_away_but_for_one() {
+    let mut fixture = sharing();
+    acquaint(&mut fixture);
+    let mut given = 0;
+    for _ in 0..60 {
+        fixture.start(SEARCH);
+        let calls = shared(&mut fixture);
+        given += calls[0].batch.parts[0].repeats_permille;
+        for call in calls {
+            collect(&mut fixture, &call);
+        }
+        for (call, _) in fixture.sent() {
+            fixture.end(call, success("stamp", b""));
+        }
+        fixture.wait(100);
+        // It is asked anew when it was not used for long.
+        shared(&mut fixture);
+    }
+    let left = PART_PERMILLE + EARNED_PERMILLE - given;
+    assert!((1_000..1_500).contains(&left), "{left} is kept");
+}
+
+#[test]
+fn repeats_that_are_given_may_be_sent() {
+    for (permille, repeats) in [(0, 0), (1_000, 2)] {
+        let mut fixture = Fixture::new();
+        // A list that has just grown gives no part of its own.
+        let instances = fixture.dispatcher.upstreams_mut().instances_mut();
+        instances.joined(START, instance("new", "north-a"));
+        start_batch_with(&mut fixture, &[], permille);
+        for (call, _) in fixture.sent() {
+            fixture.end(call, rejected());
+        }
+        assert_eq!(fixture.sent().len(), repeats, "{permille} given");
+    }
+}
+
 /// Starts a batch of two parts for another instance.
 fn start_batch(fixture: &mut Fixture, ids: &[&str]) -> RequestId {
+    start_batch_with(fixture, ids, 0)
+}
+
+/// As [`start_batch`], with so many thousandths of a repeat given for each part.
+fn start_batch_with(fixture: &mut Fixture, ids: &[&str], repeats_permille: u32) -> RequestId {
     let services = shards().into_iter().take(2);
     let upstreams: Vec<String> = ids.iter().map(|id| String::from(*id)).collect();
     let batch = Batch {
@@ -400,6 +452,7 @@
             .map(|service| BatchPart {
                 service,
                 upstreams: upstreams.clone(),
+                repeats_permille,
             })
             .collect(),
     };
--- a/hemlockrouter-types/src/routing.rs
+++ b/hemlockrouter-types/src/routing.rs
@@ -148,6 +148,8 @@
     /// The ids of the upstreams that may be asked, so that both instances together ask no others;
     /// empty for all.
     pub upstreams: Vec<String>,
+    /// What the other instance gives of its own part of the bound on repeats, in thousandths of one.
+    pub repeats_permille: u32,
 }
 
 /// What one instance of the tier says of itself to the others.
