Always name the upstreams that a collecting instance may ask

Cause: where a shard has no more upstreams than the route allows, none were named, so that an instance that is cut off from the registry could ask one that the entry instance knows to be out of service.

--- a/hemlockrouter-route/src/direct/dispatcher/collect.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/collect.rs
@@ -63,11 +63,9 @@
         let mut part = Part::new(self.upstreams.service(&wanted.service));
         let spending = &mut self.upstreams.service_mut(part.service).spending;
         spending.get(now, &self.config.repeats, wanted.repeats_permille);
-        if !wanted.upstreams.is_empty() {
-            let ids = wanted.upstreams.iter();
-            let known = ids.filter_map(|id| self.upstreams.key(id));
-            part.allowed = Some(known.collect());
-        }
+        let ids = wanted.upstreams.iter();
+        let known = ids.filter_map(|id| self.upstreams.key(id));
+        part.allowed = Some(known.collect());
         part
     }
 
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -1,7 +1,8 @@
-//! What other instances of the availability zone collect of a search.
+//! What other instances collect of a search.
 //!
 //! Both instances together must not ask more upstreams than the route allows, so this one names those
 //! that may be asked: if the other one is silent, its parts are sent from here to the same upstreams.
+//! An instance that is cut off from the registry so asks none that this one knows to be out of service.
 
 use std::net::SocketAddr;
 
@@ -69,16 +70,25 @@
     ) {
         let route = &request.route;
         let mut parts = Vec::with_capacity(places.len());
+        let mut shared = Vec::with_capacity(places.len());
         let call = CallId(self.last_call + 1);
-        for place in &places {
-            let part = &mut request.parts[*place];
-            part.allowed = self.pick(now, part, route);
+        for place in places {
+            let part = &mut request.parts[place];
+            let picked = self.pick(now, part, route);
+            if picked.is_empty() {
+                continue;
+            }
+            shared.push(place);
+            part.allowed = Some(picked);
             part.shared = Some(call);
             part.sends = 1;
             let given = self.give(now, part.service);
             parts.push(self.batch_part(part, given));
         }
-        request.summary.shared += places.len();
+        if shared.is_empty() {
+            return;
+        }
+        request.summary.shared += shared.len();
         let batch = Batch {
             route: route.entry.name.clone(),
             version: route.version,
@@ -89,7 +99,7 @@
         let share = Share {
             request: Some(id),
             peer,
-            parts: places,
+            parts: shared,
             has_reported: false,
         };
         let sent = self.send_share(share, batch, request.deadline, out);
@@ -116,12 +126,9 @@
         call
     }
 
-    /// Picks the upstreams that a part may be sent to, if the route allows fewer than there are.
-    fn pick(&mut self, now: Time, part: &Part, route: &Route) -> Option<Vec<UpstreamKey>> {
+    /// Picks the upstreams that a part may be sent to, as many as the route allows.
+    fn pick(&mut self, now: Time, part: &Part, route: &Route) -> Vec<UpstreamKey> {
         let attempts_max = route.entry.attempts_max as usize;
-        if self.upstreams.service_mut(part.service).upstreams.len() <= attempts_max {
-            return None;
-        }
         let mut picked = Vec::with_capacity(attempts_max);
         while picked.len() < attempts_max {
             let wanted = Wanted {
@@ -134,7 +141,7 @@
                 None => break,
             }
         }
-        Some(picked)
+        picked
     }
 
     /// Gives a piece of this instance's part of the bound on repeats away.
--- a/hemlockrouter-route/tests/direct/sharing.rs
+++ b/hemlockrouter-route/tests/direct/sharing.rs
@@ -434,7 +434,8 @@
     }
 }
 
-/// Starts a batch of two parts for another instance.
+/// Starts a batch of two parts for another instance, which names the upstreams `ids`, or all of each
+/// service.
 fn start_batch(fixture: &mut Fixture, ids: &[&str]) -> RequestId {
     start_batch_with(fixture, ids, 0)
 }
@@ -442,7 +443,12 @@
 /// As [`start_batch`], with so many thousandths of a repeat given for each part.
 fn start_batch_with(fixture: &mut Fixture, ids: &[&str], repeats_permille: u32) -> RequestId {
     let services = shards().into_iter().take(2);
-    let upstreams: Vec<String> = ids.iter().map(|id| String::from(*id)).collect();
+    let named = |service: &str| match ids {
+        [] => ["north-a", "south-b"]
+            .map(|zone| upstream(service, zone).id)
+            .to_vec(),
+        ids => ids.iter().map(|id| String::from(*id)).collect(),
+    };
     let batch = Batch {
         route: String::from("search"),
         version: 1,
@@ -450,8 +456,8 @@
         target_latency_ms: 150,
         parts: services
             .map(|service| BatchPart {
+                upstreams: named(&service),
                 service,
-                upstreams: upstreams.clone(),
                 repeats_permille,
             })
             .collect(),
--- a/hemlockrouter-types/src/routing.rs
+++ b/hemlockrouter-types/src/routing.rs
@@ -145,8 +145,7 @@
 pub struct BatchPart {
     /// The service.
     pub service: String,
-    /// The ids of the upstreams that may be asked, so that both instances together ask no others;
-    /// empty for all.
+    /// The ids of the upstreams that may be asked, so that both instances together ask no others.
     pub upstreams: Vec<String>,
     /// What the other instance gives of its own part of the bound on repeats, in thousandths of one.
     pub repeats_permille: u32,
