One pool of kept connections for calls to upstreams and to instances

Calls to upstreams and batches to instances each kept idle connections and each had the loop that tries a kept connection and then a new one. The two differed in how long a connection may be idle and in the limit of connecting, which are settings of a target now; Pool holds the loop once. Connection::open takes the limit of connecting, which its three callers put around it.

Behaviour is the same. The debug line of a connection that can't be opened names the address instead of the upstream's id.

--- a/src/direct/batches.rs
+++ b/src/direct/batches.rs
@@ -1,8 +1,7 @@
 //! Calls to other instances that collect a part of a search.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Buf;
 use bytes::Bytes;
@@ -20,8 +19,9 @@
 use hyper::body::Incoming;
 
 use super::connection::within_ms;
-use super::connection::Connection;
 use super::connection::NoAnswer;
+use super::pool::Pool;
+use super::pool::Target;
 
 /// Where instances take batches.
 pub(super) const PATH: &str = "/batch";
@@ -41,19 +41,19 @@
 /// Calls instances, and keeps connections to them.
 pub(super) struct Batches {
     clock: Clock,
-    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    pool: Pool<SocketAddr>,
 }
 
 impl Batches {
     pub(super) fn new(clock: Clock) -> Batches {
         Batches {
             clock,
-            idle: RefCell::default(),
+            pool: Pool::new(),
         }
     }
 
-    /// Has `peer` collect a batch, and passes on what it has collected as it comes. Dropping the future breaks
-    /// the call off.
+    /// Has `peer` collect a batch, and passes on what it has collected as it comes. Dropping the future
+    /// breaks the call off.
     pub(super) async fn collect<F>(
         &self,
         peer: SocketAddr,
@@ -72,10 +72,7 @@
 
     /// Closes connections that the other end has closed.
     pub(super) fn tidy(&self) {
-        self.idle.borrow_mut().retain(|_, idle| {
-            idle.retain(Connection::is_open);
-            !idle.is_empty()
-        });
+        self.pool.tidy(|_| true);
     }
 
     async fn try_collect<F>(
@@ -94,9 +91,17 @@
                 return BatchEnd::NotTaken;
             }
         };
-        let (mut connection, answer) = match self.send(peer, body).await {
+        let target = Target {
+            key: peer,
+            address: peer,
+            connect_ms: CONNECT_MS,
+            idle_max: Duration::MAX,
+        };
+        let sent = self.pool.send(&target, || write(body.clone())).await;
+        let (mut connection, answer) = match sent {
             Ok(sent) => sent,
-            Err(end) => return end,
+            Err(NoAnswer::NotSent) => return BatchEnd::NotTaken,
+            Err(NoAnswer::Lost(_)) => return BatchEnd::Lost,
         };
         if answer.status() != StatusCode::OK {
             return BatchEnd::NotTaken;
@@ -104,7 +109,7 @@
         match read_frames(answer.into_body(), &mut on_collected).await {
             Ok(()) => {
                 if connection.is_ready().await {
-                    self.keep(peer, connection);
+                    self.pool.keep(peer, connection, Duration::MAX, KEPT_MAX);
                 }
                 BatchEnd::Done
             }
@@ -114,56 +119,6 @@
             }
         }
     }
-
-    async fn send(
-        &self,
-        peer: SocketAddr,
-        body: Bytes,
-    ) -> Result<(Connection, http::Response<Incoming>), BatchEnd> {
-        loop {
-            let kept = self.take_idle(peer);
-            let is_new = kept.is_none();
-            let mut connection = match kept {
-                Some(connection) => connection,
-                None => connect(peer).await.ok_or(BatchEnd::NotTaken)?,
-            };
-            match connection.send(write(body.clone())).await {
-                Ok(answer) => return Ok((connection, answer)),
-                Err(NoAnswer::NotSent) if !is_new => {}
-                Err(NoAnswer::NotSent) => return Err(BatchEnd::NotTaken),
-                Err(NoAnswer::Lost(_)) => return Err(BatchEnd::Lost),
-            }
-        }
-    }
-
-    fn take_idle(&self, peer: SocketAddr) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        let kept = idle.get_mut(&peer)?;
-        while let Some(connection) = kept.pop() {
-            if connection.is_open() {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    fn keep(&self, peer: SocketAddr, connection: Connection) {
-        let mut idle = self.idle.borrow_mut();
-        let kept = idle.entry(peer).or_default();
-        if kept.len() < KEPT_MAX {
-            kept.push(connection);
-        }
-    }
-}
-
-async fn connect(peer: SocketAddr) -> Option<Connection> {
-    match within_ms(CONNECT_MS, Connection::open(peer, false)).await? {
-        Ok(connection) => Some(connection),
-        Err(err) => {
-            log::debug!(peer = peer.to_string(), why = err.to_string(); "can't connect");
-            None
-        }
-    }
 }
 
 fn write(body: Bytes) -> Request<Full<Bytes>> {
--- a/src/direct/calls.rs
+++ b/src/direct/calls.rs
@@ -4,12 +4,9 @@
 //! they accept from all instances together and a new one costs them time. A connection that may have
 //! been closed meanwhile is only used where the request may be sent once more.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use hemlockrouter_edge::CallerRequest;
@@ -22,9 +19,12 @@
 use http::Request;
 use http_body_util::Full;
 
+use super::connection::read_whole;
 use super::connection::within_ms;
 use super::connection::Connection;
 use super::connection::NoAnswer;
+use super::pool::Pool;
+use super::pool::Target;
 
 /// How long connecting to an upstream may take, in milliseconds. The way there and back takes a tenth
 /// of this; a first packet that is lost is sent again only after a second.
@@ -52,18 +52,11 @@
     pub(super) keep_max: usize,
 }
 
-/// A connection that waits for its next call.
-struct Idle {
-    connection: Connection,
-    since: Instant,
-    max: Duration,
-}
-
 /// Calls upstreams and keeps connections to them.
 pub(super) struct Calls {
     clock: Clock,
     protocol: Rc<dyn Protocol>,
-    idle: RefCell<HashMap<UpstreamKey, Vec<Idle>>>,
+    pool: Pool<UpstreamKey>,
 }
 
 impl Calls {
@@ -71,7 +64,7 @@
         Calls {
             clock,
             protocol,
-            idle: RefCell::new(HashMap::new()),
+            pool: Pool::new(),
         }
     }
 
@@ -88,34 +81,39 @@
     where
         F: Fn(UpstreamKey) -> bool,
     {
-        self.idle.borrow_mut().retain(|key, idle| {
-            idle.retain(Idle::is_usable);
-            !idle.is_empty() && is_known(*key)
-        });
+        self.pool.tidy(is_known);
     }
 
     async fn try_call(&self, call: &Call) -> CallEnd {
-        let mut kept = self.take_idle(call);
-        loop {
-            let (mut connection, is_new) = match kept.take() {
-                Some(connection) => (connection, false),
-                None => match self.connect(call).await {
-                    Some(connection) => (connection, true),
-                    None => return CallEnd::NotSent,
-                },
-            };
-            match connection.call(self.write(call)).await {
-                Ok((head, body)) => return self.read(call, connection, head, body),
-                Err(NoAnswer::NotSent) if is_new => return CallEnd::NotSent,
-                Err(NoAnswer::NotSent) => kept = self.take_idle(call),
-                Err(NoAnswer::Lost(why)) => {
-                    log::debug!(upstream = call.upstream_id.as_str(), why = why.as_str(); "call lost");
-                    return CallEnd::Lost;
-                }
+        let target = Target {
+            key: call.upstream,
+            address: call.address,
+            connect_ms: call.deadline.left(self.clock.now()).min(CONNECT_MS),
+            idle_max: match call.idempotent {
+                true => Duration::MAX,
+                false => ONCE_IDLE_MAX,
+            },
+        };
+        match self.send_and_read(call, &target).await {
+            Ok((connection, head, body)) => self.read(call, connection, head, body),
+            Err(NoAnswer::NotSent) => CallEnd::NotSent,
+            Err(NoAnswer::Lost(why)) => {
+                log::debug!(upstream = call.upstream_id.as_str(), why = why.as_str(); "call lost");
+                CallEnd::Lost
             }
         }
     }
 
+    async fn send_and_read(
+        &self,
+        call: &Call,
+        target: &Target<UpstreamKey>,
+    ) -> Result<(Connection, response::Parts, Bytes), NoAnswer> {
+        let (connection, answer) = self.pool.send(target, || self.write(call)).await?;
+        let (head, body) = read_whole(answer).await?;
+        Ok((connection, head, body))
+    }
+
     fn write(&self, call: &Call) -> Request<Full<Bytes>> {
         let left_ms = call.deadline.left(self.clock.now());
         let body = call.body.clone();
@@ -136,51 +134,11 @@
             return CallEnd::Lost;
         };
         if let Some(max) = kept_for {
-            self.keep(call, connection, max);
+            self.pool
+                .keep(call.upstream, connection, max, call.keep_max);
         }
         CallEnd::Answered(reply)
     }
-
-    async fn connect(&self, call: &Call) -> Option<Connection> {
-        let left_ms = call.deadline.left(self.clock.now()).min(CONNECT_MS);
-        match within_ms(left_ms, Connection::open(call.address, false)).await? {
-            Ok(connection) => Some(connection),
-            Err(err) => {
-                log::debug!(upstream = call.upstream_id.as_str(), why = err.to_string(); "can't connect");
-                None
-            }
-        }
-    }
-
-    fn take_idle(&self, call: &Call) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        let kept = idle.get_mut(&call.upstream)?;
-        while let Some(idle) = kept.pop() {
-            let is_fresh = call.idempotent || idle.since.elapsed() <= ONCE_IDLE_MAX;
-            if idle.is_usable() && is_fresh {
-                return Some(idle.connection);
-            }
-        }
-        None
-    }
-
-    fn keep(&self, call: &Call, connection: Connection, max: Duration) {
-        let mut idle = self.idle.borrow_mut();
-        let kept = idle.entry(call.upstream).or_default();
-        if kept.len() < call.keep_max {
-            kept.push(Idle {
-                connection,
-                since: Instant::now(),
-                max,
-            });
-        }
-    }
-}
-
-impl Idle {
-    fn is_usable(&self) -> bool {
-        self.connection.is_open() && self.since.elapsed() < self.max
-    }
 }
 
 /// Returns how long a connection may be kept after an answer, if it may be kept at all.
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -54,13 +54,23 @@
 }
 
 impl Connection {
-    /// Connects to `address`. A connection that is `watched` notices by probes when the other end is
-    /// gone; it is for calls that wait long.
+    /// Connects to `address` within `limit_ms` milliseconds. A connection that is `watched` notices by
+    /// probes when the other end is gone; it is for calls that wait long.
     ///
     /// # Errors
     ///
     /// Returns why there is no connection.
-    pub(super) async fn open(address: SocketAddr, watched: bool) -> std::io::Result<Connection> {
+    pub(super) async fn open(
+        address: SocketAddr,
+        limit_ms: u64,
+        watched: bool,
+    ) -> Result<Connection, String> {
+        let opened = within_ms(limit_ms, Connection::try_open(address, watched)).await;
+        let opened = opened.ok_or_else(|| String::from("no connection in time"))?;
+        opened.map_err(|err| err.to_string())
+    }
+
+    async fn try_open(address: SocketAddr, watched: bool) -> std::io::Result<Connection> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         if watched {
@@ -120,13 +130,24 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<(response::Parts, Bytes), NoAnswer> {
-        let (head, body) = self.send(request).await?.into_parts();
-        let body = Limited::new(body, BODY_MAX_BYTES).collect().await;
-        let body = body.map_err(|err| NoAnswer::Lost(err.to_string()))?;
-        Ok((head, body.to_bytes()))
+        read_whole(self.send(request).await?).await
     }
 }
 
+/// Reads the whole body of an answer.
+///
+/// # Errors
+///
+/// Returns that the answer is lost.
+pub(super) async fn read_whole(
+    answer: Response<Incoming>,
+) -> Result<(response::Parts, Bytes), NoAnswer> {
+    let (head, body) = answer.into_parts();
+    let body = Limited::new(body, BODY_MAX_BYTES).collect().await;
+    let body = body.map_err(|err| NoAnswer::Lost(err.to_string()))?;
+    Ok((head, body.to_bytes()))
+}
+
 /// Waits for `work`, but no longer than `ms` milliseconds.
 pub(super) async fn within_ms<F>(ms: u64, work: F) -> Option<F::Output>
 where
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -11,6 +11,7 @@
 //! - `listener`: accepts connections on all ports.
 //! - `callers`: the port for callers.
 //! - `calls`: calls to upstreams.
+//! - `pool`: connections that wait for their next call.
 //! - `connection`: one client connection, used for upstreams and the registry.
 //! - `follower`: keeps up with the registry.
 //! - `registry`: calls to the registry.
@@ -34,6 +35,7 @@
 mod mirror;
 mod node;
 mod operators;
+mod pool;
 mod registry;
 mod relay;
 mod requests_log;
--- a/src/direct/registry.rs
+++ b/src/direct/registry.rs
@@ -76,9 +76,7 @@
         let host = host.map_err(|err| err.to_string())?;
         request.headers_mut().insert(header::HOST, host);
         if !self.connection.as_ref().is_some_and(Connection::is_open) {
-            let opened = within_ms(CONNECT_MS, Connection::open(self.address, true)).await;
-            let opened = opened.ok_or_else(|| String::from("no connection in time"))?;
-            self.connection = Some(opened.map_err(|err| err.to_string())?);
+            self.connection = Some(Connection::open(self.address, CONNECT_MS, true).await?);
         }
         let connection = self.connection.as_mut().expect("it was just opened");
         match connection.call(request).await {
