Direct instances: logic that stood twice, and a copy of the list of instances

- Started, which Node::start and Node::start_batch return, tells the node when a caller leaves.
The port for callers and the answer to a batch each had such a guard, and both ways to start made a Waiting and its id; one method does that now.
- Shared held a copy of the list of instances, cloned at each change of the registry, for one reader.
The reader asks the actor, as for the status.
- hand_out predicted the id of the next call; next_call gives it.
A batch of which no part has an upstream uses up an id now, which nothing depends on.
- Which services a route shares was decided in one place and looked up again in two.
- Two places added a failed call to the summary, each with the bound; Summary::note has it.

--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -187,6 +187,11 @@
         self.begin(now, id, request, out);
     }
 
+    fn next_call(&mut self) -> CallId {
+        self.last_call += 1;
+        CallId(self.last_call)
+    }
+
     fn begin(&mut self, now: Time, id: RequestId, mut request: Request, out: &mut Vec<Command>) {
         let is_batch = request.answer_to != AnswerTo::Caller;
         if is_batch || self.can_be_served(now, &mut request) {
--- a/hemlockrouter-route/src/direct/dispatcher/finish.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/finish.rs
@@ -11,7 +11,6 @@
 use crate::direct::event::RequestId;
 use crate::direct::event::Summary;
 use crate::direct::event::Why;
-use crate::direct::event::FAILED_CALLS_MAX;
 use crate::direct::merge::merge;
 use crate::direct::record::Seen;
 use crate::direct::request::AnswerTo;
@@ -173,10 +172,7 @@
         how: CallFault,
     ) {
         let upstream = self.upstreams.get(call.upstream);
-        if summary.failed_calls.len() >= FAILED_CALLS_MAX {
-            return;
-        }
-        summary.failed_calls.push(FailedCall {
+        summary.note(|| FailedCall {
             service: String::from(self.upstreams.name(service)),
             upstream: upstream.map_or_else(String::new, |known| known.entry.id.clone()),
             how,
@@ -190,14 +186,12 @@
         let Some(share) = share else {
             return;
         };
-        if summary.failed_calls.len() < FAILED_CALLS_MAX {
-            summary.failed_calls.push(FailedCall {
-                service: String::from(self.upstreams.name(part.service)),
-                upstream: format!("instance {}", share.peer),
-                how: CallFault::Unanswered,
-                after_ms: now.since(sent),
-            });
-        }
+        summary.note(|| FailedCall {
+            service: String::from(self.upstreams.name(part.service)),
+            upstream: format!("instance {}", share.peer),
+            how: CallFault::Unanswered,
+            after_ms: now.since(sent),
+        });
     }
 
     /// Cancels all calls of a request.
--- a/hemlockrouter-route/src/direct/dispatcher/plan.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/plan.rs
@@ -24,14 +24,15 @@
 const ASK_MS: u64 = 1_000;
 
 impl Dispatcher {
-    /// Returns whether requests of a route are shared. Those bound to regions are not: their bodies must
-    /// not go to instances elsewhere.
-    pub(super) fn is_route_shared(&self, route: &Route) -> bool {
+    /// Returns the services of a route if its requests are shared. Those bound to regions are not: their
+    /// bodies must not go to instances elsewhere.
+    pub(super) fn shared_services<'r>(&self, route: &'r Route) -> Option<&'r [ServiceKey]> {
         let RouteTarget::Shards { services, .. } = &route.to else {
-            return false;
+            return None;
         };
         let is_large = services.len() >= self.config.sharing.parts_min.max(2);
-        is_large && route.entry.idempotent && route.entry.regions.is_empty()
+        let is_shared = is_large && route.entry.idempotent && route.entry.regions.is_empty();
+        is_shared.then_some(services)
     }
 
     /// Returns whether parts of searches are given to an instance.
@@ -46,12 +47,12 @@
         now: Time,
         route: &Route,
     ) -> Vec<Option<SocketAddr>> {
-        let services = match &route.to {
-            RouteTarget::Split(parts) => return vec![None; parts.len()],
-            RouteTarget::Shards { services, .. } => services,
+        let parts = match &route.to {
+            RouteTarget::Split(parts) => parts.len(),
+            RouteTarget::Shards { services, .. } => services.len(),
         };
-        let mut collectors = vec![None; services.len()];
-        if self.is_route_shared(route) {
+        let mut collectors = vec![None; parts];
+        if let Some(services) = self.shared_services(route) {
             for (collector, places) in self.plan(now, services) {
                 for place in places {
                     collectors[place] = collector;
@@ -172,7 +173,8 @@
             parts: Vec::new(),
             has_reported: false,
         };
+        let call = self.next_call();
         let deadline = now + ASK_MS;
-        self.send_share(share, batch, deadline, out);
+        self.send_share(call, share, batch, deadline, out);
     }
 }
--- a/hemlockrouter-route/src/direct/dispatcher/send.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/send.rs
@@ -6,7 +6,6 @@
 use super::Call;
 use super::Cause;
 use super::Dispatcher;
-use crate::direct::event::CallId;
 use crate::direct::event::Command;
 use crate::direct::event::RequestId;
 use crate::direct::request::Part;
@@ -127,8 +126,7 @@
             Cause::Failed => request.summary.retries += 1,
         }
         request.summary.sends += 1;
-        self.last_call += 1;
-        let call = CallId(self.last_call);
+        let call = self.next_call();
         part.sends += 1;
         part.open.push(Try {
             call,
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -5,6 +5,7 @@
 //! An instance that is cut off from the registry so asks none that this one knows to be out of service.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Batch;
@@ -43,11 +44,14 @@
         request: &mut Request,
         out: &mut Vec<Command>,
     ) {
-        if request.answer_to != AnswerTo::Caller || !self.is_route_shared(&request.route) {
+        if request.answer_to != AnswerTo::Caller {
             return;
         }
-        let services: Vec<ServiceKey> = request.parts.iter().map(|part| part.service).collect();
-        for (collector, places) in self.plan(now, &services) {
+        let route = Rc::clone(&request.route);
+        let Some(services) = self.shared_services(&route) else {
+            return;
+        };
+        for (collector, places) in self.plan(now, services) {
             if let Some(peer) = collector {
                 self.hand_out(now, id, request, peer, places, out);
             }
@@ -71,7 +75,7 @@
         let route = &request.route;
         let mut parts = Vec::with_capacity(places.len());
         let mut shared = Vec::with_capacity(places.len());
-        let call = CallId(self.last_call + 1);
+        let call = self.next_call();
         for place in places {
             let part = &mut request.parts[place];
             let picked = self.pick(now, part, route);
@@ -102,19 +106,18 @@
             parts: shared,
             has_reported: false,
         };
-        let sent = self.send_share(share, batch, request.deadline, out);
-        request.shares.push(sent);
+        request.shares.push(call);
+        self.send_share(call, share, batch, request.deadline, out);
     }
 
     pub(super) fn send_share(
         &mut self,
+        call: CallId,
         share: Share,
         batch: Batch,
         deadline: Time,
         out: &mut Vec<Command>,
-    ) -> CallId {
-        self.last_call += 1;
-        let call = CallId(self.last_call);
+    ) {
         out.push(Command::Share {
             request: share.request,
             call,
@@ -123,7 +126,6 @@
             deadline,
         });
         self.shares.insert(call, share);
-        call
     }
 
     /// Picks the upstreams that a part may be sent to, as many as the route allows.
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -188,7 +188,7 @@
 }
 
 /// How many failed calls of a request are told in its summary.
-pub(super) const FAILED_CALLS_MAX: usize = 8;
+const FAILED_CALLS_MAX: usize = 8;
 
 /// A call that brought no answer of use.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
@@ -253,3 +253,15 @@
     /// How long it took, in milliseconds.
     pub took_ms: u64,
 }
+
+impl Summary {
+    /// Adds a call that brought no answer of use, if there is room.
+    pub(super) fn note<F>(&mut self, failed: F)
+    where
+        F: FnOnce() -> FailedCall,
+    {
+        if self.failed_calls.len() < FAILED_CALLS_MAX {
+            self.failed_calls.push(failed());
+        }
+    }
+}
--- a/src/direct/callers.rs
+++ b/src/direct/callers.rs
@@ -9,7 +9,6 @@
 use hemlockrouter_edge::CallerRequest;
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_route::direct::Ending;
-use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
 use hemlockrouter_route::direct::Why;
 use http::header;
@@ -52,20 +51,6 @@
     pub(super) open: Cell<usize>,
 }
 
-/// Tells the node if the caller leaves before its request has ended.
-struct Abandon<'n> {
-    node: &'n Node,
-    id: Option<RequestId>,
-}
-
-impl Drop for Abandon<'_> {
-    fn drop(&mut self) {
-        if let Some(id) = self.id {
-            self.node.abandoned(id);
-        }
-    }
-}
-
 /// Why a body can't be read.
 enum BadBody {
     TooLarge,
@@ -157,18 +142,13 @@
     ) -> Response<Bytes> {
         let request = Rc::new(request);
         let deadline_ms = request.deadline_ms.unwrap_or(route.entry.timeout_ms);
-        let started = self
-            .node
-            .start(Rc::clone(&request), body, Rc::clone(&route), deadline_ms);
-        let (id, finished) = started;
-        let mut abandon = Abandon {
-            node: &self.node,
-            id: Some(id),
-        };
+        let (mut started, finished) =
+            self.node
+                .start(Rc::clone(&request), body, Rc::clone(&route), deadline_ms);
         let finished = finished.await;
-        abandon.id = None;
+        started.ended();
         let Ok(finished) = finished else {
-            log::error!(request = id.to_string(); "a request was dropped without an answer");
+            log::error!(request = started.id().to_string(); "a request was dropped without an answer");
             return page(StatusCode::INTERNAL_SERVER_ERROR, "dropped");
         };
         self.log.ended(&request, &route, &finished);
--- a/src/direct/collector.rs
+++ b/src/direct/collector.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use hemlockrouter_edge::BatchCall;
 use hemlockrouter_route::direct::Collected;
-use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Summary;
 use http::Request;
 use http::Response;
@@ -24,6 +23,7 @@
 
 use super::batches::write_frame;
 use super::node::Node;
+use super::node::Started;
 use super::requests_log::RequestsLog;
 use crate::edge::phase::Phase;
 
@@ -47,10 +47,9 @@
 
 /// The answer to a call: frames as they come. Dropping it gives the batch up.
 pub(super) struct Frames {
-    node: Rc<Node>,
     log: Rc<RequestsLog>,
     call: BatchCall,
-    id: Option<RequestId>,
+    started: Started,
     events: mpsc::UnboundedReceiver<BatchEvent>,
 }
 
@@ -77,12 +76,11 @@
             }
         };
         let (caller, body) = call.request().map_err(|_| StatusCode::BAD_REQUEST)?;
-        let (id, events) = self.node.start_batch(caller, body, &call);
+        let (started, events) = self.node.start_batch(caller, body, &call);
         let frames = Frames {
-            node: Rc::clone(&self.node),
             log: Rc::clone(&self.log),
             call,
-            id: Some(id),
+            started,
             events,
         };
         Ok(Response::new(frames))
@@ -104,26 +102,18 @@
                 Poll::Ready(Some(Ok(Frame::data(frame))))
             }
             Poll::Ready(Some(BatchEvent::Ended(summary))) => {
-                self.id = None;
+                self.started.ended();
                 self.log.collected(&self.call, &summary);
                 Poll::Ready(None)
             }
             Poll::Ready(None) => {
-                self.id = None;
+                self.started.ended();
                 Poll::Ready(None)
             }
         }
     }
 }
 
-impl Drop for Frames {
-    fn drop(&mut self) {
-        if let Some(id) = self.id {
-            self.node.abandoned(id);
-        }
-    }
-}
-
 fn frame(collected: &Collected) -> Bytes {
     write_frame(collected).unwrap_or_else(|err| {
         log::error!(why = err.to_string(); "a frame can't be written");
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -90,7 +90,7 @@
     /// Learns what is new, by whichever way serves now.
     async fn step(&mut self) -> Result<(), CallError> {
         let now = self.clock.now();
-        let reading = self.node.reading(now, &self.name);
+        let reading = self.node.reading(&self.name);
         let Some(revision) = self.mirror.revision() else {
             return self.read(true).await;
         };
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -21,7 +21,6 @@
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::Ending;
 use hemlockrouter_route::direct::Explained;
-use hemlockrouter_route::direct::Instances;
 use hemlockrouter_route::direct::Reading;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
@@ -85,10 +84,36 @@
     table: RefCell<Rc<RouteTable>>,
     limits: Cell<CallerLimits>,
     is_loaded: Cell<bool>,
-    instances: RefCell<Instances>,
     wake_at: Cell<Option<Time>>,
 }
 
+/// A request that was started. Dropping it before [`Started::ended`] tells that its caller has left.
+pub(super) struct Started {
+    node: Rc<Node>,
+    id: RequestId,
+    has_ended: bool,
+}
+
+impl Started {
+    /// Takes over that the end of the request was received.
+    pub(super) fn ended(&mut self) {
+        self.has_ended = true;
+    }
+
+    /// Returns which request it is.
+    pub(super) fn id(&self) -> RequestId {
+        self.id
+    }
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.node.abandoned(self.id);
+        }
+    }
+}
+
 /// The actor with its way in.
 pub(super) struct Node {
     stakker: RefCell<Stakker>,
@@ -109,7 +134,6 @@
             table: RefCell::default(),
             limits: Cell::new(FIRST_LIMITS),
             is_loaded: Cell::new(false),
-            instances: RefCell::default(),
             wake_at: Cell::new(None),
         });
         let dispatcher = Dispatcher::new(config);
@@ -149,57 +173,57 @@
 
     /// Starts a request; its end is sent to the receiver.
     pub(super) fn start(
-        &self,
+        self: &Rc<Node>,
         request: Rc<CallerRequest>,
         body: Bytes,
         route: Rc<Route>,
         deadline_ms: u64,
-    ) -> (RequestId, oneshot::Receiver<Finished>) {
-        let id = self.next_request();
+    ) -> (Started, oneshot::Receiver<Finished>) {
         let (finished, receiver) = oneshot::channel();
-        let waiting = Waiting {
+        let started = self.begin(Waiting {
             request,
             body,
             idempotent: route.entry.idempotent,
             answer_to: AnswerTo::Caller(finished),
-        };
-        self.shared.waiting.borrow_mut().insert(id, waiting);
-        call!([self.decider], start(id, route, deadline_ms));
+        });
+        call!([self.decider], start(started.id, route, deadline_ms));
         self.run();
-        (id, receiver)
+        (started, receiver)
     }
 
     /// Starts to collect a batch for another instance.
     pub(super) fn start_batch(
-        &self,
+        self: &Rc<Node>,
         request: CallerRequest,
         body: Bytes,
         call: &BatchCall,
-    ) -> (RequestId, mpsc::UnboundedReceiver<BatchEvent>) {
-        let id = self.next_request();
+    ) -> (Started, mpsc::UnboundedReceiver<BatchEvent>) {
         let (events, receiver) = mpsc::unbounded_channel();
-        let waiting = Waiting {
+        let started = self.begin(Waiting {
             request: Rc::new(request),
             body,
             idempotent: true,
             answer_to: AnswerTo::Peer(events),
-        };
-        self.shared.waiting.borrow_mut().insert(id, waiting);
+        });
         let batch = call.batch.clone();
         let left_ms = call.left_ms;
-        call!([self.decider], start_batch(id, batch, left_ms));
+        call!([self.decider], start_batch(started.id, batch, left_ms));
         self.run();
-        (id, receiver)
+        (started, receiver)
     }
 
-    fn next_request(&self) -> RequestId {
+    fn begin(self: &Rc<Node>, waiting: Waiting) -> Started {
         let id = RequestId(self.last_request.get() + 1);
         self.last_request.set(id.0);
-        id
+        self.shared.waiting.borrow_mut().insert(id, waiting);
+        Started {
+            node: Rc::clone(self),
+            id,
+            has_ended: false,
+        }
     }
 
-    /// Takes over that the caller of a request has left.
-    pub(super) fn abandoned(&self, id: RequestId) {
+    fn abandoned(&self, id: RequestId) {
         call!([self.decider], abandoned(id));
         self.run();
     }
@@ -211,8 +235,11 @@
     }
 
     /// Returns how the instance `me` learns what the registry holds.
-    pub(super) fn reading(&self, now: Time, me: &str) -> Reading {
-        self.shared.instances.borrow().reading(now, me)
+    pub(super) fn reading(&self, me: &str) -> Reading {
+        let me = String::from(me);
+        let reading = query!([self.decider, &mut *self.stakker.borrow_mut()], reading(me));
+        // The actor starts with the first change; until then no other instance is known.
+        reading.unwrap_or(Reading::Alone)
     }
 
     /// Takes over other settings.
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -15,6 +15,7 @@
 use hemlockrouter_route::direct::Config;
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::Explained;
+use hemlockrouter_route::direct::Reading;
 use hemlockrouter_route::direct::Registered;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
@@ -120,8 +121,6 @@
         if is_whole && !self.shared.is_loaded.replace(true) {
             self.dispatcher.upstreams_mut().first_read();
         }
-        let instances = self.dispatcher.upstreams().instances().clone();
-        self.shared.instances.replace(instances);
         self.set_timer();
     }
 
@@ -129,6 +128,11 @@
         self.dispatcher.reconfigure(config);
     }
 
+    pub(super) fn reading(&mut self, _: CX![], me: String) -> Reading {
+        let now = self.shared.clock.now();
+        self.dispatcher.upstreams().instances().reading(now, &me)
+    }
+
     pub(super) fn status(&mut self, _: CX![]) -> Status {
         self.dispatcher.status(self.shared.clock.now())
     }
