--- a/hemlockrouter-cli/src/bin/hemlockctl/args.rs
+++ b/hemlockrouter-cli/src/bin/hemlockctl/args.rs
@@ -68,7 +68,6 @@
 pub(crate) struct Args {
     pub(crate) instance: SocketAddr,
     pub(crate) key_file: Option<PathBuf>,
-    pub(crate) direct: bool,
     pub(crate) timeout_ms: u64,
     pub(crate) json: bool,
     pub(crate) command: Command,
@@ -88,6 +87,13 @@
     DirectExplain { host: String, path: String },
 }
 
+impl Command {
+    /// Returns whether the instance answers only calls that carry the operators' key.
+    pub(crate) fn needs_key(&self) -> bool {
+        !matches!(self, Command::DirectStatus | Command::DirectExplain { .. })
+    }
+}
+
 /// Parses the process's arguments.
 pub(crate) fn parse() -> Result<Parsed> {
     let mut parser = Parser::from_env();
@@ -122,7 +128,6 @@
         },
         instance: instance.ok_or_else(|| eyre!("--instance is missing"))?,
         key_file,
-        direct,
         timeout_ms,
         json,
     }))
--- a/hemlockrouter-cli/src/bin/hemlockctl/client.rs
+++ b/hemlockrouter-cli/src/bin/hemlockctl/client.rs
@@ -58,9 +58,9 @@
         Ok(Client {
             agent: config.new_agent(),
             instance: args.instance,
-            key: match args.direct {
-                true => None,
-                false => Some(key(args)?),
+            key: match args.command.needs_key() {
+                true => Some(key(args)?),
+                false => None,
             },
             json: args.json,
         })
@@ -90,7 +90,7 @@
     }
 
     /// Reads the value of a good answer, or reports why there is none.
-    pub(crate) fn expect<T>(&self, answer: Result<Answer, Lost>) -> Result<T, End>
+    fn expect<T>(&self, answer: Result<Answer, Lost>) -> Result<T, End>
     where
         T: DeserializeOwned,
     {
@@ -107,6 +107,23 @@
         })
     }
 
+    /// Prints the value of a good answer, as JSON or by `print`, or reports why there is none.
+    pub(crate) fn show<T, F>(&self, answer: Result<Answer, Lost>, print: F) -> End
+    where
+        T: DeserializeOwned,
+        F: FnOnce(T),
+    {
+        match self.expect(answer) {
+            Ok(value) => {
+                if !self.json {
+                    print(value);
+                }
+                End::Done
+            }
+            Err(end) => end,
+        }
+    }
+
     /// Reports that the instance did not answer.
     pub(crate) fn unreachable(&self, lost: &Lost) -> End {
         eprintln!(
--- a/hemlockrouter-cli/src/bin/hemlockctl/direct.rs
+++ b/hemlockrouter-cli/src/bin/hemlockctl/direct.rs
@@ -58,30 +58,16 @@
 
 /// Shows what an instance knows.
 pub(crate) fn status(client: &Client) -> End {
-    let status = match client.expect::<Status>(client.get("/status")) {
-        Ok(status) => status,
-        Err(end) => return end,
-    };
-    if !client.json() {
-        print_status(&status);
-    }
-    End::Done
+    client.show(client.get("/status"), print_status)
 }
 
 /// Shows where a request would go.
 pub(crate) fn explain(client: &Client, host: &str, path: &str) -> End {
     let url = format!("/explain?host={host}&path={path}");
-    let explained = match client.expect::<Explained>(client.get(&url)) {
-        Ok(explained) => explained,
-        Err(end) => return end,
-    };
-    if !client.json() {
-        print_explained(&explained);
-    }
-    End::Done
+    client.show(client.get(&url), print_explained)
 }
 
-fn print_status(status: &Status) {
+fn print_status(status: Status) {
     let ready = if status.ready { "ready" } else { "not ready" };
     let age = status.registry_age_ms;
     let age = age.map_or(String::from("never"), |ms| format!("{ms} ms ago"));
@@ -112,7 +98,7 @@
     );
 }
 
-fn print_explained(explained: &Explained) {
+fn print_explained(explained: Explained) {
     println!(
         "route {} of version {}: {} of {} services must answer",
         explained.route,
--- a/hemlockrouter-cli/src/bin/hemlockctl/explain.rs
+++ b/hemlockrouter-cli/src/bin/hemlockctl/explain.rs
@@ -6,13 +6,10 @@
 
 pub(crate) fn show(client: &Client, customer: &str, search: &str) -> End {
     let answer = client.get(&format!("/v1/explain/{customer}/{search}"));
-    let explain = match client.expect::<Explain>(answer) {
-        Ok(explain) => explain,
-        Err(end) => return end,
-    };
-    if client.json() {
-        return End::Done;
-    }
+    client.show(answer, |explain| print(customer, search, explain))
+}
+
+fn print(customer: &str, search: &str, explain: Explain) {
     println!(
         "{customer}/{search} under configuration {}:",
         explain.config
@@ -25,5 +22,4 @@
             println!("    not {}: {}", other.upstream, other.why);
         }
     }
-    End::Done
 }
--- a/hemlockrouter-cli/src/bin/hemlockctl/note.rs
+++ b/hemlockrouter-cli/src/bin/hemlockctl/note.rs
@@ -32,16 +32,9 @@
         Ok(answer) if answer.status == 422 => return invalid(client, file, &answer),
         answer => answer,
     };
-    match client.expect::<Number>(answer) {
-        Ok(checked) => {
-            if !client.json() {
-                let file = file.display();
-                println!("{file}: checks against configuration {}", checked.number);
-            }
-            End::Done
-        }
-        Err(end) => end,
-    }
+    client.show(answer, |Number { number }| {
+        println!("{}: checks against configuration {number}", file.display());
+    })
 }
 
 pub(crate) fn submit(client: &Client, file: &Path, wait_ms: u64) -> End {
@@ -120,32 +113,22 @@
 }
 
 pub(crate) fn list(client: &Client) -> End {
-    let rows = match client.expect::<NoteRows>(client.get("/v1/notes")) {
-        Ok(rows) => rows,
-        Err(end) => return end,
-    };
-    if !client.json() {
+    client.show(client.get("/v1/notes"), |rows: NoteRows| {
         for note in rows.notes {
             println!("{:>8}  {}  by {}", note.number, note.id, note.author);
         }
-    }
-    End::Done
+    })
 }
 
 pub(crate) fn show(client: &Client, name: &str) -> End {
     let answer = client.get(&format!("/v1/notes/{name}"));
-    let note = match client.expect::<NoteRow>(answer) {
-        Ok(note) => note,
-        Err(end) => return end,
-    };
-    if !client.json() {
+    client.show(answer, |note: NoteRow| {
         println!("// number {}, {} by {}", note.number, note.id, note.author);
         match note.document {
             Some(document) => println!("{document}"),
             None => println!("// the text is no longer kept"),
         }
-    }
-    End::Done
+    })
 }
 
 /// Reads a note from its file, so that a wrong one is refused without asking an instance.
--- a/hemlockrouter-cli/src/bin/hemlockctl/status.rs
+++ b/hemlockrouter-cli/src/bin/hemlockctl/status.rs
@@ -12,17 +12,10 @@
 const UNKNOWN: &str = "-";
 
 pub(crate) fn show(client: &Client) -> End {
-    let status = match client.expect::<Status>(client.get("/v1/status")) {
-        Ok(status) => status,
-        Err(end) => return end,
-    };
-    if !client.json() {
-        print(&status);
-    }
-    End::Done
+    client.show(client.get("/v1/status"), print)
 }
 
-fn print(status: &Status) {
+fn print(status: Status) {
     let ready = if status.ready { "ready" } else { "not ready" };
     println!(
         "instance {} in {}: {ready}, configuration {}, store {}",
@@ -34,7 +27,7 @@
         "instance", "zone", "address", "condition", "config", "heard ms"
     );
     for row in &status.instances {
-        print_instance(row, config_of(status, row));
+        print_instance(row, config_of(&status, row));
     }
     println!("\nupstreams:");
     println!(
@@ -94,13 +87,7 @@
 
 pub(crate) fn drain(client: &Client, instance: &str) -> End {
     let answer = client.post(&format!("/v1/drain/{instance}"), b"");
-    match client.expect::<Value>(answer) {
-        Ok(_) => {
-            if !client.json() {
-                println!("{instance} shuts down; what it accepted is finished first");
-            }
-            End::Done
-        }
-        Err(end) => end,
-    }
+    client.show(answer, |_: Value| {
+        println!("{instance} shuts down; what it accepted is finished first");
+    })
 }
