Tests: batches in a file of their own, one configuration of the store's fuzz tests

The tests of what an instance collects for another one stood in the file of the one that shares. The loop that answers all calls and the configuration of proptest stood many times and twice.

--- a/hemlockrouter-platform/tests/store_fuzz/notes_fuzz.rs
+++ b/hemlockrouter-platform/tests/store_fuzz/notes_fuzz.rs
@@ -21,10 +21,10 @@
 use hemlockrouter_platform::notes::NOTES_PREFIX;
 use hemlockrouter_types::prelude::*;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 
+use crate::config;
 use crate::schedule;
 use crate::schedule::Port;
 use crate::schedule::Progress;
@@ -328,22 +328,8 @@
     });
 }
 
-fn config() -> ProptestConfig {
-    let mut config = ProptestConfig {
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    if std::env::var_os("PROPTEST_CASES").is_none() {
-        config.cases = 256;
-    }
-    if std::env::var_os("PROPTEST_RNG_SEED").is_none() {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(256))]
 
     #[test]
     fn notes_are_accepted_once_or_not_at_all(
--- a/hemlockrouter-platform/tests/store_fuzz/ties_fuzz.rs
+++ b/hemlockrouter-platform/tests/store_fuzz/ties_fuzz.rs
@@ -12,10 +12,10 @@
 use hemlockrouter_platform::ties::Tie;
 use hemlockrouter_types::prelude::*;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 
+use crate::config;
 use crate::schedule;
 use crate::schedule::Port;
 use crate::store::State;
@@ -71,22 +71,8 @@
     prop::collection::vec(step, 1..12)
 }
 
-fn config() -> ProptestConfig {
-    let mut config = ProptestConfig {
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    if std::env::var_os("PROPTEST_CASES").is_none() {
-        config.cases = 512;
-    }
-    if std::env::var_os("PROPTEST_RNG_SEED").is_none() {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(512))]
 
     #[test]
     fn a_record_is_never_relied_on_by_both(
--- /dev/null
+++ b/hemlockrouter-route/tests/direct/batches.rs
@@ -0,0 +1,142 @@
+//! Batches that are collected for another instance.
+
+use hemlockrouter_route::direct::Command;
+use hemlockrouter_route::direct::RequestId;
+use hemlockrouter_types::routing::Batch;
+use hemlockrouter_types::routing::BatchPart;
+
+use crate::fixture::failure;
+use crate::fixture::instance;
+use crate::fixture::rejected;
+use crate::fixture::shards;
+use crate::fixture::success;
+use crate::fixture::upstream;
+use crate::fixture::Fixture;
+use crate::fixture::SILENT_MS;
+use crate::fixture::START;
+
+#[test]
+fn repeats_that_are_given_may_be_sent() {
+    for (permille, repeats) in [(0, 0), (1_000, 2)] {
+        let mut fixture = Fixture::new();
+        // A list that has just grown gives no part of its own.
+        let instances = fixture.dispatcher.upstreams_mut().instances_mut();
+        instances.joined(START, instance("new", "north-a"));
+        start_batch_with(&mut fixture, &[], permille);
+        for (call, _) in fixture.sent() {
+            fixture.end(call, rejected());
+        }
+        assert_eq!(fixture.sent().len(), repeats, "{permille} given");
+    }
+}
+
+/// Starts a batch of two parts for another instance, which names the upstreams `ids`, or all of each
+/// service.
+fn start_batch(fixture: &mut Fixture, ids: &[&str]) -> RequestId {
+    start_batch_with(fixture, ids, 0)
+}
+
+/// As [`start_batch`], with so many thousandths of a repeat given for each part.
+fn start_batch_with(fixture: &mut Fixture, ids: &[&str], repeats_permille: u32) -> RequestId {
+    let services = shards().into_iter().take(2);
+    let named = |service: &str| match ids {
+        [] => ["north-a", "south-b"]
+            .map(|zone| upstream(service, zone).id)
+            .to_vec(),
+        ids => ids.iter().map(|id| String::from(*id)).collect(),
+    };
+    let batch = Batch {
+        route: String::from("search"),
+        version: 1,
+        attempts_max: 2,
+        target_latency_ms: 150,
+        parts: services
+            .map(|service| BatchPart {
+                upstreams: named(&service),
+                service,
+                repeats_permille,
+            })
+            .collect(),
+    };
+    let id = RequestId(900);
+    let (now, out) = (fixture.now, &mut fixture.out);
+    fixture.dispatcher.start_batch(now, id, batch, 800, out);
+    id
+}
+
+/// Takes what was reported of a batch, and whether it has ended.
+fn reported(fixture: &mut Fixture) -> (Vec<Vec<usize>>, bool) {
+    let mut reports = Vec::new();
+    let mut has_ended = false;
+    for command in std::mem::take(&mut fixture.out) {
+        match command {
+            Command::Report { collected, .. } => {
+                let answers = collected.answers.into_iter();
+                reports.push(answers.map(|(at, _)| at).collect());
+            }
+            Command::EndBatch { .. } => has_ended = true,
+            _ => {}
+        }
+    }
+    (reports, has_ended)
+}
+
+#[test]
+fn a_batch_that_is_quick_is_reported_once() {
+    let mut fixture = Fixture::new();
+    start_batch(&mut fixture, &[]);
+    let sent = fixture.sent();
+    fixture.end(sent[1].0, success("stamp", b""));
+    assert_eq!(reported(&mut fixture), (Vec::new(), false));
+    fixture.end(sent[0].0, success("stamp", b""));
+    assert_eq!(reported(&mut fixture), (vec![vec![0, 1]], true));
+}
+
+#[test]
+fn a_batch_that_is_slow_is_reported_at_its_first_hedge_and_then_as_answers_come() {
+    let mut fixture = Fixture::new();
+    start_batch(&mut fixture, &[]);
+    let sent = fixture.sent();
+    fixture.end(sent[1].0, success("stamp", b""));
+    fixture.wait(SILENT_MS - 10);
+    let hedges = fixture.sent();
+    assert_eq!(hedges.len(), 1);
+    assert_eq!(reported(&mut fixture), (vec![vec![1]], false));
+    fixture.end(hedges[0].0, success("stamp", b""));
+    assert_eq!(reported(&mut fixture), (vec![vec![0]], true));
+}
+
+#[test]
+fn a_batch_asks_none_but_the_upstreams_that_it_names() {
+    let mut fixture = Fixture::new();
+    start_batch(&mut fixture, &["shard-0@south-b", "unknown"]);
+    let sent = fixture.sent();
+    let ids: Vec<&str> = sent.iter().map(|(_, id)| id.as_str()).collect();
+    assert_eq!(ids, ["shard-0@south-b"]);
+    fixture.end(sent[0].0, failure());
+    let ids: Vec<String> = fixture.sent().into_iter().map(|(_, id)| id).collect();
+    assert!(ids.iter().all(|id| id == "shard-0@south-b"), "{ids:?}");
+}
+
+#[test]
+fn parts_of_a_batch_without_a_known_upstream_are_handed_back_at_once() {
+    for (ids, expected) in [(["shard-1@north-a"], vec![0]), (["unknown"], vec![0, 1])] {
+        let mut fixture = Fixture::new();
+        start_batch(&mut fixture, &ids);
+        let unsent = fixture.out.iter().find_map(|command| match command {
+            Command::Report { collected, .. } => Some(collected.unsent.clone()),
+            _ => None,
+        });
+        assert_eq!(unsent, Some(expected), "{ids:?}");
+    }
+}
+
+#[test]
+fn a_batch_ends_in_time_whatever_is_missing() {
+    let mut fixture = Fixture::new();
+    start_batch(&mut fixture, &[]);
+    let sent = fixture.sent();
+    fixture.end(sent[0].0, success("stamp", b""));
+    fixture.wait(800);
+    assert_eq!(reported(&mut fixture), (vec![vec![0]], true));
+}
--- a/hemlockrouter-route/tests/direct/fixture.rs
+++ b/hemlockrouter-route/tests/direct/fixture.rs
@@ -32,6 +32,9 @@
 pub(crate) const LOOK_UP: &str = "/look-up/x";
 pub(crate) const SHARDS: usize = 4;
 
+/// The time after which an instance that collects is silent: half of the route's target latency.
+pub(crate) const SILENT_MS: u64 = 75;
+
 /// When tests begin: long after the list of instances was read.
 pub(crate) const START: Time = Time::from_ms(100_000);
 
@@ -216,6 +219,13 @@
         self.dispatcher.ended(self.now, call, end, &mut self.out);
     }
 
+    /// Ends all of these calls with a success.
+    pub(crate) fn answer(&mut self, sent: Vec<(CallId, String)>) {
+        for (call, _) in sent {
+            self.end(call, success("stamp", b""));
+        }
+    }
+
     /// Takes the calls that were sent, with the ids of their upstreams.
     pub(crate) fn sent(&mut self) -> Vec<(CallId, String)> {
         let mut sent = Vec::new();
--- a/hemlockrouter-route/tests/direct/main.rs
+++ b/hemlockrouter-route/tests/direct/main.rs
@@ -1,5 +1,6 @@
 //! Direct dispatch: decisions, bounds, and random events against an oracle.
 
+mod batches;
 mod budget;
 mod cases;
 mod fixture;
--- a/hemlockrouter-route/tests/direct/sharing.rs
+++ b/hemlockrouter-route/tests/direct/sharing.rs
@@ -13,11 +13,8 @@
 use hemlockrouter_route::direct::Why;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Batch;
-use hemlockrouter_types::routing::BatchPart;
 
-use crate::fixture::failure;
 use crate::fixture::instance;
-use crate::fixture::rejected;
 use crate::fixture::routes;
 use crate::fixture::shards;
 use crate::fixture::success;
@@ -26,11 +23,9 @@
 use crate::fixture::BOOK;
 use crate::fixture::SEARCH;
 use crate::fixture::SHARDS;
+use crate::fixture::SILENT_MS;
 use crate::fixture::START;
 
-/// The time after which an instance that collects is silent: half of the route's target latency.
-const SILENT_MS: u64 = 75;
-
 /// The interval at which the dispatcher looks whether others answer.
 const ASKED_MS: u64 = 250;
 
@@ -127,9 +122,7 @@
         SHARDS,
         "nothing waits for an instance that may be down"
     );
-    for (call, _) in sent {
-        fixture.end(call, success("stamp", b""));
-    }
+    fixture.answer(sent);
     assert!(fixture.ending(id).is_some());
     fixture.wait(ASKED_MS);
     let asked = shared(fixture);
@@ -166,9 +159,7 @@
 fn a_search_is_answered_from_both_parts() {
     let mut fixture = sharing();
     let (id, call, sent) = start_shared(&mut fixture);
-    for (call, _) in sent {
-        fixture.end(call, success("stamp", b""));
-    }
+    fixture.answer(sent);
     assert!(fixture.ending(id).is_none());
     collect(&mut fixture, &call);
     assert_eq!(stamps(fixture.ending(id)), (SHARDS, 0));
@@ -181,9 +172,7 @@
     end(&mut fixture, &call, BatchEnd::NotTaken);
     let sent = fixture.sent();
     assert_eq!(sent.len(), SHARDS / 2);
-    for (call, _) in sent {
-        fixture.end(call, success("stamp", b""));
-    }
+    fixture.answer(sent);
     assert!(fixture.ending(id).is_none(), "the other half is open");
     fixture.start(SEARCH);
     assert!(shared(&mut fixture).is_empty());
@@ -200,9 +189,7 @@
         upstreams.register(START, third);
     }
     let (id, call, sent) = start_shared(&mut fixture);
-    for (call, _) in sent {
-        fixture.end(call, success("stamp", b""));
-    }
+    fixture.answer(sent);
     fixture.wait(SILENT_MS);
     let sent = fixture.sent();
     assert_eq!(sent.len(), SHARDS / 2);
@@ -212,9 +199,7 @@
         let ids: Vec<&String> = of_part.map(|(_, id)| id).collect();
         assert!(part.upstreams.contains(ids[0]), "{ids:?} of {part:?}");
     }
-    for (call, _) in sent {
-        fixture.end(call, success("stamp", b""));
-    }
+    fixture.answer(sent);
     assert_eq!(stamps(fixture.ending(id)), (SHARDS, 0));
     fixture.start(SEARCH);
     assert!(shared(&mut fixture).is_empty(), "it is not used");
@@ -229,9 +214,7 @@
         ..Collected::default()
     };
     report(&mut fixture, &call, half);
-    for (call, _) in sent {
-        fixture.end(call, success("stamp", b""));
-    }
+    fixture.answer(sent);
     fixture.wait(SILENT_MS);
     assert!(fixture.sent().is_empty());
     collect(&mut fixture, &call);
@@ -244,15 +227,11 @@
     let mut fixture = sharing();
     let (id, call, sent) = start_shared(&mut fixture);
     report(&mut fixture, &call, Collected::default());
-    for (call, _) in sent {
-        fixture.end(call, success("stamp", b""));
-    }
+    fixture.answer(sent);
     fixture.wait(SILENT_MS);
     let sent = fixture.sent();
     assert_eq!(sent.len(), SHARDS / 2);
-    for (call, _) in sent {
-        fixture.end(call, success("stamp", b""));
-    }
+    fixture.answer(sent);
     assert_eq!(stamps(fixture.ending(id)), (SHARDS, 0));
     for _ in 0..8 {
         fixture.wait(500);
@@ -268,9 +247,7 @@
 fn what_the_other_instance_could_not_get_is_missing() {
     let mut fixture = sharing();
     let (id, call, sent) = start_shared(&mut fixture);
-    for (call, _) in sent {
-        fixture.end(call, success("stamp", b""));
-    }
+    fixture.answer(sent);
     let collected = Collected {
         answers: vec![(0, reply(success("stamp", b"")))],
         ..Collected::default()
@@ -285,9 +262,7 @@
 fn what_the_other_instance_knows_no_upstream_of_is_sent_at_once() {
     let mut fixture = sharing();
     let (id, call, sent) = start_shared(&mut fixture);
-    for (call, _) in sent {
-        fixture.end(call, success("stamp", b""));
-    }
+    fixture.answer(sent);
     let unsent = (0..call.batch.parts.len()).collect();
     let collected = Collected {
         unsent,
@@ -297,9 +272,7 @@
     end(&mut fixture, &call, BatchEnd::Done);
     let sent = fixture.sent();
     assert_eq!(sent.len(), SHARDS / 2);
-    for (call, _) in sent {
-        fixture.end(call, success("stamp", b""));
-    }
+    fixture.answer(sent);
     assert_eq!(stamps(fixture.ending(id)), (SHARDS, 0));
 }
 
@@ -307,9 +280,7 @@
 fn a_search_that_loses_too_much_says_that_it_may_have_run() {
     let mut fixture = sharing();
     let (id, call, sent) = start_shared(&mut fixture);
-    for (call, _) in sent {
-        fixture.end(call, success("stamp", b""));
-    }
+    fixture.answer(sent);
     end(&mut fixture, &call, BatchEnd::Done);
     loop {
         let sent = fixture.sent();
@@ -408,9 +379,8 @@
         for call in calls {
             collect(&mut fixture, &call);
         }
-        for (call, _) in fixture.sent() {
-            fixture.end(call, success("stamp", b""));
-        }
+        let sent = fixture.sent();
+        fixture.answer(sent);
         fixture.wait(100);
         // It is asked anew when it was not used for long.
         shared(&mut fixture);
@@ -418,129 +388,3 @@
     let left = PART_PERMILLE + EARNED_PERMILLE - given;
     assert!((1_000..1_500).contains(&left), "{left} is kept");
 }
-
-#[test]
-fn repeats_that_are_given_may_be_sent() {
-    for (permille, repeats) in [(0, 0), (1_000, 2)] {
-        let mut fixture = Fixture::new();
-        // A list that has just grown gives no part of its own.
-        let instances = fixture.dispatcher.upstreams_mut().instances_mut();
-        instances.joined(START, instance("new", "north-a"));
-        start_batch_with(&mut fixture, &[], permille);
-        for (call, _) in fixture.sent() {
-            fixture.end(call, rejected());
-        }
-        assert_eq!(fixture.sent().len(), repeats, "{permille} given");
-    }
-}
-
-/// Starts a batch of two parts for another instance, which names the upstreams `ids`, or all of each
-/// service.
-fn start_batch(fixture: &mut Fixture, ids: &[&str]) -> RequestId {
-    start_batch_with(fixture, ids, 0)
-}
-
-/// As [`start_batch`], with so many thousandths of a repeat given for each part.
-fn start_batch_with(fixture: &mut Fixture, ids: &[&str], repeats_permille: u32) -> RequestId {
-    let services = shards().into_iter().take(2);
-    let named = |service: &str| match ids {
-        [] => ["north-a", "south-b"]
-            .map(|zone| upstream(service, zone).id)
-            .to_vec(),
-        ids => ids.iter().map(|id| String::from(*id)).collect(),
-    };
-    let batch = Batch {
-        route: String::from("search"),
-        version: 1,
-        attempts_max: 2,
-        target_latency_ms: 150,
-        parts: services
-            .map(|service| BatchPart {
-                upstreams: named(&service),
-                service,
-                repeats_permille,
-            })
-            .collect(),
-    };
-    let id = RequestId(900);
-    let (now, out) = (fixture.now, &mut fixture.out);
-    fixture.dispatcher.start_batch(now, id, batch, 800, out);
-    id
-}
-
-/// Takes what was reported of a batch, and whether it has ended.
-fn reported(fixture: &mut Fixture) -> (Vec<Vec<usize>>, bool) {
-    let mut reports = Vec::new();
-    let mut has_ended = false;
-    for command in std::mem::take(&mut fixture.out) {
-        match command {
-            Command::Report { collected, .. } => {
-                let answers = collected.answers.into_iter();
-                reports.push(answers.map(|(at, _)| at).collect());
-            }
-            Command::EndBatch { .. } => has_ended = true,
-            _ => {}
-        }
-    }
-    (reports, has_ended)
-}
-
-#[test]
-fn a_batch_that_is_quick_is_reported_once() {
-    let mut fixture = Fixture::new();
-    start_batch(&mut fixture, &[]);
-    let sent = fixture.sent();
-    fixture.end(sent[1].0, success("stamp", b""));
-    assert_eq!(reported(&mut fixture), (Vec::new(), false));
-    fixture.end(sent[0].0, success("stamp", b""));
-    assert_eq!(reported(&mut fixture), (vec![vec![0, 1]], true));
-}
-
-#[test]
-fn a_batch_that_is_slow_is_reported_at_its_first_hedge_and_then_as_answers_come() {
-    let mut fixture = Fixture::new();
-    start_batch(&mut fixture, &[]);
-    let sent = fixture.sent();
-    fixture.end(sent[1].0, success("stamp", b""));
-    fixture.wait(SILENT_MS - 10);
-    let hedges = fixture.sent();
-    assert_eq!(hedges.len(), 1);
-    assert_eq!(reported(&mut fixture), (vec![vec![1]], false));
-    fixture.end(hedges[0].0, success("stamp", b""));
-    assert_eq!(reported(&mut fixture), (vec![vec![0]], true));
-}
-
-#[test]
-fn a_batch_asks_none_but_the_upstreams_that_it_names() {
-    let mut fixture = Fixture::new();
-    start_batch(&mut fixture, &["shard-0@south-b", "unknown"]);
-    let sent = fixture.sent();
-    let ids: Vec<&str> = sent.iter().map(|(_, id)| id.as_str()).collect();
-    assert_eq!(ids, ["shard-0@south-b"]);
-    fixture.end(sent[0].0, failure());
-    let ids: Vec<String> = fixture.sent().into_iter().map(|(_, id)| id).collect();
-    assert!(ids.iter().all(|id| id == "shard-0@south-b"), "{ids:?}");
-}
-
-#[test]
-fn parts_of_a_batch_without_a_known_upstream_are_handed_back_at_once() {
-    for (ids, expected) in [(["shard-1@north-a"], vec![0]), (["unknown"], vec![0, 1])] {
-        let mut fixture = Fixture::new();
-        start_batch(&mut fixture, &ids);
-        let unsent = fixture.out.iter().find_map(|command| match command {
-            Command::Report { collected, .. } => Some(collected.unsent.clone()),
-            _ => None,
-        });
-        assert_eq!(unsent, Some(expected), "{ids:?}");
-    }
-}
-
-#[test]
-fn a_batch_ends_in_time_whatever_is_missing() {
-    let mut fixture = Fixture::new();
-    start_batch(&mut fixture, &[]);
-    let sent = fixture.sent();
-    fixture.end(sent[0].0, success("stamp", b""));
-    fixture.wait(800);
-    assert_eq!(reported(&mut fixture), (vec![vec![0]], true));
-}
