Test that a reload takes over the fields that it says it takes over

Which fields a running instance takes over stands in two lists, one that names them and one that takes them over; nothing held them together.

--- a/hemlockrouter-config/tests/direct.rs
+++ b/hemlockrouter-config/tests/direct.rs
@@ -102,3 +102,41 @@
     });
     insta::assert_snapshot!(errors.join("\n"));
 }
+
+/// Settings of which each field that can differ does so from the deployed ones.
+const OTHER: &str = r#"{
+    "dispatch": "direct",
+    "protocol": "corporation",
+    "name": "other",
+    "zone": "seoul-b",
+    "zones": {"seoul-b": "sudogwon"},
+    "callers_listen": "10.1.0.8:1",
+    "ready_listen": "10.1.0.8:2",
+    "metrics_listen": "10.1.0.8:3",
+    "relay_listen": "10.1.0.8:4",
+    "registry_address": "10.1.0.8:5",
+    "bounds": {
+        "drain_ms": 200,
+        "shutdown_s": 9,
+        "catch_up_ms": 900,
+        "repeat_ratio": 0.3,
+        "repeat_window_s": 9,
+        "repeat_allowance": 9,
+        "cold_overage": 9,
+        "cold_slack": 9,
+    },
+    "sharing": {"parts_min": 9, "parts_each": 9},
+    "log": {"level": "error", "filter": "hemlockrouter=trace"},
+}"#;
+
+#[test]
+fn a_reload_takes_over_each_field_that_it_can_and_names_the_others() {
+    let mut settings = DirectSettings::parse(&rendered(), "a").expect("they are in order");
+    let newer = DirectSettings::parse(OTHER, "b").expect("they are in order");
+    let changed = settings.changed(&newer);
+    insta::assert_debug_snapshot!(changed);
+    settings.take_over(&newer);
+    let left = settings.changed(&newer);
+    assert!(left.live.is_empty(), "{left:?}");
+    assert_eq!(left.fixed, changed.fixed);
+}
