Direct instances: starting apart from running and stopping

serve() bound the ports, made eleven parts and waited for signals in one function of 80 lines; start() makes the parts. The metrics and relay ports, which an instance can do without, were bound by the same code twice. The order of what is started and the log lines are the same.

--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -79,15 +79,55 @@
 where
     R: Fn() -> eyre::Result<DirectSettings>,
 {
-    let clock = Clock::new();
     let (phase, phase_rx) = watch::channel(Phase::Serving);
+    let running = start(&settings, protocol, phase_rx).await?;
+    let Running {
+        node,
+        member,
+        callers,
+    } = running;
+    info!(
+        target: "process",
+        instance = settings.name.as_str(),
+        zone = settings.zone.as_str(),
+        callers = settings.callers_listen.to_string();
+        "started"
+    );
+    wait_for_stop(|| {
+        if reread(&mut settings, &reload) {
+            node.reconfigure(config(&settings));
+        }
+    })
+    .await?;
+    info!(target: "process", open = callers.open.get(); "shutting down");
+    phase.send_replace(Phase::Draining);
+    tokio::task::spawn_local(async move { member.leave().await });
+    let ended = shut_down(&settings, &callers, &phase).await;
+    info!(target: "process", open = callers.open.get(), pending = node.pending(); "stopped");
+    Ok(ended)
+}
+
+/// What a shutdown needs of an instance that runs.
+struct Running {
+    node: Rc<Node>,
+    member: Rc<Member>,
+    callers: Rc<Callers>,
+}
+
+/// Binds the ports and starts the tasks.
+async fn start(
+    settings: &DirectSettings,
+    protocol: Rc<dyn Protocol>,
+    phase: watch::Receiver<Phase>,
+) -> eyre::Result<Running> {
+    let clock = Clock::new();
     let callers_listener = bind("callers_listen", settings.callers_listen).await?;
     let ready_listener = bind("ready_listen", settings.ready_listen).await?;
     let calls = Calls::new(clock, Rc::clone(&protocol));
-    let node = Node::new(config(&settings), clock, calls);
-    let metrics = Rc::new(Metrics::new());
+    let node = Node::new(config(settings), clock, calls);
     let keeping = Rc::clone(&node);
     tokio::task::spawn_local(async move { keeping.keep_time().await });
+    let metrics = Rc::new(Metrics::new());
     let mirror = Rc::new(Mirror::new(clock));
     let log = Rc::new(RequestsLog {
         metrics: Rc::clone(&metrics),
@@ -95,9 +135,9 @@
     let collector = Rc::new(Collector {
         node: Rc::clone(&node),
         log: Rc::clone(&log),
-        phase: phase_rx.clone(),
+        phase: phase.clone(),
     });
-    let relay = serve_relay(&settings, &mirror, collector).await;
+    let relay = serve_relay(settings, &mirror, collector).await;
     let follower = Follower {
         clock,
         catch_up_ms: settings.catch_up_ms,
@@ -111,51 +151,46 @@
         lost_since: None,
     };
     tokio::task::spawn_local(follower.run());
-    let me = InstanceEntry {
-        name: settings.name.clone(),
-        zone: settings.zone.clone(),
-        relay,
-    };
-    let member = Member::new(me, settings.registry_address, Rc::clone(&protocol));
-    let member = Rc::new(member);
-    let keeping = Rc::clone(&member);
-    tokio::task::spawn_local(async move { keeping.keep().await });
+    let member = keep_member(settings, &protocol, relay);
     let operators = Rc::new(Operators {
         node: Rc::clone(&node),
-        metrics: Rc::clone(&metrics),
-        phase: phase_rx.clone(),
+        metrics,
+        phase: phase.clone(),
         mirror,
     });
-    serve_metrics(&settings, &operators).await;
+    serve_metrics(settings, &operators).await;
     tokio::task::spawn_local(operators.accept(ready_listener));
     let callers = Rc::new(Callers {
         node: Rc::clone(&node),
         protocol,
         log,
-        phase: phase_rx,
+        phase,
         open: Cell::new(0),
     });
-    let accepting = Rc::clone(&callers).accept(callers_listener);
-    tokio::task::spawn_local(accepting);
-    info!(
-        target: "process",
-        instance = settings.name.as_str(),
-        zone = settings.zone.as_str(),
-        callers = settings.callers_listen.to_string();
-        "started"
-    );
-    wait_for_stop(|| {
-        if reread(&mut settings, &reload) {
-            node.reconfigure(config(&settings));
-        }
+    tokio::task::spawn_local(Rc::clone(&callers).accept(callers_listener));
+    Ok(Running {
+        node,
+        member,
+        callers,
     })
-    .await?;
-    info!(target: "process", open = callers.open.get(); "shutting down");
-    phase.send_replace(Phase::Draining);
-    tokio::task::spawn_local(async move { member.leave().await });
-    let ended = shut_down(&settings, &callers, &phase).await;
-    info!(target: "process", open = callers.open.get(), pending = node.pending(); "stopped");
-    Ok(ended)
+}
+
+/// Keeps the instance registered; others find it at `relay`.
+fn keep_member(
+    settings: &DirectSettings,
+    protocol: &Rc<dyn Protocol>,
+    relay: Option<SocketAddr>,
+) -> Rc<Member> {
+    let me = InstanceEntry {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        relay,
+    };
+    let member = Member::new(me, settings.registry_address, Rc::clone(protocol));
+    let member = Rc::new(member);
+    let keeping = Rc::clone(&member);
+    tokio::task::spawn_local(async move { keeping.keep().await });
+    member
 }
 
 async fn bind(field: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
@@ -163,23 +198,27 @@
     bound.wrap_err_with(|| format!("can't listen on {address}, which the settings give as {field}"))
 }
 
-/// Serves metrics on a port of their own, if the settings name one and it is free. An instance
-/// without metrics is better than none.
-async fn serve_metrics(settings: &DirectSettings, operators: &Rc<Operators>) {
-    let Some(address) = settings.metrics_listen else {
-        return;
-    };
+/// Binds a port that an instance can do without, if the settings name it.
+async fn bind_if_free(port: &str, address: Option<SocketAddr>) -> Option<TcpListener> {
+    let address = address?;
     match TcpListener::bind(address).await {
-        Ok(listener) => {
-            tokio::task::spawn_local(Rc::clone(operators).accept(listener));
-        }
+        Ok(listener) => Some(listener),
         Err(err) => {
             let address = address.to_string();
-            warn!(target: "process", address = address, why = err.to_string(); "no metrics");
+            warn!(target: "process", address = address, why = err.to_string(); "no {port}");
+            None
         }
     }
 }
 
+/// Serves metrics on a port of their own, if the settings name one and it is free. An instance
+/// without metrics is better than none.
+async fn serve_metrics(settings: &DirectSettings, operators: &Rc<Operators>) {
+    if let Some(listener) = bind_if_free("metrics", settings.metrics_listen).await {
+        tokio::task::spawn_local(Rc::clone(operators).accept(listener));
+    }
+}
+
 /// Serves other instances, and returns where. One that can't be followed still reads
 /// the registry for itself.
 async fn serve_relay(
@@ -187,18 +226,9 @@
     mirror: &Rc<Mirror>,
     collector: Rc<Collector>,
 ) -> Option<SocketAddr> {
-    let address = settings.relay_listen?;
-    match TcpListener::bind(address).await {
-        Ok(listener) => {
-            tokio::task::spawn_local(relay::accept(listener, Rc::clone(mirror), collector));
-            Some(address)
-        }
-        Err(err) => {
-            let address = address.to_string();
-            warn!(target: "process", address = address, why = err.to_string(); "no relay");
-            None
-        }
-    }
+    let listener = bind_if_free("relay", settings.relay_listen).await?;
+    tokio::task::spawn_local(relay::accept(listener, Rc::clone(mirror), collector));
+    settings.relay_listen
 }
 
 /// Reads the settings anew, and returns whether there is anything to take over. Settings that are wrong
