Ports of tests: a probe that a starting process can't keep open

Two runs of the daemon's tests failed at three places: twice a stand-in could not listen on a port that was just given out, and once a daemon did not become ready and had logged nothing. The port was probed by listening on it for a moment. Another test that starts a daemon in that moment gives the new process a copy of the listening socket until the program is loaded, so the port stays taken after the probe is closed. Ruled out: other listeners (none on the machine), connections that wait to be closed (addresses are reused), two owners of a block.

The probe binds the port and does not listen; a copy of such a socket does not keep others from listening. The third failure fits, but what the daemon complained of was not kept; the tests keep it now.

--- a/hemlockrouter-cli/tests/direct/world.rs
+++ b/hemlockrouter-cli/tests/direct/world.rs
@@ -267,13 +267,17 @@
             .create(true)
             .append(true)
             .open(self.log(dir));
+        let complaints = File::options()
+            .create(true)
+            .append(true)
+            .open(dir.join(format!("{}.stderr", self.name)));
         let child = self
             .program()
             .arg("--settings")
             .arg(&settings)
             .stdin(Stdio::null())
             .stdout(log.expect("the directory is writable"))
-            .stderr(Stdio::null())
+            .stderr(complaints.expect("the directory is writable"))
             .spawn();
         self.child = Some(child.expect("the daemon starts"));
     }
--- a/hemlockrouter-lab/src/ports.rs
+++ b/hemlockrouter-lab/src/ports.rs
@@ -8,6 +8,11 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::Socket;
+use socket2::Type;
+
 /// Ports in a block, the first one included.
 const BLOCK: u16 = 64;
 
@@ -57,9 +62,21 @@
             self.used += 1;
             assert!(self.used < BLOCK, "a block has {BLOCK} ports");
             let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, self.first + self.used));
-            if TcpListener::bind(addr).is_ok() {
+            if is_free(addr) {
                 return addr;
             }
         }
     }
 }
+
+/// Returns whether nothing listens on an address. It is only bound for that: a process that is being
+/// started holds a copy of the socket for a moment, and a copy that listened would keep the port taken.
+fn is_free(addr: SocketAddr) -> bool {
+    let probe = || {
+        let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&addr.into())
+    };
+    let probed: std::io::Result<()> = probe();
+    probed.is_ok()
+}
