--- a/hemlockrouter-cli/tests/direct/main.rs
+++ b/hemlockrouter-cli/tests/direct/main.rs
@@ -4,6 +4,7 @@
 //! each answer against what upstreams have written down.
 
 mod faults;
+mod notices;
 mod relays;
 mod serving;
 mod sharing;
--- /dev/null
+++ b/hemlockrouter-cli/tests/direct/notices.rs
@@ -0,0 +1,171 @@
+//! Upstreams that say that they leave, that they want a rest, or that never stop saying something.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockrouter_corporation_lab::Behaviour;
+use hemlockrouter_corporation_lab::Flood;
+use hemlockrouter_corporation_lab::FloodPart;
+use http::StatusCode;
+
+use crate::world::eventually;
+use crate::world::World;
+use crate::world::BOOK;
+use crate::world::LOOK_UP;
+use crate::world::SEARCH;
+use crate::world::SHARDS;
+
+/// How long an upstream may get requests after it has said that it leaves; less than half of what the
+/// settings allow.
+const LEAVING_MAX: Duration = Duration::from_millis(1_400);
+
+/// How long the upstreams of these tests rest.
+const REST: Duration = Duration::from_millis(1_500);
+
+/// From when on nothing arrives any more after an upstream has asked for a rest.
+const REST_GRACE: Duration = Duration::from_millis(500);
+
+/// The memory that the settings give an instance, in MiB.
+const MEMORY_MB: u64 = 64;
+
+/// How many searches wait at once for answers that never end.
+const FLOODED_SEARCHES: usize = 12;
+
+fn leaving() -> Behaviour {
+    Behaviour {
+        is_leaving: true,
+        ..Behaviour::default()
+    }
+}
+
+fn resting() -> Behaviour {
+    Behaviour {
+        rest: Some(REST),
+        ..Behaviour::default()
+    }
+}
+
+#[test]
+fn an_upstream_that_says_that_it_leaves_gets_nothing_without_a_word_of_the_store() {
+    let world = World::start(1);
+    let left: Vec<&str> = world
+        .upstreams
+        .iter()
+        .step_by(2)
+        .map(|one| one.id())
+        .collect();
+    for upstream in world.upstreams.iter().step_by(2) {
+        upstream.set(leaving());
+    }
+    let from = Instant::now();
+    while from.elapsed() < LEAVING_MAX {
+        for path in [SEARCH, LOOK_UP, BOOK] {
+            let seen = world.call(0, path, 1_000);
+            assert_eq!((seen.status, seen.wrong), (Some(StatusCode::OK), None));
+        }
+    }
+    // Their entries are written anew, as if nothing were the matter.
+    for upstream in &world.upstreams {
+        upstream.register(&world.store, false);
+    }
+    let until = Instant::now();
+    for path in [SEARCH, LOOK_UP, BOOK].repeat(15) {
+        let seen = world.call(0, path, 1_000);
+        assert_eq!((seen.status, seen.wrong), (Some(StatusCode::OK), None));
+    }
+    let runs = world.ledger.runs();
+    let late = runs
+        .iter()
+        .find(|run| run.at > until && left.contains(&run.upstream.as_str()));
+    assert!(late.is_none(), "{late:?}");
+    assert!(world.log(0).contains("upstream says of itself"));
+}
+
+#[test]
+fn upstreams_that_want_a_rest_get_nothing_until_it_is_over() {
+    let world = World::start(1);
+    let of_ledger = || {
+        world
+            .upstreams
+            .iter()
+            .filter(|one| one.service() == "ledger")
+    };
+    of_ledger().for_each(|upstream| upstream.set(resting()));
+    let from = Instant::now();
+    while from.elapsed() < REST + REST_GRACE {
+        let seen = world.call(0, LOOK_UP, 1_000);
+        assert_eq!(
+            seen.status,
+            Some(StatusCode::SERVICE_UNAVAILABLE),
+            "{seen:?}"
+        );
+    }
+    for upstream in of_ledger() {
+        let rejected = world.ledger.rejected(upstream.id());
+        for (at, first) in rejected.iter().enumerate() {
+            let late = rejected[at..].iter().filter(|other| {
+                let since = other.duration_since(*first);
+                since > REST_GRACE && since < REST
+            });
+            assert_eq!(late.count(), 0, "{}", upstream.id());
+        }
+        upstream.set(Behaviour::default());
+    }
+    eventually("their rest is over", || {
+        world.call(0, LOOK_UP, 1_000).status == Some(StatusCode::OK)
+    });
+}
+
+#[test]
+fn answers_without_end_cost_a_part_and_little_memory() {
+    let mut world = World::start(0);
+    let daemon = world.new_daemon(|settings| settings["memory_mb"] = MEMORY_MB.into());
+    world.daemons.push(daemon);
+    world.start_daemon(0);
+    world.wait_ready(0);
+    let mut floods = Vec::new();
+    for upstream in &world.upstreams {
+        upstream.unregister(&world.store);
+    }
+    let kinds = [
+        FloodPart::HeaderLine,
+        FloodPart::Headers,
+        FloodPart::Body,
+        FloodPart::Chunks,
+    ];
+    for number in 0..SHARDS {
+        for kind in kinds {
+            let flood = Flood::start(world.runtime.handle(), kind).expect("a port is free");
+            flood.register(&world.store, &format!("shard-{number}"), "north-a");
+            floods.push(flood);
+        }
+    }
+    eventually("all answer without end", || {
+        world.call(0, SEARCH, 300);
+        floods.iter().all(|flood| flood.served() > 0)
+    });
+    let before = Instant::now();
+    std::thread::scope(|scope| {
+        for _ in 0..FLOODED_SEARCHES {
+            scope.spawn(|| world.call(0, SEARCH, 1_000));
+        }
+    });
+    assert!(
+        before.elapsed() < Duration::from_millis(2_500),
+        "they end in time"
+    );
+    eventually("the connections are closed", || {
+        floods.iter().all(|flood| flood.open() == 0)
+    });
+    let peak_kb = world.daemons[0].peak_memory_kb();
+    assert!(peak_kb < MEMORY_MB << 10, "{peak_kb} kB");
+    // The instance goes on with upstreams that are in order.
+    drop(floods);
+    for upstream in &world.upstreams {
+        upstream.register(&world.store, false);
+    }
+    eventually("a search is served", || {
+        let seen = world.call(0, SEARCH, 1_000);
+        seen.status == Some(StatusCode::OK) && seen.missing == 0
+    });
+}
--- a/hemlockrouter-cli/tests/direct/soak.rs
+++ b/hemlockrouter-cli/tests/direct/soak.rs
@@ -54,6 +54,12 @@
 /// How long after the last fault all requests are served again.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// How many of the upstreams that misbehave ask for a rest with all that they reject.
+const REST_PART: f64 = 0.25;
+
+/// How long they want to be left alone.
+const REST: Duration = Duration::from_millis(700);
+
 /// The longest time between two steps.
 const STEP_MAX: Duration = Duration::from_millis(900);
 
@@ -76,7 +82,7 @@
 }
 
 impl Fault {
-    fn draw(rng: &mut StdRng, upstreams: usize) -> Fault {
+    fn draw(rng: &mut StdRng, rests: &mut StdRng, upstreams: usize) -> Fault {
         let daemon = rng.random_range(0..DAEMONS);
         let upstream = rng.random_range(0..upstreams);
         let behaviour = Behaviour {
@@ -84,6 +90,8 @@
             reject_permille: rng.random_range(0..500),
             lose_permille: rng.random_range(0..200),
             is_silent: rng.random_range(0..4) == 0,
+            is_leaving: false,
+            rest: rests.random_bool(REST_PART).then_some(REST),
         };
         let condition = Condition {
             cut: rng.random(),
@@ -262,6 +270,8 @@
 /// Runs one seed and returns what broke.
 fn run(seed: u64, seconds: u64) -> Result<(), String> {
     let mut rng = StdRng::seed_from_u64(seed);
+    // Drawn apart, so that what older seeds draw stays as it was.
+    let mut rests = StdRng::seed_from_u64(!seed);
     let mut world = World::start(DAEMONS);
     let stop = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..CALLERS)
@@ -271,7 +281,7 @@
     let mut under_way: Vec<(Instant, Fault)> = Vec::new();
     let mut frozen = Vec::new();
     while started.elapsed() < Duration::from_secs(seconds) {
-        let fault = Fault::draw(&mut rng, world.upstreams.len());
+        let fault = Fault::draw(&mut rng, &mut rests, world.upstreams.len());
         fault.begin(&mut world);
         let lasts = Duration::from_millis(rng.random_range(100..4_000));
         let ends = Instant::now() + lasts;
--- a/hemlockrouter-cli/tests/direct/world.rs
+++ b/hemlockrouter-cli/tests/direct/world.rs
@@ -60,6 +60,8 @@
     pub(crate) link: Link,
     /// How many file descriptors it may have; as many as this process if `None`.
     pub(crate) files_max: Option<u32>,
+    /// Fields that its settings name besides.
+    extra_settings: Value,
     child: Option<Child>,
 }
 
@@ -74,7 +76,7 @@
     /// Logs of a test that failed stay for whoever looks into it.
     pub(crate) keeps_logs: bool,
     pub(crate) dir: PathBuf,
-    _ports: Ports,
+    ports: Ports,
 }
 
 impl World {
@@ -103,7 +105,7 @@
             version: 0,
             keeps_logs: false,
             dir,
-            _ports: ports,
+            ports,
         };
         for service in services() {
             for zone in ZONES {
@@ -140,6 +142,16 @@
         self.store.configure(&config);
     }
 
+    /// Makes one more daemon, whose settings are changed.
+    pub(crate) fn new_daemon<F>(&mut self, change: F) -> Daemon
+    where
+        F: FnOnce(&mut Value),
+    {
+        let mut daemon = Daemon::new(self.daemons.len(), &self.store, &mut self.ports);
+        change(&mut daemon.extra_settings);
+        daemon
+    }
+
     pub(crate) fn start_daemon(&mut self, at: usize) {
         let dir = self.dir.clone();
         self.daemons[at].start(&dir);
@@ -210,12 +222,13 @@
             zone: ZONES[at % ZONES.len()],
             link: link.expect("the port was free"),
             files_max: None,
+            extra_settings: json!({}),
             child: None,
         }
     }
 
     fn settings(&self) -> Value {
-        json!({
+        let mut settings = json!({
             "dispatch": "direct",
             "protocol": "corporation",
             "name": self.name,
@@ -236,7 +249,12 @@
             },
             "sharing": {"parts_min": SHARDS, "parts_each": SHARDS / 2},
             "log": {"level": "info"},
-        })
+        });
+        let extra = self.extra_settings.as_object();
+        for (name, value) in extra.into_iter().flatten() {
+            settings[name] = value.clone();
+        }
+        settings
     }
 
     /// Writes its settings with a change, and has it read them.
@@ -306,6 +324,16 @@
             .sum()
     }
 
+    /// Returns the most memory that it has used, in kB.
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
+        let child = self.child.as_ref().expect("the daemon runs");
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("the daemon runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+        peak.expect("the peak is there").parse().expect("a count")
+    }
+
     /// Returns where others follow it, as its log names it.
     pub(crate) fn relay_address(&self) -> String {
         self.relay.to_string()
--- a/hemlockrouter-config/src/direct.rs
+++ b/hemlockrouter-config/src/direct.rs
@@ -25,6 +25,7 @@
     "metrics_listen",
     "relay_listen",
     "registry_address",
+    "memory_mb",
     "bounds",
     "sharing",
     "log",
@@ -90,6 +91,8 @@
     pub relay_listen: Option<SocketAddr>,
     /// Where the registry is.
     pub registry_address: SocketAddr,
+    /// How much memory the process may use, in bytes; a part of it is for answers. Default: 256 MiB.
+    pub memory_bytes: usize,
     /// How long an upstream that is leaving may still get requests, in milliseconds.
     pub drain_ms: u64,
     /// How long a graceful shutdown may take, in milliseconds.
@@ -182,6 +185,7 @@
                 .transpose()?,
             relay_listen: table.get("relay_listen").map(Field::address).transpose()?,
             registry_address: address(&table, "registry_address")?,
+            memory_bytes: (table.number_or("memory_mb", 256, 16, 1 << 20)? as usize) << 20,
             drain_ms: bounds.number_or("drain_ms", 3_000, 100, 600_000)?,
             shutdown_ms: 1_000 * bounds.number_or("shutdown_s", 6, 1, 600)?,
             catch_up_ms: bounds.number_or("catch_up_ms", 5_000, 500, 600_000)?,
@@ -246,6 +250,7 @@
                 "registry_address",
                 self.registry_address != newer.registry_address,
             ),
+            ("memory_mb", self.memory_bytes != newer.memory_bytes),
             ("bounds.catch_up_ms", self.catch_up_ms != newer.catch_up_ms),
             (
                 "bounds.repeat_window_s",
--- a/hemlockrouter-edge/src/protocol.rs
+++ b/hemlockrouter-edge/src/protocol.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use hemlockrouter_route::direct::Ending;
+use hemlockrouter_route::direct::Notice;
 use hemlockrouter_route::direct::Reply;
 use hemlockrouter_types::routing::InstanceEntry;
 use http::request;
@@ -36,6 +37,9 @@
         left_ms: u64,
     ) -> Request<Bytes>;
 
+    /// Reads what an upstream says of itself in the head of an answer, whatever becomes of the rest.
+    fn read_notice(&self, head: &response::Parts) -> Notice;
+
     /// Reads an upstream's complete answer; `None` if it belongs to another request.
     fn read_reply(
         &self,
--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -7,6 +7,7 @@
 mod collect;
 mod finish;
 mod hedge;
+mod notices;
 mod plan;
 mod send;
 mod share;
@@ -204,7 +205,7 @@
             }
         }
         if is_batch {
-            Dispatcher::report_unsent(id, &request, out);
+            self.report_unsent(now, id, &request, out);
         }
         let hedge_ms = self.hedge_ms(&request.route);
         self.timers.set(now + hedge_ms, Due::Hedge(id));
--- a/hemlockrouter-route/src/direct/dispatcher/collect.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/collect.rs
@@ -42,14 +42,21 @@
     }
 
     /// Passes on which parts are sent to nobody, so that the other instance sends them itself.
-    pub(super) fn report_unsent(id: RequestId, request: &Request, out: &mut Vec<Command>) {
+    pub(super) fn report_unsent(
+        &self,
+        now: Time,
+        id: RequestId,
+        request: &Request,
+        out: &mut Vec<Command>,
+    ) {
         let parts = request.parts.iter().enumerate();
         let unsent = parts.filter(|(_, part)| part.sends == 0);
         let unsent: Vec<usize> = unsent.map(|(at, _)| at).collect();
         if !unsent.is_empty() {
             let collected = Collected {
+                answers: Vec::new(),
+                notices: self.notices_of_unsent(now, request, &unsent),
                 unsent,
-                ..Collected::default()
             };
             out.push(Command::Report {
                 request: id,
--- a/hemlockrouter-route/src/direct/dispatcher/finish.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/finish.rs
@@ -88,7 +88,7 @@
     pub(super) fn give_up(&mut self, now: Time, id: RequestId, out: &mut Vec<Command>) {
         let mut request = self.requests.remove(&id).expect("the request is known");
         request.summary.answered = request.answered();
-        let retry_after_ms = retry_after_ms(&request);
+        let retry_after_ms = self.retry_after_ms(now, &request);
         let has_run = request.may_have_run();
         if !request.route.is_gathered() {
             let part = &mut request.parts[0];
@@ -111,6 +111,17 @@
         self.finish(now, id, request, ending, out);
     }
 
+    /// Returns when the caller is to come back, in milliseconds.
+    fn retry_after_ms(&self, now: Time, request: &Request) -> u64 {
+        let failed = request.parts.iter().filter(|part| part.has_failed());
+        let unsent = failed.filter(|part| part.sends == 0);
+        let rest_ms = unsent.map(|part| self.upstreams.rest_ms(now, part.service));
+        match rest_ms.max() {
+            Some(rest_ms) => rest_ms.max(RETRY_FAULT_MS),
+            None => RETRY_REJECTED_MS,
+        }
+    }
+
     /// Ends a request whose time is over.
     pub(super) fn time_out(&mut self, now: Time, id: RequestId, out: &mut Vec<Command>) {
         let Some(request) = self.requests.get(&id) else {
@@ -256,13 +267,3 @@
         _ => Why::Rejected,
     }
 }
-
-/// Returns when the caller is to come back, in milliseconds.
-fn retry_after_ms(request: &Request) -> u64 {
-    let mut failed = request.parts.iter().filter(|part| part.has_failed());
-    if failed.any(|part| part.sends == 0) {
-        RETRY_FAULT_MS
-    } else {
-        RETRY_REJECTED_MS
-    }
-}
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -183,6 +183,7 @@
             return;
         };
         let places = share.parts.clone();
+        self.hear(now, &collected.notices);
         for (at, answer) in collected.answers {
             let Some(place) = places.get(at) else {
                 continue;
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -38,6 +38,37 @@
     }
 }
 
+/// What an upstream says of itself beside an answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Notice {
+    /// It is about to stop.
+    pub leaving: bool,
+    /// For how long it wants no requests of this instance, in milliseconds; 0 if it says nothing.
+    pub rest_ms: u64,
+    /// A header that says one of both and can't be read.
+    pub unreadable: Option<&'static str>,
+}
+
+impl Notice {
+    /// Returns whether it changes where requests go.
+    pub fn says_something(&self) -> bool {
+        self.leaving || self.rest_ms > 0
+    }
+}
+
+/// What an upstream has said of itself, for another instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerNotice {
+    /// The upstream's id.
+    pub upstream: String,
+    /// Which start of the upstream has said it.
+    pub incarnation: u64,
+    /// It is about to stop.
+    pub leaving: bool,
+    /// For how much longer it wants no requests, in milliseconds.
+    pub rest_ms: u64,
+}
+
 /// How a call to an upstream ended.
 #[derive(Clone, Debug)]
 pub enum CallEnd {
@@ -56,6 +87,8 @@
     pub answers: Vec<(usize, Reply)>,
     /// The places of parts that it sends to nobody, since it knows no upstream that may be asked.
     pub unsent: Vec<usize>,
+    /// What upstreams have said of themselves.
+    pub notices: Vec<PeerNotice>,
 }
 
 /// How a call to another instance ended that collects a batch.
--- a/hemlockrouter-route/src/direct/mod.rs
+++ b/hemlockrouter-route/src/direct/mod.rs
@@ -17,6 +17,7 @@
 //! - `event`: what goes in and what comes out.
 //! - `table`: which route a request takes.
 //! - `upstreams`: the registered upstreams, and which one is chosen.
+//! - `notices`: upstreams that have said that they leave, or that they want a rest.
 //! - `record`: how one upstream has answered.
 //! - `budget`: how many repeats this instance may send.
 //! - `instances`: how many instances share a bound, and who reads the registry.
@@ -33,6 +34,7 @@
 mod event;
 mod instances;
 mod merge;
+mod notices;
 mod peers;
 mod record;
 mod request;
@@ -52,6 +54,8 @@
 pub use self::event::Command;
 pub use self::event::Ending;
 pub use self::event::FailedCall;
+pub use self::event::Notice;
+pub use self::event::PeerNotice;
 pub use self::event::Reply;
 pub use self::event::RequestId;
 pub use self::event::Summary;
--- a/hemlockrouter-route/src/direct/upstreams.rs
+++ b/hemlockrouter-route/src/direct/upstreams.rs
@@ -5,6 +5,7 @@
 //! added up from its recent latency, what this instance has in flight there, its recent failures
 //! and its distance. Bad records fade with time, so an upstream that was slow is tried again.
 
+mod notices;
 mod status;
 
 use std::collections::BTreeMap;
@@ -18,6 +19,8 @@
 use super::budget::Spending;
 use super::cold::ColdSends;
 use super::instances::Instances;
+use super::notices::Departed;
+use super::notices::Said;
 use super::record::Record;
 use super::Config;
 
@@ -62,6 +65,8 @@
     /// Since when it is known to be leaving or to be missing from the registry.
     leaving_since: Option<Time>,
     missing: bool,
+    /// What it has said of itself beside its answers.
+    said: Said,
     cold_until: Time,
     pub(super) cold_sends: ColdSends,
     pub(super) record: Record,
@@ -115,6 +120,7 @@
     services: Arena<ServiceKey, Service>,
     by_name: HashMap<String, ServiceKey>,
     evacuated: BTreeSet<String>,
+    departed: Departed,
     instances: Instances,
     turn: u32,
 }
@@ -131,6 +137,7 @@
             services: Arena::new(),
             by_name: HashMap::new(),
             evacuated: BTreeSet::new(),
+            departed: Departed::default(),
             turn: 0,
         }
     }
@@ -171,7 +178,7 @@
             && known.entry.address == entry.address
             && known.entry.service == entry.service;
         if !same {
-            self.remove(key);
+            self.remove(now, key);
             self.insert(now, entry);
             return Registered::Restarted;
         }
@@ -230,7 +237,7 @@
         });
         let over: Vec<UpstreamKey> = over.map(|(key, _)| key).collect();
         over.into_iter()
-            .filter_map(|key| self.remove(key).map(|gone| gone.entry.id))
+            .filter_map(|key| self.remove(now, key).map(|gone| gone.entry.id))
             .collect()
     }
 
@@ -305,7 +312,7 @@
     }
 
     /// Returns the key of the upstream with an id.
-    pub(super) fn key(&self, id: &str) -> Option<UpstreamKey> {
+    pub fn key(&self, id: &str) -> Option<UpstreamKey> {
         self.by_id.get(id).copied()
     }
 
@@ -358,14 +365,15 @@
 
     fn is_usable(&self, now: Time, upstream: &Upstream, wanted: &Wanted<'_>) -> bool {
         let left = upstream
-            .leaving_since
+            .leaving_since()
             .is_some_and(|since| now.since(since) > self.config.linger_ms);
         let allowed = wanted.regions.is_empty()
             || upstream
                 .region
                 .as_ref()
                 .is_some_and(|region| wanted.regions.contains(region));
-        !left && allowed && !self.evacuated.contains(&upstream.entry.zone)
+        let is_out = left || upstream.said.rests(now);
+        !is_out && allowed && !self.evacuated.contains(&upstream.entry.zone)
     }
 
     /// Returns whether a cold upstream bears one more request from this instance.
@@ -389,7 +397,7 @@
         if upstream.record.is_barred(now) {
             cost_ms += BARRED_MS;
         }
-        if upstream.leaving_since.is_some() {
+        if upstream.leaving_since().is_some() {
             cost_ms += LEAVING_MS;
         }
         if upstream.entry.zone != self.config.zone {
@@ -415,6 +423,7 @@
             region: zones.get(&entry.zone).cloned(),
             leaving_since: entry.draining.then_some(now),
             missing: false,
+            said: self.departed.said(&id, entry.incarnation),
             cold_until: now + entry.cold_ms,
             cold_sends: ColdSends::default(),
             record: Record::default(),
@@ -424,8 +433,14 @@
         self.service_mut(service).upstreams.push(key);
     }
 
-    fn remove(&mut self, key: UpstreamKey) -> Option<Upstream> {
+    fn remove(&mut self, now: Time, key: UpstreamKey) -> Option<Upstream> {
         let upstream = self.upstreams.remove(key)?;
+        self.departed.keep(
+            now,
+            &upstream.entry.id,
+            upstream.entry.incarnation,
+            upstream.said,
+        );
         self.by_id.remove(&upstream.entry.id);
         let service = self.service_mut(upstream.service);
         service.upstreams.retain(|other| *other != key);
--- a/hemlockrouter-route/src/direct/upstreams/status.rs
+++ b/hemlockrouter-route/src/direct/upstreams/status.rs
@@ -47,7 +47,7 @@
             UpstreamState::Excluded
         } else if upstream.record.is_unreachable(now) {
             UpstreamState::Unreachable
-        } else if upstream.leaving_since.is_some() {
+        } else if upstream.leaving_since().is_some() {
             UpstreamState::Leaving
         } else if upstream.cold_until > now {
             UpstreamState::Cold
--- a/hemlockrouter-route/tests/direct/fuzz.rs
+++ b/hemlockrouter-route/tests/direct/fuzz.rs
@@ -9,6 +9,7 @@
 use hemlockrouter_route::direct::Collected;
 use hemlockrouter_route::direct::Command;
 use hemlockrouter_route::direct::Ending;
+use hemlockrouter_route::direct::Notice;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::BatchPart;
@@ -29,12 +30,17 @@
 /// How long a request may take at most, by the deadline that the fixture gives it.
 const DEADLINE_MS: u64 = 800;
 
+/// How long the fixture's upstreams are used after they are known to leave, in milliseconds.
+const LINGER_MS: u64 = 1_200;
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Start(usize),
     /// Ends one of the open calls in one of the ways.
     End(prop::sample::Index, u8),
     Wait(u64),
+    /// The upstream of one of the open calls says that it leaves, or for how long it wants a rest.
+    Notice(prop::sample::Index, bool, u64),
     Leave(prop::sample::Index),
     Evacuate(bool, bool),
     Unregister(bool),
@@ -50,6 +56,8 @@
         3 => (0..3_usize).prop_map(Step::Start),
         10 => (any::<prop::sample::Index>(), 0..5_u8).prop_map(|(at, how)| Step::End(at, how)),
         4 => (0..200_u64).prop_map(Step::Wait),
+        1 => (any::<prop::sample::Index>(), any::<bool>(), 0..1_000_u64)
+            .prop_map(|(at, leaving, rest_ms)| Step::Notice(at, leaving, rest_ms)),
         1 => any::<prop::sample::Index>().prop_map(Step::Leave),
         1 => any::<(bool, bool)>().prop_map(|(zone, out)| Step::Evacuate(zone, out)),
         1 => any::<bool>().prop_map(Step::Unregister),
@@ -87,6 +95,10 @@
     open: BTreeMap<CallId, (RequestId, String)>,
     batches: BTreeMap<CallId, OpenBatch>,
     out_of_service: Vec<&'static str>,
+    /// When each upstream has said first that it leaves.
+    leaving: BTreeMap<String, Time>,
+    /// Until when each upstream wants a rest.
+    resting: BTreeMap<String, Time>,
 }
 
 fn zone(first: bool) -> &'static str {
@@ -111,6 +123,14 @@
                     let upstreams = fixture.dispatcher.upstreams();
                     let entry = &upstreams.get(upstream).expect("it is registered").entry;
                     assert!(!self.out_of_service.contains(&entry.zone.as_str()));
+                    let rests_until = self.resting.get(&entry.id);
+                    assert!(
+                        rests_until.is_none_or(|until| *until <= fixture.now),
+                        "it rests"
+                    );
+                    let leaving = self.leaving.get(&entry.id);
+                    let left_ms = leaving.map_or(0, |at| fixture.now.since(*at));
+                    assert!(left_ms <= LINGER_MS, "it leaves for {left_ms} ms");
                     let known = self.requests.get_mut(&request).expect("it was started");
                     assert!(!known.has_ended, "sent after its end");
                     let sent = known.sent.entry(entry.service.clone()).or_default();
@@ -206,6 +226,7 @@
         let collected = Collected {
             answers: answers.collect(),
             unsent: unsent.collect(),
+            notices: Vec::new(),
         };
         let request = batch.request;
         if !collected.answers.is_empty() || collected.unsent.is_empty() {
@@ -276,6 +297,36 @@
         fixture.end(call, end);
     }
 
+    fn notice(
+        &mut self,
+        fixture: &mut Fixture,
+        at: prop::sample::Index,
+        leaving: bool,
+        rest_ms: u64,
+    ) {
+        if self.open.is_empty() {
+            return;
+        }
+        let (&call, (_, id)) = at.get(&self.open.iter().collect::<Vec<_>>()).to_owned();
+        let upstreams = fixture.dispatcher.upstreams();
+        let Some(key) = upstreams.key(id) else {
+            return;
+        };
+        let now = fixture.now;
+        if leaving {
+            self.leaving.entry(id.clone()).or_insert(now);
+        }
+        let rests_until = self.resting.entry(id.clone()).or_insert(now);
+        *rests_until = (*rests_until).max(now + rest_ms);
+        let notice = Notice {
+            leaving,
+            rest_ms,
+            unreadable: None,
+        };
+        let out = &mut fixture.out;
+        fixture.dispatcher.noticed(now, call, key, &notice, out);
+    }
+
     fn step(&mut self, fixture: &mut Fixture, step: Step) {
         let now = fixture.now;
         match step {
@@ -298,6 +349,7 @@
             }
             Step::End(at, how) => self.end(fixture, at, how),
             Step::Wait(ms) => fixture.wait(ms),
+            Step::Notice(at, leaving, rest_ms) => self.notice(fixture, at, leaving, rest_ms),
             Step::Leave(at) => {
                 if self.requests.is_empty() {
                     return;
--- a/hemlockrouter-route/tests/direct/main.rs
+++ b/hemlockrouter-route/tests/direct/main.rs
@@ -6,5 +6,6 @@
 mod fixture;
 mod fuzz;
 mod instances;
+mod notices;
 mod sharing;
 mod table;
--- /dev/null
+++ b/hemlockrouter-route/tests/direct/notices.rs
@@ -0,0 +1,304 @@
+//! Upstreams that say that they leave, or that they want a rest.
+
+use hemlockrouter_route::direct::CallEnd;
+use hemlockrouter_route::direct::CallId;
+use hemlockrouter_route::direct::Collected;
+use hemlockrouter_route::direct::Command;
+use hemlockrouter_route::direct::Ending;
+use hemlockrouter_route::direct::Notice;
+use hemlockrouter_route::direct::PeerNotice;
+use hemlockrouter_route::direct::RequestId;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::Batch;
+use hemlockrouter_types::routing::BatchPart;
+use hemlockrouter_types::routing::ShardTarget;
+use hemlockrouter_types::routing::Target;
+
+use crate::fixture::rejected;
+use crate::fixture::route;
+use crate::fixture::success;
+use crate::fixture::upstream;
+use crate::fixture::Fixture;
+use crate::fixture::LOOK_UP;
+use crate::fixture::SEARCH;
+use crate::fixture::SHARDS;
+
+/// How long the fixture's upstreams are used after they are known to leave, in milliseconds, and a
+/// moment.
+const LINGER_MS: u64 = 1_201;
+
+/// How long an upstream rests in these tests, in milliseconds.
+const REST_MS: u64 = 3_000;
+
+/// The shards of the search on which bursts are replayed.
+const MANY_SHARDS: usize = 270;
+
+const LEAVING: Notice = Notice {
+    leaving: true,
+    rest_ms: 0,
+    unreadable: None,
+};
+
+const RESTING: Notice = Notice {
+    leaving: false,
+    rest_ms: REST_MS,
+    unreadable: None,
+};
+
+impl Fixture {
+    /// Has the upstream of a call say something of itself.
+    fn notice(&mut self, call: CallId, upstream: UpstreamKey, notice: Notice) {
+        let out = &mut self.out;
+        self.dispatcher
+            .noticed(self.now, call, upstream, &notice, out);
+    }
+
+    /// Takes the calls that were sent, with the keys of their upstreams.
+    fn sent_to(&mut self) -> Vec<(CallId, UpstreamKey)> {
+        let mut sent = Vec::new();
+        self.out.retain(|command| {
+            let Command::Send { call, upstream, .. } = command else {
+                return true;
+            };
+            sent.push((*call, *upstream));
+            false
+        });
+        sent
+    }
+
+    fn id(&self, key: UpstreamKey) -> String {
+        let upstream = self.dispatcher.upstreams().get(key);
+        upstream.expect("it is registered").entry.id.clone()
+    }
+
+    /// Sends a look-up, has its upstream say `notice`, and returns the upstream's id.
+    fn look_up(&mut self, notice: Notice, end: CallEnd) -> String {
+        self.start(LOOK_UP);
+        let (call, key) = self.sent_to()[0];
+        let id = self.id(key);
+        self.notice(call, key, notice);
+        self.end(call, end);
+        self.out.clear();
+        id
+    }
+
+    /// Returns the upstreams of so many look-ups.
+    fn look_ups(&mut self, count: usize) -> Vec<String> {
+        let mut used = Vec::new();
+        for _ in 0..count {
+            self.start(LOOK_UP);
+            let sent = self.sent();
+            used.extend(sent.iter().map(|(_, id)| id.clone()));
+            self.answer(sent);
+        }
+        self.out.clear();
+        used
+    }
+}
+
+#[test]
+fn an_upstream_that_says_that_it_leaves_gets_nothing_whatever_the_registry_says() {
+    let mut fixture = Fixture::new();
+    let leaving = fixture.look_up(LEAVING, success("stamp", b""));
+    assert!(
+        !fixture.look_ups(20).contains(&leaving),
+        "another one is there"
+    );
+    fixture.wait(LINGER_MS);
+    let zone = leaving.split_once('@').expect("ids name their zone").1;
+    let entry = upstream("ledger", zone);
+    let now = fixture.now;
+    let upstreams = fixture.dispatcher.upstreams_mut();
+    upstreams.register(now, entry.clone());
+    upstreams.evacuate(
+        if zone == "north-a" {
+            "south-b"
+        } else {
+            "north-a"
+        },
+        true,
+    );
+    assert!(fixture.look_ups(5).is_empty(), "its entry was rewritten");
+    fixture.dispatcher.upstreams_mut().unregister(now, &leaving);
+    fixture.wait(LINGER_MS);
+    fixture.wait(LINGER_MS);
+    assert!(fixture.dispatcher.upstreams().len() < 2 * (SHARDS + 1));
+    let now = fixture.now;
+    fixture
+        .dispatcher
+        .upstreams_mut()
+        .register(now, entry.clone());
+    assert!(
+        fixture.look_ups(5).is_empty(),
+        "its entry lapsed and is back"
+    );
+    let mut restarted = entry;
+    restarted.incarnation += 1;
+    fixture.dispatcher.upstreams_mut().register(now, restarted);
+    assert_eq!(fixture.look_ups(5), vec![leaving; 5], "it started again");
+}
+
+#[test]
+fn what_an_upstream_says_counts_also_if_nobody_waits_for_its_answer() {
+    let mut fixture = Fixture::new();
+    let id = fixture.start(LOOK_UP);
+    let (call, key) = fixture.sent_to()[0];
+    let leaving = fixture.id(key);
+    let (now, out) = (fixture.now, &mut fixture.out);
+    assert!(fixture.dispatcher.abandoned(now, id, out));
+    fixture.notice(call, key, LEAVING);
+    assert!(!fixture.look_ups(20).contains(&leaving));
+}
+
+#[test]
+fn an_upstream_that_wants_a_rest_gets_nothing_until_it_is_over() {
+    let mut fixture = Fixture::new();
+    let resting = fixture.look_up(RESTING, rejected());
+    fixture.wait(REST_MS - 1);
+    assert!(!fixture.look_ups(20).contains(&resting));
+    fixture.wait(2);
+    fixture.wait(20_000);
+    assert!(fixture.look_ups(20).contains(&resting), "its rest is over");
+}
+
+#[test]
+fn a_request_is_refused_with_the_time_at_which_the_first_rest_is_over() {
+    let mut fixture = Fixture::new();
+    for _ in 0..2 {
+        fixture.look_up(RESTING, rejected());
+        fixture.wait(1_000);
+    }
+    // The first attempt finds out whether the upstreams can be reached again.
+    for _ in 0..2 {
+        let id = fixture.start(LOOK_UP);
+        assert!(fixture.sent().is_empty());
+        let Some(Ending::NotRun { retry_after_ms, .. }) = fixture.ending(id) else {
+            panic!("nothing has run");
+        };
+        assert_eq!(retry_after_ms, REST_MS - 2_000);
+    }
+}
+
+#[test]
+fn a_shard_whose_upstreams_all_rest_is_missing_at_once() {
+    let services: Vec<String> = (0..MANY_SHARDS).map(|at| format!("many-{at}")).collect();
+    let target = Target::Shards(ShardTarget {
+        services: services.clone(),
+        records_max: 3,
+        coverage_min: 0.95,
+    });
+    let mut fixture = Fixture::with("me", vec![route("search", "/search/", target, true)]);
+    for service in &services {
+        for zone in ["north-a", "north-c", "south-b"] {
+            let upstreams = fixture.dispatcher.upstreams_mut();
+            upstreams.register(Time::ZERO, upstream(service, zone));
+        }
+    }
+    let mut rests_from = None;
+    for burst in 0..30 {
+        for _ in 0..10 {
+            let id = fixture.start(SEARCH);
+            let mut sent = fixture.sent_to();
+            while let Some((call, key)) = sent.pop() {
+                let is_resting = fixture.id(key).starts_with("many-7@");
+                if is_resting {
+                    assert_eq!(rests_from, None, "burst {burst}: the upstreams rest");
+                    fixture.notice(call, key, RESTING);
+                    fixture.end(call, rejected());
+                    sent.extend(fixture.sent_to());
+                } else {
+                    fixture.end(call, success("stamp", b""));
+                }
+            }
+            let Some(Ending::Merged { missing, .. }) = fixture.ending(id) else {
+                panic!("burst {burst}: the other shards suffice, and nothing is waited for");
+            };
+            assert_eq!(missing, 1);
+        }
+        rests_from = Some(burst);
+        fixture.wait(REST_MS / 40);
+    }
+}
+
+#[test]
+fn instances_tell_each_other_what_an_upstream_says() {
+    let mut collector = Fixture::new();
+    let batch = Batch {
+        route: String::from("search"),
+        version: 1,
+        attempts_max: 2,
+        target_latency_ms: 150,
+        parts: vec![BatchPart {
+            service: String::from("shard-0"),
+            upstreams: vec![upstream("shard-0", "north-a").id],
+            repeats_permille: 0,
+        }],
+    };
+    let (now, out) = (collector.now, &mut collector.out);
+    let id = RequestId(900);
+    collector.dispatcher.start_batch(now, id, batch, 800, out);
+    let (call, key) = collector.sent_to()[0];
+    collector.notice(call, key, LEAVING);
+    let reported = collector.out.pop();
+    let Some(Command::Report { collected, .. }) = reported else {
+        panic!("the other instance is told before it gets the answer: {reported:?}");
+    };
+    let told = PeerNotice {
+        upstream: upstream("shard-0", "north-a").id,
+        incarnation: 1,
+        leaving: true,
+        rest_ms: 0,
+    };
+    assert_eq!(collected.notices, [told]);
+    assert!(collected.answers.is_empty());
+}
+
+#[test]
+fn a_part_is_missing_if_the_instance_that_collects_it_may_not_send_it() {
+    let mut fixture = Fixture::sharing(2, 4);
+    let call = fixture.share_all();
+    let notices = ["north-a", "south-b"].map(|zone| PeerNotice {
+        upstream: upstream("shard-0", zone).id,
+        incarnation: 1,
+        leaving: false,
+        rest_ms: REST_MS,
+    });
+    let collected = Collected {
+        answers: Vec::new(),
+        unsent: vec![0],
+        notices: notices.to_vec(),
+    };
+    let (now, out) = (fixture.now, &mut fixture.out);
+    fixture.dispatcher.collected(now, call, collected, out);
+    assert!(fixture.sent().is_empty(), "both upstreams rest");
+}
+
+impl Fixture {
+    /// Has another instance collect all shards of a search, and returns the call.
+    fn share_all(&mut self) -> CallId {
+        let mut other = crate::fixture::instance("other", "north-a");
+        other.relay = Some(std::net::SocketAddr::from(([127, 0, 0, 1], 7)));
+        let instances = self.dispatcher.upstreams_mut().instances_mut();
+        instances.joined(Time::ZERO, other);
+        self.wait(1_000);
+        let asked = self.shares();
+        let (now, out) = (self.now, &mut self.out);
+        for call in asked {
+            let end = hemlockrouter_route::direct::BatchEnd::Done;
+            self.dispatcher.batch_ended(now, call, end, out);
+        }
+        // Which of the two instances collects a group depends on the hash of its name alone.
+        self.start(SEARCH);
+        let shares = self.shares();
+        self.out.clear();
+        *shares.first().expect("the search is shared")
+    }
+
+    fn shares(&mut self) -> Vec<CallId> {
+        let shares = self.out.iter().filter_map(|command| match command {
+            Command::Share { call, .. } => Some(*call),
+            _ => None,
+        });
+        shares.collect()
+    }
+}
--- a/src/direct/batches.rs
+++ b/src/direct/batches.rs
@@ -3,9 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Buf;
 use bytes::Bytes;
-use bytes::BytesMut;
 use hemlockrouter_edge::BatchCall;
 use hemlockrouter_edge::CollectedFrame;
 use hemlockrouter_route::direct::BatchEnd;
@@ -18,6 +16,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
+use super::answer_memory::AnswerMemory;
+use super::answer_memory::Buffer;
 use super::connection::within_ms;
 use super::connection::NoAnswer;
 use super::pool::Pool;
@@ -35,19 +35,18 @@
 /// The size of the length that precedes each frame, in bytes.
 const LENGTH_BYTES: usize = 4;
 
-/// The largest frame, in bytes.
-const FRAME_MAX_BYTES: usize = 16 << 20;
-
 /// Calls instances, and keeps connections to them.
 pub(super) struct Batches {
     clock: Clock,
+    memory: AnswerMemory,
     pool: Pool<SocketAddr>,
 }
 
 impl Batches {
-    pub(super) fn new(clock: Clock) -> Batches {
+    pub(super) fn new(clock: Clock, memory: AnswerMemory) -> Batches {
         Batches {
             clock,
+            memory,
             pool: Pool::new(),
         }
     }
@@ -106,7 +105,7 @@
         if answer.status() != StatusCode::OK {
             return BatchEnd::NotTaken;
         }
-        match read_frames(answer.into_body(), &mut on_collected).await {
+        match read_frames(answer.into_body(), self.memory.buffer(), &mut on_collected).await {
             Ok(()) => {
                 if connection.is_ready().await {
                     self.pool.keep(peer, connection, Duration::MAX, KEPT_MAX);
@@ -114,7 +113,7 @@
                 BatchEnd::Done
             }
             Err(why) => {
-                log::debug!(peer = peer.to_string(), why = why.as_str(); "batch lost");
+                log::debug!(peer = peer.to_string(), why = format!("{why:?}"); "batch lost");
                 BatchEnd::Lost
             }
         }
@@ -128,25 +127,28 @@
     request
 }
 
-async fn read_frames<F>(mut body: Incoming, on_collected: &mut F) -> Result<(), String>
+async fn read_frames<F>(
+    mut body: Incoming,
+    mut read: Buffer,
+    on_collected: &mut F,
+) -> Result<(), NoAnswer>
 where
     F: FnMut(Collected),
 {
-    let mut read = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|err| err.to_string())?;
+        let frame = frame.map_err(|err| NoAnswer::Lost(err.to_string()))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        read.extend_from_slice(&data);
+        read.push(&data)?;
         while let Some(frame) = take_frame(&mut read)? {
             on_collected(frame.collected());
         }
     }
-    if read.is_empty() {
+    if read.data().is_empty() {
         Ok(())
     } else {
-        Err(String::from("the last frame broke off"))
+        Err(NoAnswer::Lost(String::from("the last frame broke off")))
     }
 }
 
@@ -164,19 +166,16 @@
 /// # Errors
 ///
 /// Returns what is wrong with it.
-fn take_frame(read: &mut BytesMut) -> Result<Option<CollectedFrame>, String> {
-    let Some(length) = read.first_chunk::<LENGTH_BYTES>() else {
+fn take_frame(read: &mut Buffer) -> Result<Option<CollectedFrame>, NoAnswer> {
+    let Some(length) = read.data().first_chunk::<LENGTH_BYTES>() else {
         return Ok(None);
     };
-    let length = u32::from_be_bytes(*length) as usize;
-    if length > FRAME_MAX_BYTES {
-        return Err(format!("a frame of {length} bytes"));
-    }
-    if read.len() < LENGTH_BYTES + length {
+    let end = LENGTH_BYTES + u32::from_be_bytes(*length) as usize;
+    let Some(frame) = read.data().get(LENGTH_BYTES..end) else {
         return Ok(None);
-    }
-    read.advance(LENGTH_BYTES);
-    let frame = read.split_to(length);
-    let frame = rmp_serde::from_slice(&frame).map_err(|err| err.to_string())?;
+    };
+    let frame = rmp_serde::from_slice(frame);
+    let frame = frame.map_err(|err| NoAnswer::Lost(err.to_string()))?;
+    read.drop_first(end);
     Ok(Some(frame))
 }
--- a/src/direct/calls.rs
+++ b/src/direct/calls.rs
@@ -12,6 +12,7 @@
 use hemlockrouter_edge::CallerRequest;
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_route::direct::CallEnd;
+use hemlockrouter_route::direct::Notice;
 use hemlockrouter_types::prelude::*;
 use http::header;
 use http::response;
@@ -19,7 +20,7 @@
 use http::Request;
 use http_body_util::Full;
 
-use super::connection::read_whole;
+use super::answer_memory::AnswerMemory;
 use super::connection::within_ms;
 use super::connection::Connection;
 use super::connection::NoAnswer;
@@ -56,22 +57,28 @@
 pub(super) struct Calls {
     clock: Clock,
     protocol: Rc<dyn Protocol>,
+    memory: AnswerMemory,
     pool: Pool<UpstreamKey>,
 }
 
 impl Calls {
-    pub(super) fn new(clock: Clock, protocol: Rc<dyn Protocol>) -> Calls {
+    pub(super) fn new(clock: Clock, protocol: Rc<dyn Protocol>, memory: AnswerMemory) -> Calls {
         Calls {
             clock,
             protocol,
+            memory,
             pool: Pool::new(),
         }
     }
 
-    /// Makes a call and returns how it ended. Dropping the future breaks the call off.
-    pub(super) async fn make(&self, call: Call) -> CallEnd {
+    /// Makes a call and returns how it ended. What the upstream says of itself is passed on as soon as
+    /// the head of its answer is in. Dropping the future breaks the call off.
+    pub(super) async fn make<F>(&self, call: Call, on_notice: F) -> CallEnd
+    where
+        F: FnOnce(Notice),
+    {
         let left_ms = call.deadline.left(self.clock.now());
-        within_ms(left_ms, self.try_call(&call))
+        within_ms(left_ms, self.try_call(&call, on_notice))
             .await
             .unwrap_or(CallEnd::Lost)
     }
@@ -84,7 +91,10 @@
         self.pool.tidy(is_known);
     }
 
-    async fn try_call(&self, call: &Call) -> CallEnd {
+    async fn try_call<F>(&self, call: &Call, on_notice: F) -> CallEnd
+    where
+        F: FnOnce(Notice),
+    {
         let target = Target {
             key: call.upstream,
             address: call.address,
@@ -94,23 +104,37 @@
                 false => ONCE_IDLE_MAX,
             },
         };
-        match self.send_and_read(call, &target).await {
+        match self.send_and_read(call, &target, on_notice).await {
             Ok((connection, head, body)) => self.read(call, connection, head, body),
             Err(NoAnswer::NotSent) => CallEnd::NotSent,
             Err(NoAnswer::Lost(why)) => {
-                log::debug!(upstream = call.upstream_id.as_str(), why = why.as_str(); "call lost");
+                let upstream = call.upstream_id.as_str();
+                log::debug!(upstream = upstream, why = why.as_str(); "call lost");
                 CallEnd::Lost
             }
         }
     }
 
-    async fn send_and_read(
+    async fn send_and_read<F>(
         &self,
         call: &Call,
         target: &Target<UpstreamKey>,
-    ) -> Result<(Connection, response::Parts, Bytes), NoAnswer> {
+        on_notice: F,
+    ) -> Result<(Connection, response::Parts, Bytes), NoAnswer>
+    where
+        F: FnOnce(Notice),
+    {
         let (connection, answer) = self.pool.send(target, || self.write(call)).await?;
-        let (head, body) = read_whole(answer).await?;
+        let (head, body) = answer.into_parts();
+        let notice = self.protocol.read_notice(&head);
+        if let Some(header) = notice.unreadable {
+            let upstream = call.upstream_id.as_str();
+            log::warn!(target: "belief", upstream = upstream, header = header; "unreadable header");
+        }
+        if notice.says_something() {
+            on_notice(notice);
+        }
+        let body = self.memory.read(body).await?;
         Ok((connection, head, body))
     }
 
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -20,7 +20,10 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-/// The largest body that is read of an answer, in bytes.
+/// The largest head that is read of an answer, in bytes.
+const HEAD_MAX_BYTES: usize = 32 << 10;
+
+/// The largest body that is read of an answer of the registry, in bytes.
 const BODY_MAX_BYTES: usize = 16 << 20;
 
 /// How long a connection that keeps itself alive may be idle before it is probed.
@@ -80,7 +83,9 @@
                 .with_retries(PROBES_MAX);
             SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
         }
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(HEAD_MAX_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
             // How a connection ends shows in the calls on it.
@@ -134,14 +139,12 @@
     }
 }
 
-/// Reads the whole body of an answer.
+/// Reads the whole body of an answer of the registry, or of an instance that passes it on.
 ///
 /// # Errors
 ///
 /// Returns that the answer is lost.
-pub(super) async fn read_whole(
-    answer: Response<Incoming>,
-) -> Result<(response::Parts, Bytes), NoAnswer> {
+async fn read_whole(answer: Response<Incoming>) -> Result<(response::Parts, Bytes), NoAnswer> {
     let (head, body) = answer.into_parts();
     let body = Limited::new(body, BODY_MAX_BYTES).collect().await;
     let body = body.map_err(|err| NoAnswer::Lost(err.to_string()))?;
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -22,6 +22,8 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+use super::answer_memory::AnswerMemory;
+use super::batches::Batches;
 use super::callers::Callers;
 use super::calls::Calls;
 use super::collector::Collector;
@@ -123,8 +125,10 @@
     let clock = Clock::new();
     let callers_listener = bind("callers_listen", settings.callers_listen).await?;
     let ready_listener = bind("ready_listen", settings.ready_listen).await?;
-    let calls = Calls::new(clock, Rc::clone(&protocol));
-    let node = Node::new(config(settings), clock, calls);
+    let memory = AnswerMemory::new(settings.memory_bytes);
+    let calls = Calls::new(clock, Rc::clone(&protocol), memory.clone());
+    let batches = Batches::new(clock, memory);
+    let node = Node::new(config(settings), clock, calls, batches);
     let keeping = Rc::clone(&node);
     tokio::task::spawn_local(async move { keeping.keep_time().await });
     let metrics = Rc::new(Metrics::new());
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -11,6 +11,7 @@
 //! - `listener`: accepts connections on all ports.
 //! - `callers`: the port for callers.
 //! - `calls`: calls to upstreams.
+//! - `answer_memory`: how much memory answers may take.
 //! - `pool`: connections that wait for their next call.
 //! - `connection`: one client connection, used for upstreams and the registry.
 //! - `follower`: keeps up with the registry.
@@ -23,6 +24,7 @@
 //! - `operators`: readiness and metrics.
 //! - `requests_log`: the log line of each request.
 
+mod answer_memory;
 mod batches;
 mod callers;
 mod calls;
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -21,6 +21,7 @@
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::Ending;
 use hemlockrouter_route::direct::Explained;
+use hemlockrouter_route::direct::Notice;
 use hemlockrouter_route::direct::Reading;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
@@ -124,11 +125,11 @@
 }
 
 impl Node {
-    pub(super) fn new(config: Config, clock: Clock, calls: Calls) -> Rc<Node> {
+    pub(super) fn new(config: Config, clock: Clock, calls: Calls, batches: Batches) -> Rc<Node> {
         let shared = Rc::new(Shared {
             clock,
             calls,
-            batches: Batches::new(clock),
+            batches,
             waiting: RefCell::default(),
             running: RefCell::default(),
             table: RefCell::default(),
@@ -291,6 +292,11 @@
         self.run();
     }
 
+    fn noticed(&self, id: CallId, upstream: UpstreamKey, notice: Notice) {
+        call!([self.decider], noticed(id, upstream, notice));
+        self.run();
+    }
+
     fn collected(&self, id: CallId, collected: Collected) {
         call!([self.decider], collected(id, collected));
         self.run();
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -15,6 +15,7 @@
 use hemlockrouter_route::direct::Config;
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::Explained;
+use hemlockrouter_route::direct::Notice;
 use hemlockrouter_route::direct::Reading;
 use hemlockrouter_route::direct::Registered;
 use hemlockrouter_route::direct::RequestId;
@@ -86,6 +87,23 @@
         self.carry_out();
     }
 
+    pub(super) fn noticed(&mut self, _: CX![], id: CallId, key: UpstreamKey, notice: Notice) {
+        let now = self.shared.clock.now();
+        let out = &mut self.commands;
+        let is_news = self.dispatcher.noticed(now, id, key, &notice, out);
+        let upstream = self.dispatcher.upstreams().get(key);
+        if let (true, Some(upstream)) = (is_news, upstream) {
+            info!(
+                target: "belief",
+                upstream = upstream.entry.id.as_str(),
+                leaving = notice.leaving,
+                rest_ms = notice.rest_ms;
+                "upstream says of itself"
+            );
+        }
+        self.carry_out();
+    }
+
     pub(super) fn ended(&mut self, _: CX![], id: CallId, end: CallEnd) {
         let now = self.shared.clock.now();
         self.dispatcher.ended(now, id, end, &mut self.commands);
@@ -351,7 +369,12 @@
         let shared = Rc::clone(&self.shared);
         let node = self.node.clone();
         let task = tokio::task::spawn_local(async move {
-            let end = shared.calls.make(call).await;
+            let on_notice = |notice| {
+                if let Some(node) = node.upgrade() {
+                    node.noticed(id, key, notice);
+                }
+            };
+            let end = shared.calls.make(call, on_notice).await;
             if let Some(node) = node.upgrade() {
                 node.ended(id, end);
             }
