--- a/hemlockrouter-cli/tests/direct/relays.rs
+++ b/hemlockrouter-cli/tests/direct/relays.rs
@@ -3,16 +3,25 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hemlockrouter_corporation_lab::Down;
 use hemlockrouter_lab::link::Condition;
 use http::StatusCode;
 
 use crate::world::eventually;
 use crate::world::World;
 use crate::world::CATCH_UP_MS;
+use crate::world::SEARCH;
 
-/// Five instances for each of two availability zones: enough that three of them follow.
+/// Five instances for each of two availability zones: enough that four of them follow.
 const DAEMONS: usize = 10;
 
+/// How many of them follow others.
+const FOLLOWERS: usize = 8;
+
+/// How many calls the start of all instances costs at most: each reads a few pages, two read on for the
+/// others, and two register all.
+const START_CALLS_MAX: u64 = 60;
+
 /// Returns a daemon that follows another one, and the one that it follows.
 fn followers(world: &World) -> Vec<(usize, usize)> {
     let of = |at: usize| {
@@ -30,8 +39,8 @@
 
 fn start() -> (World, Vec<(usize, usize)>) {
     let world = World::start(DAEMONS);
-    eventually("six instances follow others", || {
-        followers(&world).len() >= 6
+    eventually("all but the readers follow others", || {
+        followers(&world).len() >= FOLLOWERS
     });
     let followers = followers(&world);
     (world, followers)
@@ -56,12 +65,98 @@
     for (_, relay) in followers.clone() {
         check_new_version(&mut world, &followers, relay);
     }
-    std::thread::sleep(Duration::from_secs(2));
+    // By then each is registered by the instance that it follows.
+    std::thread::sleep(Duration::from_secs(6));
     let before = world.store.calls();
     std::thread::sleep(Duration::from_secs(4));
-    // Four instances read, each twice in 3.6 s, and ten renew their lease every 6 s.
+    // Two instances read, each twice in 4.6 s, and both renew a lease every 6 s.
+    let calls = world.store.calls() - before;
+    assert!(calls <= 10, "{calls} calls in 4 s");
+}
+
+#[test]
+fn all_are_on_the_list_and_few_calls_are_made_when_all_start_at_once() {
+    let (mut world, _) = start();
+    let keys = "hemlock/instances/";
+    eventually("all are registered", || {
+        world.store.keys(keys).len() == DAEMONS
+    });
+    world.wait_settled();
+    for daemon in &mut world.daemons {
+        daemon.kill();
+    }
+    let before = world.store.calls();
+    for at in 0..DAEMONS {
+        world.start_daemon(at);
+    }
+    for at in 0..DAEMONS {
+        world.wait_ready(at);
+    }
+    eventually("all but the readers follow others", || {
+        followers(&world).len() >= FOLLOWERS
+    });
+    std::thread::sleep(Duration::from_secs(2));
     let calls = world.store.calls() - before;
-    assert!(calls <= 24, "{calls} calls in 4 s");
+    assert!(calls <= START_CALLS_MAX, "{calls} calls");
+    assert_eq!(world.store.keys(keys).len(), DAEMONS);
+    world.daemons[3].shut_down();
+    eventually("one that stops is not on the list", || {
+        world.store.keys(keys).len() == DAEMONS - 1
+    });
+}
+
+#[test]
+fn an_instance_that_starts_while_the_store_is_down_learns_from_the_others() {
+    let (mut world, _) = start();
+    world.store.set_down(Down::Busy);
+    world.daemons[4].kill();
+    world.start_daemon(4);
+    world.wait_ready(4);
+    let seen = world.call(4, SEARCH, 1_000);
+    assert_eq!((seen.status, seen.missing), (Some(StatusCode::OK), 0));
+    eventually("it says so", || world.log(4).contains("read from a relay"));
+}
+
+#[test]
+fn a_reader_that_the_store_turns_away_learns_from_the_others() {
+    let (mut world, followers) = start();
+    let reader = followers[0].1;
+    let cut = Condition {
+        cut: true,
+        ..Condition::default()
+    };
+    world.daemons[reader].link.set(cut);
+    check_new_version(&mut world, &[(reader, reader)], reader);
+}
+
+#[test]
+fn a_registration_that_makes_no_sense_is_refused() {
+    let world = World::start(1);
+    let join = |body: &[u8]| {
+        let url = format!("http://{}/join", world.daemons[0].relay);
+        let config = ureq::Agent::config_builder().http_status_as_error(false);
+        let agent = ureq::Agent::new_with_config(config.build());
+        let answer = agent.post(url).send(body);
+        answer.expect("there is an answer").status().as_u16()
+    };
+    let none: Option<String> = None;
+    let entry = |name: &str, zone: &str| {
+        let entry = (name, zone, &none, 250, &none);
+        rmp_serde::to_vec(&entry).expect("it can be written")
+    };
+    assert_eq!(join(&entry("new", "north-a")), 200);
+    assert_eq!(join(&entry("new", "nowhere")), 400);
+    assert_eq!(join(&entry("", "north-a")), 400);
+    assert_eq!(join(&entry(&"n".repeat(200), "north-a")), 400);
+    assert_eq!(join(b"no entry"), 400);
+    assert_eq!(join(&[b'x'; 100_000]), 400);
+    eventually("each refusal is logged", || {
+        let log = world.log(0);
+        log.matches("a call of another instance is refused").count() == 5
+    });
+    eventually("the one that makes sense is registered", || {
+        world.store.keys("hemlock/instances/").len() == 2
+    });
 }
 
 #[test]
--- a/hemlockrouter-cli/tests/direct/world.rs
+++ b/hemlockrouter-cli/tests/direct/world.rs
@@ -96,8 +96,15 @@
         fs::create_dir_all(&dir).expect("the temporary directory is writable");
         let mut ports = Ports::take().expect("ports are free");
         let daemons = (0..daemons).map(|at| Daemon::new(at, &store, &mut ports));
+        let mut daemons: Vec<Daemon> = daemons.collect();
+        // The first instance of each availability zone.
+        let seeds = daemons.iter().take(ZONES.len());
+        let seeds: Vec<SocketAddr> = seeds.map(|daemon| daemon.relay).collect();
+        for daemon in &mut daemons {
+            daemon.extra_settings = json!({"seeds": seeds});
+        }
         let mut world = World {
-            daemons: daemons.collect(),
+            daemons,
             runtime,
             store,
             ledger,
--- a/hemlockrouter-config/src/direct.rs
+++ b/hemlockrouter-config/src/direct.rs
@@ -24,8 +24,10 @@
     "ready_listen",
     "metrics_listen",
     "relay_listen",
+    "seeds",
     "registry_address",
     "memory_mb",
+    "cpu_share",
     "bounds",
     "sharing",
     "log",
@@ -89,10 +91,14 @@
     pub metrics_listen: Option<SocketAddr>,
     /// Where other instances learn what this one has read in the registry.
     pub relay_listen: Option<SocketAddr>,
+    /// Where other instances are that are worth a try when none is known.
+    pub seeds: Vec<SocketAddr>,
     /// Where the registry is.
     pub registry_address: SocketAddr,
     /// How much memory the process may use, in bytes; a part of it is for answers. Default: 256 MiB.
     pub memory_bytes: usize,
+    /// How much of a processor the process has, in thousandths of a core. Default: 1,000.
+    pub cpu_permille: u32,
     /// How long an upstream that is leaving may still get requests, in milliseconds.
     pub drain_ms: u64,
     /// How long a graceful shutdown may take, in milliseconds.
@@ -184,7 +190,9 @@
                 .map(Field::address)
                 .transpose()?,
             relay_listen: table.get("relay_listen").map(Field::address).transpose()?,
+            seeds: seeds(&table)?,
             registry_address: address(&table, "registry_address")?,
+            cpu_permille: (1_000.0 * decimal(&table, "cpu_share", 1.0, 1_024.0)?) as u32,
             memory_bytes: (table.number_or("memory_mb", 256, 16, 1 << 20)? as usize) << 20,
             drain_ms: bounds.number_or("drain_ms", 3_000, 100, 600_000)?,
             shutdown_ms: 1_000 * bounds.number_or("shutdown_s", 6, 1, 600)?,
@@ -250,6 +258,8 @@
                 "registry_address",
                 self.registry_address != newer.registry_address,
             ),
+            ("seeds", self.seeds != newer.seeds),
+            ("cpu_share", self.cpu_permille != newer.cpu_permille),
             ("memory_mb", self.memory_bytes != newer.memory_bytes),
             ("bounds.catch_up_ms", self.catch_up_ms != newer.catch_up_ms),
             (
@@ -338,3 +348,11 @@
     }
     Ok(zones)
 }
+
+fn seeds(table: &Table<'_, '_>) -> Result<Vec<SocketAddr>, Error> {
+    let Some(field) = table.get("seeds") else {
+        return Ok(Vec::new());
+    };
+    let seeds = field.list("a list of IP addresses with ports")?;
+    seeds.iter().map(Field::address).collect()
+}
--- a/hemlockrouter-config/tests/direct.rs
+++ b/hemlockrouter-config/tests/direct.rs
@@ -19,7 +19,13 @@
     ("{{listen.ready|json}}", "\"10.1.0.9:8108\""),
     ("{{platform.address|json}}", "\"10.200.1.7:8102\""),
     ("{{ip}}", "10.1.0.9"),
-    ("{{internalPortRange.1}}", "7395"),
+    ("{{listen.control|json}}", "\"10.1.0.9:8106\""),
+    (
+        "{{#seeds}}{{.|json}}{{,}}{{/seeds}}",
+        r#""10.1.0.9:8106","10.2.0.21:8106""#,
+    ),
+    ("{{limits.memoryMb|json}}", "260"),
+    ("{{limits.cpuShare|json}}", "0.25"),
     ("{{bounds.drainMs|json}}", "3000"),
     ("{{bounds.graceS|json}}", "6"),
     ("{{bounds.contactMs|json}}", "5000"),
@@ -81,6 +87,8 @@
             ErrorKind::Value,
         ),
         ("10.1.0.9:8108", "10.1.0.9:8104", ErrorKind::Conflict),
+        ("\"memory_mb\": 260", "\"memory_mb\": 1", ErrorKind::Value),
+        ("10.2.0.21:8106", "a seed", ErrorKind::Value),
         ("\"protocol\": \"corporation\",", "", ErrorKind::Missing),
         (
             "\"log\":",
@@ -114,6 +122,9 @@
     "ready_listen": "10.1.0.8:2",
     "metrics_listen": "10.1.0.8:3",
     "relay_listen": "10.1.0.8:4",
+    "seeds": ["10.1.0.8:9"],
+    "memory_mb": 99,
+    "cpu_share": 0.5,
     "registry_address": "10.1.0.8:5",
     "bounds": {
         "drain_ms": 200,
--- a/hemlockrouter-edge/src/protocol.rs
+++ b/hemlockrouter-edge/src/protocol.rs
@@ -79,14 +79,16 @@
     /// Returns why there is no lease.
     fn read_lease(&self, status: u16, body: &[u8]) -> Result<Lease, RegistryError>;
 
-    /// Asks to register an instance under a lease.
-    fn write_join(&self, instance: &InstanceEntry, lease: Lease) -> Request<Bytes>;
+    /// Asks to register instances under a lease and to remove others by their names, all or nothing.
+    fn write_instances(
+        &self,
+        lease: u64,
+        instances: &[InstanceEntry],
+        removed: &[String],
+    ) -> Request<Bytes>;
 
     /// Asks to renew a lease.
-    fn write_renewal(&self, lease: Lease) -> Request<Bytes>;
-
-    /// Asks to end a lease.
-    fn write_leave(&self, lease: Lease) -> Request<Bytes>;
+    fn write_renewal(&self, lease: u64) -> Request<Bytes>;
 
     /// Reads the answer to a call that returns nothing of interest.
     ///
--- a/hemlockrouter-member/src/lib.rs
+++ b/hemlockrouter-member/src/lib.rs
@@ -30,6 +30,11 @@
 //! - `ownership`: guards, promises, leases and their hand-over.
 //! - `relay`: notes down a tree, pulls by whoever lags.
 //! - `directory`: the owners of all zones' upstreams, for the data path.
+//!
+//! Instances that dispatch directly have no owners, and register in the platform's registry:
+//!
+//! - `sources`: from whom an instance learns what the registry holds.
+//! - `registrar`: registers instances for others, under one lease.
 
 mod command;
 mod config;
@@ -37,7 +42,9 @@
 mod member;
 mod membership;
 mod ownership;
+mod registrar;
 mod relay;
+mod sources;
 
 pub use crate::command::Command;
 pub use crate::command::ListState;
@@ -48,3 +55,10 @@
 pub use crate::command::To;
 pub use crate::config::Config;
 pub use crate::member::Member;
+pub use crate::registrar::Failed;
+pub use crate::registrar::Registrar;
+pub use crate::registrar::Step;
+pub use crate::registrar::JOIN_EVERY_MS;
+pub use crate::registrar::LEASE_MS;
+pub use crate::sources::Source;
+pub use crate::sources::Sources;
--- a/hemlockrouter-route/src/direct/dispatcher/plan.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/plan.rs
@@ -138,7 +138,7 @@
     /// Returns the other instances of the region, with where they take batches.
     fn peers(&self) -> impl Iterator<Item = (&InstanceEntry, SocketAddr)> {
         let region = self.upstreams.region_of(&self.config.zone);
-        let others = self.upstreams.instances().collectors();
+        let others = self.upstreams.instances().with_relay();
         let others = others.filter(|entry| entry.name != self.config.name);
         let near = others.filter(move |entry| self.upstreams.region_of(&entry.zone) == region);
         near.filter_map(|entry| Some((entry, entry.relay?)))
--- a/hemlockrouter-route/src/direct/instances.rs
+++ b/hemlockrouter-route/src/direct/instances.rs
@@ -1,18 +1,13 @@
-//! The instances of the tier: how many share a bound, and who reads the registry for whom.
+//! The instances of the tier, and how many share a bound.
 //!
 //! Too low a count would let all instances together pass a bound, so an instance that disappears
 //! from the list is counted for a while: it may have lost nothing but its way to the registry. A list
 //! that grows is not complete yet, and gives no count at all.
-//!
-//! The registry bounds its calls over all instances, and each call costs. In an availability zone of
-//! many instances only a few read it, the same ones in everybody's view, and the others follow them.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::InstanceEntry;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// How long an instance that left the list is counted, in milliseconds.
 const KEPT_MS: u64 = 30_000;
@@ -20,23 +15,6 @@
 /// How long the list must not have grown before it counts as complete, in milliseconds.
 const SETTLING_MS: u64 = 3_000;
 
-/// In an availability zone of no more instances than this, all read the registry.
-const ALL_READ_MAX: usize = 4;
-
-/// How many instances of a larger availability zone read the registry.
-const READERS: usize = 2;
-
-/// How an instance learns what the registry holds.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Reading {
-    /// It reads the registry for itself.
-    Alone,
-    /// It reads the registry, and others follow it.
-    ForOthers,
-    /// It follows another instance.
-    Following(SocketAddr),
-}
-
 /// The instances of the tier.
 #[derive(Clone, Debug, Default)]
 pub struct Instances {
@@ -118,42 +96,22 @@
         known.map(|known| (&known.entry, known.gone_since.is_none()))
     }
 
-    /// Returns the instances on the list that take batches.
-    pub(super) fn collectors(&self) -> impl Iterator<Item = &InstanceEntry> {
+    /// Returns who has registered the instance `name`, if it is on the list.
+    pub fn registrar_of(&self, name: &str) -> Option<&str> {
+        let known = self.known.get(name)?;
+        let entry = &known.entry;
+        let registrar = entry.registered_by.as_ref().unwrap_or(&entry.name);
+        known.gone_since.is_none().then_some(registrar)
+    }
+
+    /// Returns the instances on the list that other ones can call.
+    pub(super) fn with_relay(&self) -> impl Iterator<Item = &InstanceEntry> {
         let present = self.all().filter(|(_, is_present)| *is_present);
         let entries = present.map(|(entry, _)| entry);
         entries.filter(|entry| entry.relay.is_some())
     }
 
-    /// Returns how the instance `me` learns what the registry holds.
-    pub fn reading(&self, now: Time, me: &str) -> Reading {
-        let Some(zone) = self.known.get(me).map(|known| known.entry.zone.as_str()) else {
-            return Reading::Alone;
-        };
-        let present = self
-            .known
-            .values()
-            .filter(|known| known.gone_since.is_none());
-        let in_zone = present.filter(|known| known.entry.zone == zone);
-        let mut ranked: Vec<&InstanceEntry> = in_zone.map(|known| &known.entry).collect();
-        if !self.is_settled(now) || ranked.len() <= ALL_READ_MAX {
-            return Reading::Alone;
-        }
-        ranked.sort_by_key(|entry| (xxh3_64(entry.name.as_bytes()), entry.name.as_str()));
-        let mut readers = ranked
-            .iter()
-            .filter(|entry| entry.relay.is_some())
-            .take(READERS);
-        if readers.clone().any(|entry| entry.name == me) {
-            return Reading::ForOthers;
-        }
-        let which = xxh3_64(me.as_bytes()) as usize % READERS;
-        let reader = readers.clone().nth(which).or_else(|| readers.next());
-        let relay = reader.and_then(|entry| entry.relay);
-        relay.map_or(Reading::Alone, Reading::Following)
-    }
-
-    fn is_settled(&self, now: Time) -> bool {
+    pub(super) fn is_settled(&self, now: Time) -> bool {
         let grown_at = self.grown_at;
         let is_old = grown_at.is_none_or(|at| now.since(at) >= SETTLING_MS);
         is_old && !self.known.is_empty()
--- a/hemlockrouter-route/src/direct/mod.rs
+++ b/hemlockrouter-route/src/direct/mod.rs
@@ -20,7 +20,8 @@
 //! - `notices`: upstreams that have said that they leave, or that they want a rest.
 //! - `record`: how one upstream has answered.
 //! - `budget`: how many repeats this instance may send.
-//! - `instances`: how many instances share a bound, and who reads the registry.
+//! - `instances`: how many instances share a bound.
+//! - `readers`: which instances read the registry, and whom the others follow.
 //! - `cold`: how much this instance may send to a cold upstream.
 //! - `merge`: merges the parts of a search.
 //! - `status`: what is known, and where a request would go, for operators.
@@ -36,6 +37,7 @@
 mod merge;
 mod notices;
 mod peers;
+mod readers;
 mod record;
 mod request;
 mod status;
@@ -61,7 +63,6 @@
 pub use self::event::Summary;
 pub use self::event::Why;
 pub use self::instances::Instances;
-pub use self::instances::Reading;
 pub use self::merge::merge;
 pub use self::status::Explained;
 pub use self::status::ExplainedPart;
--- a/hemlockrouter-route/tests/direct/fixture.rs
+++ b/hemlockrouter-route/tests/direct/fixture.rs
@@ -136,6 +136,8 @@
         name: String::from(name),
         zone: String::from(zone),
         relay: Some("127.0.0.1:2".parse().expect("it is an address")),
+        cpu_permille: 250,
+        registered_by: None,
     }
 }
 
--- a/hemlockrouter-route/tests/direct/instances.rs
+++ b/hemlockrouter-route/tests/direct/instances.rs
@@ -1,7 +1,6 @@
-//! How many instances share a bound, and who reads the registry.
+//! How many instances share a bound.
 
 use hemlockrouter_route::direct::Instances;
-use hemlockrouter_route::direct::Reading;
 use hemlockrouter_types::prelude::*;
 
 use crate::fixture::instance;
@@ -39,27 +38,14 @@
 }
 
 #[test]
-fn few_instances_of_a_large_zone_read_the_registry_and_the_others_follow_them() {
+fn the_list_says_who_has_registered_an_instance() {
     let mut instances = Instances::default();
-    let names: Vec<String> = (0..14).map(|number| format!("north-{number}")).collect();
-    for name in &names {
-        instances.joined(at(0), instance(name, "north-a"));
-    }
-    for name in ["south-0", "south-1"] {
-        instances.joined(at(0), instance(name, "south-b"));
-    }
-    let reading = |name: &str| instances.reading(at(10_000), name);
-    let readers = names
-        .iter()
-        .filter(|name| reading(name) == Reading::ForOthers);
-    assert_eq!(readers.count(), 2);
-    let following = names
-        .iter()
-        .filter(|name| matches!(reading(name), Reading::Following(_)));
-    assert_eq!(following.count(), 12);
-    // A small zone and an instance that is not on the list read for themselves.
-    assert_eq!(reading("south-0"), Reading::Alone);
-    assert_eq!(reading("stranger"), Reading::Alone);
-    // So do all while the list grows.
-    assert_eq!(instances.reading(at(100), "north-0"), Reading::Alone);
+    let mut entry = instance("a", "north-a");
+    instances.joined(at(0), entry.clone());
+    assert_eq!(instances.registrar_of("a"), Some("a"));
+    entry.registered_by = Some(String::from("b"));
+    instances.joined(at(0), entry);
+    assert_eq!(instances.registrar_of("a"), Some("b"));
+    instances.left(at(10), "a");
+    assert_eq!(instances.registrar_of("a"), None);
 }
--- a/hemlockrouter-route/tests/direct/main.rs
+++ b/hemlockrouter-route/tests/direct/main.rs
@@ -7,5 +7,6 @@
 mod fuzz;
 mod instances;
 mod notices;
+mod readers;
 mod sharing;
 mod table;
--- /dev/null
+++ b/hemlockrouter-route/tests/direct/readers.rs
@@ -0,0 +1,122 @@
+//! Which instances read the registry, and whom the others follow.
+
+use std::net::SocketAddr;
+
+use hemlockrouter_route::direct::Instances;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::InstanceEntry;
+use hemlockrouter_types::routing::Reading;
+
+use crate::fixture::instance;
+
+/// When the lists of these tests have settled.
+const SETTLED: Time = Time::from_ms(10_000);
+
+/// How many instances the large availability zone has.
+const ZONE: u16 = 14;
+
+fn relay(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn of_zone(zone: &str, port: u16) -> InstanceEntry {
+    InstanceEntry {
+        relay: Some(relay(port)),
+        ..instance(&format!("{zone}-{port}"), zone)
+    }
+}
+
+fn list(entries: &[InstanceEntry]) -> Instances {
+    let mut instances = Instances::default();
+    for entry in entries {
+        instances.joined(Time::ZERO, entry.clone());
+    }
+    instances
+}
+
+fn large_zone() -> Vec<InstanceEntry> {
+    (0..ZONE).map(|port| of_zone("north-a", port)).collect()
+}
+
+fn first_relay(reading: &Reading) -> Option<SocketAddr> {
+    reading.relays.first().copied()
+}
+
+#[test]
+fn one_instance_of_a_large_zone_reads_and_the_others_follow_it() {
+    let mut zone = large_zone();
+    zone[5].cpu_permille = 500;
+    let instances = list(&zone);
+    for entry in &zone {
+        let reading = instances.reading(SETTLED, entry, &[]);
+        assert!(reading.is_followed);
+        assert_eq!(reading.reads, entry.name == zone[5].name);
+        if !reading.reads {
+            assert_eq!(first_relay(&reading), zone[5].relay, "it has the most time");
+        }
+    }
+}
+
+#[test]
+fn all_read_in_a_small_zone_and_know_whom_to_ask_else() {
+    let near: Vec<InstanceEntry> = (0..3).map(|port| of_zone("north-a", port)).collect();
+    let far: Vec<InstanceEntry> = (7..9).map(|port| of_zone("south-b", port)).collect();
+    let instances = list(&[near.clone(), far.clone()].concat());
+    for entry in &near {
+        let reading = instances.reading(SETTLED, entry, &[]);
+        assert!(reading.reads && !reading.is_followed);
+        let is_far = |relay: &SocketAddr| far.iter().any(|entry| entry.relay == Some(*relay));
+        assert!(
+            reading.relays.iter().any(is_far),
+            "another zone may know more"
+        );
+    }
+}
+
+#[test]
+fn nobody_follows_in_a_circle_while_lists_grow() {
+    let zone = large_zone();
+    // Each knows another half of the zone.
+    for (at, entry) in zone.iter().enumerate() {
+        let known: Vec<InstanceEntry> = (0..7).map(|on| zone[(at + on) % 14].clone()).collect();
+        let mine = list(&known).reading(Time::ZERO, entry, &[]);
+        let Some(followed) = first_relay(&mine).filter(|_| !mine.reads) else {
+            continue;
+        };
+        let followed = zone.iter().find(|other| other.relay == Some(followed));
+        let followed = followed.expect("it is of the zone");
+        // Whatever the other one knows, it does not follow back.
+        for known in [vec![entry.clone()], zone.clone()] {
+            let theirs = list(&known).reading(Time::ZERO, followed, &[]);
+            assert!(theirs.reads || first_relay(&theirs) != entry.relay);
+        }
+    }
+}
+
+#[test]
+fn instances_that_start_together_follow_the_seeds_until_they_know_each_other() {
+    let zone = large_zone();
+    let seeds = [relay(3), relay(100)];
+    let nobody = Instances::default();
+    for entry in &zone {
+        let reading = nobody.reading(Time::ZERO, entry, &seeds);
+        let is_seed = entry.relay == Some(relay(3));
+        assert_eq!(reading.reads, is_seed, "{}", entry.name);
+        if !is_seed {
+            assert!(seeds.contains(&first_relay(&reading).expect("there are seeds")));
+        }
+    }
+    let instances = list(&zone);
+    let reading = instances.reading(Time::ZERO, &zone[0], &seeds);
+    let first = first_relay(&reading).expect("the zone is known");
+    assert!(reading.reads || zone.iter().any(|entry| entry.relay == Some(first)));
+}
+
+#[test]
+fn an_instance_that_is_alone_in_its_zone_reads_once_the_list_has_settled() {
+    let me = of_zone("north-a", 1);
+    let instances = list(&[me.clone(), of_zone("south-b", 2)]);
+    let seeds = [relay(2)];
+    assert!(!instances.reading(Time::ZERO, &me, &seeds).reads);
+    assert!(instances.reading(SETTLED, &me, &seeds).reads);
+}
--- a/hemlockrouter-types/src/routing.rs
+++ b/hemlockrouter-types/src/routing.rs
@@ -160,4 +160,26 @@
     pub zone: String,
     /// Where it passes on what it reads in the registry, if it does.
     pub relay: Option<SocketAddr>,
+    /// How much of a processor it has, in thousandths of a core.
+    #[serde(default = "one_core")]
+    pub cpu_permille: u32,
+    /// The name of the instance that has registered it.
+    #[serde(default)]
+    pub registered_by: Option<String>,
+}
+
+/// Returns the processor time of an instance that does not say what it has.
+fn one_core() -> u32 {
+    1_000
+}
+
+/// How an instance is to learn what the registry holds.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Reading {
+    /// It reads the registry for itself.
+    pub reads: bool,
+    /// Others follow it, so that each answer of the registry counts as a sign of life for them.
+    pub is_followed: bool,
+    /// Whom it follows if it does not read, or can't: the best one first.
+    pub relays: Vec<SocketAddr>,
 }
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -2,8 +2,8 @@
 //!
 //! The registry is read whole once and then followed by watches. Bounds on how fast a change is in
 //! force run from the registry's acknowledgement, so a watch that has lost its other end must be
-//! noticed: its connection is probed, and the call has a limit of its own. An instance that follows
-//! another one turns to the registry itself as soon as that one is silent or out of touch.
+//! noticed: its connection is probed, and the call has a limit of its own. Whether the next news comes
+//! from the registry or from another instance is decided by [`Sources`].
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,8 +12,11 @@
 use hemlockrouter_edge::Entry;
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_edge::RegistryError;
-use hemlockrouter_route::direct::Reading;
+use hemlockrouter_edge::RelayPage;
+use hemlockrouter_member::Source;
+use hemlockrouter_member::Sources;
 use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::Reading;
 use log::info;
 use log::warn;
 
@@ -32,76 +35,121 @@
 /// it is still in touch with the registry.
 const SHARED_WATCH_MS: u64 = 1_800;
 
-/// An instance whose last word from the registry is older than this is not followed, in milliseconds.
-const AGE_MAX_MS: u64 = 3_000;
-
 /// How much longer than it waits a call to another instance may take, in milliseconds.
 const RELAY_SLACK_MS: u64 = 500;
 
-/// For how long an instance keeps to the registry after it lost the one that it followed, in
-/// milliseconds.
-const ALONE_MS: u64 = 10_000;
-
 /// The pause between two watches, so that changes come in batches.
 const PACE: Duration = Duration::from_millis(500);
 
-/// The pause after the first failure before the registry is called again; it doubles each time.
-const PAUSE_MIN: Duration = Duration::from_millis(250);
+/// The pause after a failure before somebody else is asked.
+const PAUSE: Duration = Duration::from_millis(20);
 
-/// The longest pause after a failure.
-const PAUSE_MAX: Duration = Duration::from_millis(1_000);
+/// The pause after the first read before the others are asked, in which those that started at the same
+/// time have registered.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
 
 /// Keeps up with the registry.
 pub(super) struct Follower {
+    clock: Clock,
+    catch_up_ms: u64,
+    protocol: Rc<dyn Protocol>,
+    node: Rc<Node>,
+    mirror: Rc<Mirror>,
+    registry: Registry,
+    sources: Sources,
+    /// The instance that is followed, if one is.
+    followed: Option<(SocketAddr, Registry)>,
+    /// Since when the registry does not answer.
+    lost_since: Option<Time>,
+}
+
+/// What a follower works with.
+pub(super) struct Parts {
     pub(super) clock: Clock,
     pub(super) catch_up_ms: u64,
-    pub(super) name: String,
-    pub(super) registry: Registry,
+    pub(super) registry_address: SocketAddr,
     pub(super) protocol: Rc<dyn Protocol>,
     pub(super) node: Rc<Node>,
     pub(super) mirror: Rc<Mirror>,
-    /// The instance that is followed, if one is.
-    pub(super) followed: Option<(SocketAddr, Registry)>,
-    /// Until when no instance is followed.
-    pub(super) alone_until: Time,
-    /// Since when the registry does not answer.
-    pub(super) lost_since: Option<Time>,
+    /// A number that differs between instances and spreads their calls.
+    pub(super) spread: u64,
 }
 
 impl Follower {
+    pub(super) fn new(parts: Parts) -> Follower {
+        Follower {
+            clock: parts.clock,
+            catch_up_ms: parts.catch_up_ms,
+            protocol: parts.protocol,
+            node: parts.node,
+            mirror: parts.mirror,
+            registry: Registry::new(parts.registry_address),
+            sources: Sources::new(parts.spread),
+            followed: None,
+            lost_since: None,
+        }
+    }
+
     /// Runs for as long as the process does.
     pub(super) async fn run(mut self) {
-        let mut pause = PAUSE_MIN;
+        while !self.read_first().await {
+            tokio::time::sleep(PAUSE).await;
+        }
+        tokio::time::sleep(FIRST_PAUSE).await;
         loop {
-            match self.step().await {
-                Ok(()) => {
-                    pause = PAUSE_MIN;
-                    tokio::time::sleep(PACE).await;
-                }
-                Err(err) => {
-                    self.lost(&err);
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(PAUSE_MAX);
-                }
-            }
+            let reading = self.node.reading();
+            let pause = match self.sources.next(self.clock.now(), &reading) {
+                Source::Registry => self.watch_or_note(&reading).await,
+                Source::Relay(relay) => self.follow_or_note(relay).await,
+                Source::Nowhere { wait_ms } => Duration::from_millis(wait_ms),
+            };
+            tokio::time::sleep(pause).await;
         }
     }
 
-    /// Learns what is new, by whichever way serves now.
-    async fn step(&mut self) -> Result<(), CallError> {
+    /// Reads everything for the first time, from the registry or else from other instances. Returns
+    /// whether it came about.
+    async fn read_first(&mut self) -> bool {
+        let reading = self.node.reading();
         let now = self.clock.now();
-        let reading = self.node.reading(&self.name);
-        let Some(revision) = self.mirror.revision() else {
-            return self.read(true).await;
+        let source = self.sources.next(now, &reading_alone(&reading));
+        let failed = match source {
+            Source::Registry => match self.read(true).await {
+                Ok(()) => return true,
+                Err(err) => err,
+            },
+            Source::Relay(relay) => return self.read_from(relay).await,
+            Source::Nowhere { wait_ms } => {
+                tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+                return false;
+            }
         };
-        match reading {
-            Reading::Following(address) if now >= self.alone_until => {
-                self.follow(address, revision).await
+        self.note_registry_failed(&failed, &reading);
+        for relay in reading.relays {
+            if self.read_from(relay).await {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Reads everything from another instance, and returns whether that one knows anything.
+    async fn read_from(&mut self, relay: SocketAddr) -> bool {
+        match self.ask(relay, None).await {
+            Ok(page) if page.is_whole && page.revision > 0 => {
+                let age_ms = page.age_ms;
+                let address = relay.to_string();
+                info!(target: "dependency", relay = address, age_ms = age_ms; "read from a relay");
+                self.take(&page.entries, page.revision, true, age_ms);
+                true
             }
-            Reading::ForOthers => self.watch(revision, SHARED_WATCH_MS).await,
-            Reading::Alone | Reading::Following(_) => {
-                let wait_ms = (self.catch_up_ms as f64 * WATCH_PART) as u64;
-                self.watch(revision, wait_ms).await
+            Ok(_) => {
+                self.sources.relay_failed(self.clock.now(), relay);
+                false
+            }
+            Err(err) => {
+                self.note_relay_failed(relay, &err);
+                false
             }
         }
     }
@@ -121,20 +169,36 @@
             let revision = *revision.get_or_insert(page.revision);
             from = page.next;
             if from.is_none() {
-                self.regained();
+                self.note_registry_answered();
                 self.take(&entries, revision, true, 0);
                 return Ok(());
             }
         }
     }
 
+    /// Waits for news of the registry, and returns how long to pause.
+    async fn watch_or_note(&mut self, reading: &Reading) -> Duration {
+        let revision = self.mirror.revision().unwrap_or_default();
+        let wait_ms = match reading.is_followed {
+            true => SHARED_WATCH_MS,
+            false => (self.catch_up_ms as f64 * WATCH_PART) as u64,
+        };
+        match self.watch(revision, wait_ms).await {
+            Ok(()) => PACE,
+            Err(err) => {
+                self.note_registry_failed(&err, reading);
+                PAUSE
+            }
+        }
+    }
+
     /// Waits for changes after `revision`.
     async fn watch(&mut self, revision: u64, wait_ms: u64) -> Result<(), CallError> {
         let request = self.protocol.write_watch(revision, wait_ms);
         let (status, body) = self.registry.call(request, wait_ms + CALL_MS).await?;
         match self.protocol.read_changes(status, &body) {
             Ok(page) => {
-                self.regained();
+                self.note_registry_answered();
                 self.take(&page.entries, page.revision, false, 0);
                 Ok(())
             }
@@ -146,37 +210,51 @@
         }
     }
 
-    /// Waits for changes after `revision` that another instance passes on.
-    async fn follow(&mut self, address: SocketAddr, revision: u64) -> Result<(), CallError> {
-        if let Err(err) = self.try_follow(address, revision).await {
-            let why = err.to_string();
-            warn!(target: "dependency", relay = address.to_string(), why = why; "relay lost");
-            self.followed = None;
-            self.alone_until = self.clock.now() + ALONE_MS;
-            return self.watch(revision, SHARED_WATCH_MS).await;
+    /// Waits for news that another instance passes on, and returns how long to pause.
+    async fn follow_or_note(&mut self, relay: SocketAddr) -> Duration {
+        let revision = self.mirror.revision().unwrap_or_default();
+        let page = match self.ask(relay, Some(revision)).await {
+            Ok(page) if page.is_whole && page.revision < revision => {
+                let age_ms = page.age_ms;
+                self.note_relay_failed(relay, &CallError::Outdated { age_ms });
+                return PAUSE;
+            }
+            Ok(page) => page,
+            Err(err) => {
+                self.note_relay_failed(relay, &err);
+                return PAUSE;
+            }
+        };
+        let now = self.clock.now();
+        let is_in_touch = self.sources.relay_answered(now, relay, page.age_ms);
+        self.take(&page.entries, page.revision, page.is_whole, page.age_ms);
+        if is_in_touch {
+            PACE
+        } else {
+            let address = relay.to_string();
+            info!(target: "dependency", relay = address, age_ms = page.age_ms; "relay out of touch");
+            PAUSE
         }
-        Ok(())
     }
 
-    async fn try_follow(&mut self, address: SocketAddr, revision: u64) -> Result<(), CallError> {
+    /// Asks another instance for what is new after revision `after`, or for everything.
+    async fn ask(
+        &mut self,
+        address: SocketAddr,
+        after: Option<u64>,
+    ) -> Result<RelayPage, CallError> {
         let followed = self.followed.take().filter(|(known, _)| *known == address);
         let is_new = followed.is_none();
         let (_, mut relay) = followed.unwrap_or_else(|| (address, Registry::new(address)));
-        let request = relay::write_call(Some(revision));
+        let request = relay::write_call(after);
         let limit_ms = relay::WAIT_MS + RELAY_SLACK_MS;
         let (status, body) = relay.call(request, limit_ms).await?;
         let page = relay::read_page(status, &body).map_err(CallError::NoAnswer)?;
-        let age_ms = page.age_ms;
-        let is_behind = page.is_whole && page.revision < revision;
-        if is_behind || age_ms > AGE_MAX_MS {
-            return Err(CallError::Outdated { age_ms });
-        }
         if is_new {
             info!(target: "dependency", relay = address.to_string(); "following");
         }
         self.followed = Some((address, relay));
-        self.take(&page.entries, page.revision, page.is_whole, age_ms);
-        Ok(())
+        Ok(page)
     }
 
     fn take(&self, entries: &[Entry], revision: u64, is_whole: bool, age_ms: u64) {
@@ -187,17 +265,34 @@
         }
     }
 
-    fn lost(&mut self, err: &CallError) {
+    fn note_relay_failed(&mut self, relay: SocketAddr, err: &CallError) {
+        let address = relay.to_string();
+        warn!(target: "dependency", relay = address, why = err.to_string(); "relay lost");
+        self.sources.relay_failed(self.clock.now(), relay);
+    }
+
+    fn note_registry_failed(&mut self, err: &CallError, reading: &Reading) {
+        let now = self.clock.now();
+        self.sources.registry_failed(now, reading);
         if self.lost_since.is_none() {
-            self.lost_since = Some(self.clock.now());
+            self.lost_since = Some(now);
             warn!(target: "dependency", why = err.to_string(); "registry lost");
         }
     }
 
-    fn regained(&mut self) {
+    fn note_registry_answered(&mut self) {
+        let now = self.clock.now();
+        self.sources.registry_answered(now);
         if let Some(since) = self.lost_since.take() {
-            let lost_ms = self.clock.now().since(since);
-            info!(target: "dependency", lost_ms = lost_ms; "registry regained");
+            info!(target: "dependency", lost_ms = now.since(since); "registry regained");
         }
     }
 }
+
+/// Returns how an instance reads that knows nothing: the registry knows everything in one read.
+fn reading_alone(reading: &Reading) -> Reading {
+    Reading {
+        reads: true,
+        ..reading.clone()
+    }
+}
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -21,19 +21,21 @@
 use tokio::signal::unix::SignalKind;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::answer_memory::AnswerMemory;
 use super::batches::Batches;
 use super::callers::Callers;
 use super::calls::Calls;
 use super::collector::Collector;
+use super::follower;
 use super::follower::Follower;
 use super::member::Member;
 use super::mirror::Mirror;
+use super::node::Identity;
 use super::node::Node;
 use super::operators::Operators;
-use super::registry::Registry;
-use super::relay;
+use super::relay::Relay;
 use super::requests_log::RequestsLog;
 use crate::edge::phase::Phase;
 use crate::instance::Ended;
@@ -125,10 +127,12 @@
     let clock = Clock::new();
     let callers_listener = bind("callers_listen", settings.callers_listen).await?;
     let ready_listener = bind("ready_listen", settings.ready_listen).await?;
+    let relay_listener = bind_if_free("relay", settings.relay_listen).await;
+    let me = Rc::new(identity(settings, relay_listener.is_some()));
     let memory = AnswerMemory::new(settings.memory_bytes);
     let calls = Calls::new(clock, Rc::clone(&protocol), memory.clone());
     let batches = Batches::new(clock, memory);
-    let node = Node::new(config(settings), clock, calls, batches);
+    let node = Node::new(config(settings), Rc::clone(&me), clock, calls, batches);
     let keeping = Rc::clone(&node);
     tokio::task::spawn_local(async move { keeping.keep_time().await });
     let metrics = Rc::new(Metrics::new());
@@ -136,26 +140,34 @@
     let log = Rc::new(RequestsLog {
         metrics: Rc::clone(&metrics),
     });
-    let collector = Rc::new(Collector {
-        node: Rc::clone(&node),
-        log: Rc::clone(&log),
-        phase: phase.clone(),
-    });
-    let relay = serve_relay(settings, &mirror, collector).await;
-    let follower = Follower {
+    let follower = Follower::new(follower::Parts {
         clock,
         catch_up_ms: settings.catch_up_ms,
-        name: settings.name.clone(),
-        registry: Registry::new(settings.registry_address),
+        registry_address: settings.registry_address,
         protocol: Rc::clone(&protocol),
         node: Rc::clone(&node),
         mirror: Rc::clone(&mirror),
-        followed: None,
-        alone_until: Time::ZERO,
-        lost_since: None,
-    };
+        spread: xxh3_64(settings.name.as_bytes()),
+    });
     tokio::task::spawn_local(follower.run());
-    let member = keep_member(settings, &protocol, relay);
+    let registry = settings.registry_address;
+    let member = Member::new(clock, me, registry, Rc::clone(&protocol), Rc::clone(&node));
+    let member = Rc::new(member);
+    let keeping = Rc::clone(&member);
+    tokio::task::spawn_local(async move { keeping.keep().await });
+    if let Some(listener) = relay_listener {
+        let relay = Rc::new(Relay {
+            mirror: Rc::clone(&mirror),
+            collector: Rc::new(Collector {
+                node: Rc::clone(&node),
+                log: Rc::clone(&log),
+                phase: phase.clone(),
+            }),
+            member: Rc::clone(&member),
+            zones: settings.zones.keys().cloned().collect(),
+        });
+        tokio::task::spawn_local(relay.accept(listener));
+    }
     let operators = Rc::new(Operators {
         node: Rc::clone(&node),
         metrics,
@@ -179,22 +191,19 @@
     })
 }
 
-/// Keeps the instance registered; others find it at `relay`.
-fn keep_member(
-    settings: &DirectSettings,
-    protocol: &Rc<dyn Protocol>,
-    relay: Option<SocketAddr>,
-) -> Rc<Member> {
-    let me = InstanceEntry {
-        name: settings.name.clone(),
-        zone: settings.zone.clone(),
-        relay,
-    };
-    let member = Member::new(me, settings.registry_address, Rc::clone(protocol));
-    let member = Rc::new(member);
-    let keeping = Rc::clone(&member);
-    tokio::task::spawn_local(async move { keeping.keep().await });
-    member
+/// Returns what this instance is to the others. One without a relay can't be followed and collects
+/// nothing for others.
+fn identity(settings: &DirectSettings, has_relay: bool) -> Identity {
+    Identity {
+        entry: InstanceEntry {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            relay: settings.relay_listen.filter(|_| has_relay),
+            cpu_permille: settings.cpu_permille,
+            registered_by: None,
+        },
+        seeds: settings.seeds.clone(),
+    }
 }
 
 async fn bind(field: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
@@ -223,18 +232,6 @@
     }
 }
 
-/// Serves other instances, and returns where. One that can't be followed still reads
-/// the registry for itself.
-async fn serve_relay(
-    settings: &DirectSettings,
-    mirror: &Rc<Mirror>,
-    collector: Rc<Collector>,
-) -> Option<SocketAddr> {
-    let listener = bind_if_free("relay", settings.relay_listen).await?;
-    tokio::task::spawn_local(relay::accept(listener, Rc::clone(mirror), collector));
-    settings.relay_listen
-}
-
 /// Reads the settings anew, and returns whether there is anything to take over. Settings that are wrong
 /// change nothing.
 fn reread<R>(settings: &mut DirectSettings, reload: R) -> bool
--- a/src/direct/member.rs
+++ b/src/direct/member.rs
@@ -1,115 +1,242 @@
-//! Keeps this instance registered, so that the others count it.
+//! Keeps this instance registered, so that the others count it, and registers those that ask for it.
+//!
+//! What is to be written is decided by the [`Registrar`]; this module finds an instance that registers
+//! this one, and makes the calls.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hemlockrouter_edge::Lease;
+use bytes::Bytes;
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_edge::RegistryError;
+use hemlockrouter_member::Failed;
+use hemlockrouter_member::Registrar;
+use hemlockrouter_member::Step;
+use hemlockrouter_member::JOIN_EVERY_MS;
+use hemlockrouter_member::LEASE_MS;
+use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::InstanceEntry;
+use http::Request;
 use log::info;
 use log::warn;
 
+use super::node::Identity;
+use super::node::Node;
 use super::registry::CallError;
 use super::registry::Registry;
 use super::registry::CALL_MS;
+use super::relay;
 
-/// How long the registration lasts without a renewal, in milliseconds. A restart is sooner.
-const LEASE_MS: u64 = 20_000;
+/// The interval at which is looked whether there is something to do. Instances that join within it are
+/// registered together.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
 
-/// The interval between two renewals.
-const RENEW_EVERY: Duration = Duration::from_secs(6);
+/// After so many instances in a row that did not register this one, it registers itself.
+const REFUSALS_MAX: u32 = 3;
 
-/// The pause after a failure.
-const PAUSE: Duration = Duration::from_secs(1);
+/// How long a call to another instance may take, in milliseconds.
+const JOIN_MS: u64 = 500;
 
 /// Keeps an instance registered.
 pub(super) struct Member {
-    me: InstanceEntry,
-    address: SocketAddr,
+    clock: Clock,
+    me: Rc<Identity>,
+    registry_address: SocketAddr,
     protocol: Rc<dyn Protocol>,
-    lease: Cell<Option<Lease>>,
+    node: Rc<Node>,
+    registrar: RefCell<Registrar>,
+    /// Who has registered this instance, unless it has done so itself.
+    registered_by: Cell<Option<SocketAddr>>,
     has_left: Cell<bool>,
 }
 
 impl Member {
     pub(super) fn new(
-        me: InstanceEntry,
-        address: SocketAddr,
+        clock: Clock,
+        me: Rc<Identity>,
+        registry_address: SocketAddr,
         protocol: Rc<dyn Protocol>,
+        node: Rc<Node>,
     ) -> Member {
         Member {
+            clock,
+            registrar: RefCell::new(Registrar::new(me.entry.clone())),
             me,
-            address,
+            registry_address,
             protocol,
-            lease: Cell::new(None),
+            node,
+            registered_by: Cell::new(None),
             has_left: Cell::new(false),
         }
     }
 
-    /// Keeps the instance registered until it leaves.
+    /// Takes over that another instance wants to be registered. Returns whether it will be.
+    pub(super) fn take_join(&self, entry: InstanceEntry) -> bool {
+        if self.has_left.get() {
+            return false;
+        }
+        self.registrar.borrow_mut().join(self.clock.now(), entry);
+        true
+    }
+
+    /// Takes over that an instance stops that was registered here.
+    pub(super) fn take_leave(&self, name: &str) {
+        self.registrar.borrow_mut().leave(name);
+    }
+
+    /// Keeps this instance and others registered for as long as the process runs.
     pub(super) async fn keep(&self) {
-        let mut registry = Registry::new(self.address);
+        let mut registry = Registry::new(self.registry_address);
+        let mut joined_at = None;
+        let mut refusals = 0;
         loop {
-            let err = self.join_and_renew(&mut registry).await;
-            self.lease.set(None);
-            if self.has_left.get() {
-                return;
+            let now = self.clock.now();
+            let is_due = joined_at.is_none_or(|at| now.since(at) >= JOIN_EVERY_MS);
+            if is_due && !self.has_left.get() {
+                if self.join(refusals).await {
+                    joined_at = Some(now);
+                    refusals = 0;
+                } else {
+                    refusals += 1;
+                }
             }
-            warn!(target: "dependency", why = err.to_string(); "registration lost");
-            tokio::time::sleep(PAUSE).await;
+            self.register(&mut registry).await;
+            tokio::time::sleep(LOOK_EVERY).await;
         }
     }
 
-    /// Ends the registration, so that nobody follows this instance any more.
+    /// Ends the registration of this instance, so that nobody follows it any more. Those that it has
+    /// registered turn to others.
     pub(super) async fn leave(&self) {
         self.has_left.set(true);
-        let Some(lease) = self.lease.take() else {
-            return;
+        let name = &self.me.entry.name;
+        let Some(registrar) = self.registered_by.take() else {
+            return self.registrar.borrow_mut().leave(name);
         };
-        let request = self.protocol.write_leave(lease);
-        let ended = Registry::new(self.address).call(request, CALL_MS).await;
-        if let Err(err) = ended {
+        let request = relay::write_leave(name);
+        if let Err(err) = Registry::new(registrar).call(request, JOIN_MS).await {
             info!(target: "dependency", why = err.to_string(); "the registration ends by itself");
         }
     }
 
-    /// Registers and renews the lease until it is lost.
-    async fn join_and_renew(&self, registry: &mut Registry) -> CallError {
-        let lease = match self.join(registry).await {
-            Ok(lease) => lease,
-            Err(err) => return err,
-        };
-        info!(target: "dependency", lease = lease.id; "registered");
-        self.lease.set(Some(lease));
-        loop {
-            tokio::time::sleep(RENEW_EVERY).await;
-            match self.renew(registry, lease).await {
-                Ok(()) => {}
-                Err(err @ CallError::Refused(RegistryError::NotFound)) => return err,
-                Err(err) => {
-                    warn!(target: "dependency", why = err.to_string(); "lease not renewed");
-                }
+    /// Has this instance registered by another one, or registers it here. Returns whether it is done
+    /// for a while.
+    async fn join(&self, refusals: u32) -> bool {
+        let now = self.clock.now();
+        let reading = self.node.reading();
+        let relays = &reading.relays;
+        if reading.reads || relays.is_empty() {
+            self.set_registered_by(now, None);
+            return true;
+        }
+        let which = refusals as usize % relays.len();
+        let registrar = relays[which];
+        let request = relay::write_join(&self.me.entry);
+        let joined = Registry::new(registrar).call(request, JOIN_MS).await;
+        match joined {
+            Ok((status, _)) if (200..300).contains(&status) => {
+                self.set_registered_by(now, Some(registrar));
+                return true;
+            }
+            Ok((status, _)) => {
+                let address = registrar.to_string();
+                info!(target: "dependency", registrar = address, status = status; "not registered");
             }
+            Err(err) => {
+                let address = registrar.to_string();
+                let why = err.to_string();
+                info!(target: "dependency", registrar = address, why = why; "not registered");
+            }
+        }
+        if refusals + 1 >= REFUSALS_MAX {
+            self.set_registered_by(now, None);
+            return true;
         }
+        false
     }
 
-    async fn join(&self, registry: &mut Registry) -> Result<Lease, CallError> {
+    fn set_registered_by(&self, now: Time, registrar: Option<SocketAddr>) {
+        let registers_itself = registrar.is_none();
+        let was = self.registered_by.replace(registrar);
+        let mut own = self.registrar.borrow_mut();
+        if was != registrar || (registers_itself && own.count() == 0) {
+            let address = registrar.map(|address| address.to_string());
+            let by = address.as_deref().unwrap_or("itself");
+            info!(target: "dependency", by = by; "registered by");
+        }
+        own.register_itself(now, registers_itself);
+    }
+
+    /// Does what the registrar decides.
+    async fn register(&self, registry: &mut Registry) {
+        let registrars = self.node.registrars();
+        let step = {
+            let now = self.clock.now();
+            let mut registrar = self.registrar.borrow_mut();
+            registrar.compare(now, |name| registrars.get(name).map(String::as_str));
+            registrar.step(now)
+        };
+        let done = match &step {
+            Step::Wait => return,
+            Step::Grant => self.grant(registry).await,
+            Step::Renew { lease } => self.renew(registry, *lease).await,
+            Step::Write {
+                lease,
+                puts,
+                removes,
+            } => self.write(registry, *lease, puts, removes).await,
+        };
+        if let Err(err) = done {
+            warn!(target: "dependency", why = err.to_string(); "instances not registered");
+            let why = match err {
+                CallError::Refused(RegistryError::NotFound) => Failed::LeaseGone,
+                _ => Failed::NotDone,
+            };
+            self.registrar.borrow_mut().failed(self.clock.now(), why);
+        }
+    }
+
+    async fn grant(&self, registry: &mut Registry) -> Result<(), CallError> {
         let request = self.protocol.write_lease(LEASE_MS);
         let (status, body) = registry.call(request, CALL_MS).await?;
         let lease = self.protocol.read_lease(status, &body);
         let lease = lease.map_err(CallError::Refused)?;
-        let request = self.protocol.write_join(&self.me, lease);
-        let (status, _) = registry.call(request, CALL_MS).await?;
-        let done = self.protocol.read_done(status);
-        done.map_err(CallError::Refused)?;
-        Ok(lease)
+        info!(target: "dependency", lease = lease.id; "lease granted");
+        let mut registrar = self.registrar.borrow_mut();
+        registrar.granted(self.clock.now(), lease.id);
+        Ok(())
     }
 
-    async fn renew(&self, registry: &mut Registry, lease: Lease) -> Result<(), CallError> {
+    async fn renew(&self, registry: &mut Registry, lease: u64) -> Result<(), CallError> {
         let request = self.protocol.write_renewal(lease);
+        self.call(registry, request).await?;
+        self.registrar.borrow_mut().renewed(self.clock.now());
+        Ok(())
+    }
+
+    async fn write(
+        &self,
+        registry: &mut Registry,
+        lease: u64,
+        puts: &[InstanceEntry],
+        removes: &[String],
+    ) -> Result<(), CallError> {
+        let request = self.protocol.write_instances(lease, puts, removes);
+        self.call(registry, request).await?;
+        info!(target: "dependency", written = puts.len(), removed = removes.len(); "instances registered");
+        let now = self.clock.now();
+        self.registrar.borrow_mut().written(now, puts, removes);
+        Ok(())
+    }
+
+    async fn call(
+        &self,
+        registry: &mut Registry,
+        request: Request<Bytes>,
+    ) -> Result<(), CallError> {
         let (status, _) = registry.call(request, CALL_MS).await?;
         let done = self.protocol.read_done(status);
         done.map_err(CallError::Refused)
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -73,7 +73,8 @@
             state.put(entry, is_whole);
         }
         state.revision = state.revision.max(revision);
-        state.heard_at = Some(self.clock.now().before(age_ms));
+        let heard_at = self.clock.now().before(age_ms);
+        state.heard_at = state.heard_at.max(Some(heard_at));
         drop(state);
         if !entries.is_empty() {
             self.changed.notify_waiters();
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -5,6 +5,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,8 +22,8 @@
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::Ending;
 use hemlockrouter_route::direct::Explained;
+use hemlockrouter_route::direct::Instances;
 use hemlockrouter_route::direct::Notice;
-use hemlockrouter_route::direct::Reading;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
 use hemlockrouter_route::direct::RouteTable;
@@ -30,6 +31,8 @@
 use hemlockrouter_route::direct::Summary;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::CallerLimits;
+use hemlockrouter_types::routing::InstanceEntry;
+use hemlockrouter_types::routing::Reading;
 use stakker::actor;
 use stakker::call;
 use stakker::query;
@@ -75,9 +78,17 @@
     Peer(mpsc::UnboundedSender<BatchEvent>),
 }
 
+/// What this instance is to the others.
+pub(super) struct Identity {
+    pub(super) entry: InstanceEntry,
+    /// Instances that are worth a try if no other one is known.
+    pub(super) seeds: Vec<SocketAddr>,
+}
+
 /// What the actor and the tasks of the loop share.
 struct Shared {
     clock: Clock,
+    me: Rc<Identity>,
     calls: Calls,
     batches: Batches,
     waiting: RefCell<HashMap<RequestId, Waiting>>,
@@ -125,9 +136,16 @@
 }
 
 impl Node {
-    pub(super) fn new(config: Config, clock: Clock, calls: Calls, batches: Batches) -> Rc<Node> {
+    pub(super) fn new(
+        config: Config,
+        me: Rc<Identity>,
+        clock: Clock,
+        calls: Calls,
+        batches: Batches,
+    ) -> Rc<Node> {
         let shared = Rc::new(Shared {
             clock,
+            me,
             calls,
             batches,
             waiting: RefCell::default(),
@@ -235,12 +253,24 @@
         self.run();
     }
 
-    /// Returns how the instance `me` learns what the registry holds.
-    pub(super) fn reading(&self, me: &str) -> Reading {
-        let me = String::from(me);
+    /// Returns how this instance learns what the registry holds.
+    pub(super) fn reading(&self) -> Reading {
+        let me = Rc::clone(&self.shared.me);
         let reading = query!([self.decider, &mut *self.stakker.borrow_mut()], reading(me));
         // The actor starts with the first change; until then no other instance is known.
-        reading.unwrap_or(Reading::Alone)
+        reading.unwrap_or_else(|| {
+            let seeds = &self.shared.me.seeds;
+            Instances::default().reading(Time::ZERO, &self.shared.me.entry, seeds)
+        })
+    }
+
+    /// Returns who has registered the instances that are on the list, by their names.
+    pub(super) fn registrars(&self) -> HashMap<String, String> {
+        let registrars = query!(
+            [self.decider, &mut *self.stakker.borrow_mut()],
+            registrars()
+        );
+        registrars.unwrap_or_default()
     }
 
     /// Takes over other settings.
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -1,6 +1,7 @@
 //! The actor: takes events and changes of the registry to the dispatcher, and carries out what it
 //! decides.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::rc::Weak;
@@ -16,7 +17,6 @@
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::Explained;
 use hemlockrouter_route::direct::Notice;
-use hemlockrouter_route::direct::Reading;
 use hemlockrouter_route::direct::Registered;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::Route;
@@ -24,6 +24,7 @@
 use hemlockrouter_route::direct::Summary;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Batch;
+use hemlockrouter_types::routing::Reading;
 use hemlockrouter_types::routing::RouteDocument;
 use hemlockrouter_types::routing::UpstreamEntry;
 use log::info;
@@ -32,6 +33,7 @@
 
 use super::AnswerTo;
 use super::Finished;
+use super::Identity;
 use super::Node;
 use super::Shared;
 use crate::direct::calls::Call;
@@ -146,9 +148,19 @@
         self.dispatcher.reconfigure(config);
     }
 
-    pub(super) fn reading(&mut self, _: CX![], me: String) -> Reading {
+    pub(super) fn reading(&mut self, _: CX![], me: Rc<Identity>) -> Reading {
         let now = self.shared.clock.now();
-        self.dispatcher.upstreams().instances().reading(now, &me)
+        let instances = self.dispatcher.upstreams().instances();
+        instances.reading(now, &me.entry, &me.seeds)
+    }
+
+    pub(super) fn registrars(&mut self, _: CX![]) -> HashMap<String, String> {
+        let instances = self.dispatcher.upstreams().instances();
+        let names = instances.names().filter_map(|name| {
+            let registrar = instances.registrar_of(name)?;
+            Some((String::from(name), String::from(registrar)))
+        });
+        names.collect()
     }
 
     pub(super) fn status(&mut self, _: CX![]) -> Status {
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -1,16 +1,26 @@
-//! The port for other instances: passes on what this one reads in the registry, and takes batches.
+//! The port for other instances: passes on what this one reads in the registry, takes batches, and
+//! registers instances that ask for it.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hemlockrouter_edge::RelayPage;
+use hemlockrouter_types::routing::InstanceEntry;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Uri;
+use http_body_util::BodyExt;
 use http_body_util::Either;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
+use log::warn;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
 use tokio::net::TcpListener;
 
 use super::batches;
@@ -18,38 +28,130 @@
 use super::collector::Frames;
 use super::listener;
 use super::listener::page;
+use super::member::Member;
 use super::mirror::Mirror;
 
 /// How long a follower's call waits for a change, in milliseconds.
 pub(super) const WAIT_MS: u64 = 1_000;
 
-/// Serves followers for as long as the process runs.
-pub(super) async fn accept(listener: TcpListener, mirror: Rc<Mirror>, collector: Rc<Collector>) {
-    listener::accept(listener, "relay", |stream, peer| {
-        let mirror = Rc::clone(&mirror);
-        let collector = Rc::clone(&collector);
-        listener::serve_pages(stream, peer, move |request| {
-            let mirror = Rc::clone(&mirror);
-            let collector = Rc::clone(&collector);
-            async move { respond(&mirror, &collector, request).await }
-        })
-    })
-    .await;
+/// Where instances ask to be registered.
+const JOIN_PATH: &str = "/join";
+
+/// Where instances that stop end their registration.
+const LEAVE_PATH: &str = "/leave";
+
+/// The largest entry of an instance that is read, in bytes.
+const ENTRY_MAX_BYTES: usize = 4 << 10;
+
+/// The longest name of an instance that can be registered, in bytes.
+const NAME_MAX_BYTES: usize = 150;
+
+/// What serves other instances.
+pub(super) struct Relay {
+    pub(super) mirror: Rc<Mirror>,
+    pub(super) collector: Rc<Collector>,
+    pub(super) member: Rc<Member>,
+    /// The availability zones that the settings name.
+    pub(super) zones: BTreeSet<String>,
 }
 
-async fn respond(
-    mirror: &Mirror,
-    collector: &Collector,
-    request: Request<Incoming>,
-) -> Response<Either<Full<Bytes>, Frames>> {
-    if request.uri().path() != batches::PATH {
-        let page = changes(mirror, &request).await;
-        return page.map(Full::new).map(Either::Left);
+impl Relay {
+    /// Serves other instances for as long as the process runs.
+    pub(super) async fn accept(self: Rc<Relay>, listener: TcpListener) {
+        listener::accept(listener, "relay", |stream, peer| {
+            let relay = Rc::clone(&self);
+            listener::serve_pages(stream, peer, move |request| {
+                let relay = Rc::clone(&relay);
+                async move { relay.respond(request).await }
+            })
+        })
+        .await;
     }
-    match collector.take(request).await {
-        Ok(response) => response.map(Either::Right),
-        Err(status) => page(status, "not taken").map(Full::new).map(Either::Left),
+
+    async fn respond(&self, request: Request<Incoming>) -> Response<Either<Full<Bytes>, Frames>> {
+        let answer = match request.uri().path() {
+            batches::PATH => match self.collector.take(request).await {
+                Ok(response) => return response.map(Either::Right),
+                Err(status) => page(status, "not taken"),
+            },
+            JOIN_PATH => self.join(request).await,
+            LEAVE_PATH => self.leave(request).await,
+            _ => changes(&self.mirror, &request).await,
+        };
+        answer.map(Full::new).map(Either::Left)
     }
+
+    async fn join(&self, request: Request<Incoming>) -> Response<Bytes> {
+        let entry: InstanceEntry = match read(request).await {
+            Ok(entry) => entry,
+            Err(why) => return refused(&why),
+        };
+        if let Err(why) = self.check(&entry) {
+            return refused(why);
+        }
+        if self.member.take_join(entry) {
+            page(StatusCode::OK, "registered")
+        } else {
+            page(StatusCode::SERVICE_UNAVAILABLE, "this instance stops")
+        }
+    }
+
+    async fn leave(&self, request: Request<Incoming>) -> Response<Bytes> {
+        match read::<String>(request).await {
+            Ok(name) => {
+                self.member.take_leave(&name);
+                page(StatusCode::OK, "not registered any more")
+            }
+            Err(why) => refused(&why),
+        }
+    }
+
+    /// Checks an instance that wants to be registered.
+    fn check(&self, entry: &InstanceEntry) -> Result<(), &'static str> {
+        if entry.name.is_empty() || entry.name.len() > NAME_MAX_BYTES {
+            return Err("the name is empty or too long");
+        }
+        if !self.zones.contains(&entry.zone) {
+            return Err("the settings do not name its availability zone");
+        }
+        Ok(())
+    }
+}
+
+fn refused(why: &str) -> Response<Bytes> {
+    warn!(target: "belief", why = why; "a call of another instance is refused");
+    page(StatusCode::BAD_REQUEST, String::from(why))
+}
+
+/// Reads what another instance says of itself.
+async fn read<T>(request: Request<Incoming>) -> Result<T, String>
+where
+    T: DeserializeOwned,
+{
+    let body = Limited::new(request.into_body(), ENTRY_MAX_BYTES);
+    let body = body.collect().await.map_err(|err| err.to_string())?;
+    rmp_serde::from_slice(&body.to_bytes()).map_err(|err| err.to_string())
+}
+
+/// Writes the call of an instance that wants to be registered.
+pub(super) fn write_join(me: &InstanceEntry) -> Request<Bytes> {
+    write(JOIN_PATH, me)
+}
+
+/// Writes the call of an instance that stops.
+pub(super) fn write_leave(name: &str) -> Request<Bytes> {
+    write(LEAVE_PATH, &name)
+}
+
+fn write<T>(path: &'static str, body: &T) -> Request<Bytes>
+where
+    T: Serialize,
+{
+    let body = rmp_serde::to_vec(body).expect("these types can be written");
+    let mut request = Request::new(Bytes::from(body));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static(path);
+    request
 }
 
 async fn changes(mirror: &Mirror, request: &Request<Incoming>) -> Response<Bytes> {
