--- a/hemlockrouter-member/src/registrar.rs
+++ b/hemlockrouter-member/src/registrar.rs
@@ -27,6 +27,9 @@
 /// How long the list may lack an entry that was written, in milliseconds. The list lags.
 const LISTED_AFTER_MS: u64 = 3_000;
 
+/// The interval at which is looked whether the list is right, in milliseconds.
+const COMPARE_EVERY_MS: u64 = 1_000;
+
 /// How many entries one write holds.
 const WRITE_MAX: usize = 32;
 
@@ -74,6 +77,7 @@
     removed: BTreeSet<String>,
     lease: Option<Granted>,
     not_before: Time,
+    compared_at: Time,
 }
 
 #[derive(Clone, Debug)]
@@ -99,6 +103,7 @@
             removed: BTreeSet::new(),
             lease: None,
             not_before: Time::ZERO,
+            compared_at: Time::ZERO,
         }
     }
 
@@ -148,6 +153,15 @@
         self.members.len()
     }
 
+    /// Returns whether [`Registrar::compare`] is to be called now.
+    pub fn is_to_be_compared(&mut self, now: Time) -> bool {
+        let is_due = !self.members.is_empty() && now.since(self.compared_at) >= COMPARE_EVERY_MS;
+        if is_due {
+            self.compared_at = now;
+        }
+        is_due
+    }
+
     /// Compares what was written with the list: `registrar_of` returns who has registered an instance
     /// that is on it. What the list lacks is written again, and silent instances are taken off unless
     /// another registrar has taken them over.
--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -99,6 +99,8 @@
     calls: HashMap<CallId, Call>,
     shares: HashMap<CallId, Share>,
     peers: Peers,
+    /// When it was last looked which other instances to ask.
+    asked_peers_at: Time,
     last_call: u64,
     timers: Timers<Due>,
     latencies: HashMap<String, Latency>,
@@ -120,6 +122,7 @@
             calls: HashMap::new(),
             shares: HashMap::new(),
             peers: Peers::default(),
+            asked_peers_at: Time::ZERO,
             last_call: 0,
             timers,
             latencies: HashMap::new(),
--- a/hemlockrouter-route/src/direct/dispatcher/plan.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/plan.rs
@@ -1,7 +1,9 @@
 //! Which instance collects which shards of a search, and which ones may be used at all.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Batch;
@@ -20,9 +22,21 @@
 /// The fewest parts that are collected in another availability zone.
 const ELSEWHERE_MIN: usize = 4;
 
+/// The interval at which is looked whom to ask, in milliseconds.
+const ASK_EVERY_MS: u64 = 500;
+
 /// How long an instance may take to show that it answers, in milliseconds.
 const ASK_MS: u64 = 1_000;
 
+/// Which instances are planned with.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Who {
+    /// Those that have answered lately.
+    Usable,
+    /// Those too that have not been asked yet, or not lately.
+    Promising,
+}
+
 impl Dispatcher {
     /// Returns the services of a route if its requests are shared. Those bound to regions are not: their
     /// bodies must not go to instances elsewhere.
@@ -53,7 +67,7 @@
         };
         let mut collectors = vec![None; parts];
         if let Some(services) = self.shared_services(route) {
-            for (collector, places) in self.plan(now, services) {
+            for (collector, places) in self.plan(now, services, Who::Usable) {
                 for place in places {
                     collectors[place] = collector;
                 }
@@ -69,6 +83,7 @@
         &self,
         now: Time,
         services: &[ServiceKey],
+        who: Who,
     ) -> Vec<(Option<SocketAddr>, Vec<usize>)> {
         let own_zone = self.config.zone.as_str();
         let mut zones: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
@@ -87,7 +102,7 @@
         let mut own = zones.remove(own_zone).unwrap_or_default();
         let mut planned = Vec::new();
         for (zone, places) in zones {
-            let candidates = self.candidates(now, zone);
+            let candidates = self.candidates(now, zone, who);
             if candidates.is_empty() || places.len() < ELSEWHERE_MIN {
                 own.extend(places);
             } else {
@@ -95,7 +110,7 @@
             }
         }
         own.sort_unstable();
-        self.plan_zone(&self.candidates(now, own_zone), &own, &mut planned);
+        self.plan_zone(&self.candidates(now, own_zone, who), &own, &mut planned);
         planned
     }
 
@@ -117,9 +132,12 @@
     }
 
     /// Returns who may collect in an availability zone.
-    fn candidates<'d>(&'d self, now: Time, zone: &'d str) -> Vec<Candidate<'d>> {
+    fn candidates<'d>(&'d self, now: Time, zone: &'d str, who: Who) -> Vec<Candidate<'d>> {
         let of_zone = self.peers().filter(|(entry, _)| entry.zone == zone);
-        let usable = of_zone.filter(|(_, address)| self.peers.is_usable(now, *address));
+        let usable = of_zone.filter(|(_, address)| match who {
+            Who::Usable => self.peers.is_usable(now, *address),
+            Who::Promising => self.peers.is_promising(now, *address),
+        });
         let mut candidates: Vec<Candidate<'_>> = usable
             .map(|(entry, address)| Candidate {
                 name: &entry.name,
@@ -144,14 +162,28 @@
         near.filter_map(|entry| Some((entry, entry.relay?)))
     }
 
-    /// Asks other instances that may not be used whether they answer, if there are searches to share.
+    /// Asks the instances that would collect searches, but may not be used, whether they answer. Nobody
+    /// else is asked: in a large availability zone most instances collect nothing for this one.
     pub(super) fn ask_peers(&mut self, now: Time, out: &mut Vec<Command>) {
-        self.peers.tidy(now);
-        if self.table.shards_max() < self.config.sharing.parts_min {
+        if now.since(self.asked_peers_at) < ASK_EVERY_MS {
             return;
         }
-        let addresses: Vec<SocketAddr> = self.peers().map(|(_, address)| address).collect();
-        for peer in addresses {
+        self.asked_peers_at = now;
+        self.peers.tidy(now);
+        let table = Rc::clone(&self.table);
+        let mut wanted: BTreeSet<SocketAddr> = BTreeSet::new();
+        for services in table.searches() {
+            if services.len() < self.config.sharing.parts_min.max(2) {
+                continue;
+            }
+            let mut planned = self.plan(now, services, Who::Promising);
+            // If the other availability zones are lost or evacuated, all is collected in this one.
+            let places: Vec<usize> = (0..services.len()).collect();
+            let near = self.candidates(now, &self.config.zone, Who::Promising);
+            self.plan_zone(&near, &places, &mut planned);
+            wanted.extend(planned.into_iter().filter_map(|(collector, _)| collector));
+        }
+        for peer in wanted {
             if !self.peers.is_usable(now, peer) && self.peers.is_to_be_asked(now, peer) {
                 self.ask(now, peer, out);
             }
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -11,6 +11,7 @@
 use hemlockrouter_types::routing::Batch;
 use hemlockrouter_types::routing::BatchPart;
 
+use super::plan::Who;
 use super::Cause;
 use super::Dispatcher;
 use super::Due;
@@ -51,7 +52,7 @@
         let Some(services) = self.shared_services(&route) else {
             return;
         };
-        for (collector, places) in self.plan(now, services) {
+        for (collector, places) in self.plan(now, services, Who::Usable) {
             if let Some(peer) = collector {
                 self.hand_out(now, id, request, peer, places, out);
             }
--- a/hemlockrouter-route/src/direct/instances.rs
+++ b/hemlockrouter-route/src/direct/instances.rs
@@ -31,15 +31,18 @@
 }
 
 impl Instances {
-    /// Takes over that an instance is on the list.
-    pub fn joined(&mut self, now: Time, entry: InstanceEntry) {
+    /// Takes over that an instance is on the list, and returns whether it was not.
+    pub fn joined(&mut self, now: Time, entry: InstanceEntry) -> bool {
+        let name = entry.name.clone();
         let known = Known {
-            entry: entry.clone(),
+            entry,
             gone_since: None,
         };
-        if self.known.insert(entry.name, known).is_none() {
+        let before = self.known.insert(name, known);
+        if before.is_none() {
             self.grown_at = Some(now);
         }
+        before.is_none_or(|before| before.gone_since.is_some())
     }
 
     /// Takes over that an instance is not on the list any more.
--- a/hemlockrouter-route/src/direct/peers.rs
+++ b/hemlockrouter-route/src/direct/peers.rs
@@ -22,6 +22,9 @@
 /// The interval at which an instance that is not used is asked whether it answers, in milliseconds.
 const ASK_EVERY_MS: u64 = 1_000;
 
+/// For how long others are asked in the place of an instance that did not answer, in milliseconds.
+const LOST_MS: u64 = 3_000;
+
 /// For how long an instance is not used that has collected too little, in milliseconds. It may be cut off
 /// from upstreams and still answer other instances.
 const BARRED_MS: u64 = 5_000;
@@ -37,6 +40,7 @@
     /// When it last answered; `None` if it has failed since.
     heard_at: Option<Time>,
     asked_at: Option<Time>,
+    lost_at: Option<Time>,
     barred_until: Option<Time>,
 }
 
@@ -59,6 +63,7 @@
         let known = self.known.entry(peer).or_default();
         known.heard_at = None;
         known.asked_at = Some(now);
+        known.lost_at = Some(now);
     }
 
     /// Takes over that an instance has collected too little.
@@ -78,6 +83,15 @@
         !is_barred && heard_at.is_some_and(|at| now.since(at) <= HEARD_MAX_MS)
     }
 
+    /// Returns whether an instance may be used, or would be if it answered.
+    pub(super) fn is_promising(&self, now: Time, peer: SocketAddr) -> bool {
+        let Some(known) = self.known.get(&peer) else {
+            return true;
+        };
+        let is_lost = known.lost_at.is_some_and(|at| now.since(at) <= LOST_MS);
+        self.is_usable(now, peer) || !is_lost
+    }
+
     /// Returns whether an instance that may not be used is to be asked now.
     pub(super) fn is_to_be_asked(&mut self, now: Time, peer: SocketAddr) -> bool {
         let known = self.known.entry(peer).or_default();
--- a/hemlockrouter-route/src/direct/table.rs
+++ b/hemlockrouter-route/src/direct/table.rs
@@ -4,6 +4,7 @@
 //! with a slash, so there is one candidate for each slash of the path; looking them up from the
 //! longest on costs the same however many routes there are.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -47,8 +48,8 @@
     version: u64,
     hosts: HashMap<String, HashMap<String, Rc<Route>>>,
     routes: usize,
-    /// The most shards that a search has.
-    shards_max: usize,
+    /// The sets of shards that searches go to; routes often share one.
+    searches: BTreeSet<Vec<ServiceKey>>,
 }
 
 impl RouteTable {
@@ -61,12 +62,12 @@
             version: document.version,
             hosts: HashMap::new(),
             routes: document.routes.len(),
-            shards_max: 0,
+            searches: BTreeSet::new(),
         };
         for entry in document.routes {
             let to = compile(&entry.target, upstreams);
             if let RouteTarget::Shards { services, .. } = &to {
-                table.shards_max = table.shards_max.max(services.len());
+                table.searches.insert(services.clone());
             }
             let host = table.hosts.entry(entry.host.to_ascii_lowercase());
             let prefix = entry.path_prefix.clone();
@@ -90,9 +91,9 @@
         self.routes
     }
 
-    /// Returns the most shards that a search has.
-    pub(super) fn shards_max(&self) -> usize {
-        self.shards_max
+    /// Returns the sets of shards that searches go to.
+    pub(super) fn searches(&self) -> impl Iterator<Item = &[ServiceKey]> {
+        self.searches.iter().map(Vec::as_slice)
     }
 
     /// Returns whether there is no route.
--- a/hemlockrouter-route/tests/direct/sharing.rs
+++ b/hemlockrouter-route/tests/direct/sharing.rs
@@ -388,3 +388,37 @@
     let left = PART_PERMILLE + EARNED_PERMILLE - given;
     assert!((1_000..1_500).contains(&left), "{left} is kept");
 }
+
+/// Load pattern: all instances of a large region start at once. Each that asked all others would spend
+/// its first second on that.
+#[test]
+fn only_instances_that_would_collect_are_asked_whether_they_answer() {
+    const INSTANCES: u16 = 60;
+    let mut fixture = Fixture::sharing(2, 1);
+    let instances = fixture.dispatcher.upstreams_mut().instances_mut();
+    for port in 0..INSTANCES {
+        instances.joined(Time::ZERO, peer(&format!("n-{port}"), "north-a", port));
+    }
+    let mut asked: Vec<SocketAddr> = Vec::new();
+    for _ in 0..8 {
+        fixture.wait(ASKED_MS);
+        asked.extend(shared(&mut fixture).iter().map(|call| call.peer));
+    }
+    asked.sort_unstable();
+    asked.dedup();
+    assert!(asked.len() <= SHARDS, "{} are asked", asked.len());
+    // One that does not answer is replaced by another one.
+    let lost = asked[0];
+    fixture.wait(10_000);
+    let calls = shared(&mut fixture);
+    let call = calls.iter().find(|call| call.peer == lost);
+    end(
+        &mut fixture,
+        call.expect("it is asked again"),
+        BatchEnd::NotTaken,
+    );
+    fixture.wait(1_000);
+    let others = shared(&mut fixture);
+    assert!(others.iter().all(|call| call.peer != lost));
+    assert!(others.iter().any(|call| !asked.contains(&call.peer)));
+}
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -44,6 +44,11 @@
 /// The pause after a failure before somebody else is asked.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// How soon an instance that knows nothing yet tries again to read, in milliseconds; it adds up to as
+/// much again, so that not all call at once. A read that may lag costs little, and until then the
+/// instance serves nobody.
+const FIRST_EVERY_MS: u64 = 150;
+
 /// The pause after the first read before the others are asked, in which those that started at the same
 /// time have registered.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -61,6 +66,7 @@
     followed: Option<(SocketAddr, Registry)>,
     /// Since when the registry does not answer.
     lost_since: Option<Time>,
+    spread: u64,
 }
 
 /// What a follower works with.
@@ -87,14 +93,13 @@
             sources: Sources::new(parts.spread),
             followed: None,
             lost_since: None,
+            spread: parts.spread,
         }
     }
 
     /// Runs for as long as the process does.
     pub(super) async fn run(mut self) {
-        while !self.read_first().await {
-            tokio::time::sleep(PAUSE).await;
-        }
+        self.read_first().await;
         tokio::time::sleep(FIRST_PAUSE).await;
         loop {
             let reading = self.node.reading();
@@ -107,30 +112,25 @@
         }
     }
 
-    /// Reads everything for the first time, from the registry or else from other instances. Returns
-    /// whether it came about.
-    async fn read_first(&mut self) -> bool {
-        let reading = self.node.reading();
-        let now = self.clock.now();
-        let source = self.sources.next(now, &reading_alone(&reading));
-        let failed = match source {
-            Source::Registry => match self.read(true).await {
-                Ok(()) => return true,
-                Err(err) => err,
-            },
-            Source::Relay(relay) => return self.read_from(relay).await,
-            Source::Nowhere { wait_ms } => {
-                tokio::time::sleep(Duration::from_millis(wait_ms)).await;
-                return false;
-            }
-        };
-        self.note_registry_failed(&failed, &reading);
-        for relay in reading.relays {
-            if self.read_from(relay).await {
-                return true;
+    /// Reads everything for the first time, from the registry or else from another instance.
+    async fn read_first(&mut self) {
+        let mut tries = 0;
+        loop {
+            let tried_at = self.clock.now();
+            let Err(err) = self.read(true).await else {
+                return;
+            };
+            let reading = self.node.reading();
+            self.note_registry_failed(&err, &reading);
+            let relays = &reading.relays;
+            if !relays.is_empty() && self.read_from(relays[tries % relays.len()]).await {
+                return;
             }
+            tries += 1;
+            let next_at = tried_at + FIRST_EVERY_MS + self.spread % FIRST_EVERY_MS;
+            let wait_ms = next_at.left(self.clock.now());
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
         }
-        false
     }
 
     /// Reads everything from another instance, and returns whether that one knows anything.
@@ -288,11 +288,3 @@
         }
     }
 }
-
-/// Returns how an instance reads that knows nothing: the registry knows everything in one read.
-fn reading_alone(reading: &Reading) -> Reading {
-    Reading {
-        reads: true,
-        ..reading.clone()
-    }
-}
--- a/src/direct/member.rs
+++ b/src/direct/member.rs
@@ -172,13 +172,13 @@
 
     /// Does what the registrar decides.
     async fn register(&self, registry: &mut Registry) {
-        let registrars = self.node.registrars();
-        let step = {
-            let now = self.clock.now();
+        let now = self.clock.now();
+        if self.registrar.borrow_mut().is_to_be_compared(now) {
+            let registrars = self.node.registrars();
             let mut registrar = self.registrar.borrow_mut();
             registrar.compare(now, |name| registrars.get(name).map(String::as_str));
-            registrar.step(now)
-        };
+        }
+        let step = self.registrar.borrow().step(now);
         let done = match &step {
             Step::Wait => return,
             Step::Grant => self.grant(registry).await,
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -140,6 +140,7 @@
         }
         if is_whole && !self.shared.is_loaded.replace(true) {
             self.dispatcher.upstreams_mut().first_read();
+            self.log_first_read();
         }
         self.set_timer();
     }
@@ -202,17 +203,14 @@
             }
             Change::Instance(entry) => {
                 let name = entry.name.clone();
-                self.dispatcher
-                    .upstreams_mut()
-                    .instances_mut()
-                    .joined(now, entry);
-                self.log_instance(&name, true);
+                let instances = self.dispatcher.upstreams_mut().instances_mut();
+                if instances.joined(now, entry) && self.shared.is_loaded.get() {
+                    self.log_instance(&name, true);
+                }
             }
             Change::InstanceGone { name } => {
-                self.dispatcher
-                    .upstreams_mut()
-                    .instances_mut()
-                    .left(now, &name);
+                let instances = self.dispatcher.upstreams_mut().instances_mut();
+                instances.left(now, &name);
                 self.log_instance(&name, false);
             }
             Change::Unreadable { key, upstream, why } => {
@@ -244,7 +242,7 @@
         let draining = entry.draining;
         let cold_ms = entry.cold_ms;
         let registered = self.dispatcher.upstreams_mut().register(now, entry);
-        if registered != Registered::Same {
+        if registered != Registered::Same && self.shared.is_loaded.get() {
             info!(
                 target: "belief",
                 upstream = id.as_str(),
@@ -257,6 +255,20 @@
         }
     }
 
+    /// Writes what the first read brought: one line, since an instance that starts under load has better
+    /// things to do than to write one for each entry.
+    fn log_first_read(&self) {
+        let upstreams = self.dispatcher.upstreams();
+        let version = self.dispatcher.table().version();
+        info!(
+            target: "belief",
+            version = version,
+            upstreams = upstreams.len(),
+            instances = upstreams.instances().count();
+            "registry read"
+        );
+    }
+
     fn log_instance(&self, name: &str, present: bool) {
         let count = self.dispatcher.upstreams().instances().count();
         info!(target: "belief", instance = name, present = present, count = count; "instance");
