--- a/hemlockrouter-lab/tests/registry_fleet.rs
+++ b/hemlockrouter-lab/tests/registry_fleet.rs
@@ -356,7 +356,9 @@
         let changes = self.registry.history.get(known..revision);
         for (name, entry) in changes.unwrap_or_default() {
             match entry {
-                Some(entry) => node.instances.joined(now, entry.clone()),
+                Some(entry) => {
+                    node.instances.joined(now, entry.clone());
+                }
                 None => node.instances.left(now, name),
             }
         }
