--- a/hemlockrouter-route/src/direct/status.rs
+++ b/hemlockrouter-route/src/direct/status.rs
@@ -74,6 +74,8 @@
     /// It is not used: its availability zone is out of service, it has left, or the route does not
     /// allow its region.
     Excluded,
+    /// It has asked to be left alone for a while.
+    Resting,
     /// No connection to it came about lately.
     Unreachable,
     /// It has started lately, and gets little.
--- a/hemlockrouter-route/src/direct/upstreams/status.rs
+++ b/hemlockrouter-route/src/direct/upstreams/status.rs
@@ -34,7 +34,9 @@
         let mut status: Vec<UpstreamStatus> = upstreams
             .map(|one| self.status_of(now, one, wanted))
             .collect();
-        let is_out = |one: &UpstreamStatus| one.state == UpstreamState::Excluded;
+        let is_out = |one: &UpstreamStatus| {
+            matches!(one.state, UpstreamState::Excluded | UpstreamState::Resting)
+        };
         status.sort_by(|a, b| {
             let by_state = is_out(a).cmp(&is_out(b));
             by_state.then(a.cost_ms.total_cmp(&b.cost_ms))
@@ -43,7 +45,9 @@
     }
 
     fn status_of(&self, now: Time, upstream: &Upstream, wanted: &Wanted<'_>) -> UpstreamStatus {
-        let state = if !self.is_usable(now, upstream, wanted) {
+        let state = if upstream.said.rests(now) {
+            UpstreamState::Resting
+        } else if !self.is_usable(now, upstream, wanted) {
             UpstreamState::Excluded
         } else if upstream.record.is_unreachable(now) {
             UpstreamState::Unreachable
