--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -41,14 +41,32 @@
 /// The pause between two watches, so that changes come in batches.
 const PACE: Duration = Duration::from_millis(500);
 
+/// The pause between two watches while the registry fills again: after the first read and after an
+/// outage, when registrations that have lapsed come back.
+const QUICK_PACE: Duration = Duration::from_millis(100);
+
+/// How long the registry is taken to fill again, in milliseconds.
+const FILLING_MS: u64 = 3_000;
+
+/// An instance whose last word from the registry was older than this has missed an outage of it, in
+/// milliseconds.
+const OUTAGE_MS: u64 = 3_000;
+
 /// The pause after a failure before somebody else is asked.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// How soon an instance that knows nothing yet tries again to read, in milliseconds; it adds up to as
-/// much again, so that not all call at once. A read that may lag costs little, and until then the
-/// instance serves nobody.
+/// How soon a reader that knows nothing yet tries again to read, in milliseconds; it adds up to as much
+/// again, so that not all call at once. Until then it serves nobody, and others wait for it.
 const FIRST_EVERY_MS: u64 = 150;
 
+/// After so many tries a reader that knows nothing yet finds out whether others have read: it may be
+/// turned away alone.
+const READER_TRIES: u32 = 5;
+
+/// For how long other instances that know nothing yet wait for readers before they try again, in
+/// milliseconds; they add up to as much again.
+const OTHERS_MS: u64 = 3_000;
+
 /// The pause after the first read before the others are asked, in which those that started at the same
 /// time have registered.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -66,6 +84,8 @@
     followed: Option<(SocketAddr, Registry)>,
     /// Since when the registry does not answer.
     lost_since: Option<Time>,
+    /// Until when the registry fills again.
+    filling_until: Time,
     spread: u64,
 }
 
@@ -93,6 +113,7 @@
             sources: Sources::new(parts.spread),
             followed: None,
             lost_since: None,
+            filling_until: Time::ZERO,
             spread: parts.spread,
         }
     }
@@ -114,25 +135,54 @@
 
     /// Reads everything for the first time, from the registry or else from another instance.
     async fn read_first(&mut self) {
-        let mut tries = 0;
-        loop {
-            let tried_at = self.clock.now();
+        for tries in 1_u32.. {
             let Err(err) = self.read(true).await else {
                 return;
             };
             let reading = self.node.reading();
             self.note_registry_failed(&err, &reading);
-            let relays = &reading.relays;
-            if !relays.is_empty() && self.read_from(relays[tries % relays.len()]).await {
+            let asks_others = !reading.reads || tries % READER_TRIES == 0;
+            if asks_others && self.read_from_others(&reading).await {
                 return;
             }
-            tries += 1;
-            let next_at = tried_at + FIRST_EVERY_MS + self.spread % FIRST_EVERY_MS;
-            let wait_ms = next_at.left(self.clock.now());
-            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            if reading.reads {
+                let wait_ms = FIRST_EVERY_MS + self.spread % FIRST_EVERY_MS;
+                tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            }
         }
     }
 
+    /// Waits for others to read the registry, and has what they know if the registry still turns this
+    /// instance away. Returns whether it came about. It ends after a while, when this instance is to try
+    /// again whatever the others say.
+    async fn read_from_others(&mut self, reading: &Reading) -> bool {
+        let until = self.clock.now() + OTHERS_MS + self.spread % OTHERS_MS;
+        for relay in reading.relays.iter().copied().cycle() {
+            if self.clock.now() >= until {
+                break;
+            }
+            if !self.has_read(relay).await {
+                if reading.reads {
+                    break;
+                }
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+            if self.read(true).await.is_ok() || self.read_from(relay).await {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Waits for another instance to read the registry, and returns whether it has.
+    async fn has_read(&mut self, relay: SocketAddr) -> bool {
+        let request = relay::write_has_read();
+        let limit_ms = relay::WAIT_MS + RELAY_SLACK_MS;
+        let answer = Registry::new(relay).call(request, limit_ms).await;
+        matches!(answer, Ok((status, _)) if (200..300).contains(&status))
+    }
+
     /// Reads everything from another instance, and returns whether that one knows anything.
     async fn read_from(&mut self, relay: SocketAddr) -> bool {
         match self.ask(relay, None).await {
@@ -184,7 +234,7 @@
             false => (self.catch_up_ms as f64 * WATCH_PART) as u64,
         };
         match self.watch(revision, wait_ms).await {
-            Ok(()) => PACE,
+            Ok(()) => self.pace(),
             Err(err) => {
                 self.note_registry_failed(&err, reading);
                 PAUSE
@@ -229,7 +279,7 @@
         let is_in_touch = self.sources.relay_answered(now, relay, page.age_ms);
         self.take(&page.entries, page.revision, page.is_whole, page.age_ms);
         if is_in_touch {
-            PACE
+            self.pace()
         } else {
             let address = relay.to_string();
             info!(target: "dependency", relay = address, age_ms = page.age_ms; "relay out of touch");
@@ -257,7 +307,20 @@
         Ok(page)
     }
 
-    fn take(&self, entries: &[Entry], revision: u64, is_whole: bool, age_ms: u64) {
+    /// Returns how long to pause after news.
+    fn pace(&self) -> Duration {
+        if self.clock.now() < self.filling_until {
+            QUICK_PACE
+        } else {
+            PACE
+        }
+    }
+
+    fn take(&mut self, entries: &[Entry], revision: u64, is_whole: bool, age_ms: u64) {
+        let was_old = self.mirror.age_ms().is_none_or(|age_ms| age_ms > OUTAGE_MS);
+        if was_old && age_ms <= OUTAGE_MS {
+            self.filling_until = self.clock.now() + FILLING_MS;
+        }
         self.mirror.take(entries, revision, is_whole, age_ms);
         if is_whole || !entries.is_empty() {
             let changes = entries.iter().map(|entry| entry.change.clone());
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -81,6 +81,16 @@
         }
     }
 
+    /// Returns whether the registry was read, as soon as it is or `wait` is over.
+    pub(super) async fn is_read(&self, wait: std::time::Duration) -> bool {
+        let changed = self.changed.notified();
+        if self.revision().is_none() {
+            // Whether it was read meanwhile or the time is over shows below.
+            let _ = tokio::time::timeout(wait, changed).await;
+        }
+        self.revision().is_some()
+    }
+
     /// Returns what a follower lacks that has read up to revision `after`, as soon as there is
     /// something or `wait` is over.
     pub(super) async fn page(&self, after: Option<u64>, wait: std::time::Duration) -> RelayPage {
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -1,6 +1,7 @@
 //! What connects the actor that decides to the event loop.
 
 mod decider;
+mod news;
 
 use std::cell::Cell;
 use std::cell::RefCell;
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -31,6 +31,8 @@
 use log::warn;
 use stakker::CX;
 
+use super::news::News;
+use super::news::NewsOfUpstream;
 use super::AnswerTo;
 use super::Finished;
 use super::Identity;
@@ -45,6 +47,8 @@
     shared: Rc<Shared>,
     node: Weak<Node>,
     commands: Vec<Command>,
+    /// What the changes that are taken over now have made known.
+    news: News,
 }
 
 /// What an actor of type [`Decider`] is made of.
@@ -58,6 +62,7 @@
             shared,
             node,
             commands: Vec::new(),
+            news: News::default(),
         })
     }
 
@@ -135,9 +140,11 @@
         if is_whole {
             self.keep_only(now, &changes);
         }
+        self.news = News::default();
         for change in changes {
             self.change(now, change);
         }
+        std::mem::take(&mut self.news).write();
         if is_whole && !self.shared.is_loaded.replace(true) {
             self.dispatcher.upstreams_mut().first_read();
             self.log_first_read();
@@ -199,7 +206,7 @@
             Change::Upstream(entry) => self.register(now, entry),
             Change::UpstreamGone { id } => {
                 self.dispatcher.upstreams_mut().unregister(now, &id);
-                info!(target: "belief", upstream = id.as_str(); "upstream not registered any more");
+                self.news.unregistered.push(id);
             }
             Change::Instance(entry) => {
                 let name = entry.name.clone();
@@ -243,15 +250,13 @@
         let cold_ms = entry.cold_ms;
         let registered = self.dispatcher.upstreams_mut().register(now, entry);
         if registered != Registered::Same && self.shared.is_loaded.get() {
-            info!(
-                target: "belief",
-                upstream = id.as_str(),
-                service = service.as_str(),
-                draining = draining,
-                cold_ms = cold_ms,
-                change = format!("{registered:?}").as_str();
-                "upstream"
-            );
+            self.news.upstreams.push(NewsOfUpstream {
+                id,
+                service,
+                draining,
+                cold_ms,
+                registered,
+            });
         }
     }
 
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -37,6 +37,9 @@
 /// Where instances ask to be registered.
 const JOIN_PATH: &str = "/join";
 
+/// Where instances that know nothing yet wait for this one to have read the registry.
+const HAS_READ_PATH: &str = "/has-read";
+
 /// Where instances that stop end their registration.
 const LEAVE_PATH: &str = "/leave";
 
@@ -74,6 +77,7 @@
                 Ok(response) => return response.map(Either::Right),
                 Err(status) => page(status, "not taken"),
             },
+            HAS_READ_PATH => self.has_read().await,
             JOIN_PATH => self.join(request).await,
             LEAVE_PATH => self.leave(request).await,
             _ => changes(&self.mirror, &request).await,
@@ -81,6 +85,14 @@
         answer.map(Full::new).map(Either::Left)
     }
 
+    async fn has_read(&self) -> Response<Bytes> {
+        if self.mirror.is_read(Duration::from_millis(WAIT_MS)).await {
+            page(StatusCode::OK, "read")
+        } else {
+            page(StatusCode::SERVICE_UNAVAILABLE, "not read yet")
+        }
+    }
+
     async fn join(&self, request: Request<Incoming>) -> Response<Bytes> {
         let entry: InstanceEntry = match read(request).await {
             Ok(entry) => entry,
@@ -133,6 +145,13 @@
     rmp_serde::from_slice(&body.to_bytes()).map_err(|err| err.to_string())
 }
 
+/// Writes the call of an instance that knows nothing yet.
+pub(super) fn write_has_read() -> Request<Bytes> {
+    let mut request = Request::new(Bytes::new());
+    *request.uri_mut() = Uri::from_static(HAS_READ_PATH);
+    request
+}
+
 /// Writes the call of an instance that wants to be registered.
 pub(super) fn write_join(me: &InstanceEntry) -> Request<Bytes> {
     write(JOIN_PATH, me)
