--- a/hemlockrouter-cli/tests/direct/relays.rs
+++ b/hemlockrouter-cli/tests/direct/relays.rs
@@ -11,6 +11,7 @@
 use crate::world::World;
 use crate::world::CATCH_UP_MS;
 use crate::world::SEARCH;
+use crate::world::ZONES;
 
 /// Five instances for each of two availability zones: enough that four of them follow.
 const DAEMONS: usize = 10;
@@ -98,6 +99,9 @@
     std::thread::sleep(Duration::from_secs(2));
     let calls = world.store.calls() - before;
     assert!(calls <= START_CALLS_MAX, "{calls} calls");
+    let read_from_relays = (0..DAEMONS).filter(|at| world.log(*at).contains("read from a relay"));
+    // Of each availability zone two read from the store.
+    assert!(read_from_relays.count() >= DAEMONS - 2 * ZONES.len());
     assert_eq!(world.store.keys(keys).len(), DAEMONS);
     world.daemons[3].shut_down();
     eventually("one that stops is not on the list", || {
--- a/hemlockrouter-edge/src/lib.rs
+++ b/hemlockrouter-edge/src/lib.rs
@@ -24,6 +24,7 @@
 pub use crate::caller::CallerRequest;
 pub use crate::protocol::Protocol;
 pub use crate::registry::Change;
+pub use crate::registry::EncodedEntries;
 pub use crate::registry::Entry;
 pub use crate::registry::Lease;
 pub use crate::registry::Page;
--- a/hemlockrouter-edge/src/registry.rs
+++ b/hemlockrouter-edge/src/registry.rs
@@ -11,6 +11,7 @@
 use hemlockrouter_types::routing::UpstreamEntry;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_bytes::ByteBuf;
 
 /// One page of the registry, or what has changed in it.
 #[derive(Clone, Debug, PartialEq)]
@@ -78,8 +79,33 @@
     pub revision: u64,
     /// How long ago the sender last heard from the registry, in milliseconds.
     pub age_ms: u64,
-    /// The entries.
-    pub entries: Vec<Entry>,
+    /// The entries, encoded apart so that those of a whole page are encoded once for many receivers.
+    pub entries: EncodedEntries,
+}
+
+/// Entries as they travel between instances.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EncodedEntries(ByteBuf);
+
+impl EncodedEntries {
+    /// Encodes entries.
+    ///
+    /// # Errors
+    ///
+    /// Returns why they can't be encoded.
+    pub fn encode(entries: &[Entry]) -> Result<EncodedEntries, rmp_serde::encode::Error> {
+        let encoded = rmp_serde::to_vec(entries)?;
+        Ok(EncodedEntries(ByteBuf::from(encoded)))
+    }
+
+    /// Decodes the entries.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with them.
+    pub fn decode(&self) -> Result<Vec<Entry>, rmp_serde::decode::Error> {
+        rmp_serde::from_slice(&self.0)
+    }
 }
 
 /// The lease that keeps an instance registered.
--- a/hemlockrouter-route/src/direct/readers.rs
+++ b/hemlockrouter-route/src/direct/readers.rs
@@ -27,6 +27,15 @@
 const RELAYS_MAX: usize = 2;
 
 impl Instances {
+    /// Returns the instances of an availability zone from which others read first when many start at
+    /// once, the best ones first.
+    pub fn first_readers(&self, zone: &str) -> Vec<InstanceEntry> {
+        let of_zone = self.with_relay().filter(|entry| entry.zone == zone);
+        let mut ranked: Vec<&InstanceEntry> = of_zone.collect();
+        ranked.sort_by_key(|entry| rank(entry));
+        ranked.into_iter().take(RELAYS_MAX).cloned().collect()
+    }
+
     /// Returns how the instance `me` learns what the registry holds. `seeds` are instances that are
     /// worth a try if no other one is known.
     pub fn reading(&self, now: Time, me: &InstanceEntry, seeds: &[SocketAddr]) -> Reading {
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -16,11 +16,14 @@
 use hemlockrouter_member::Source;
 use hemlockrouter_member::Sources;
 use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::InstanceEntry;
 use hemlockrouter_types::routing::Reading;
 use log::info;
 use log::warn;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::mirror::Mirror;
+use super::node::Identity;
 use super::node::Node;
 use super::registry::CallError;
 use super::registry::Registry;
@@ -63,9 +66,16 @@
 /// turned away alone.
 const READER_TRIES: u32 = 5;
 
-/// For how long other instances that know nothing yet wait for readers before they try again, in
-/// milliseconds; they add up to as much again.
-const OTHERS_MS: u64 = 3_000;
+/// How long seeds that do not answer are tried, in milliseconds. Machines that start together do so
+/// within a few tenths of a second.
+const SILENT_SEEDS_MS: u64 = 500;
+
+/// How long seeds are waited for that have not read the registry either, in milliseconds; instances add
+/// up to as much again.
+const WAITING_SEEDS_MS: u64 = 3_000;
+
+/// The status with which a seed answers that has not read the registry yet.
+const NOT_READ_YET: u16 = 503;
 
 /// The pause after the first read before the others are asked, in which those that started at the same
 /// time have registered.
@@ -73,6 +83,8 @@
 
 /// Keeps up with the registry.
 pub(super) struct Follower {
+    name: String,
+    zone: String,
     clock: Clock,
     catch_up_ms: u64,
     protocol: Rc<dyn Protocol>,
@@ -86,35 +98,39 @@
     lost_since: Option<Time>,
     /// Until when the registry fills again.
     filling_until: Time,
+    /// A number that differs between instances and spreads their calls.
     spread: u64,
 }
 
 /// What a follower works with.
 pub(super) struct Parts {
+    pub(super) me: Rc<Identity>,
     pub(super) clock: Clock,
     pub(super) catch_up_ms: u64,
     pub(super) registry_address: SocketAddr,
     pub(super) protocol: Rc<dyn Protocol>,
     pub(super) node: Rc<Node>,
     pub(super) mirror: Rc<Mirror>,
-    /// A number that differs between instances and spreads their calls.
-    pub(super) spread: u64,
 }
 
 impl Follower {
     pub(super) fn new(parts: Parts) -> Follower {
+        let name = parts.me.entry.name.clone();
+        let spread = xxh3_64(name.as_bytes());
         Follower {
+            name,
+            zone: parts.me.entry.zone.clone(),
             clock: parts.clock,
             catch_up_ms: parts.catch_up_ms,
             protocol: parts.protocol,
             node: parts.node,
             mirror: parts.mirror,
             registry: Registry::new(parts.registry_address),
-            sources: Sources::new(parts.spread),
+            sources: Sources::new(spread),
             followed: None,
             lost_since: None,
             filling_until: Time::ZERO,
-            spread: parts.spread,
+            spread,
         }
     }
 
@@ -133,54 +149,71 @@
         }
     }
 
-    /// Reads everything for the first time, from the registry or else from another instance.
+    /// Reads everything for the first time. When many instances start at once the way to the registry is
+    /// too narrow for all, so those that are no readers ask the seeds whom of their zone to read from.
     async fn read_first(&mut self) {
         for tries in 1_u32.. {
+            let reading = self.node.reading();
+            let asks_seeds = !reading.reads || tries % READER_TRIES == 0;
+            if asks_seeds && self.read_by_seeds(&reading).await {
+                return;
+            }
             let Err(err) = self.read(true).await else {
                 return;
             };
-            let reading = self.node.reading();
             self.note_registry_failed(&err, &reading);
-            let asks_others = !reading.reads || tries % READER_TRIES == 0;
-            if asks_others && self.read_from_others(&reading).await {
+            if !reading.reads && self.read_from_any(&reading.relays).await {
                 return;
             }
-            if reading.reads {
-                let wait_ms = FIRST_EVERY_MS + self.spread % FIRST_EVERY_MS;
-                tokio::time::sleep(Duration::from_millis(wait_ms)).await;
-            }
+            let wait_ms = FIRST_EVERY_MS + self.spread % FIRST_EVERY_MS;
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
         }
     }
 
-    /// Waits for others to read the registry, and has what they know if the registry still turns this
-    /// instance away. Returns whether it came about. It ends after a while, when this instance is to try
-    /// again whatever the others say.
-    async fn read_from_others(&mut self, reading: &Reading) -> bool {
-        let until = self.clock.now() + OTHERS_MS + self.spread % OTHERS_MS;
-        for relay in reading.relays.iter().copied().cycle() {
-            if self.clock.now() >= until {
+    /// Asks the seeds from whom to read, and reads. Returns whether it came about. Seeds that wait for
+    /// the registry are waited for; those that do not answer are given up soon.
+    async fn read_by_seeds(&mut self, reading: &Reading) -> bool {
+        let started = self.clock.now();
+        let mut give_up_at = started + SILENT_SEEDS_MS;
+        for seed in reading.relays.iter().copied().cycle() {
+            if self.clock.now() >= give_up_at {
                 break;
             }
-            if !self.has_read(relay).await {
-                if reading.reads {
-                    break;
+            match self.readers(seed).await {
+                Ok(readers) => {
+                    let is_reader = readers.iter().any(|entry| entry.name == self.name);
+                    let relays = readers.iter().filter_map(|entry| entry.relay);
+                    let relays: Vec<SocketAddr> = relays.collect();
+                    return !is_reader && self.read_from_any(&relays).await;
                 }
-                tokio::time::sleep(PAUSE).await;
-                continue;
-            }
-            if self.read(true).await.is_ok() || self.read_from(relay).await {
-                return true;
+                Err(CallError::Outdated { .. }) => {
+                    give_up_at = started + WAITING_SEEDS_MS + self.spread % WAITING_SEEDS_MS;
+                }
+                Err(_) => tokio::time::sleep(PAUSE).await,
             }
         }
         false
     }
 
-    /// Waits for another instance to read the registry, and returns whether it has.
-    async fn has_read(&mut self, relay: SocketAddr) -> bool {
-        let request = relay::write_has_read();
+    /// Asks a seed from whom to read.
+    async fn readers(&mut self, seed: SocketAddr) -> Result<Vec<InstanceEntry>, CallError> {
+        let request = relay::write_readers(&self.zone);
+        let request = request.ok_or_else(|| CallError::NoAnswer(String::from("no such zone")))?;
         let limit_ms = relay::WAIT_MS + RELAY_SLACK_MS;
-        let answer = Registry::new(relay).call(request, limit_ms).await;
-        matches!(answer, Ok((status, _)) if (200..300).contains(&status))
+        let (status, body) = Registry::new(seed).call(request, limit_ms).await?;
+        if status == NOT_READ_YET {
+            return Err(CallError::Outdated { age_ms: u64::MAX });
+        }
+        relay::read_readers(status, &body).map_err(CallError::NoAnswer)
+    }
+
+    async fn read_from_any(&mut self, relays: &[SocketAddr]) -> bool {
+        for relay in relays {
+            if self.read_from(*relay).await {
+                return true;
+            }
+        }
+        false
     }
 
     /// Reads everything from another instance, and returns whether that one knows anything.
@@ -190,7 +223,14 @@
                 let age_ms = page.age_ms;
                 let address = relay.to_string();
                 info!(target: "dependency", relay = address, age_ms = age_ms; "read from a relay");
-                self.take(&page.entries, page.revision, true, age_ms);
+                match page.entries.decode() {
+                    Ok(entries) => self.take(&entries, page.revision, true, age_ms),
+                    Err(err) => {
+                        let err = CallError::NoAnswer(err.to_string());
+                        self.note_relay_failed(relay, &err);
+                        return false;
+                    }
+                }
                 true
             }
             Ok(_) => {
@@ -275,9 +315,16 @@
                 return PAUSE;
             }
         };
+        let entries = match page.entries.decode() {
+            Ok(entries) => entries,
+            Err(err) => {
+                self.note_relay_failed(relay, &CallError::NoAnswer(err.to_string()));
+                return PAUSE;
+            }
+        };
         let now = self.clock.now();
         let is_in_touch = self.sources.relay_answered(now, relay, page.age_ms);
-        self.take(&page.entries, page.revision, page.is_whole, page.age_ms);
+        self.take(&entries, page.revision, page.is_whole, page.age_ms);
         if is_in_touch {
             self.pace()
         } else {
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -21,7 +21,6 @@
 use tokio::signal::unix::SignalKind;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::answer_memory::AnswerMemory;
 use super::batches::Batches;
@@ -141,13 +140,13 @@
         metrics: Rc::clone(&metrics),
     });
     let follower = Follower::new(follower::Parts {
+        me: Rc::clone(&me),
         clock,
         catch_up_ms: settings.catch_up_ms,
         registry_address: settings.registry_address,
         protocol: Rc::clone(&protocol),
         node: Rc::clone(&node),
         mirror: Rc::clone(&mirror),
-        spread: xxh3_64(settings.name.as_bytes()),
     });
     tokio::task::spawn_local(follower.run());
     let registry = settings.registry_address;
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 
 use hemlockrouter_edge::Change;
+use hemlockrouter_edge::EncodedEntries;
 use hemlockrouter_edge::Entry;
 use hemlockrouter_edge::RelayPage;
 use hemlockrouter_types::prelude::*;
@@ -35,6 +36,8 @@
     /// Changes after this revision are all kept.
     kept_from: u64,
     heard_at: Option<Time>,
+    /// All entries as they travel, and the revision up to which they are encoded.
+    encoded: Option<(u64, EncodedEntries)>,
     entries: BTreeMap<Subject, Entry>,
     changes: VecDeque<Entry>,
 }
@@ -72,11 +75,14 @@
         for entry in entries {
             state.put(entry, is_whole);
         }
+        if is_whole || !entries.is_empty() {
+            state.encoded = None;
+        }
         state.revision = state.revision.max(revision);
         let heard_at = self.clock.now().before(age_ms);
         state.heard_at = state.heard_at.max(Some(heard_at));
         drop(state);
-        if !entries.is_empty() {
+        if is_whole || !entries.is_empty() {
             self.changed.notify_waiters();
         }
     }
@@ -93,39 +99,73 @@
 
     /// Returns what a follower lacks that has read up to revision `after`, as soon as there is
     /// something or `wait` is over.
-    pub(super) async fn page(&self, after: Option<u64>, wait: std::time::Duration) -> RelayPage {
+    ///
+    /// # Errors
+    ///
+    /// Returns why the page can't be encoded.
+    pub(super) async fn page(
+        &self,
+        after: Option<u64>,
+        wait: std::time::Duration,
+    ) -> Result<RelayPage, rmp_serde::encode::Error> {
         let changed = self.changed.notified();
-        let page = self.page_now(after);
-        if page.is_whole || !page.entries.is_empty() {
-            return page;
+        if !self.has_news(after) {
+            // Whether a change came or the time is over: the page says it.
+            let _ = tokio::time::timeout(wait, changed).await;
         }
-        // Whether a change came or the time is over: the page says it.
-        let _ = tokio::time::timeout(wait, changed).await;
         self.page_now(after)
     }
 
-    fn page_now(&self, after: Option<u64>) -> RelayPage {
+    /// Returns whether there is anything that a follower lacks.
+    fn has_news(&self, after: Option<u64>) -> bool {
         let state = self.state.borrow();
+        let Some(after) = after else {
+            return state.heard_at.is_some();
+        };
+        after < state.kept_from || state.newer(after).next().is_some()
+    }
+
+    fn page_now(&self, after: Option<u64>) -> Result<RelayPage, rmp_serde::encode::Error> {
+        let mut state = self.state.borrow_mut();
         let now = self.clock.now();
-        let age_ms = state.heard_at.map_or(u64::MAX, |at| now.since(at));
         let kept = after.filter(|after| *after >= state.kept_from);
         let entries = match kept {
             Some(after) => {
-                let newer = state.changes.iter().filter(|entry| entry.revision > after);
-                newer.cloned().collect()
+                let newer: Vec<Entry> = state.newer(after).cloned().collect();
+                EncodedEntries::encode(&newer)?
             }
-            None => state.entries.values().cloned().collect(),
+            None => state.encoded()?,
         };
-        RelayPage {
+        Ok(RelayPage {
             is_whole: kept.is_none(),
             revision: state.revision,
-            age_ms,
+            age_ms: state.heard_at.map_or(u64::MAX, |at| now.since(at)),
             entries,
-        }
+        })
     }
 }
 
 impl State {
+    /// Returns the changes after a revision.
+    fn newer(&self, after: u64) -> impl Iterator<Item = &Entry> {
+        self.changes
+            .iter()
+            .filter(move |entry| entry.revision > after)
+    }
+
+    /// Returns all entries as they travel.
+    fn encoded(&mut self) -> Result<EncodedEntries, rmp_serde::encode::Error> {
+        if let Some((revision, encoded)) = &self.encoded {
+            if *revision == self.revision {
+                return Ok(encoded.clone());
+            }
+        }
+        let all: Vec<Entry> = self.entries.values().cloned().collect();
+        let encoded = EncodedEntries::encode(&all)?;
+        self.encoded = Some((self.revision, encoded.clone()));
+        Ok(encoded)
+    }
+
     fn put(&mut self, entry: &Entry, is_whole: bool) {
         if let Some((subject, is_present)) = subject(&entry.change) {
             if is_present {
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -265,6 +265,16 @@
         })
     }
 
+    /// Returns the instances of an availability zone from which others read first, the best ones first.
+    pub(super) fn first_readers(&self, zone: &str) -> Vec<InstanceEntry> {
+        let zone = String::from(zone);
+        let readers = query!(
+            [self.decider, &mut *self.stakker.borrow_mut()],
+            first_readers(zone)
+        );
+        readers.unwrap_or_default()
+    }
+
     /// Returns who has registered the instances that are on the list, by their names.
     pub(super) fn registrars(&self) -> HashMap<String, String> {
         let registrars = query!(
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -24,6 +24,7 @@
 use hemlockrouter_route::direct::Summary;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Batch;
+use hemlockrouter_types::routing::InstanceEntry;
 use hemlockrouter_types::routing::Reading;
 use hemlockrouter_types::routing::RouteDocument;
 use hemlockrouter_types::routing::UpstreamEntry;
@@ -162,6 +163,10 @@
         instances.reading(now, &me.entry, &me.seeds)
     }
 
+    pub(super) fn first_readers(&mut self, _: CX![], zone: String) -> Vec<InstanceEntry> {
+        self.dispatcher.upstreams().instances().first_readers(&zone)
+    }
+
     pub(super) fn registrars(&mut self, _: CX![]) -> HashMap<String, String> {
         let instances = self.dispatcher.upstreams().instances();
         let names = instances.names().filter_map(|name| {
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -37,8 +37,9 @@
 /// Where instances ask to be registered.
 const JOIN_PATH: &str = "/join";
 
-/// Where instances that know nothing yet wait for this one to have read the registry.
-const HAS_READ_PATH: &str = "/has-read";
+/// Where instances that know nothing yet ask from whom of their availability zone they can read, as
+/// soon as this one has read the registry.
+const READERS_PATH: &str = "/readers/";
 
 /// Where instances that stop end their registration.
 const LEAVE_PATH: &str = "/leave";
@@ -77,7 +78,10 @@
                 Ok(response) => return response.map(Either::Right),
                 Err(status) => page(status, "not taken"),
             },
-            HAS_READ_PATH => self.has_read().await,
+            path if path.starts_with(READERS_PATH) => {
+                let zone = String::from(&path[READERS_PATH.len()..]);
+                self.readers(&zone).await
+            }
             JOIN_PATH => self.join(request).await,
             LEAVE_PATH => self.leave(request).await,
             _ => changes(&self.mirror, &request).await,
@@ -85,12 +89,12 @@
         answer.map(Full::new).map(Either::Left)
     }
 
-    async fn has_read(&self) -> Response<Bytes> {
-        if self.mirror.is_read(Duration::from_millis(WAIT_MS)).await {
-            page(StatusCode::OK, "read")
-        } else {
-            page(StatusCode::SERVICE_UNAVAILABLE, "not read yet")
+    async fn readers(&self, zone: &str) -> Response<Bytes> {
+        if !self.mirror.is_read(Duration::from_millis(WAIT_MS)).await {
+            return page(StatusCode::SERVICE_UNAVAILABLE, "not read yet");
         }
+        let readers = self.collector.node.first_readers(zone);
+        encoded_page(rmp_serde::to_vec(&readers))
     }
 
     async fn join(&self, request: Request<Incoming>) -> Response<Bytes> {
@@ -145,11 +149,29 @@
     rmp_serde::from_slice(&body.to_bytes()).map_err(|err| err.to_string())
 }
 
-/// Writes the call of an instance that knows nothing yet.
-pub(super) fn write_has_read() -> Request<Bytes> {
+/// Writes the call of an instance of `zone` that knows nothing yet.
+pub(super) fn write_readers(zone: &str) -> Option<Request<Bytes>> {
     let mut request = Request::new(Bytes::new());
-    *request.uri_mut() = Uri::from_static(HAS_READ_PATH);
-    request
+    *request.uri_mut() = format!("{READERS_PATH}{zone}").parse().ok()?;
+    Some(request)
+}
+
+/// Reads the answer to [`write_readers`]: the best ones first.
+///
+/// # Errors
+///
+/// Returns what is wrong with it.
+pub(super) fn read_readers(status: u16, body: &[u8]) -> Result<Vec<InstanceEntry>, String> {
+    check(status)?;
+    rmp_serde::from_slice(body).map_err(|err| err.to_string())
+}
+
+fn check(status: u16) -> Result<(), String> {
+    if status == StatusCode::OK.as_u16() {
+        Ok(())
+    } else {
+        Err(format!("status {status}"))
+    }
 }
 
 /// Writes the call of an instance that wants to be registered.
@@ -178,7 +200,11 @@
         return page(StatusCode::BAD_REQUEST, "no such page");
     };
     let changes = mirror.page(after, Duration::from_millis(WAIT_MS)).await;
-    match rmp_serde::to_vec(&changes) {
+    encoded_page(changes.and_then(|changes| rmp_serde::to_vec(&changes)))
+}
+
+fn encoded_page(encoded: Result<Vec<u8>, rmp_serde::encode::Error>) -> Response<Bytes> {
+    match encoded {
         Ok(body) => page(StatusCode::OK, body),
         Err(err) => {
             log::error!(why = err.to_string(); "a page can't be written");
@@ -215,8 +241,6 @@
 ///
 /// Returns what is wrong with it.
 pub(super) fn read_page(status: u16, body: &[u8]) -> Result<RelayPage, String> {
-    if status != StatusCode::OK.as_u16() {
-        return Err(format!("status {status}"));
-    }
+    check(status)?;
     rmp_serde::from_slice(body).map_err(|err| err.to_string())
 }
