--- a/hemlockrouter-cli/tests/direct/relays.rs
+++ b/hemlockrouter-cli/tests/direct/relays.rs
@@ -23,6 +23,10 @@
 /// others, and two register all.
 const START_CALLS_MAX: u64 = 60;
 
+/// How soon after the store is back instances are ready that have started without it. Upstreams that
+/// have lost their registration need about two seconds.
+const READY_MAX: Duration = Duration::from_secs(2);
+
 /// Returns a daemon that follows another one, and the one that it follows.
 fn followers(world: &World) -> Vec<(usize, usize)> {
     let of = |at: usize| {
@@ -121,6 +125,31 @@
     eventually("it says so", || world.log(4).contains("read from a relay"));
 }
 
+/// Load pattern: all instances were killed while the store was down, so nobody knows anything, and
+/// callers wait for the first instance that does.
+#[test]
+fn all_serve_soon_after_the_store_is_back_if_all_have_started_without_it() {
+    let (mut world, _) = start();
+    world.store.set_down(Down::Busy);
+    for daemon in &mut world.daemons {
+        daemon.kill();
+    }
+    for at in 0..DAEMONS {
+        world.start_daemon(at);
+    }
+    std::thread::sleep(Duration::from_millis(1_600));
+    let before = world.store.calls();
+    world.store.set_down(Down::No);
+    let back = Instant::now();
+    for at in 0..DAEMONS {
+        world.wait_ready(at);
+    }
+    let took = back.elapsed();
+    assert!(took < READY_MAX, "{took:?}");
+    let calls = world.store.calls() - before;
+    assert!(calls <= START_CALLS_MAX, "{calls} calls");
+}
+
 #[test]
 fn a_reader_that_the_store_turns_away_learns_from_the_others() {
     let (mut world, followers) = start();
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -66,9 +66,15 @@
 /// turned away alone.
 const READER_TRIES: u32 = 5;
 
+/// How long a reader waits for the answer of a seed, in milliseconds.
+const READER_ASKS_MS: u64 = 100;
+
 /// How long seeds that do not answer are tried, in milliseconds. Machines that start together do so
 /// within a few tenths of a second.
-const SILENT_SEEDS_MS: u64 = 500;
+const SILENT_SEEDS_MS: u64 = 800;
+
+/// How often an instance that reads first tries each instance that it may read from.
+const RELAY_TRIES: usize = 2;
 
 /// How long seeds are waited for that have not read the registry either, in milliseconds; instances add
 /// up to as much again.
@@ -174,18 +180,24 @@
     /// the registry are waited for; those that do not answer are given up soon.
     async fn read_by_seeds(&mut self, reading: &Reading) -> bool {
         let started = self.clock.now();
-        let mut give_up_at = started + SILENT_SEEDS_MS;
+        let silent_ms = match reading.reads {
+            true => READER_ASKS_MS,
+            false => SILENT_SEEDS_MS,
+        };
+        let mut give_up_at = started + silent_ms;
         for seed in reading.relays.iter().copied().cycle() {
             if self.clock.now() >= give_up_at {
                 break;
             }
-            match self.readers(seed).await {
+            match self.readers(seed, reading.reads).await {
                 Ok(readers) => {
                     let is_reader = readers.iter().any(|entry| entry.name == self.name);
                     let relays = readers.iter().filter_map(|entry| entry.relay);
                     let relays: Vec<SocketAddr> = relays.collect();
                     return !is_reader && self.read_from_any(&relays).await;
                 }
+                // Readers that waited for each other would never read.
+                Err(CallError::Outdated { .. }) if reading.reads => break,
                 Err(CallError::Outdated { .. }) => {
                     give_up_at = started + WAITING_SEEDS_MS + self.spread % WAITING_SEEDS_MS;
                 }
@@ -195,12 +207,20 @@
         false
     }
 
-    /// Asks a seed from whom to read.
-    async fn readers(&mut self, seed: SocketAddr) -> Result<Vec<InstanceEntry>, CallError> {
+    /// Asks a seed from whom to read. A seed that has not read the registry either answers when it has, which
+    /// one that `reads` itself does not wait for.
+    async fn readers(
+        &mut self,
+        seed: SocketAddr,
+        reads: bool,
+    ) -> Result<Vec<InstanceEntry>, CallError> {
         let request = relay::write_readers(&self.zone);
         let request = request.ok_or_else(|| CallError::NoAnswer(String::from("no such zone")))?;
-        let limit_ms = relay::WAIT_MS + RELAY_SLACK_MS;
-        let (status, body) = Registry::new(seed).call(request, limit_ms).await?;
+        let limit_ms = match reads {
+            true => READER_ASKS_MS,
+            false => relay::WAIT_MS + RELAY_SLACK_MS,
+        };
+        let (status, body) = Registry::of_instance(seed).call(request, limit_ms).await?;
         if status == NOT_READ_YET {
             return Err(CallError::Outdated { age_ms: u64::MAX });
         }
@@ -208,8 +228,8 @@
     }
 
     async fn read_from_any(&mut self, relays: &[SocketAddr]) -> bool {
-        for relay in relays {
-            if self.read_from(*relay).await {
+        for relay in relays.repeat(RELAY_TRIES) {
+            if self.read_from(relay).await {
                 return true;
             }
         }
@@ -342,7 +362,7 @@
     ) -> Result<RelayPage, CallError> {
         let followed = self.followed.take().filter(|(known, _)| *known == address);
         let is_new = followed.is_none();
-        let (_, mut relay) = followed.unwrap_or_else(|| (address, Registry::new(address)));
+        let (_, mut relay) = followed.unwrap_or_else(|| (address, Registry::of_instance(address)));
         let request = relay::write_call(after);
         let limit_ms = relay::WAIT_MS + RELAY_SLACK_MS;
         let (status, body) = relay.call(request, limit_ms).await?;
@@ -370,7 +390,9 @@
         }
         // A page that comes a second time, late, must not bring back what has changed since.
         let known = self.mirror.revision().unwrap_or_default();
-        let newer = entries.iter().filter(|entry| is_whole || entry.revision > known);
+        let newer = entries
+            .iter()
+            .filter(|entry| is_whole || entry.revision > known);
         let entries: Vec<Entry> = newer.cloned().collect();
         self.mirror.take(&entries, revision, is_whole, age_ms);
         if is_whole || !entries.is_empty() {
--- a/src/direct/member.rs
+++ b/src/direct/member.rs
@@ -117,7 +117,10 @@
             return self.registrar.borrow_mut().leave(name);
         };
         let request = relay::write_leave(name);
-        if let Err(err) = Registry::new(registrar).call(request, JOIN_MS).await {
+        if let Err(err) = Registry::of_instance(registrar)
+            .call(request, JOIN_MS)
+            .await
+        {
             info!(target: "dependency", why = err.to_string(); "the registration ends by itself");
         }
     }
@@ -135,7 +138,9 @@
         let which = refusals as usize % relays.len();
         let registrar = relays[which];
         let request = relay::write_join(&self.me.entry);
-        let joined = Registry::new(registrar).call(request, JOIN_MS).await;
+        let joined = Registry::of_instance(registrar)
+            .call(request, JOIN_MS)
+            .await;
         match joined {
             Ok((status, _)) if (200..300).contains(&status) => {
                 self.set_registered_by(now, Some(registrar));
--- a/src/direct/registry.rs
+++ b/src/direct/registry.rs
@@ -17,13 +17,18 @@
 /// How long a call that does not wait for a change may take, in milliseconds.
 pub(super) const CALL_MS: u64 = 1_000;
 
-/// How long connecting may take, in milliseconds. A call that waits for a change may take much longer
-/// than this, so it must not wait for a first packet that a broken link has dropped.
+/// How long connecting to the registry may take, in milliseconds. A call that waits for a change may take
+/// much longer than this, so it must not wait for a first packet that a broken link has dropped.
 const CONNECT_MS: u64 = 1_000;
 
+/// How long connecting to an instance may take, in milliseconds: a few times the way between regions and
+/// back. A machine that has no power yet drops the first packet, and there are other instances to ask.
+const INSTANCE_CONNECT_MS: u64 = 150;
+
 /// A connection to the registry.
 pub(super) struct Registry {
     address: SocketAddr,
+    connect_ms: u64,
     connection: Option<Connection>,
 }
 
@@ -48,6 +53,16 @@
     pub(super) fn new(address: SocketAddr) -> Registry {
         Registry {
             address,
+            connect_ms: CONNECT_MS,
+            connection: None,
+        }
+    }
+
+    /// Returns the way to an instance that passes on what it has read.
+    pub(super) fn of_instance(address: SocketAddr) -> Registry {
+        Registry {
+            address,
+            connect_ms: INSTANCE_CONNECT_MS,
             connection: None,
         }
     }
@@ -76,7 +91,7 @@
         let host = host.map_err(|err| err.to_string())?;
         request.headers_mut().insert(header::HOST, host);
         if !self.connection.as_ref().is_some_and(Connection::is_open) {
-            self.connection = Some(Connection::open(self.address, CONNECT_MS, true).await?);
+            self.connection = Some(Connection::open(self.address, self.connect_ms, true).await?);
         }
         let connection = self.connection.as_mut().expect("it was just opened");
         match connection.call(request).await {
