--- a/hemlockrouter-route/src/direct/dispatcher/send.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/send.rs
@@ -14,6 +14,7 @@
 use crate::direct::table::Route;
 use crate::direct::table::RouteTarget;
 use crate::direct::upstreams::Among;
+use crate::direct::upstreams::Reach;
 use crate::direct::upstreams::Wanted;
 
 /// How often one part is sent at most.
@@ -24,24 +25,29 @@
 const PROBE_EVERY_MS: u64 = 250;
 
 impl Dispatcher {
-    /// Returns whether enough upstreams can be reached for a request. Now and then one request finds
-    /// out anew.
+    /// Returns whether enough upstreams can be reached for a request. Where they are there and could not be
+    /// connected to, one request finds out anew now and then; where they are not there, none does.
     pub(super) fn can_be_served(&mut self, now: Time, request: &mut Request) -> bool {
         let route = &request.route;
-        let reachable = request.parts.iter().filter(|part| {
+        let (mut reachable, mut usable) = (0, 0);
+        for part in &request.parts {
             let wanted = Wanted {
                 service: part.service,
                 regions: &route.entry.regions,
                 among: Among::AllBut(&[]),
             };
-            self.upstreams.has_reachable(now, &wanted)
-        });
-        let reachable = reachable.count();
+            match self.upstreams.reach(now, &wanted) {
+                Reach::Reachable => (reachable, usable) = (reachable + 1, usable + 1),
+                Reach::Unreachable => usable += 1,
+                Reach::Nobody => {}
+            }
+        }
         if reachable >= request.needed() {
             return true;
         }
         let probed_at = self.probed_at.get(&route.entry.name);
-        if probed_at.is_none_or(|at| now.since(*at) >= PROBE_EVERY_MS) {
+        let is_due = probed_at.is_none_or(|at| now.since(*at) >= PROBE_EVERY_MS);
+        if usable >= request.needed() && is_due {
             self.probed_at.insert(route.entry.name.clone(), now);
             return true;
         }
--- a/hemlockrouter-route/src/direct/upstreams.rs
+++ b/hemlockrouter-route/src/direct/upstreams.rs
@@ -92,6 +92,17 @@
     pub(super) among: Among<'a>,
 }
 
+/// Whether a service can be reached, the best last.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Reach {
+    /// There is no upstream that may be used.
+    Nobody,
+    /// None of those that may be used could be connected to lately.
+    Unreachable,
+    /// One may be used, and nothing speaks against it.
+    Reachable,
+}
+
 /// Which upstreams may be taken.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Among<'a> {
@@ -352,15 +363,16 @@
     }
 
     /// Returns whether an upstream may be used and can be reached.
-    pub(super) fn has_reachable(&self, now: Time, wanted: &Wanted<'_>) -> bool {
-        let Some(service) = self.services.get(wanted.service) else {
-            return false;
-        };
-        let keys = service.upstreams.iter();
-        let mut upstreams = keys.filter_map(|key| self.upstreams.get(*key));
-        upstreams.any(|upstream| {
-            self.is_usable(now, upstream, wanted) && !upstream.record.is_unreachable(now)
-        })
+    pub(super) fn reach(&self, now: Time, wanted: &Wanted<'_>) -> Reach {
+        let service = self.services.get(wanted.service);
+        let keys = service.into_iter().flat_map(|service| &service.upstreams);
+        let upstreams = keys.filter_map(|key| self.upstreams.get(*key));
+        let usable = upstreams.filter(|upstream| self.is_usable(now, upstream, wanted));
+        let reach = usable.map(|upstream| match upstream.record.is_unreachable(now) {
+            true => Reach::Unreachable,
+            false => Reach::Reachable,
+        });
+        reach.max().unwrap_or(Reach::Nobody)
     }
 
     fn is_usable(&self, now: Time, upstream: &Upstream, wanted: &Wanted<'_>) -> bool {
--- a/hemlockrouter-route/tests/direct/cases.rs
+++ b/hemlockrouter-route/tests/direct/cases.rs
@@ -317,3 +317,26 @@
         Some(Ending::Merged { missing: 0, .. })
     ));
 }
+
+/// Load pattern: the registrations of most upstreams have lapsed with the store, and come back one by one
+/// while callers wait.
+#[test]
+fn a_search_whose_upstreams_are_not_there_is_refused_and_nothing_is_sent() {
+    let mut fixture = Fixture::new();
+    let now = fixture.now;
+    for service in ["shard-0", "shard-1"] {
+        for zone in ["north-a", "south-b"] {
+            let upstreams = fixture.dispatcher.upstreams_mut();
+            upstreams.unregister(now, &upstream(service, zone).id);
+        }
+    }
+    fixture.wait(2_000);
+    for _ in 0..5 {
+        let id = fixture.start(SEARCH);
+        assert!(fixture.sent().is_empty());
+        let ending = fixture.ending(id);
+        let is_refused = matches!(ending, Some(Ending::NotRun { .. }));
+        assert!(is_refused, "{ending:?}");
+        fixture.wait(300);
+    }
+}
