--- a/hemlockrouter-cli/tests/direct/relays.rs
+++ b/hemlockrouter-cli/tests/direct/relays.rs
@@ -6,6 +6,7 @@
 use hemlockrouter_corporation_lab::Down;
 use hemlockrouter_lab::link::Condition;
 use http::StatusCode;
+use serde_json::json;
 
 use crate::world::eventually;
 use crate::world::World;
@@ -27,6 +28,9 @@
 /// have lost their registration need about two seconds.
 const READY_MAX: Duration = Duration::from_secs(2);
 
+/// How many instances that do not answer make a fleet a large one.
+const OTHERS: usize = 100;
+
 /// Returns a daemon that follows another one, and the one that it follows.
 fn followers(world: &World) -> Vec<(usize, usize)> {
     let of = |at: usize| {
@@ -104,8 +108,7 @@
     let calls = world.store.calls() - before;
     assert!(calls <= START_CALLS_MAX, "{calls} calls");
     let read_from_relays = (0..DAEMONS).filter(|at| world.log(*at).contains("read from a relay"));
-    // Of each availability zone two read from the store.
-    assert!(read_from_relays.count() >= DAEMONS - 2 * ZONES.len());
+    assert_eq!(read_from_relays.count(), 0, "the fleet is small");
     assert_eq!(world.store.keys(keys).len(), DAEMONS);
     world.daemons[3].shut_down();
     eventually("one that stops is not on the list", || {
@@ -125,6 +128,37 @@
     eventually("it says so", || world.log(4).contains("read from a relay"));
 }
 
+/// Load pattern: hundreds of instances start at once, and the way to the store is too narrow for all.
+#[test]
+fn in_a_large_fleet_all_but_the_readers_read_from_them() {
+    let (mut world, _) = start();
+    for daemon in &mut world.daemons {
+        daemon.kill();
+    }
+    // Instances that are on the list, come last for anything, and do not answer.
+    for number in 0..OTHERS {
+        let entry = json!({
+            "name": format!("other-{number}"),
+            "zone": ZONES[number % ZONES.len()],
+            "relay": "127.0.0.1:1",
+            "cpu_permille": 1,
+        });
+        let key = format!("hemlock/instances/other-{number}");
+        world.store.put(&key, entry.to_string().as_bytes());
+    }
+    for at in 0..DAEMONS {
+        world.start_daemon(at);
+    }
+    for at in 0..DAEMONS {
+        world.wait_ready(at);
+    }
+    // Of each availability zone two read from the store.
+    eventually("the others read from relays", || {
+        let read = (0..DAEMONS).filter(|at| world.log(*at).contains("read from a relay"));
+        read.count() >= DAEMONS - 2 * ZONES.len()
+    });
+}
+
 /// Load pattern: all instances were killed while the store was down, so nobody knows anything, and
 /// callers wait for the first instance that does.
 #[test]
--- a/hemlockrouter-edge/src/protocol.rs
+++ b/hemlockrouter-edge/src/protocol.rs
@@ -52,10 +52,13 @@
     /// cheaper and names an older revision.
     fn write_read(&self, from: Option<&str>, may_lag: bool) -> Request<Bytes>;
 
+    /// Asks for the first page of the list of instances, which may lag.
+    fn write_read_instances(&self) -> Request<Bytes>;
+
     /// Asks for what changes in the registry after a revision, and to wait for it for `wait_ms`.
     fn write_watch(&self, after: u64, wait_ms: u64) -> Request<Bytes>;
 
-    /// Reads the answer to [`Protocol::write_read`].
+    /// Reads the answer to [`Protocol::write_read`] or [`Protocol::write_read_instances`].
     ///
     /// # Errors
     ///
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -9,12 +9,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hemlockrouter_edge::Change;
 use hemlockrouter_edge::Entry;
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_edge::RegistryError;
 use hemlockrouter_edge::RelayPage;
 use hemlockrouter_member::Source;
 use hemlockrouter_member::Sources;
+use hemlockrouter_route::direct::Instances;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::InstanceEntry;
 use hemlockrouter_types::routing::Reading;
@@ -58,6 +60,10 @@
 /// The pause after a failure before somebody else is asked.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// Up to so many instances read everything from the registry when they start, even all at once: it then
+/// takes less time than finding somebody else to read from.
+const ALL_READ_FIRST_MAX: usize = 100;
+
 /// How soon a reader that knows nothing yet tries again to read, in milliseconds; it adds up to as much
 /// again, so that not all call at once. Until then it serves nobody, and others wait for it.
 const FIRST_EVERY_MS: u64 = 150;
@@ -156,19 +162,17 @@
     }
 
     /// Reads everything for the first time. When many instances start at once the way to the registry is
-    /// too narrow for all, so those that are no readers ask the seeds whom of their zone to read from.
+    /// too narrow for all, so those that are no readers read from the readers of their zone. Who these are
+    /// is in the list of instances, or is asked of the seeds while the registry does not answer.
     async fn read_first(&mut self) {
         for tries in 1_u32.. {
             let reading = self.node.reading();
-            let asks_seeds = !reading.reads || tries % READER_TRIES == 0;
-            if asks_seeds && self.read_by_seeds(&reading).await {
-                return;
-            }
-            let Err(err) = self.read(true).await else {
+            let Err(err) = self.read_or_ask_readers().await else {
                 return;
             };
             self.note_registry_failed(&err, &reading);
-            if !reading.reads && self.read_from_any(&reading.relays).await {
+            let asks_seeds = !reading.reads || tries % READER_TRIES == 0;
+            if asks_seeds && self.read_by_seeds(&reading).await {
                 return;
             }
             let wait_ms = FIRST_EVERY_MS + self.spread % FIRST_EVERY_MS;
@@ -176,6 +180,29 @@
         }
     }
 
+    /// Reads everything from the registry, or from a reader of the zone if there are many instances.
+    async fn read_or_ask_readers(&mut self) -> Result<(), CallError> {
+        let request = self.protocol.write_read_instances();
+        let (status, body) = self.registry.call(request, CALL_MS).await?;
+        let page = self.protocol.read_page(status, &body);
+        let page = page.map_err(CallError::Refused)?;
+        let is_large = page.entries.len() > ALL_READ_FIRST_MAX || page.next.is_some();
+        if is_large {
+            let mut listed = Instances::default();
+            for entry in page.entries {
+                if let Change::Instance(instance) = entry.change {
+                    listed.joined(Time::ZERO, instance);
+                }
+            }
+            let readers = listed.first_readers(&self.zone);
+            let is_reader = readers.iter().any(|entry| entry.name == self.name);
+            if !is_reader && self.read_from_any(&relays_of(&readers)).await {
+                return Ok(());
+            }
+        }
+        self.read(true).await
+    }
+
     /// Asks the seeds from whom to read, and reads. Returns whether it came about. Seeds that wait for
     /// the registry are waited for; those that do not answer are given up soon.
     async fn read_by_seeds(&mut self, reading: &Reading) -> bool {
@@ -192,9 +219,7 @@
             match self.readers(seed, reading.reads).await {
                 Ok(readers) => {
                     let is_reader = readers.iter().any(|entry| entry.name == self.name);
-                    let relays = readers.iter().filter_map(|entry| entry.relay);
-                    let relays: Vec<SocketAddr> = relays.collect();
-                    return !is_reader && self.read_from_any(&relays).await;
+                    return !is_reader && self.read_from_any(&relays_of(&readers)).await;
                 }
                 // Readers that waited for each other would never read.
                 Err(CallError::Outdated { .. }) if reading.reads => break,
@@ -424,3 +449,7 @@
         }
     }
 }
+
+fn relays_of(instances: &[InstanceEntry]) -> Vec<SocketAddr> {
+    instances.iter().filter_map(|entry| entry.relay).collect()
+}
