--- a/hemlockrouter-edge/src/batch.rs
+++ b/hemlockrouter-edge/src/batch.rs
@@ -41,16 +41,7 @@
 pub struct CollectedFrame {
     answers: Vec<CollectedPart>,
     unsent: Vec<usize>,
-    notices: Vec<CollectedNotice>,
-}
-
-/// What an upstream has said of itself.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct CollectedNotice {
-    upstream: String,
-    incarnation: u64,
-    leaving: bool,
-    rest_ms: u64,
+    notices: Vec<PeerNotice>,
 }
 
 /// A part that was collected.
@@ -138,7 +129,7 @@
         CollectedFrame {
             answers: answers.collect(),
             unsent: collected.unsent.clone(),
-            notices: collected.notices.iter().map(CollectedNotice::new).collect(),
+            notices: collected.notices.clone(),
         }
     }
 
@@ -149,31 +140,7 @@
         Collected {
             answers: answers.collect(),
             unsent: self.unsent,
-            notices: self
-                .notices
-                .into_iter()
-                .map(CollectedNotice::notice)
-                .collect(),
-        }
-    }
-}
-
-impl CollectedNotice {
-    fn new(notice: &PeerNotice) -> CollectedNotice {
-        CollectedNotice {
-            upstream: notice.upstream.clone(),
-            incarnation: notice.incarnation,
-            leaving: notice.leaving,
-            rest_ms: notice.rest_ms,
-        }
-    }
-
-    fn notice(self) -> PeerNotice {
-        PeerNotice {
-            upstream: self.upstream,
-            incarnation: self.incarnation,
-            leaving: self.leaving,
-            rest_ms: self.rest_ms,
+            notices: self.notices,
         }
     }
 }
--- a/hemlockrouter-member/src/registrar.rs
+++ b/hemlockrouter-member/src/registrar.rs
@@ -196,7 +196,7 @@
             return Step::Wait;
         }
         let unwritten = self.members.values().filter(|one| one.written_at.is_none());
-        let puts: Vec<InstanceEntry> = unwritten.map(|one| one.entry.clone()).collect();
+        let mut puts: Vec<InstanceEntry> = unwritten.map(|one| one.entry.clone()).collect();
         let Some(lease) = self.lease else {
             return if puts.is_empty() {
                 Step::Wait
@@ -211,16 +211,13 @@
                 false => Step::Wait,
             };
         }
-        let removes = self.removed.iter().take(WRITE_MAX).cloned().collect();
-        let mut step = Step::Write {
+        let removes: Vec<String> = self.removed.iter().take(WRITE_MAX).cloned().collect();
+        puts.truncate(WRITE_MAX - removes.len());
+        Step::Write {
             lease: lease.id,
             puts,
             removes,
-        };
-        if let Step::Write { puts, removes, .. } = &mut step {
-            puts.truncate(WRITE_MAX - removes.len());
         }
-        step
     }
 
     /// Takes over that a lease was granted.
--- a/hemlockrouter-route/src/direct/config.rs
+++ b/hemlockrouter-route/src/direct/config.rs
@@ -33,3 +33,10 @@
     /// How many shards one instance collects.
     pub parts_each: usize,
 }
+
+impl Sharing {
+    /// Returns whether a search over so many shards is shared.
+    pub(super) fn shares(&self, shards: usize) -> bool {
+        shards >= self.parts_min.max(2)
+    }
+}
--- a/hemlockrouter-route/src/direct/dispatcher/plan.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/plan.rs
@@ -48,7 +48,7 @@
         let RouteTarget::Shards { services, .. } = &route.to else {
             return None;
         };
-        let is_large = services.len() >= self.config.sharing.parts_min.max(2);
+        let is_large = self.config.sharing.shares(services.len());
         let is_shared = is_large && route.entry.idempotent && route.entry.regions.is_empty();
         is_shared.then_some(services)
     }
@@ -182,7 +182,7 @@
         let table = Rc::clone(&self.table);
         let mut wanted: BTreeSet<SocketAddr> = BTreeSet::new();
         for services in table.searches() {
-            if services.len() < self.config.sharing.parts_min.max(2) {
+            if !self.config.sharing.shares(services.len()) {
                 continue;
             }
             let planned = self.plan(now, services, Who::Promising);
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -7,6 +7,8 @@
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Batch;
 use http::HeaderMap;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// A request of a caller, counted by its instance.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -57,7 +59,7 @@
 }
 
 /// What an upstream has said of itself, for another instance.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerNotice {
     /// The upstream's id.
     pub upstream: String,
--- a/hemlockrouter-route/src/direct/upstreams/allowance.rs
+++ b/hemlockrouter-route/src/direct/upstreams/allowance.rs
@@ -30,7 +30,7 @@
     {
         let sharing = self.config.sharing;
         let mut shared: Vec<&[ServiceKey]> = searches
-            .filter(|services| services.len() >= sharing.parts_min.max(2))
+            .filter(|services| sharing.shares(services.len()))
             .collect();
         // A service of several searches belongs to a group of the largest one.
         shared.sort_by_key(|services| services.len());
