Parts without an upstream in the region are collected by one instance of another region

Each shard has its two upstreams in two of three regions, so that a third of the parts of each search goes to another region: one head and body of some 600 bytes each way for a handful of records that the caller gets.

Change: four parts or more of which no upstream is in the own region are given to one instance of a region that has them, by turns where several do. It hedges near the upstreams, and passes on only records that may be in the merged answer. What it passes on takes the place of answers that came otherwise, so that what it leaves out is missed by nobody. The way there and back is measured by questions whether it answers, and taken off the target. A region that is silent, refuses or loses the batch is passed over as before; small searches share nothing else.

The property test fails where the first answer is kept instead of the collected one.

--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -27,6 +27,7 @@
 use super::event::Command;
 use super::event::RequestId;
 use super::event::Summary;
+use super::merge::Greatest;
 use super::peers::Peers;
 use super::queue::Queues;
 use super::record::Seen;
@@ -76,6 +77,7 @@
     /// The request; none if the call only finds out whether the instance answers.
     request: Option<RequestId>,
     peer: SocketAddr,
+    sent: Time,
     /// The places of its parts in the request.
     parts: Vec<usize>,
     has_reported: bool,
@@ -106,6 +108,8 @@
     peers: Peers,
     /// When it was last looked which other instances to ask.
     asked_peers_at: Time,
+    /// Counts searches that another region collects, which take turns.
+    far_turn: usize,
     last_call: u64,
     timers: Timers<Due>,
     latencies: HashMap<String, Latency>,
@@ -130,6 +134,7 @@
             freed: Vec::new(),
             peers: Peers::default(),
             asked_peers_at: Time::ZERO,
+            far_turn: 0,
             last_call: 0,
             timers,
             latencies: HashMap::new(),
@@ -360,6 +365,7 @@
         parts,
         shares: Vec::new(),
         answer_to,
+        greatest: Greatest::default(),
         summary,
         route,
     }
--- a/hemlockrouter-route/src/direct/dispatcher/collect.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/collect.rs
@@ -16,6 +16,7 @@
 use super::Dispatcher;
 use crate::direct::event::Collected;
 use crate::direct::event::Command;
+use crate::direct::event::Reply;
 use crate::direct::event::RequestId;
 use crate::direct::request::AnswerTo;
 use crate::direct::request::Part;
@@ -80,8 +81,16 @@
     pub(super) fn report(id: RequestId, request: &mut Request, out: &mut Vec<Command>) {
         let parts = request.parts.iter_mut().enumerate();
         let answers = parts.filter_map(|(at, part)| Some((at, part.answer.take()?)));
+        let mut answers: Vec<(usize, Reply)> = answers.collect();
+        if let RouteTarget::Shards { records_max, .. } = request.route.to {
+            let bodies = answers.iter().map(|(_, answer)| &answer.body[..]);
+            request.greatest.add(bodies, records_max);
+            for (_, answer) in &mut answers {
+                answer.body = request.greatest.keep(&answer.body, records_max);
+            }
+        }
         let collected = Collected {
-            answers: answers.collect(),
+            answers,
             ..Collected::default()
         };
         out.push(Command::Report {
@@ -129,7 +138,7 @@
         },
         to: RouteTarget::Shards {
             services: parts.iter().map(|part| part.service).collect(),
-            records_max: 0,
+            records_max: batch.records_max,
             needed: parts.len(),
         },
     }
--- a/hemlockrouter-route/src/direct/dispatcher/plan.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/plan.rs
@@ -14,15 +14,18 @@
 use crate::direct::event::Command;
 use crate::direct::groups::Group;
 use crate::direct::peers::assign;
+use crate::direct::peers::preferred;
 use crate::direct::peers::Candidate;
 use crate::direct::table::Route;
 use crate::direct::table::RouteTarget;
-use crate::direct::upstreams::Among;
-use crate::direct::upstreams::Wanted;
 
 /// The fewest parts that are collected in another availability zone.
 const ELSEWHERE_MIN: usize = 4;
 
+/// Of the parts that no upstream of the own region serves, an availability zone must have upstreams of this
+/// share of what the best one has.
+const FAR_PART: f64 = 0.75;
+
 /// The interval at which is looked whom to ask, in milliseconds.
 const ASK_EVERY_MS: u64 = 500;
 
@@ -42,21 +45,20 @@
 type Planned = BTreeMap<Option<SocketAddr>, Vec<usize>>;
 
 impl Dispatcher {
-    /// Returns the services of a route if its requests are shared. Those bound to regions are not: their
-    /// bodies must not go to instances elsewhere.
+    /// Returns the services of a route if other instances may collect parts of its requests. Those of routes
+    /// that are bound to regions may not: their bodies must not go to instances elsewhere.
     pub(super) fn shared_services<'r>(&self, route: &'r Route) -> Option<&'r [ServiceKey]> {
         let RouteTarget::Shards { services, .. } = &route.to else {
             return None;
         };
-        let is_large = self.config.sharing.shares(services.len());
-        let is_shared = is_large && route.entry.idempotent && route.entry.regions.is_empty();
-        is_shared.then_some(services)
+        let may_be_shared = route.entry.idempotent && route.entry.regions.is_empty();
+        may_be_shared.then_some(services)
     }
 
     /// Returns whether parts of searches are given to an instance.
     pub(in crate::direct) fn collects(&self, now: Time, peer: SocketAddr) -> bool {
-        let is_near = self.peers().any(|(_, address)| address == peer);
-        is_near && self.peers.is_usable(now, peer)
+        let is_listed = self.peers().any(|(_, address)| address == peer);
+        is_listed && self.peers.is_usable(now, peer)
     }
 
     /// Returns who would collect each part of a request of `route`; `None` for this instance.
@@ -80,9 +82,12 @@
         collectors
     }
 
-    /// Returns who collects which parts, by their places; `None` for this instance. Parts are collected
-    /// in the availability zone of their upstreams, as far as that is in the own region: the way
-    /// between zones is the same, but an answer between instances is much smaller.
+    /// Returns who collects which parts, by their places; `None` for this instance.
+    ///
+    /// Parts of a search over many shards are collected in the availability zone of their upstreams, as far
+    /// as that is in the own region: the way between zones is the same, but an answer between instances is
+    /// much smaller. Parts of which no upstream is in the own region are collected in another one, however
+    /// few shards there are: one message then takes the place of one answer for each shard.
     pub(super) fn plan(
         &self,
         now: Time,
@@ -90,21 +95,27 @@
         who: Who,
     ) -> Vec<(Option<SocketAddr>, Vec<usize>)> {
         let own_zone = self.config.zone.as_str();
+        let is_large = self.config.sharing.shares(services.len());
         let mut zones: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+        let mut own: Vec<usize> = Vec::new();
+        let mut far: Vec<usize> = Vec::new();
         for (place, service) in services.iter().enumerate() {
-            let wanted = Wanted {
-                service: *service,
-                regions: &[],
-                among: Among::AllBut(&[]),
-            };
-            let zone = self.upstreams.near_zone(now, &wanted);
-            zones
-                .entry(zone.unwrap_or(own_zone))
-                .or_default()
-                .push(place);
+            match self.upstreams.near_zone(now, *service) {
+                Some(zone) if is_large && zone != own_zone => {
+                    zones.entry(zone).or_default().push(place);
+                }
+                Some(_) => own.push(place),
+                None => far.push(place),
+            }
         }
-        let mut own = zones.remove(own_zone).unwrap_or_default();
         let mut planned = Planned::default();
+        let collectors = self.far_collectors(now, services, &far, who);
+        if collectors.is_empty() {
+            own.extend(far);
+        } else {
+            let collector = collectors[self.far_turn % collectors.len()];
+            planned.insert(Some(collector), far);
+        }
         for (zone, places) in zones {
             let candidates = self.candidates(now, zone, who);
             if candidates.is_empty() || places.len() < ELSEWHERE_MIN {
@@ -113,8 +124,12 @@
                 self.plan_zone(&candidates, &places, services.len(), &mut planned);
             }
         }
-        let candidates = self.candidates(now, own_zone, who);
-        self.plan_zone(&candidates, &own, services.len(), &mut planned);
+        if is_large {
+            let candidates = self.candidates(now, own_zone, who);
+            self.plan_zone(&candidates, &own, services.len(), &mut planned);
+        } else {
+            planned.entry(None).or_default().extend(own);
+        }
         let mut planned: Vec<_> = planned.into_iter().collect();
         planned
             .iter_mut()
@@ -122,6 +137,34 @@
         planned
     }
 
+    /// Returns who may collect parts of which no upstream is in the own region: one instance of each
+    /// availability zone that has upstreams of nearly as many of them as any other.
+    fn far_collectors(
+        &self,
+        now: Time,
+        services: &[ServiceKey],
+        places: &[usize],
+        who: Who,
+    ) -> Vec<SocketAddr> {
+        if places.len() < ELSEWHERE_MIN {
+            return Vec::new();
+        }
+        let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+        for place in places {
+            for zone in self.upstreams.zones_of(now, services[*place]) {
+                *zones.entry(zone).or_default() += 1;
+            }
+        }
+        let most = zones.values().copied().max().unwrap_or(0);
+        let enough = (most as f64 * FAR_PART).ceil() as usize;
+        let zones = zones.into_iter().filter(|(_, parts)| *parts >= enough);
+        let collectors = zones.filter_map(|(zone, _)| {
+            let candidates = self.candidates(now, zone, who);
+            preferred(&self.config.name, &candidates)?.address
+        });
+        collectors.collect()
+    }
+
     /// Divides parts of a search over `shards` between the instances of an availability zone.
     fn plan_zone(
         &self,
@@ -162,13 +205,11 @@
         candidates
     }
 
-    /// Returns the other instances of the region, with where they take batches.
+    /// Returns the other instances, with where they take batches.
     fn peers(&self) -> impl Iterator<Item = (&InstanceEntry, SocketAddr)> {
-        let region = self.upstreams.region_of(&self.config.zone);
         let others = self.upstreams.instances().with_relay();
         let others = others.filter(|entry| entry.name != self.config.name);
-        let near = others.filter(move |entry| self.upstreams.region_of(&entry.zone) == region);
-        near.filter_map(|entry| Some((entry, entry.relay?)))
+        others.filter_map(|entry| Some((entry, entry.relay?)))
     }
 
     /// Asks the instances that would collect searches, but may not be used, whether they answer. Nobody
@@ -182,20 +223,26 @@
         let table = Rc::clone(&self.table);
         let mut wanted: BTreeSet<SocketAddr> = BTreeSet::new();
         for services in table.searches() {
+            let planned = self.plan(now, services, Who::Promising);
+            wanted.extend(planned.into_iter().filter_map(|(collector, _)| collector));
+            let places: Vec<usize> = (0..services.len()).collect();
+            let far = places.iter().copied().filter(|place| {
+                let near = self.upstreams.near_zone(now, services[*place]);
+                near.is_none()
+            });
+            let far: Vec<usize> = far.collect();
+            wanted.extend(self.far_collectors(now, services, &far, Who::Promising));
             if !self.config.sharing.shares(services.len()) {
                 continue;
             }
-            let planned = self.plan(now, services, Who::Promising);
-            wanted.extend(planned.into_iter().filter_map(|(collector, _)| collector));
             // If the other availability zones are lost or evacuated, all is collected in this one.
-            let places: Vec<usize> = (0..services.len()).collect();
             let near = self.candidates(now, &self.config.zone, Who::Promising);
             let mut planned = Planned::default();
             self.plan_zone(&near, &places, services.len(), &mut planned);
             wanted.extend(planned.into_keys().flatten());
         }
         for peer in wanted {
-            if !self.peers.is_usable(now, peer) && self.peers.is_to_be_asked(now, peer) {
+            if self.peers.is_to_be_asked(now, peer) {
                 self.ask(now, peer, out);
             }
         }
@@ -208,11 +255,13 @@
             version: self.table.version(),
             attempts_max: 0,
             target_latency_ms: 0,
+            records_max: 0,
             parts: Vec::new(),
         };
         let share = Share {
             request: None,
             peer,
+            sent: now,
             parts: Vec::new(),
             has_reported: false,
         };
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -52,18 +52,35 @@
         let Some(services) = self.shared_services(&route) else {
             return;
         };
+        self.far_turn = self.far_turn.wrapping_add(1);
         for (collector, places) in self.plan(now, services, Who::Usable) {
             if let Some(peer) = collector {
                 self.hand_out(now, id, request, peer, places, out);
             }
         }
-        if !request.shares.is_empty() {
-            let target_ms = request.route.entry.target_latency_ms as f64;
-            let silent_ms = (target_ms * SILENT_PART) as u64;
+        let shares = request.shares.iter();
+        let peers = shares.filter_map(|call| self.shares.get(call).map(|share| share.peer));
+        let silent_ms = peers.map(|peer| self.silent_ms(&route, peer)).max();
+        if let Some(silent_ms) = silent_ms {
             self.timers.set(now + silent_ms, Due::Silent(id));
         }
     }
 
+    /// Returns the part of a route's target latency that an instance has to collect, in milliseconds: the
+    /// way there and back takes the rest.
+    fn target_ms_of(&self, route: &Route, peer: SocketAddr) -> u64 {
+        let target_ms = route.entry.target_latency_ms;
+        let way_ms = self.peers.way_ms(peer).min(target_ms / 2);
+        target_ms - way_ms
+    }
+
+    /// Returns after how long an instance must have shown that it is at work, in milliseconds.
+    fn silent_ms(&self, route: &Route, peer: SocketAddr) -> u64 {
+        let target_ms = self.target_ms_of(route, peer);
+        let way_ms = route.entry.target_latency_ms - target_ms;
+        way_ms + (target_ms as f64 * SILENT_PART) as u64
+    }
+
     fn hand_out(
         &mut self,
         now: Time,
@@ -98,12 +115,14 @@
             route: route.entry.name.clone(),
             version: route.version,
             attempts_max: route.entry.attempts_max,
-            target_latency_ms: route.entry.target_latency_ms,
+            target_latency_ms: self.target_ms_of(route, peer),
+            records_max: request.records_max(),
             parts,
         };
         let share = Share {
             request: Some(id),
             peer,
+            sent: now,
             parts: shared,
             has_reported: false,
         };
@@ -190,7 +209,9 @@
                 continue;
             };
             let part = &mut request.parts[*place];
-            if !part.has_answered && answer.is_success() {
+            if answer.is_success() {
+                // It takes the place of an answer from elsewhere: what else that instance passes on may
+                // lack records that are less than the ones of this answer.
                 part.shared = None;
                 part.set_answer(answer);
                 request.answered_at = now;
@@ -219,7 +240,12 @@
             return;
         };
         match end {
-            BatchEnd::Done => self.peers.heard(now, share.peer),
+            BatchEnd::Done => {
+                self.peers.heard(now, share.peer);
+                if share.request.is_none() {
+                    self.peers.measured(share.peer, now.since(share.sent));
+                }
+            }
             BatchEnd::NotTaken | BatchEnd::Lost => self.peers.lost(now, share.peer),
         }
         let Some(id) = share.request else {
--- a/hemlockrouter-route/src/direct/peers.rs
+++ b/hemlockrouter-route/src/direct/peers.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 
 use hemlockrouter_types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::groups::Group;
 
@@ -22,6 +23,9 @@
 /// The interval at which an instance that is not used is asked whether it answers, in milliseconds.
 const ASK_EVERY_MS: u64 = 1_000;
 
+/// So many questions must be answered before the time that they take shows how far an instance is.
+const ANSWERS_MIN: u32 = 2;
+
 /// For how long others are asked in the place of an instance that did not answer, in milliseconds.
 const LOST_MS: u64 = 3_000;
 
@@ -42,6 +46,10 @@
     asked_at: Option<Time>,
     lost_at: Option<Time>,
     barred_until: Option<Time>,
+    /// How long the quickest question took to be answered, in milliseconds.
+    way_ms: Option<u64>,
+    /// How many questions were answered.
+    answers: u32,
 }
 
 /// An instance that may collect a group of shards.
@@ -58,6 +66,19 @@
         self.known.entry(peer).or_default().heard_at = Some(now);
     }
 
+    /// Takes over that an instance has answered after `took_ms` milliseconds whether it answers.
+    pub(super) fn measured(&mut self, peer: SocketAddr, took_ms: u64) {
+        let known = self.known.entry(peer).or_default();
+        known.answers += 1;
+        known.way_ms = Some(known.way_ms.map_or(took_ms, |way_ms| way_ms.min(took_ms)));
+    }
+
+    /// Returns how long the way to an instance and back takes, in milliseconds; 0 if that is not known.
+    pub(super) fn way_ms(&self, peer: SocketAddr) -> u64 {
+        let known = self.known.get(&peer);
+        known.and_then(|known| known.way_ms).unwrap_or(0)
+    }
+
     /// Takes over that an instance has not answered.
     pub(super) fn lost(&mut self, now: Time, peer: SocketAddr) {
         let known = self.known.entry(peer).or_default();
@@ -92,9 +113,14 @@
         self.is_usable(now, peer) || !is_lost
     }
 
-    /// Returns whether an instance that may not be used is to be asked now.
+    /// Returns whether an instance is to be asked now: one that may not be used, or one whose distance is
+    /// not known well. The first question takes longer, since a connection is made for it.
     pub(super) fn is_to_be_asked(&mut self, now: Time, peer: SocketAddr) -> bool {
+        let is_usable = self.is_usable(now, peer);
         let known = self.known.entry(peer).or_default();
+        if is_usable && known.answers >= ANSWERS_MIN {
+            return false;
+        }
         let is_due = known
             .asked_at
             .is_none_or(|at| now.since(at) >= ASK_EVERY_MS);
@@ -113,6 +139,14 @@
     }
 }
 
+/// Returns the one of `candidates` that collects for the instance `me` what no upstream of its region serves.
+/// The instances of a region choose different ones, and each keeps to its own as long as it is there, so
+/// that it is known well and connections to it are in use.
+pub(super) fn preferred<'n>(me: &str, candidates: &[Candidate<'n>]) -> Option<Candidate<'n>> {
+    let rank = |name: &str| xxh3_64(format!("{me}/{name}").as_bytes());
+    candidates.iter().copied().min_by_key(|one| rank(one.name))
+}
+
 /// Returns who collects each of `groups` groups: its address, or `None` for this instance. Each instance
 /// collects at most one as long as there are enough of them.
 pub(super) fn assign(candidates: &[Candidate<'_>], groups: usize) -> Vec<Option<SocketAddr>> {
--- a/hemlockrouter-route/src/direct/request.rs
+++ b/hemlockrouter-route/src/direct/request.rs
@@ -7,6 +7,7 @@
 use super::event::CallId;
 use super::event::Reply;
 use super::event::Summary;
+use super::merge::Greatest;
 use super::table::Route;
 use super::table::RouteTarget;
 
@@ -58,6 +59,8 @@
     /// Calls by which other instances collect parts.
     pub(super) shares: Vec<CallId>,
     pub(super) answer_to: AnswerTo,
+    /// The greatest records of what was passed on to another instance.
+    pub(super) greatest: Greatest,
     pub(super) summary: Summary,
 }
 
@@ -145,6 +148,14 @@
         }
     }
 
+    /// Returns how many records the merged answer holds at most; 0 if nothing is merged.
+    pub(super) fn records_max(&self) -> usize {
+        match &self.route.to {
+            RouteTarget::Split(_) => 0,
+            RouteTarget::Shards { records_max, .. } => *records_max,
+        }
+    }
+
     /// Returns whether any upstream has run or may have run it, or still may.
     pub(super) fn may_have_run(&self) -> bool {
         let mut parts = self.parts.iter();
--- a/hemlockrouter-route/src/direct/upstreams.rs
+++ b/hemlockrouter-route/src/direct/upstreams.rs
@@ -270,18 +270,29 @@
 
     /// Returns the availability zone of the own region in which a service is to be asked: the own one
     /// if an upstream is there, or else another one; `None` if there is none in the region.
-    pub(super) fn near_zone(&self, now: Time, wanted: &Wanted<'_>) -> Option<&str> {
-        let service = self.services.get(wanted.service)?;
-        let upstreams = service.upstreams.iter().filter_map(|key| self.get(*key));
-        let usable = upstreams.filter(|one| self.is_usable(now, one, wanted));
-        let near = usable.filter(|one| one.region == self.region);
+    pub(super) fn near_zone(&self, now: Time, service: ServiceKey) -> Option<&str> {
+        let near = self.usable(now, service);
+        let near = near.filter(|one| one.region == self.region);
         let zones = near.map(|one| one.entry.zone.as_str());
         zones.min_by_key(|zone| (*zone != self.config.zone, *zone))
     }
 
-    /// Returns the region of an availability zone.
-    pub(super) fn region_of(&self, zone: &str) -> Option<&str> {
-        self.config.zones.get(zone).map(String::as_str)
+    /// Returns the availability zones of the upstreams of a service.
+    pub(super) fn zones_of(&self, now: Time, service: ServiceKey) -> BTreeSet<&str> {
+        let zones = self.usable(now, service);
+        zones.map(|one| one.entry.zone.as_str()).collect()
+    }
+
+    fn usable(&self, now: Time, service: ServiceKey) -> impl Iterator<Item = &Upstream> {
+        let wanted = Wanted {
+            service,
+            regions: &[],
+            among: Among::AllBut(&[]),
+        };
+        let service = self.services.get(service);
+        let keys = service.into_iter().flat_map(|service| &service.upstreams);
+        let upstreams = keys.filter_map(|key| self.get(*key));
+        upstreams.filter(move |one| self.is_usable(now, one, &wanted))
     }
 
     /// Returns the key of the upstream with an id.
--- a/hemlockrouter-route/tests/direct/batches.rs
+++ b/hemlockrouter-route/tests/direct/batches.rs
@@ -50,6 +50,7 @@
         version: 1,
         attempts_max: 2,
         target_latency_ms: 150,
+        records_max: 3,
         parts: services
             .map(|service| BatchPart {
                 upstreams: named(&service),
--- a/hemlockrouter-route/tests/direct/fixture.rs
+++ b/hemlockrouter-route/tests/direct/fixture.rs
@@ -43,6 +43,7 @@
         ("north-a", "north"),
         ("north-c", "north"),
         ("south-b", "south"),
+        ("east-d", "east"),
     ];
     Config {
         name: String::from(name),
--- a/hemlockrouter-route/tests/direct/main.rs
+++ b/hemlockrouter-route/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod instances;
 mod notices;
 mod readers;
+mod regions;
 mod sharing;
 mod table;
 mod waiting;
--- a/hemlockrouter-route/tests/direct/notices.rs
+++ b/hemlockrouter-route/tests/direct/notices.rs
@@ -232,6 +232,7 @@
         version: 1,
         attempts_max: 2,
         target_latency_ms: 150,
+        records_max: 3,
         parts: vec![BatchPart {
             service: String::from("shard-0"),
             upstreams: vec![upstream("shard-0", "north-a").id],
--- /dev/null
+++ b/hemlockrouter-route/tests/direct/regions.rs
@@ -0,0 +1,262 @@
+//! Searches of which parts are collected in another region.
+//!
+//! Load pattern: no upstream of many shards is in the region of the caller's instance. One answer for each
+//! shard then crosses regions, heads and all, for a handful of records that the caller gets.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use hemlockrouter_route::direct::merge;
+use hemlockrouter_route::direct::BatchEnd;
+use hemlockrouter_route::direct::CallEnd;
+use hemlockrouter_route::direct::CallId;
+use hemlockrouter_route::direct::Collected;
+use hemlockrouter_route::direct::Command;
+use hemlockrouter_route::direct::Ending;
+use hemlockrouter_route::direct::Reply;
+use hemlockrouter_route::direct::RequestId;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::Batch;
+use proptest::prelude::*;
+
+use crate::fixture::instance;
+use crate::fixture::success;
+use crate::fixture::Fixture;
+use crate::fixture::SEARCH;
+use crate::fixture::SHARDS;
+
+/// The way to the instances of other regions and back, in milliseconds.
+const WAY_MS: u64 = 24;
+
+/// The target latency of the searches, in milliseconds.
+const TARGET_MS: u64 = 150;
+
+/// How many records the merged answer of the fixture's search holds at most.
+const RECORDS_MAX: usize = 3;
+
+/// An instance of a region without upstreams, and one in each region that has some.
+fn lonely() -> Fixture {
+    let mut fixture = Fixture::sharing_in("me", "east-d", 40, 14);
+    let instances = fixture.dispatcher.upstreams_mut().instances_mut();
+    for (name, zone, port) in [("north", "north-a", 7), ("south", "south-b", 8)] {
+        let mut entry = instance(name, zone);
+        entry.relay = Some(address(port));
+        instances.joined(Time::ZERO, entry);
+    }
+    fixture
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Takes the calls to other instances.
+fn shared(fixture: &mut Fixture) -> Vec<(CallId, SocketAddr, Batch)> {
+    let mut shared = Vec::new();
+    for command in std::mem::take(&mut fixture.out) {
+        match command {
+            Command::Share {
+                call, peer, batch, ..
+            } => shared.push((call, peer, batch)),
+            other => fixture.out.push(other),
+        }
+    }
+    shared
+}
+
+fn ended(fixture: &mut Fixture, call: CallId, end: BatchEnd) {
+    let (now, out) = (fixture.now, &mut fixture.out);
+    fixture.dispatcher.batch_ended(now, call, end, out);
+}
+
+fn collected(fixture: &mut Fixture, call: CallId, answers: Vec<(usize, Reply)>) {
+    let collected = Collected {
+        answers,
+        ..Collected::default()
+    };
+    let (now, out) = (fixture.now, &mut fixture.out);
+    fixture.dispatcher.collected(now, call, collected, out);
+}
+
+/// Lets the other instances show that they answer, and how far they are.
+fn acquaint(fixture: &mut Fixture) {
+    for _ in 0..4 {
+        fixture.wait(600);
+        let asked = shared(fixture);
+        fixture.now = fixture.now + WAY_MS;
+        for (call, ..) in asked {
+            ended(fixture, call, BatchEnd::Done);
+        }
+    }
+}
+
+fn answer(stamp: &str, body: &[u8]) -> Reply {
+    match success(stamp, body) {
+        CallEnd::Answered(reply) => reply,
+        other => panic!("no answer: {other:?}"),
+    }
+}
+
+/// Starts a search that one other instance collects.
+fn start(fixture: &mut Fixture) -> (RequestId, CallId, SocketAddr, Batch) {
+    let id = fixture.start(SEARCH);
+    let mut calls = shared(fixture);
+    assert_eq!(calls.len(), 1, "one instance collects all");
+    let (call, peer, batch) = calls.remove(0);
+    assert_eq!(batch.parts.len(), SHARDS);
+    assert!(fixture.sent().is_empty());
+    (id, call, peer, batch)
+}
+
+#[test]
+fn regions_with_upstreams_take_turns_in_collecting() {
+    let mut fixture = lonely();
+    acquaint(&mut fixture);
+    let mut peers = Vec::new();
+    for _ in 0..4 {
+        let (id, call, peer, batch) = start(&mut fixture);
+        assert_eq!(batch.target_latency_ms, TARGET_MS - WAY_MS);
+        assert_eq!(batch.records_max, RECORDS_MAX);
+        let answers = (0..SHARDS).map(|at| (at, answer(&format!("s-{at}"), b"")));
+        collected(&mut fixture, call, answers.collect());
+        let ending = fixture.ending(id);
+        assert!(matches!(ending, Some(Ending::Merged { missing: 0, .. })));
+        peers.push(peer);
+    }
+    assert_eq!(peers[..2], peers[2..]);
+    assert_ne!(peers[0], peers[1]);
+}
+
+#[test]
+fn an_instance_with_upstreams_near_shares_nothing_of_a_small_search() {
+    let mut fixture = Fixture::sharing_in("me", "north-a", 40, 14);
+    let mut entry = instance("south", "south-b");
+    entry.relay = Some(address(8));
+    let instances = fixture.dispatcher.upstreams_mut().instances_mut();
+    instances.joined(Time::ZERO, entry);
+    acquaint(&mut fixture);
+    fixture.start(SEARCH);
+    assert!(shared(&mut fixture).is_empty());
+    assert_eq!(fixture.sent().len(), SHARDS);
+}
+
+#[test]
+fn parts_of_a_region_that_is_silent_are_sent_from_here_and_the_other_one_is_used() {
+    let mut fixture = lonely();
+    acquaint(&mut fixture);
+    let (_, _, silent, _) = start(&mut fixture);
+    fixture.wait(WAY_MS + (TARGET_MS - WAY_MS) / 2 - 1);
+    assert!(fixture.sent().is_empty(), "it may still answer");
+    fixture.wait(1);
+    assert_eq!(fixture.sent().len(), SHARDS);
+    for _ in 0..3 {
+        let (.., peer, _) = start(&mut fixture);
+        assert_ne!(peer, silent);
+    }
+}
+
+#[test]
+fn parts_that_a_region_has_not_taken_are_sent_from_here_at_once() {
+    let mut fixture = lonely();
+    acquaint(&mut fixture);
+    let (id, call, ..) = start(&mut fixture);
+    ended(&mut fixture, call, BatchEnd::NotTaken);
+    let sent = fixture.sent();
+    assert_eq!(sent.len(), SHARDS);
+    fixture.answer(sent);
+    assert!(fixture.ending(id).is_some());
+}
+
+/// Records of a part, out of few so that many are equal.
+fn part() -> impl Strategy<Value = Vec<u8>> {
+    let record = prop_oneof![(0..6_u8).prop_map(|byte| [byte; 16]), any::<[u8; 16]>()];
+    let records = prop::collection::vec(record, 0..6);
+    (records, 0..3_usize).prop_map(|(records, left_over)| {
+        let mut body = records.concat();
+        body.extend(std::iter::repeat_n(255, left_over));
+        body
+    })
+}
+
+proptest! {
+    /// Whatever order the parts come in, at the collecting instance and from elsewhere, the caller gets the
+    /// greatest records of the parts that are named.
+    #[test]
+    fn what_is_left_out_on_the_way_is_missed_by_nobody(
+        parts in prop::collection::vec(part(), SHARDS),
+        first in 0..SHARDS,
+        own in prop::option::of((0..SHARDS, part())),
+    ) {
+        let mut entry = lonely();
+        acquaint(&mut entry);
+        let (id, call, _, batch) = start(&mut entry);
+        let mut collector = Fixture::new();
+        let batch_id = RequestId(1);
+        let (now, out) = (collector.now, &mut collector.out);
+        collector.dispatcher.start_batch(now, batch_id, batch, 700, out);
+        let mut sent = collector.sent();
+        let rest = sent.split_off(first);
+        answer_parts(&mut collector, sent, &parts);
+        collector.wait(60);
+        let _ = collector.sent();
+        answer_parts(&mut collector, rest, &parts);
+        // The entry instance has lost patience and got one part itself.
+        entry.wait(WAY_MS + TARGET_MS / 2);
+        let direct = entry.sent();
+        if let Some((at, body)) = &own {
+            let (call, _) = direct[*at];
+            entry.end(call, success("own", body));
+        }
+        for command in std::mem::take(&mut collector.out) {
+            if let Command::Report { collected: report, .. } = command {
+                collected(&mut entry, call, report.answers);
+            }
+        }
+        match entry.ending(id) {
+            Some(Ending::Merged { body, stamps, missing: 0 }) => {
+                let mut named = parts;
+                if let (true, Some((at, body))) = (stamps.iter().any(|one| one == "own"), own) {
+                    named[at] = body;
+                }
+                prop_assert_eq!(body, merge(named.iter().map(Vec::as_slice), RECORDS_MAX));
+            }
+            other => prop_assert!(false, "{:?}", other),
+        }
+    }
+}
+
+/// Answers calls with the parts of their shards.
+fn answer_parts(collector: &mut Fixture, sent: Vec<(CallId, String)>, parts: &[Vec<u8>]) {
+    for (call, upstream) in sent {
+        let shard = upstream.split(['-', '@']).nth(1);
+        let at: usize = shard.and_then(|at| at.parse().ok()).expect("ids hold it");
+        collector.end(call, success(&upstream, &parts[at]));
+    }
+}
+
+#[test]
+fn records_that_are_in_no_answer_are_not_passed_on() {
+    let mut collector = Fixture::new();
+    let mut entry = lonely();
+    acquaint(&mut entry);
+    let (.., batch) = start(&mut entry);
+    let (now, out) = (collector.now, &mut collector.out);
+    let id = RequestId(1);
+    collector.dispatcher.start_batch(now, id, batch, 700, out);
+    let parts: Vec<Vec<u8>> = (1..=SHARDS as u8)
+        .map(|first| (0..5).flat_map(|nth| [first * 10 + nth; 16]).collect())
+        .collect();
+    let sent = collector.sent();
+    answer_parts(&mut collector, sent, &parts);
+    let passed_on: usize = std::mem::take(&mut collector.out)
+        .iter()
+        .map(|command| match command {
+            Command::Report { collected, .. } => {
+                let bodies = collected.answers.iter().map(|(_, answer)| &answer.body);
+                bodies.map(Bytes::len).sum()
+            }
+            _ => 0,
+        })
+        .sum();
+    assert_eq!(passed_on, RECORDS_MAX * 16);
+}
--- a/hemlockrouter-types/src/routing.rs
+++ b/hemlockrouter-types/src/routing.rs
@@ -136,6 +136,8 @@
     pub attempts_max: u32,
     /// Within which time an answer is of full use to the caller, in milliseconds.
     pub target_latency_ms: u64,
+    /// How many records the merged answer holds at most; records that can't be among them may be left out.
+    pub records_max: usize,
     /// What is to be collected.
     pub parts: Vec<BatchPart>,
 }
