Single requests stay in their region where their target leaves room; one reader in zones of three

Change: an upstream of another region must save a single request a fifth of its target. In zones of three one instance reads the registry and the others follow it, as in larger ones.

--- a/hemlockrouter-route/src/direct/dispatcher/send.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/send.rs
@@ -36,6 +36,7 @@
                 service: part.service,
                 regions: &route.entry.regions,
                 among: Among::AllBut(&[]),
+                far_ms: route.far_ms(),
             };
             match self.upstreams.reach(now, &wanted) {
                 Reach::Reachable => (reachable, usable) = (reachable + 1, usable + 1),
@@ -176,6 +177,7 @@
                 Some(untried) => Among::Only(untried),
                 None => Among::AllBut(&part.tried),
             },
+            far_ms: route.far_ms(),
         };
         if part.tried.len() < route.entry.attempts_max as usize {
             let fresh = self.upstreams.choose(now, &wanted);
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -157,6 +157,7 @@
                 service: part.service,
                 regions: &route.entry.regions,
                 among: Among::AllBut(&picked),
+                far_ms: route.far_ms(),
             };
             match self.upstreams.pick(now, &wanted) {
                 Some(upstream) => picked.push(upstream),
--- a/hemlockrouter-route/src/direct/readers.rs
+++ b/hemlockrouter-route/src/direct/readers.rs
@@ -21,7 +21,7 @@
 use super::instances::Instances;
 
 /// In an availability zone of no more instances than this, all read the registry.
-const ALL_READ_MAX: usize = 4;
+const ALL_READ_MAX: usize = 2;
 
 /// How many instances of its availability zone one may follow.
 const RELAYS_MAX: usize = 2;
--- a/hemlockrouter-route/src/direct/status.rs
+++ b/hemlockrouter-route/src/direct/status.rs
@@ -146,6 +146,7 @@
                 service: *service,
                 regions: &route.entry.regions,
                 among: Among::AllBut(&[]),
+                far_ms: route.far_ms(),
             };
             ExplainedPart {
                 service: String::from(self.upstreams().name(*service)),
--- a/hemlockrouter-route/src/direct/table.rs
+++ b/hemlockrouter-route/src/direct/table.rs
@@ -15,6 +15,9 @@
 
 use super::upstreams::Upstreams;
 
+/// The part of the target latency that must be saved by an upstream of another region.
+const FAR_PART: f64 = 0.2;
+
 /// A route, with its services as keys.
 #[derive(Debug)]
 pub struct Route {
@@ -143,6 +146,16 @@
 }
 
 impl Route {
+    /// Returns what an upstream of another region costs beside its distance, in milliseconds. A single
+    /// request whose target leaves room stays in its region, since its whole answer would cross others; a
+    /// search waits for its slowest part, and has no room.
+    pub(super) fn far_ms(&self) -> f64 {
+        match self.to {
+            RouteTarget::Split(_) => self.entry.target_latency_ms as f64 * FAR_PART,
+            RouteTarget::Shards { .. } => 0.0,
+        }
+    }
+
     /// Returns whether the answers of several services are merged.
     pub fn is_gathered(&self) -> bool {
         matches!(self.to, RouteTarget::Shards { .. })
--- a/hemlockrouter-route/src/direct/upstreams.rs
+++ b/hemlockrouter-route/src/direct/upstreams.rs
@@ -288,6 +288,7 @@
             service,
             regions: &[],
             among: Among::AllBut(&[]),
+            far_ms: 0.0,
         };
         let service = self.services.get(service);
         let keys = service.into_iter().flat_map(|service| &service.upstreams);
--- a/hemlockrouter-route/src/direct/upstreams/choose.rs
+++ b/hemlockrouter-route/src/direct/upstreams/choose.rs
@@ -35,6 +35,8 @@
     pub(in crate::direct) regions: &'a [String],
     /// Which upstreams may be taken.
     pub(in crate::direct) among: Among<'a>,
+    /// What an upstream of another region costs beside its distance, in milliseconds.
+    pub(in crate::direct) far_ms: f64,
 }
 
 /// Whether a service can be reached, the best last.
@@ -112,7 +114,8 @@
             let usable = usable && self.bears_one_more(now, upstream, service.cold_per_s);
             usable.then(|| {
                 let wait_ms = upstream.record.wait_ms(service.waiting);
-                (self.cost_ms(now, at, upstream) + wait_ms, *key)
+                let cost_ms = self.cost_ms(now, at, upstream, wanted.far_ms);
+                (cost_ms + wait_ms, *key)
             })
         });
         let (_, key) = allowed.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
@@ -168,7 +171,7 @@
         upstream.cold_sends.recent(now) < share
     }
 
-    pub(super) fn cost_ms(&self, now: Time, at: usize, upstream: &Upstream) -> f64 {
+    pub(super) fn cost_ms(&self, now: Time, at: usize, upstream: &Upstream, far_ms: f64) -> f64 {
         let mut cost_ms = upstream
             .record
             .cost_ms(now, upstream.entry.slots, FAILING_MS);
@@ -182,7 +185,7 @@
             cost_ms += OTHER_ZONE_MS;
         }
         if upstream.region != self.region {
-            cost_ms += OTHER_REGION_MS;
+            cost_ms += OTHER_REGION_MS + far_ms;
         }
         let turn = (at as u32).wrapping_add(self.turn) % 3;
         cost_ms + f64::from(turn) * TURN_MS / 2.0
--- a/hemlockrouter-route/src/direct/upstreams/status.rs
+++ b/hemlockrouter-route/src/direct/upstreams/status.rs
@@ -18,6 +18,7 @@
                 service: key,
                 regions: &[],
                 among: Among::AllBut(&[]),
+                far_ms: 0.0,
             };
             let upstreams = service.upstreams.iter().filter_map(|key| self.get(*key));
             status.extend(upstreams.map(|one| self.status_of(now, one, &wanted)));
@@ -65,7 +66,7 @@
             address: upstream.entry.address,
             state,
             in_flight: upstream.record.in_flight(),
-            cost_ms: self.cost_ms(now, 0, upstream).round(),
+            cost_ms: self.cost_ms(now, 0, upstream, wanted.far_ms).round(),
         }
     }
 }
--- a/hemlockrouter-route/tests/direct/cases.rs
+++ b/hemlockrouter-route/tests/direct/cases.rs
@@ -345,3 +345,32 @@
         fixture.wait(300);
     }
 }
+
+/// Load pattern: an upstream of the own region is a little slower than one elsewhere, by chance. The whole
+/// answer of a single request would cross regions for that.
+#[test]
+fn a_single_request_stays_in_its_region_where_its_target_leaves_room() {
+    let mut fixture = Fixture::new();
+    for _ in 0..5 {
+        fixture.start(LOOK_UP);
+        let sent = fixture.sent();
+        assert_eq!(sent[0].1, "ledger@north-a");
+        fixture.wait(60);
+        let hedges = fixture.sent();
+        fixture.answer(sent);
+        fixture.answer(hedges);
+    }
+    // One that fails is left.
+    for _ in 0..2 {
+        fixture.start(LOOK_UP);
+        while let Some((call, to)) = fixture.sent().pop() {
+            let end = match to.as_str() {
+                "ledger@north-a" => failure(),
+                _ => success("stamp", b""),
+            };
+            fixture.end(call, end);
+        }
+    }
+    fixture.start(LOOK_UP);
+    assert_eq!(fixture.sent()[0].1, "ledger@south-b");
+}
