An upstream with room is preferred to waiting, and what would wait in vain is refused at once

Change: waiting costs 50 ms beside the usual time. A request that would wait for room past its deadline is refused when it comes, with the time after which there is room.

--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -212,7 +212,10 @@
 
     fn begin(&mut self, now: Time, id: RequestId, mut request: Request, out: &mut Vec<Command>) {
         let is_batch = request.answer_to != AnswerTo::Caller;
-        if is_batch || self.can_be_served(now, &mut request) {
+        let is_taken = |dispatcher: &mut Dispatcher, request: &mut Request| {
+            dispatcher.can_be_served(now, request) && dispatcher.has_time(now, request)
+        };
+        if is_batch || is_taken(self, &mut request) {
             self.share(now, id, &mut request, out);
             for at in 0..request.parts.len() {
                 let part = &request.parts[at];
@@ -362,6 +365,7 @@
         deadline: now + deadline_ms.min(route.entry.timeout_ms),
         settle_at: now + settle_ms.saturating_sub(REPLY_MS),
         answered_at: now,
+        no_room_ms: None,
         parts,
         shares: Vec::new(),
         answer_to,
--- a/hemlockrouter-route/src/direct/dispatcher/finish.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/finish.rs
@@ -113,6 +113,9 @@
 
     /// Returns when the caller is to come back, in milliseconds.
     fn retry_after_ms(&self, now: Time, request: &Request) -> u64 {
+        if let Some(no_room_ms) = request.no_room_ms {
+            return no_room_ms;
+        }
         let failed = request.parts.iter().filter(|part| part.has_failed());
         let unsent = failed.filter(|part| part.sends == 0);
         let rest_ms = unsent.map(|part| self.upstreams.rest_ms(now, part.service));
@@ -256,6 +259,9 @@
 
 /// Returns why a request can't get the answers that it needs.
 fn why(request: &Request) -> Why {
+    if request.no_room_ms.is_some() {
+        return Why::NoRoom;
+    }
     let mut failed = request.parts.iter().filter(|part| part.has_failed());
     if request.route.is_gathered() {
         return if failed.all(|part| part.sends == 0) {
--- a/hemlockrouter-route/src/direct/dispatcher/wait.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/wait.rs
@@ -5,12 +5,38 @@
 use super::Cause;
 use super::Dispatcher;
 use super::Due;
+use super::DEADLINE_MARGIN_MS;
 use crate::direct::event::Command;
 use crate::direct::event::RequestId;
 use crate::direct::queue::Queued;
 use crate::direct::request::Request;
+use crate::direct::upstreams::Among;
+use crate::direct::upstreams::Wanted;
 
 impl Dispatcher {
+    /// Returns whether upstreams will have room for enough parts of a request before its time is over. One
+    /// that would wait in vain is told at once when to come back.
+    pub(super) fn has_time(&self, now: Time, request: &mut Request) -> bool {
+        let route = &request.route;
+        let left_ms = request.deadline.before(DEADLINE_MARGIN_MS).left(now) as f64;
+        let waits = request.parts.iter().map(|part| {
+            let wanted = Wanted {
+                service: part.service,
+                regions: &route.entry.regions,
+                among: Among::AllBut(&[]),
+                far_ms: route.far_ms(),
+            };
+            self.upstreams.wait_ms(now, &wanted)
+        });
+        let (in_time, late): (Vec<f64>, Vec<f64>) = waits.partition(|wait_ms| *wait_ms < left_ms);
+        if in_time.len() >= request.needed() {
+            return true;
+        }
+        let shortest_ms = late.into_iter().fold(f64::INFINITY, f64::min);
+        request.no_room_ms = Some(shortest_ms as u64);
+        false
+    }
+
     /// Has a part wait until an upstream has room for it. A hedge does not wait: its first try is under way.
     pub(super) fn enqueue(
         &mut self,
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -211,6 +211,9 @@
     /// No upstream of the service may be used.
     #[display("no upstream")]
     NoUpstream,
+    /// No upstream would have room for the request before its deadline.
+    #[display("no room in time")]
+    NoRoom,
     /// Every upstream that was tried rejected the request.
     #[display("rejected by upstreams")]
     Rejected,
--- a/hemlockrouter-route/src/direct/record.rs
+++ b/hemlockrouter-route/src/direct/record.rs
@@ -140,13 +140,9 @@
         self.in_flight < self.limit.get()
     }
 
-    /// Returns how long a request behind `waiting` others waits until there is room for it, in
-    /// milliseconds.
-    pub(super) fn wait_ms(&self, waiting: usize) -> f64 {
-        if self.has_room() {
-            return 0.0;
-        }
-        self.latency_ms * (waiting + 1) as f64 / f64::from(self.limit.get())
+    /// Returns how many requests a millisecond it takes at most from this instance.
+    pub(super) fn per_ms(&self) -> f64 {
+        f64::from(self.limit.get()) / self.latency_ms.max(1.0)
     }
 
     /// Returns whether it usually answers within `ms` milliseconds.
--- a/hemlockrouter-route/src/direct/request.rs
+++ b/hemlockrouter-route/src/direct/request.rs
@@ -55,6 +55,8 @@
     pub(super) settle_at: Time,
     /// When the last part was answered, or the request was sent.
     pub(super) answered_at: Time,
+    /// How long it would wait until upstreams have room, in milliseconds, if that is too long.
+    pub(super) no_room_ms: Option<u64>,
     pub(super) parts: Vec<Part>,
     /// Calls by which other instances collect parts.
     pub(super) shares: Vec<CallId>,
--- a/hemlockrouter-route/src/direct/upstreams.rs
+++ b/hemlockrouter-route/src/direct/upstreams.rs
@@ -75,6 +75,14 @@
     group: Option<Group>,
 }
 
+impl Service {
+    /// Returns how long one more part waits where `per_ms` requests are taken in a millisecond, in
+    /// milliseconds.
+    fn waiting_ms(&self, per_ms: f64) -> f64 {
+        (self.waiting + 1) as f64 / per_ms
+    }
+}
+
 /// All registered upstreams.
 #[derive(Debug)]
 pub struct Upstreams {
--- a/hemlockrouter-route/src/direct/upstreams/choose.rs
+++ b/hemlockrouter-route/src/direct/upstreams/choose.rs
@@ -8,6 +8,7 @@
 
 use super::Upstream;
 use super::Upstreams;
+use crate::direct::record::Record;
 
 /// The cost of an upstream that has failed always, in milliseconds.
 const FAILING_MS: f64 = 300.0;
@@ -24,6 +25,10 @@
 /// The cost of an upstream of another availability zone beside its latency, in milliseconds.
 const OTHER_ZONE_MS: f64 = 3.0;
 
+/// The cost of waiting for room beside the time that it usually takes, in milliseconds: an upstream that has no
+/// room may have stopped answering.
+const NO_ROOM_MS: f64 = 50.0;
+
 /// How much the costs of equal candidates differ by turns, in milliseconds.
 const TURN_MS: f64 = 2.0;
 
@@ -113,8 +118,11 @@
             let usable = wanted.among.allows(*key) && self.is_usable(now, upstream, wanted);
             let usable = usable && self.bears_one_more(now, upstream, service.cold_per_s);
             usable.then(|| {
-                let wait_ms = upstream.record.wait_ms(service.waiting);
                 let cost_ms = self.cost_ms(now, at, upstream, wanted.far_ms);
+                let wait_ms = match upstream.record.has_room() {
+                    true => 0.0,
+                    false => NO_ROOM_MS + service.waiting_ms(upstream.record.per_ms()),
+                };
                 (cost_ms + wait_ms, *key)
             })
         });
@@ -130,6 +138,20 @@
         }
     }
 
+    /// Returns how long a part of a service waits until an upstream has room for it, in milliseconds.
+    pub(in crate::direct) fn wait_ms(&self, now: Time, wanted: &Wanted<'_>) -> f64 {
+        let Some(service) = self.services.get(wanted.service) else {
+            return 0.0;
+        };
+        let known = service.upstreams.iter().filter_map(|key| self.get(*key));
+        let usable = known.filter(|one| self.is_usable(now, one, wanted));
+        let records: Vec<&Record> = usable.map(|one| &one.record).collect();
+        if records.iter().any(|record| record.has_room()) {
+            return 0.0;
+        }
+        service.waiting_ms(records.iter().map(|record| record.per_ms()).sum())
+    }
+
     /// Returns whether an upstream may be used and can be reached.
     pub(in crate::direct) fn reach(&self, now: Time, wanted: &Wanted<'_>) -> Reach {
         let service = self.services.get(wanted.service);
--- a/hemlockrouter-route/tests/direct/waiting.rs
+++ b/hemlockrouter-route/tests/direct/waiting.rs
@@ -5,12 +5,14 @@
 use hemlockrouter_route::direct::CallEnd;
 use hemlockrouter_route::direct::CallId;
 use hemlockrouter_route::direct::Ending;
+use hemlockrouter_route::direct::Why;
 
 use crate::fixture::rejected;
 use crate::fixture::Fixture;
 use crate::fixture::BOOK;
 use crate::fixture::LOOK_UP;
 use crate::fixture::SEARCH;
+use crate::fixture::SHARDS;
 use crate::fleet::Fleet;
 
 /// How long an upstream works on a part, in milliseconds.
@@ -93,3 +95,48 @@
     }
     assert!(fixture.sent().is_empty());
 }
+
+/// Load pattern: an upstream stops answering. What has been sent to it says nothing yet, and what would wait
+/// for its room would wait in vain.
+#[test]
+fn nothing_waits_for_an_upstream_while_another_one_has_room() {
+    let mut fixture = Fixture::new();
+    let first = start(&mut fixture, SEARCH, 1);
+    assert!(first.iter().all(|(_, to)| to.ends_with("@north-a")));
+    let second = start(&mut fixture, SEARCH, 1);
+    assert_eq!(second.len(), SHARDS);
+    assert!(second.iter().all(|(_, to)| to.ends_with("@south-b")));
+}
+
+/// Load pattern: far more requests than upstreams can take in the time that callers have.
+#[test]
+fn a_request_that_would_wait_past_its_deadline_is_refused_at_once_with_when_to_come_back() {
+    let mut fixture = Fixture::new();
+    let mut refused = Vec::new();
+    let mut sent = Vec::new();
+    for _ in 0..400 {
+        let id = fixture.start(BOOK);
+        sent.extend(fixture.sent());
+        match fixture.ending(id) {
+            Some(Ending::NotRun {
+                why,
+                retry_after_ms,
+            }) => {
+                assert_eq!(why, Why::NoRoom);
+                refused.push((id, retry_after_ms));
+            }
+            Some(other) => panic!("{other:?}"),
+            None => assert!(refused.is_empty(), "an earlier one was refused"),
+        }
+    }
+    assert!(!refused.is_empty());
+    assert!(refused.iter().all(|(_, retry_ms)| *retry_ms >= 700));
+    // What was not refused is sent as room comes free, and nothing that was.
+    let mut served = sent.len();
+    while !sent.is_empty() {
+        fixture.answer(std::mem::take(&mut sent));
+        sent = fixture.sent();
+        served += sent.len();
+    }
+    assert_eq!(served + refused.len(), 400);
+}
