--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -22,12 +22,9 @@
 
 use super::config::Config;
 use super::event::CallEnd;
-use super::event::CallFault;
 use super::event::CallId;
 use super::event::Command;
 use super::event::RequestId;
-use super::event::Summary;
-use super::merge::Greatest;
 use super::peers::Peers;
 use super::queue::Queues;
 use super::record::Seen;
@@ -41,12 +38,6 @@
 use crate::latency::Latency;
 use crate::timer::Timers;
 
-/// The part of the target latency after which an answer with enough shards is not held.
-const SETTLE_PART: f64 = 0.9;
-
-/// What sending the answer to the caller takes, in milliseconds.
-const REPLY_MS: u64 = 6;
-
 /// How long before its deadline a request is given up, in milliseconds.
 const DEADLINE_MARGIN_MS: u64 = 15;
 
@@ -83,16 +74,6 @@
     has_reported: bool,
 }
 
-/// Why a part is sent once more.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Cause {
-    First,
-    Slow,
-    Failed,
-    /// The last try reached nobody, so this is no repeat.
-    Unreached,
-}
-
 /// Dispatches requests to upstreams.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -102,7 +83,7 @@
     requests: BTreeMap<RequestId, Request>,
     calls: HashMap<CallId, Call>,
     shares: HashMap<CallId, Share>,
-    queues: Queues<Cause>,
+    queues: Queues,
     /// Services at which a call has ended, so that an upstream may have room.
     freed: Vec<ServiceKey>,
     peers: Peers,
@@ -201,7 +182,7 @@
     ) {
         let services = self.services(&route);
         let parts = services.into_iter().map(Part::new).collect();
-        let request = new_request(now, route, parts, deadline_ms, AnswerTo::Caller);
+        let request = Request::new(now, route, parts, deadline_ms, AnswerTo::Caller);
         self.begin(now, id, request, out);
     }
 
@@ -210,12 +191,14 @@
         CallId(self.last_call)
     }
 
+    /// Returns whether anything is sent of a request: upstreams must be in reach, and have room in time.
+    fn is_taken(&mut self, now: Time, request: &mut Request) -> bool {
+        self.can_be_served(now, request) && self.has_time(now, request)
+    }
+
     fn begin(&mut self, now: Time, id: RequestId, mut request: Request, out: &mut Vec<Command>) {
         let is_batch = request.answer_to != AnswerTo::Caller;
-        let is_taken = |dispatcher: &mut Dispatcher, request: &mut Request| {
-            dispatcher.can_be_served(now, request) && dispatcher.has_time(now, request)
-        };
-        if is_batch || is_taken(self, &mut request) {
+        if is_batch || self.is_taken(now, &mut request) {
             self.share(now, id, &mut request, out);
             for at in 0..request.parts.len() {
                 let part = &request.parts[at];
@@ -251,12 +234,12 @@
         let ended = part.take(id).expect("a call that is known is open");
         self.learn(now, &request.route, &ended, &end);
         self.freed.push(request.parts[call.part].service);
-        if let Some(fault) = fault(&end) {
+        if let Some(fault) = end.fault() {
             let service = request.parts[call.part].service;
             self.note_fault(now, &mut request.summary, service, &ended, fault);
         }
         let part = &mut request.parts[call.part];
-        let again = take_end(part, end, request.route.entry.idempotent);
+        let again = part.take_end(end, request.route.entry.idempotent);
         if part.has_answered {
             request.answered_at = now;
             self.cancel_part(now, part, Seen::GivenUp, out);
@@ -346,65 +329,3 @@
         }
     }
 }
-
-fn new_request(
-    now: Time,
-    route: Rc<Route>,
-    parts: Vec<Part>,
-    deadline_ms: u64,
-    answer_to: AnswerTo,
-) -> Request {
-    let settle_ms = (route.entry.target_latency_ms as f64 * SETTLE_PART) as u64;
-    let summary = Summary {
-        version: route.version,
-        parts: parts.len(),
-        ..Summary::default()
-    };
-    Request {
-        arrived: now,
-        deadline: now + deadline_ms.min(route.entry.timeout_ms),
-        settle_at: now + settle_ms.saturating_sub(REPLY_MS),
-        answered_at: now,
-        no_room_ms: None,
-        parts,
-        shares: Vec::new(),
-        answer_to,
-        greatest: Greatest::default(),
-        summary,
-        route,
-    }
-}
-
-/// Returns what came of a call that brought no answer of use.
-fn fault(end: &CallEnd) -> Option<CallFault> {
-    match end {
-        CallEnd::Answered(reply) if reply.is_success() => None,
-        CallEnd::Answered(reply) if reply.not_run => Some(CallFault::Rejected),
-        CallEnd::Answered(reply) => Some(CallFault::Failed {
-            status: reply.status,
-        }),
-        CallEnd::Lost => Some(CallFault::Lost),
-        CallEnd::NotSent => Some(CallFault::Unreachable),
-    }
-}
-
-/// Takes over the end of a try, and returns why the part may be sent again, if it may.
-fn take_end(part: &mut Part, end: CallEnd, idempotent: bool) -> Option<Cause> {
-    match end {
-        CallEnd::NotSent => Some(Cause::Unreached),
-        CallEnd::Answered(reply) if reply.is_success() => {
-            part.set_answer(reply);
-            None
-        }
-        CallEnd::Answered(reply) if reply.not_run => Some(Cause::Failed),
-        CallEnd::Answered(reply) => {
-            part.ran = true;
-            part.failure = Some(reply);
-            idempotent.then_some(Cause::Failed)
-        }
-        CallEnd::Lost => {
-            part.ran = true;
-            idempotent.then_some(Cause::Failed)
-        }
-    }
-}
--- a/hemlockrouter-route/src/direct/dispatcher/collect.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/collect.rs
@@ -12,7 +12,6 @@
 use hemlockrouter_types::routing::ShardTarget;
 use hemlockrouter_types::routing::Target;
 
-use super::new_request;
 use super::Dispatcher;
 use crate::direct::event::Collected;
 use crate::direct::event::Command;
@@ -38,7 +37,7 @@
         let parts: Vec<Part> = parts.collect();
         let route = Rc::new(batch_route(batch, &parts, deadline_ms));
         let answer_to = AnswerTo::Peer { late: false };
-        let request = new_request(now, route, parts, deadline_ms, answer_to);
+        let request = Request::new(now, route, parts, deadline_ms, answer_to);
         self.begin(now, id, request, out);
     }
 
--- a/hemlockrouter-route/src/direct/dispatcher/hedge.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/hedge.rs
@@ -5,12 +5,12 @@
 
 use hemlockrouter_types::prelude::*;
 
-use super::Cause;
 use super::Dispatcher;
 use super::Due;
 use crate::direct::event::Command;
 use crate::direct::event::RequestId;
 use crate::direct::request::AnswerTo;
+use crate::direct::request::Cause;
 use crate::direct::request::Part;
 use crate::direct::request::Request;
 use crate::direct::table::Route;
--- a/hemlockrouter-route/src/direct/dispatcher/plan.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/plan.rs
@@ -44,6 +44,17 @@
 /// Which parts each instance collects, by their places; `None` stands for this instance.
 type Planned = BTreeMap<Option<SocketAddr>, Vec<usize>>;
 
+/// The parts of a search, by where they are collected.
+#[derive(Debug, Default)]
+struct Places<'z> {
+    /// Those of the own availability zone.
+    own: Vec<usize>,
+    /// Those of other availability zones of the own region.
+    near: BTreeMap<&'z str, Vec<usize>>,
+    /// Those of which no upstream is in the own region.
+    far: Vec<usize>,
+}
+
 impl Dispatcher {
     /// Returns the services of a route if other instances may collect parts of its requests. Those of routes
     /// that are bound to regions may not: their bodies must not go to instances elsewhere.
@@ -96,27 +107,17 @@
     ) -> Vec<(Option<SocketAddr>, Vec<usize>)> {
         let own_zone = self.config.zone.as_str();
         let is_large = self.config.sharing.shares(services.len());
-        let mut zones: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
-        let mut own: Vec<usize> = Vec::new();
-        let mut far: Vec<usize> = Vec::new();
-        for (place, service) in services.iter().enumerate() {
-            match self.upstreams.near_zone(now, *service) {
-                Some(zone) if is_large && zone != own_zone => {
-                    zones.entry(zone).or_default().push(place);
-                }
-                Some(_) => own.push(place),
-                None => far.push(place),
-            }
-        }
+        let Places { mut own, near, far } = self.places(now, services);
         let mut planned = Planned::default();
-        let collectors = self.far_collectors(now, services, &far, who);
-        if collectors.is_empty() {
-            own.extend(far);
-        } else {
-            let collector = collectors[self.far_turn % collectors.len()];
-            planned.insert(Some(collector), far);
+        let far_zones = self.far_zones(now, services, &far, who);
+        match far_zones.len() {
+            0 => own.extend(far),
+            zones => {
+                let zone = far_zones[self.far_turn % zones];
+                self.plan_far(now, zone, &far, services.len(), who, &mut planned);
+            }
         }
-        for (zone, places) in zones {
+        for (zone, places) in near {
             let candidates = self.candidates(now, zone, who);
             if candidates.is_empty() || places.len() < ELSEWHERE_MIN {
                 own.extend(places);
@@ -137,32 +138,67 @@
         planned
     }
 
-    /// Returns who may collect parts of which no upstream is in the own region: one instance of each
-    /// availability zone that has upstreams of nearly as many of them as any other.
-    fn far_collectors(
+    /// Sorts the parts of a search by where they are collected.
+    fn places(&self, now: Time, services: &[ServiceKey]) -> Places<'_> {
+        let is_large = self.config.sharing.shares(services.len());
+        let mut sorted = Places::default();
+        for (place, service) in services.iter().enumerate() {
+            match self.upstreams.near_zone(now, *service) {
+                Some(zone) if is_large && zone != self.config.zone => {
+                    sorted.near.entry(zone).or_default().push(place);
+                }
+                Some(_) => sorted.own.push(place),
+                None => sorted.far.push(place),
+            }
+        }
+        sorted
+    }
+
+    /// Returns the availability zones in which parts may be collected of which no upstream is in the own
+    /// region: those that have upstreams of nearly as many of them as any other.
+    fn far_zones(
         &self,
         now: Time,
         services: &[ServiceKey],
         places: &[usize],
         who: Who,
-    ) -> Vec<SocketAddr> {
+    ) -> Vec<&str> {
         if places.len() < ELSEWHERE_MIN {
             return Vec::new();
         }
-        let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut parts_of: BTreeMap<&str, usize> = BTreeMap::new();
         for place in places {
             for zone in self.upstreams.zones_of(now, services[*place]) {
-                *zones.entry(zone).or_default() += 1;
+                *parts_of.entry(zone).or_default() += 1;
             }
         }
-        let most = zones.values().copied().max().unwrap_or(0);
+        let most = parts_of.values().copied().max().unwrap_or(0);
         let enough = (most as f64 * FAR_PART).ceil() as usize;
-        let zones = zones.into_iter().filter(|(_, parts)| *parts >= enough);
-        let collectors = zones.filter_map(|(zone, _)| {
-            let candidates = self.candidates(now, zone, who);
-            preferred(&self.config.name, &candidates)?.address
-        });
-        collectors.collect()
+        let zones = parts_of.into_iter().filter(|(_, parts)| *parts >= enough);
+        let zones = zones.map(|(zone, _)| zone);
+        zones
+            .filter(|zone| !self.candidates(now, zone, who).is_empty())
+            .collect()
+    }
+
+    /// Plans who collects parts in an availability zone of another region: one instance, or of a search over
+    /// many shards an instance for each group.
+    fn plan_far(
+        &self,
+        now: Time,
+        zone: &str,
+        places: &[usize],
+        shards: usize,
+        who: Who,
+        planned: &mut Planned,
+    ) {
+        let candidates = self.candidates(now, zone, who);
+        if self.config.sharing.shares(shards) {
+            self.plan_zone(&candidates, places, shards, planned);
+        } else if let Some(collector) = preferred(&self.config.name, &candidates) {
+            let parts = planned.entry(collector.address).or_default();
+            parts.extend(places);
+        }
     }
 
     /// Divides parts of a search over `shards` between the instances of an availability zone.
@@ -225,20 +261,18 @@
         for services in table.searches() {
             let planned = self.plan(now, services, Who::Promising);
             wanted.extend(planned.into_iter().filter_map(|(collector, _)| collector));
-            let places: Vec<usize> = (0..services.len()).collect();
-            let far = places.iter().copied().filter(|place| {
-                let near = self.upstreams.near_zone(now, services[*place]);
-                near.is_none()
-            });
-            let far: Vec<usize> = far.collect();
-            wanted.extend(self.far_collectors(now, services, &far, Who::Promising));
-            if !self.config.sharing.shares(services.len()) {
-                continue;
-            }
-            // If the other availability zones are lost or evacuated, all is collected in this one.
-            let near = self.candidates(now, &self.config.zone, Who::Promising);
             let mut planned = Planned::default();
-            self.plan_zone(&near, &places, services.len(), &mut planned);
+            let far = self.places(now, services).far;
+            for zone in self.far_zones(now, services, &far, Who::Promising) {
+                let shards = services.len();
+                self.plan_far(now, zone, &far, shards, Who::Promising, &mut planned);
+            }
+            if self.config.sharing.shares(services.len()) {
+                // If the other availability zones are lost or evacuated, all is collected in this one.
+                let places: Vec<usize> = (0..services.len()).collect();
+                let near = self.candidates(now, &self.config.zone, Who::Promising);
+                self.plan_zone(&near, &places, services.len(), &mut planned);
+            }
             wanted.extend(planned.into_keys().flatten());
         }
         for peer in wanted {
--- a/hemlockrouter-route/src/direct/dispatcher/send.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/send.rs
@@ -4,10 +4,10 @@
 use hemlockrouter_types::prelude::*;
 
 use super::Call;
-use super::Cause;
 use super::Dispatcher;
 use crate::direct::event::Command;
 use crate::direct::event::RequestId;
+use crate::direct::request::Cause;
 use crate::direct::request::Part;
 use crate::direct::request::Request;
 use crate::direct::request::Try;
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -12,7 +12,6 @@
 use hemlockrouter_types::routing::BatchPart;
 
 use super::plan::Who;
-use super::Cause;
 use super::Dispatcher;
 use super::Due;
 use super::Share;
@@ -23,6 +22,7 @@
 use crate::direct::event::RequestId;
 use crate::direct::record::Seen;
 use crate::direct::request::AnswerTo;
+use crate::direct::request::Cause;
 use crate::direct::request::Part;
 use crate::direct::request::Request;
 use crate::direct::table::Route;
--- a/hemlockrouter-route/src/direct/dispatcher/wait.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/wait.rs
@@ -2,13 +2,13 @@
 
 use hemlockrouter_types::prelude::*;
 
-use super::Cause;
 use super::Dispatcher;
 use super::Due;
 use super::DEADLINE_MARGIN_MS;
 use crate::direct::event::Command;
 use crate::direct::event::RequestId;
 use crate::direct::queue::Queued;
+use crate::direct::request::Cause;
 use crate::direct::request::Request;
 use crate::direct::upstreams::Among;
 use crate::direct::upstreams::Wanted;
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -82,6 +82,21 @@
     Lost,
 }
 
+impl CallEnd {
+    /// Returns what came of the call if it brought no answer of use.
+    pub(super) fn fault(&self) -> Option<CallFault> {
+        match self {
+            CallEnd::Answered(reply) if reply.is_success() => None,
+            CallEnd::Answered(reply) if reply.not_run => Some(CallFault::Rejected),
+            CallEnd::Answered(reply) => Some(CallFault::Failed {
+                status: reply.status,
+            }),
+            CallEnd::Lost => Some(CallFault::Lost),
+            CallEnd::NotSent => Some(CallFault::Unreachable),
+        }
+    }
+}
+
 /// What an instance passes on of a batch that it collects.
 #[derive(Clone, Debug, Default)]
 pub struct Collected {
--- a/hemlockrouter-route/src/direct/queue.rs
+++ b/hemlockrouter-route/src/direct/queue.rs
@@ -10,42 +10,34 @@
 use hemlockrouter_types::prelude::*;
 
 use super::event::RequestId;
+use super::request::Cause;
 
 /// A part that waits.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Queued<C> {
+pub(super) struct Queued {
     pub(super) request: RequestId,
     /// The place of the part in its request.
     pub(super) part: usize,
     /// When the request is late.
     pub(super) late_at: Time,
     /// Why it is to be sent.
-    pub(super) cause: C,
+    pub(super) cause: Cause,
 }
 
 /// The parts that wait, by service.
-#[derive(Debug)]
-pub(super) struct Queues<C> {
-    of: HashMap<ServiceKey, Vec<Queued<C>>>,
+#[derive(Debug, Default)]
+pub(super) struct Queues {
+    of: HashMap<ServiceKey, Vec<Queued>>,
 }
 
-impl<C> Default for Queues<C> {
-    fn default() -> Queues<C> {
-        Queues { of: HashMap::new() }
-    }
-}
-
-impl<C> Queues<C>
-where
-    C: Copy,
-{
+impl Queues {
     /// Adds a part.
-    pub(super) fn push(&mut self, service: ServiceKey, queued: Queued<C>) {
+    pub(super) fn push(&mut self, service: ServiceKey, queued: Queued) {
         self.of.entry(service).or_default().push(queued);
     }
 
     /// Takes all parts that wait for a service, the most urgent first.
-    pub(super) fn take(&mut self, now: Time, service: ServiceKey) -> Vec<Queued<C>> {
+    pub(super) fn take(&mut self, now: Time, service: ServiceKey) -> Vec<Queued> {
         let mut queued = self.of.remove(&service).unwrap_or_default();
         queued.sort_by_key(|one| (one.late_at < now, one.late_at, one.request));
         queued
--- a/hemlockrouter-route/src/direct/request.rs
+++ b/hemlockrouter-route/src/direct/request.rs
@@ -4,6 +4,7 @@
 
 use hemlockrouter_types::prelude::*;
 
+use super::event::CallEnd;
 use super::event::CallId;
 use super::event::Reply;
 use super::event::Summary;
@@ -11,6 +12,22 @@
 use super::table::Route;
 use super::table::RouteTarget;
 
+/// The part of the target latency after which an answer with enough shards is not held.
+const SETTLE_PART: f64 = 0.9;
+
+/// What sending the answer to the caller takes, in milliseconds.
+const REPLY_MS: u64 = 6;
+
+/// Why a part is sent once more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Cause {
+    First,
+    Slow,
+    Failed,
+    /// The last try reached nobody, so this is no repeat.
+    Unreached,
+}
+
 /// One try of one part at one upstream.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Try {
@@ -115,6 +132,27 @@
         self.answer = Some(answer);
     }
 
+    /// Takes over the end of a try, and returns why the part may be sent again, if it may.
+    pub(super) fn take_end(&mut self, end: CallEnd, idempotent: bool) -> Option<Cause> {
+        match end {
+            CallEnd::NotSent => Some(Cause::Unreached),
+            CallEnd::Answered(reply) if reply.is_success() => {
+                self.set_answer(reply);
+                None
+            }
+            CallEnd::Answered(reply) if reply.not_run => Some(Cause::Failed),
+            CallEnd::Answered(reply) => {
+                self.ran = true;
+                self.failure = Some(reply);
+                idempotent.then_some(Cause::Failed)
+            }
+            CallEnd::Lost => {
+                self.ran = true;
+                idempotent.then_some(Cause::Failed)
+            }
+        }
+    }
+
     /// Returns the upstreams that it may be sent to and was not; `None` if it may be sent to all.
     pub(super) fn untried(&self) -> Option<Vec<UpstreamKey>> {
         let allowed = self.allowed.as_ref()?.iter();
@@ -130,6 +168,35 @@
 }
 
 impl Request {
+    /// Makes a request that came now and may take `deadline_ms`.
+    pub(super) fn new(
+        now: Time,
+        route: Rc<Route>,
+        parts: Vec<Part>,
+        deadline_ms: u64,
+        answer_to: AnswerTo,
+    ) -> Request {
+        let settle_ms = (route.entry.target_latency_ms as f64 * SETTLE_PART) as u64;
+        let summary = Summary {
+            version: route.version,
+            parts: parts.len(),
+            ..Summary::default()
+        };
+        Request {
+            arrived: now,
+            deadline: now + deadline_ms.min(route.entry.timeout_ms),
+            settle_at: now + settle_ms.saturating_sub(REPLY_MS),
+            answered_at: now,
+            no_room_ms: None,
+            parts,
+            shares: Vec::new(),
+            answer_to,
+            greatest: Greatest::default(),
+            summary,
+            route,
+        }
+    }
+
     /// Returns how many parts have an answer.
     pub(super) fn answered(&self) -> usize {
         let parts = self.parts.iter();
--- a/hemlockrouter-route/tests/direct/fixture.rs
+++ b/hemlockrouter-route/tests/direct/fixture.rs
@@ -1,6 +1,7 @@
 //! A small deployment and shorthand for events.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -142,6 +143,11 @@
     }
 }
 
+/// Where an instance of a test takes batches.
+pub(crate) fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
 /// A dispatcher with two upstreams of each service, one in each availability zone.
 pub(crate) struct Fixture {
     pub(crate) dispatcher: Dispatcher,
@@ -192,6 +198,18 @@
         Fixture::of(config, routes())
     }
 
+    /// An instance of a region without upstreams, with one instance in each region that has some.
+    pub(crate) fn lonely() -> Fixture {
+        let mut fixture = Fixture::sharing_in("me", "east-d", 40, 14);
+        let instances = fixture.dispatcher.upstreams_mut().instances_mut();
+        for (name, zone, port) in [("north", "north-a", 7), ("south", "south-b", 8)] {
+            let mut entry = instance(name, zone);
+            entry.relay = Some(address(port));
+            instances.joined(Time::ZERO, entry);
+        }
+        fixture
+    }
+
     fn of(config: Config, routes: Vec<RouteEntry>) -> Fixture {
         let name = config.name.clone();
         let zone = config.zone.clone();
--- a/hemlockrouter-route/tests/direct/fuzz.rs
+++ b/hemlockrouter-route/tests/direct/fuzz.rs
@@ -432,6 +432,11 @@
         check(Fixture::new(), steps);
     }
 
+    #[test]
+    fn promises_hold_when_another_region_collects(steps in prop::collection::vec(step(), 1..250)) {
+        check(Fixture::lonely(), steps);
+    }
+
     #[test]
     fn promises_hold_when_searches_are_shared(steps in prop::collection::vec(step(), 1..250)) {
         check(sharing(), steps);
--- a/hemlockrouter-route/tests/direct/regions.rs
+++ b/hemlockrouter-route/tests/direct/regions.rs
@@ -19,6 +19,7 @@
 use hemlockrouter_types::routing::Batch;
 use proptest::prelude::*;
 
+use crate::fixture::address;
 use crate::fixture::instance;
 use crate::fixture::success;
 use crate::fixture::Fixture;
@@ -34,22 +35,6 @@
 /// How many records the merged answer of the fixture's search holds at most.
 const RECORDS_MAX: usize = 3;
 
-/// An instance of a region without upstreams, and one in each region that has some.
-fn lonely() -> Fixture {
-    let mut fixture = Fixture::sharing_in("me", "east-d", 40, 14);
-    let instances = fixture.dispatcher.upstreams_mut().instances_mut();
-    for (name, zone, port) in [("north", "north-a", 7), ("south", "south-b", 8)] {
-        let mut entry = instance(name, zone);
-        entry.relay = Some(address(port));
-        instances.joined(Time::ZERO, entry);
-    }
-    fixture
-}
-
-fn address(port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port))
-}
-
 /// Takes the calls to other instances.
 fn shared(fixture: &mut Fixture) -> Vec<(CallId, SocketAddr, Batch)> {
     let mut shared = Vec::new();
@@ -110,7 +95,7 @@
 
 #[test]
 fn regions_with_upstreams_take_turns_in_collecting() {
-    let mut fixture = lonely();
+    let mut fixture = Fixture::lonely();
     acquaint(&mut fixture);
     let mut peers = Vec::new();
     for _ in 0..4 {
@@ -142,7 +127,7 @@
 
 #[test]
 fn parts_of_a_region_that_is_silent_are_sent_from_here_and_the_other_one_is_used() {
-    let mut fixture = lonely();
+    let mut fixture = Fixture::lonely();
     acquaint(&mut fixture);
     let (_, _, silent, _) = start(&mut fixture);
     fixture.wait(WAY_MS + (TARGET_MS - WAY_MS) / 2 - 1);
@@ -157,7 +142,7 @@
 
 #[test]
 fn parts_that_a_region_has_not_taken_are_sent_from_here_at_once() {
-    let mut fixture = lonely();
+    let mut fixture = Fixture::lonely();
     acquaint(&mut fixture);
     let (id, call, ..) = start(&mut fixture);
     ended(&mut fixture, call, BatchEnd::NotTaken);
@@ -187,7 +172,7 @@
         first in 0..SHARDS,
         own in prop::option::of((0..SHARDS, part())),
     ) {
-        let mut entry = lonely();
+        let mut entry = Fixture::lonely();
         acquaint(&mut entry);
         let (id, call, _, batch) = start(&mut entry);
         let mut collector = Fixture::new();
@@ -237,7 +222,7 @@
 #[test]
 fn records_that_are_in_no_answer_are_not_passed_on() {
     let mut collector = Fixture::new();
-    let mut entry = lonely();
+    let mut entry = Fixture::lonely();
     acquaint(&mut entry);
     let (.., batch) = start(&mut entry);
     let (now, out) = (collector.now, &mut collector.out);
--- a/hemlockrouter-route/tests/direct/sharing.rs
+++ b/hemlockrouter-route/tests/direct/sharing.rs
@@ -14,6 +14,7 @@
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Batch;
 
+use crate::fixture::address;
 use crate::fixture::instance;
 use crate::fixture::routes;
 use crate::fixture::shards;
@@ -52,10 +53,6 @@
     entry
 }
 
-fn address(port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port))
-}
-
 /// A call to another instance.
 #[derive(Debug)]
 struct Shared {
