--- a/hemlockrouter-route/src/direct/dispatcher/plan.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/plan.rs
@@ -24,7 +24,7 @@
 
 /// Of the parts that no upstream of the own region serves, an availability zone must have upstreams of this
 /// share of what the best one has.
-const FAR_PART: f64 = 0.75;
+const FAR_ZONE_PART: f64 = 0.75;
 
 /// The interval at which is looked whom to ask, in milliseconds.
 const ASK_EVERY_MS: u64 = 500;
@@ -173,7 +173,7 @@
             }
         }
         let most = parts_of.values().copied().max().unwrap_or(0);
-        let enough = (most as f64 * FAR_PART).ceil() as usize;
+        let enough = (most as f64 * FAR_ZONE_PART).ceil() as usize;
         let zones = parts_of.into_iter().filter(|(_, parts)| *parts >= enough);
         let zones = zones.map(|(zone, _)| zone);
         zones
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -299,7 +299,7 @@
     pub retries: u32,
     /// Repeats that the budget did not allow.
     pub denied: u32,
-    /// Sends that waited until an upstream had room.
+    /// Times that a send found no upstream with room, and waited.
     pub queued: u32,
     /// Services without an upstream that may be used.
     pub unavailable: u32,
--- a/hemlockrouter-route/src/direct/table.rs
+++ b/hemlockrouter-route/src/direct/table.rs
@@ -16,7 +16,7 @@
 use super::upstreams::Upstreams;
 
 /// The part of the target latency that must be saved by an upstream of another region.
-const FAR_PART: f64 = 0.2;
+const OTHER_REGION_PART: f64 = 0.2;
 
 /// A route, with its services as keys.
 #[derive(Debug)]
@@ -151,7 +151,7 @@
     /// search waits for its slowest part, and has no room.
     pub(super) fn far_ms(&self) -> f64 {
         match self.to {
-            RouteTarget::Split(_) => self.entry.target_latency_ms as f64 * FAR_PART,
+            RouteTarget::Split(_) => self.entry.target_latency_ms as f64 * OTHER_REGION_PART,
             RouteTarget::Shards { .. } => 0.0,
         }
     }
