Waiting parts are looked at in a fixed order; records and wishes for upstreams written once

The services that parts wait for were iterated in the order of a hash map, so that the same events could give other commands. Whole records of a part, and the wish for any upstream of a route, stood in two and three places.

--- a/hemlockrouter-route/src/direct/dispatcher/send.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/send.rs
@@ -32,12 +32,7 @@
         let route = &request.route;
         let (mut reachable, mut usable) = (0, 0);
         for part in &request.parts {
-            let wanted = Wanted {
-                service: part.service,
-                regions: &route.entry.regions,
-                among: Among::AllBut(&[]),
-                far_ms: route.far_ms(),
-            };
+            let wanted = Wanted::any(part.service, route);
             match self.upstreams.reach(now, &wanted) {
                 Reach::Reachable => (reachable, usable) = (reachable + 1, usable + 1),
                 Reach::Unreachable => usable += 1,
--- a/hemlockrouter-route/src/direct/dispatcher/wait.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/wait.rs
@@ -10,7 +10,6 @@
 use crate::direct::queue::Queued;
 use crate::direct::request::Cause;
 use crate::direct::request::Request;
-use crate::direct::upstreams::Among;
 use crate::direct::upstreams::Wanted;
 
 impl Dispatcher {
@@ -20,12 +19,7 @@
         let route = &request.route;
         let left_ms = request.deadline.before(DEADLINE_MARGIN_MS).left(now) as f64;
         let waits = request.parts.iter().map(|part| {
-            let wanted = Wanted {
-                service: part.service,
-                regions: &route.entry.regions,
-                among: Among::AllBut(&[]),
-                far_ms: route.far_ms(),
-            };
+            let wanted = Wanted::any(part.service, route);
             self.upstreams.wait_ms(now, &wanted)
         });
         let (in_time, late): (Vec<f64>, Vec<f64>) = waits.partition(|wait_ms| *wait_ms < left_ms);
--- a/hemlockrouter-route/src/direct/merge.rs
+++ b/hemlockrouter-route/src/direct/merge.rs
@@ -14,9 +14,7 @@
 where
     I: IntoIterator<Item = &'p [u8]>,
 {
-    let whole = parts
-        .into_iter()
-        .flat_map(|part| part.chunks_exact(RECORD_BYTES));
+    let whole = parts.into_iter().flat_map(whole_records);
     let mut records: Vec<&[u8]> = whole.collect();
     if records.len() > records_max && records_max > 0 {
         records.select_nth_unstable_by(records_max - 1, |a, b| b.cmp(a));
@@ -41,10 +39,7 @@
     where
         I: IntoIterator<Item = &'p [u8]>,
     {
-        let whole = parts
-            .into_iter()
-            .flat_map(|part| part.chunks_exact(RECORD_BYTES));
-        for record in whole {
+        for record in parts.into_iter().flat_map(whole_records) {
             let record = record.try_into();
             self.records.push(record.expect("chunks have this size"));
         }
@@ -58,8 +53,12 @@
             0 => None,
             _ => self.records.get(records_max - 1),
         };
-        let whole = part.chunks_exact(RECORD_BYTES);
-        let kept = whole.filter(|record| least.is_none_or(|least| *record >= &least[..]));
+        let kept =
+            whole_records(part).filter(|record| least.is_none_or(|least| *record >= &least[..]));
         kept.collect::<Vec<&[u8]>>().concat().into()
     }
 }
+
+fn whole_records(part: &[u8]) -> impl Iterator<Item = &[u8]> {
+    part.chunks_exact(RECORD_BYTES)
+}
--- a/hemlockrouter-route/src/direct/queue.rs
+++ b/hemlockrouter-route/src/direct/queue.rs
@@ -5,7 +5,7 @@
 //! soon as one has. Parts of requests that can still be answered within their target go first, the nearest
 //! target before others; those that are late already come after them.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use hemlockrouter_types::prelude::*;
 
@@ -27,7 +27,7 @@
 /// The parts that wait, by service.
 #[derive(Debug, Default)]
 pub(super) struct Queues {
-    of: HashMap<ServiceKey, Vec<Queued>>,
+    of: BTreeMap<ServiceKey, Vec<Queued>>,
 }
 
 impl Queues {
--- a/hemlockrouter-route/src/direct/upstreams/choose.rs
+++ b/hemlockrouter-route/src/direct/upstreams/choose.rs
@@ -9,6 +9,7 @@
 use super::Upstream;
 use super::Upstreams;
 use crate::direct::record::Record;
+use crate::direct::table::Route;
 
 /// The cost of an upstream that has failed always, in milliseconds.
 const FAILING_MS: f64 = 300.0;
@@ -44,6 +45,18 @@
     pub(in crate::direct) far_ms: f64,
 }
 
+impl<'a> Wanted<'a> {
+    /// Any upstream of `service` that `route` may use.
+    pub(in crate::direct) fn any(service: ServiceKey, route: &'a Route) -> Wanted<'a> {
+        Wanted {
+            service,
+            regions: &route.entry.regions,
+            among: Among::AllBut(&[]),
+            far_ms: route.far_ms(),
+        }
+    }
+}
+
 /// Whether a service can be reached, the best last.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(in crate::direct) enum Reach {
