--- a/hemlockrouter-cli/src/bin/hemlockctl/direct.rs
+++ b/hemlockrouter-cli/src/bin/hemlockctl/direct.rs
@@ -17,6 +17,9 @@
     routes: usize,
     pending: usize,
     registry_age_ms: Option<u64>,
+    /// Left out by earlier versions.
+    #[serde(default)]
+    registry_path: Vec<String>,
     instances: Vec<Instance>,
     upstreams: Vec<Upstream>,
 }
@@ -71,8 +74,12 @@
     let ready = if status.ready { "ready" } else { "not ready" };
     let age = status.registry_age_ms;
     let age = age.map_or(String::from("never"), |ms| format!("{ms} ms ago"));
+    let path = match status.registry_path.as_slice() {
+        [] => String::new(),
+        path => format!(" through {}", path.join(" ")),
+    };
     println!(
-        "instance {} in {}: {ready}, version {}, {} routes, registry heard from {age}, {} requests",
+        "instance {} in {}: {ready}, version {}, {} routes, registry heard from {age}{path}, {} requests",
         status.instance, status.zone, status.version, status.routes, status.pending
     );
     println!("\ninstances:");
--- a/hemlockrouter-edge/src/registry.rs
+++ b/hemlockrouter-edge/src/registry.rs
@@ -79,6 +79,8 @@
     pub revision: u64,
     /// How long ago the sender last heard from the registry, in milliseconds.
     pub age_ms: u64,
+    /// The instances that this came through: the one that read the registry first, the sender last.
+    pub path: Vec<String>,
     /// The entries, encoded apart so that those of a whole page are encoded once for many receivers.
     pub entries: EncodedEntries,
 }
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -269,7 +269,7 @@
                 let address = relay.to_string();
                 info!(target: "dependency", relay = address, age_ms = age_ms; "read from a relay");
                 match page.entries.decode() {
-                    Ok(entries) => self.take(&entries, page.revision, true, age_ms),
+                    Ok(entries) => self.take(&entries, page.revision, true, age_ms, &page.path),
                     Err(err) => {
                         let err = CallError::NoAnswer(err.to_string());
                         self.note_relay_failed(relay, &err);
@@ -305,7 +305,7 @@
             from = page.next;
             if from.is_none() {
                 self.note_registry_answered();
-                self.take(&entries, revision, true, 0);
+                self.take(&entries, revision, true, 0, &[]);
                 return Ok(());
             }
         }
@@ -334,7 +334,7 @@
         match self.protocol.read_changes(status, &body) {
             Ok(page) => {
                 self.note_registry_answered();
-                self.take(&page.entries, page.revision, false, 0);
+                self.take(&page.entries, page.revision, false, 0, &[]);
                 Ok(())
             }
             Err(RegistryError::HistoryGone) => {
@@ -369,12 +369,19 @@
         };
         let now = self.clock.now();
         let is_in_touch = self.sources.relay_answered(now, relay, page.age_ms);
-        self.take(&entries, page.revision, page.is_whole, page.age_ms);
+        self.take(
+            &entries,
+            page.revision,
+            page.is_whole,
+            page.age_ms,
+            &page.path,
+        );
         if is_in_touch {
             self.pace()
         } else {
             let address = relay.to_string();
-            info!(target: "dependency", relay = address, age_ms = page.age_ms; "relay out of touch");
+            let path = shown(&page.path);
+            info!(target: "dependency", relay = address, age_ms = page.age_ms, path = path; "relay out of touch");
             PAUSE
         }
     }
@@ -408,7 +415,14 @@
         }
     }
 
-    fn take(&mut self, entries: &[Entry], revision: u64, is_whole: bool, age_ms: u64) {
+    fn take(
+        &mut self,
+        entries: &[Entry],
+        revision: u64,
+        is_whole: bool,
+        age_ms: u64,
+        path: &[String],
+    ) {
         let was_old = self.mirror.age_ms().is_none_or(|age_ms| age_ms > OUTAGE_MS);
         if was_old && age_ms <= OUTAGE_MS {
             self.filling_until = self.clock.now() + FILLING_MS;
@@ -419,7 +433,16 @@
             .iter()
             .filter(|entry| is_whole || entry.revision > known);
         let entries: Vec<Entry> = newer.cloned().collect();
-        self.mirror.take(&entries, revision, is_whole, age_ms);
+        self.mirror.take(&entries, revision, is_whole);
+        if self.mirror.heard(age_ms, path) {
+            info!(
+                target: "dependency",
+                path = shown(path),
+                age_ms = age_ms,
+                revision = revision;
+                "registry heard another way"
+            );
+        }
         if is_whole || !entries.is_empty() {
             let changes = entries.into_iter().map(|entry| entry.change);
             self.node.changed(changes.collect(), is_whole);
@@ -450,6 +473,14 @@
     }
 }
 
+/// Returns the instances through which news came, for the log.
+fn shown(path: &[String]) -> String {
+    match path {
+        [] => String::from("none"),
+        path => path.join(" "),
+    }
+}
+
 fn relays_of(instances: &[InstanceEntry]) -> Vec<SocketAddr> {
     instances.iter().filter_map(|entry| entry.relay).collect()
 }
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -135,7 +135,7 @@
     let keeping = Rc::clone(&node);
     tokio::task::spawn_local(async move { keeping.keep_time().await });
     let metrics = Rc::new(Metrics::new());
-    let mirror = Rc::new(Mirror::new(clock));
+    let mirror = Rc::new(Mirror::new(clock, &settings.name));
     let log = Rc::new(RequestsLog {
         metrics: Rc::clone(&metrics),
     });
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -26,6 +26,8 @@
 /// What this instance has read of the registry.
 pub(super) struct Mirror {
     clock: Clock,
+    /// The name of this instance.
+    name: String,
     state: RefCell<State>,
     changed: Notify,
 }
@@ -36,6 +38,8 @@
     /// Changes after this revision are all kept.
     kept_from: u64,
     heard_at: Option<Time>,
+    /// The instances through which this one heard, the one that read the registry first.
+    path: Vec<String>,
     /// All entries as they travel, and the revision up to which they are encoded.
     encoded: Option<(u64, EncodedEntries)>,
     entries: BTreeMap<Subject, Entry>,
@@ -43,9 +47,10 @@
 }
 
 impl Mirror {
-    pub(super) fn new(clock: Clock) -> Mirror {
+    pub(super) fn new(clock: Clock, name: &str) -> Mirror {
         Mirror {
             clock,
+            name: String::from(name),
             state: RefCell::default(),
             changed: Notify::new(),
         }
@@ -64,8 +69,30 @@
         heard_at.map(|at| self.clock.now().since(at))
     }
 
-    /// Takes over what was read. `age_ms` is how long ago the registry was in that state at least.
-    pub(super) fn take(&self, entries: &[Entry], revision: u64, is_whole: bool, age_ms: u64) {
+    /// Returns the instances through which this one heard from the registry last, the one that read it
+    /// first; none if this one did.
+    pub(super) fn path(&self) -> Vec<String> {
+        self.state.borrow().path.clone()
+    }
+
+    /// Takes over that the registry was heard from `age_ms` ago through the instances of `path`. Returns
+    /// whether these are others than before.
+    pub(super) fn heard(&self, age_ms: u64, path: &[String]) -> bool {
+        let mut state = self.state.borrow_mut();
+        let heard_at = Some(self.clock.now().before(age_ms));
+        if heard_at < state.heard_at {
+            return false;
+        }
+        state.heard_at = heard_at;
+        let is_other = state.path != path;
+        if is_other {
+            state.path = path.to_vec();
+        }
+        is_other
+    }
+
+    /// Takes over what was read.
+    pub(super) fn take(&self, entries: &[Entry], revision: u64, is_whole: bool) {
         let mut state = self.state.borrow_mut();
         if is_whole {
             state.entries.clear();
@@ -79,8 +106,6 @@
             state.encoded = None;
         }
         state.revision = state.revision.max(revision);
-        let heard_at = self.clock.now().before(age_ms);
-        state.heard_at = state.heard_at.max(Some(heard_at));
         drop(state);
         if is_whole || !entries.is_empty() {
             self.changed.notify_waiters();
@@ -140,6 +165,7 @@
             is_whole: kept.is_none(),
             revision: state.revision,
             age_ms: state.heard_at.map_or(u64::MAX, |at| now.since(at)),
+            path: state.path.iter().chain([&self.name]).cloned().collect(),
             entries,
         })
     }
--- a/src/direct/operators.rs
+++ b/src/direct/operators.rs
@@ -34,6 +34,8 @@
     ready: bool,
     /// How long ago the registry was heard from; none if never.
     registry_age_ms: Option<u64>,
+    /// The instances through which it was heard, the one that read it first.
+    registry_path: Vec<String>,
     #[serde(flatten)]
     status: Status,
 }
@@ -54,7 +56,7 @@
         match request.uri().path() {
             "/livez" => page(StatusCode::OK, "alive"),
             "/ready" | "/readyz" => self.ready(),
-            "/metrics" => page(StatusCode::OK, self.metrics.text()),
+            "/metrics" => self.metrics(),
             "/status" => self.status(),
             "/explain" => self.explain(request.uri().query().unwrap_or_default()),
             _ => page(StatusCode::NOT_FOUND, "no such page"),
@@ -65,6 +67,14 @@
         self.node.is_configured() && *self.phase.borrow() == Phase::Serving
     }
 
+    fn metrics(&self) -> Response<Bytes> {
+        if let Some(age_ms) = self.mirror.age_ms() {
+            let steps = self.mirror.path().len();
+            self.metrics.registry_heard(age_ms, steps as u64);
+        }
+        page(StatusCode::OK, self.metrics.text())
+    }
+
     fn status(&self) -> Response<Bytes> {
         let Some(status) = self.node.status() else {
             return page(StatusCode::SERVICE_UNAVAILABLE, "the instance has ended");
@@ -72,6 +82,7 @@
         json_page(&AnsweredStatus {
             ready: self.is_ready(),
             registry_age_ms: self.mirror.age_ms(),
+            registry_path: self.mirror.path(),
             status,
         })
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,6 +4,7 @@
 //! customers must not bound the size of the metrics.
 
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry::KeyValue;
@@ -21,6 +22,8 @@
     dispatches: Counter<u64>,
     sub_requests: Counter<u64>,
     messages: Counter<u64>,
+    registry_age_ms: Gauge<u64>,
+    registry_steps: Gauge<u64>,
 }
 
 impl Metrics {
@@ -61,6 +64,14 @@
                 .u64_counter("messages")
                 .with_description("Messages from other instances")
                 .build(),
+            registry_age_ms: meter
+                .u64_gauge("registry_age_ms")
+                .with_description("How long ago the registry was heard from, in milliseconds")
+                .build(),
+            registry_steps: meter
+                .u64_gauge("registry_steps")
+                .with_description("Through how many instances the registry was heard")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -91,6 +102,12 @@
         self.messages.add(count, &[]);
     }
 
+    /// Sets how long ago the registry was heard from, and through how many instances.
+    pub(crate) fn registry_heard(&self, age_ms: u64, steps: u64) {
+        self.registry_age_ms.record(age_ms, &[]);
+        self.registry_steps.record(steps, &[]);
+    }
+
     /// Returns all metrics in the text format of Prometheus.
     pub(crate) fn text(&self) -> String {
         let families = self.registry.gather();
