An instance that heard through its follower is not followed by it

What callers saw: confirmed changes were not in force for 3.4 s at instances that nothing was done to. Cause: the reader of a zone that the store turns away follows another instance; its followers come back to it when its bar ends, and all follow in a circle in which ages only grow. Evidence: the path in the log, 'gwangju-c-1 daegu-a-1 daegu-a-3 daegu-a-1 daegu-a-3'. A page whose path holds the follower's own name now counts as out of touch.

--- a/hemlockrouter-lab/tests/registry_fleet.rs
+++ b/hemlockrouter-lab/tests/registry_fleet.rs
@@ -334,7 +334,9 @@
                 match other.and_then(|other| self.nodes[other].known) {
                     Some((revision, heard_at)) => {
                         let age_ms = now.since(heard_at);
-                        self.nodes[at].sources.relay_answered(now, relay, age_ms);
+                        self.nodes[at]
+                            .sources
+                            .relay_answered(now, relay, age_ms, false);
                         self.learn(at, revision, heard_at);
                         PACE_MS
                     }
--- a/hemlockrouter-member/src/sources.rs
+++ b/hemlockrouter-member/src/sources.rs
@@ -125,12 +125,18 @@
         self.registry_due_at = now + pause_ms;
     }
 
-    /// Takes over that a relay has answered that heard of the registry `age_ms` ago, and returns whether
-    /// it is in touch.
-    pub fn relay_answered(&mut self, now: Time, relay: SocketAddr, age_ms: u64) -> bool {
+    /// Takes over that a relay has answered that heard of the registry `age_ms` ago, perhaps through this
+    /// instance, and returns whether it is in touch.
+    pub fn relay_answered(
+        &mut self,
+        now: Time,
+        relay: SocketAddr,
+        age_ms: u64,
+        is_through_me: bool,
+    ) -> bool {
         let known = self.relays.entry(relay).or_default();
         known.failures = 0;
-        let is_in_touch = age_ms <= AGE_MAX_MS;
+        let is_in_touch = age_ms <= AGE_MAX_MS && !is_through_me;
         if is_in_touch {
             self.outdated_since = None;
         } else {
--- a/hemlockrouter-member/tests/registry/sources.rs
+++ b/hemlockrouter-member/tests/registry/sources.rs
@@ -42,7 +42,7 @@
     assert_eq!(sources.next(at(0), &reading), Source::Registry);
     sources.registry_failed(at(0), &reading);
     assert_eq!(sources.next(at(10), &reading), Source::Relay(relay(1)));
-    assert!(sources.relay_answered(at(20), relay(1), FRESH_MS));
+    assert!(sources.relay_answered(at(20), relay(1), FRESH_MS, false));
     assert_eq!(sources.next(at(250), &reading), Source::Registry);
     sources.registry_answered(at(260));
     assert_eq!(sources.next(at(270), &reading), Source::Registry);
@@ -89,13 +89,21 @@
 fn followers_leave_a_relay_that_is_out_of_touch_for_one_that_is_not() {
     let mut sources = Sources::new(0);
     let reading = follower();
-    assert!(!sources.relay_answered(at(0), relay(1), OLD_MS));
+    assert!(!sources.relay_answered(at(0), relay(1), OLD_MS, false));
     assert_eq!(sources.next(at(0), &reading), Source::Relay(relay(2)));
-    assert!(sources.relay_answered(at(100), relay(2), FRESH_MS));
+    assert!(sources.relay_answered(at(100), relay(2), FRESH_MS, false));
     assert_eq!(sources.next(at(100), &reading), Source::Relay(relay(2)));
     assert_eq!(sources.next(at(2_000), &reading), Source::Relay(relay(1)));
 }
 
+#[test]
+fn a_relay_that_heard_through_its_follower_is_left_for_another_one() {
+    let mut sources = Sources::new(0);
+    let reading = follower();
+    assert!(!sources.relay_answered(at(0), relay(1), FRESH_MS, true));
+    assert_eq!(sources.next(at(0), &reading), Source::Relay(relay(2)));
+}
+
 #[test]
 fn followers_look_for_themselves_at_different_times_when_all_relays_are_out_of_touch() {
     let reading = follower();
@@ -110,7 +118,7 @@
                     sources.registry_failed(now, &reading);
                 }
                 Source::Relay(relay) => {
-                    sources.relay_answered(now, relay, OLD_MS);
+                    sources.relay_answered(now, relay, OLD_MS, false);
                 }
                 Source::Nowhere { .. } => panic!("relays answer"),
             }
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -368,7 +368,10 @@
             }
         };
         let now = self.clock.now();
-        let is_in_touch = self.sources.relay_answered(now, relay, page.age_ms);
+        let is_through_me = page.path.contains(&self.name);
+        let is_in_touch = self
+            .sources
+            .relay_answered(now, relay, page.age_ms, is_through_me);
         self.take(
             &entries,
             page.revision,
