--- a/hemlockrouter-cli/tests/direct/in_force.rs
+++ b/hemlockrouter-cli/tests/direct/in_force.rs
@@ -110,7 +110,6 @@
 
 /// Guards against the incident docs/incidents/halls-config.md.
 #[test]
-#[ignore = "issue 26, see KNOWN-RED.txt"]
 fn a_confirmed_version_is_in_force_in_time_while_the_store_turns_instances_away() {
     let seeds = std::env::var("HEMLOCK_IN_FORCE_SEEDS").ok();
     let seeds = seeds.unwrap_or_else(|| String::from("1..3"));
--- a/hemlockrouter-config/src/direct.rs
+++ b/hemlockrouter-config/src/direct.rs
@@ -35,6 +35,8 @@
 
 /// The fields of `bounds`.
 const BOUNDS: &[&str] = &[
+    "in_force_ms",
+    "evacuate_ms",
     "drain_ms",
     "shutdown_s",
     "catch_up_ms",
@@ -99,6 +101,11 @@
     pub memory_bytes: usize,
     /// How much of a processor the process has, in thousandths of a core. Default: 1,000.
     pub cpu_permille: u32,
+    /// How soon a change of the routes is in force, in milliseconds. Default: 3,000.
+    pub in_force_ms: u64,
+    /// How soon an availability zone that is taken out of service gets nothing more, in milliseconds.
+    /// Default: 5,000.
+    pub evacuate_ms: u64,
     /// How long an upstream that is leaving may still get requests, in milliseconds.
     pub drain_ms: u64,
     /// How long a graceful shutdown may take, in milliseconds.
@@ -194,6 +201,8 @@
             registry_address: address(&table, "registry_address")?,
             cpu_permille: (1_000.0 * decimal(&table, "cpu_share", 1.0, 1_024.0)?) as u32,
             memory_bytes: (table.number_or("memory_mb", 256, 16, 1 << 20)? as usize) << 20,
+            in_force_ms: bounds.number_or("in_force_ms", 3_000, 500, 600_000)?,
+            evacuate_ms: bounds.number_or("evacuate_ms", 5_000, 500, 600_000)?,
             drain_ms: bounds.number_or("drain_ms", 3_000, 100, 600_000)?,
             shutdown_ms: 1_000 * bounds.number_or("shutdown_s", 6, 1, 600)?,
             catch_up_ms: bounds.number_or("catch_up_ms", 5_000, 500, 600_000)?,
@@ -261,6 +270,8 @@
             ("seeds", self.seeds != newer.seeds),
             ("cpu_share", self.cpu_permille != newer.cpu_permille),
             ("memory_mb", self.memory_bytes != newer.memory_bytes),
+            ("bounds.in_force_ms", self.in_force_ms != newer.in_force_ms),
+            ("bounds.evacuate_ms", self.evacuate_ms != newer.evacuate_ms),
             ("bounds.catch_up_ms", self.catch_up_ms != newer.catch_up_ms),
             (
                 "bounds.repeat_window_s",
--- a/hemlockrouter-config/tests/direct.rs
+++ b/hemlockrouter-config/tests/direct.rs
@@ -26,6 +26,8 @@
     ),
     ("{{limits.memoryMb|json}}", "260"),
     ("{{limits.cpuShare|json}}", "0.25"),
+    ("{{bounds.configApplyMs|json}}", "3000"),
+    ("{{bounds.evacuateMs|json}}", "5000"),
     ("{{bounds.drainMs|json}}", "3000"),
     ("{{bounds.graceS|json}}", "6"),
     ("{{bounds.contactMs|json}}", "5000"),
@@ -127,6 +129,8 @@
     "cpu_share": 0.5,
     "registry_address": "10.1.0.8:5",
     "bounds": {
+        "in_force_ms": 800,
+        "evacuate_ms": 700,
         "drain_ms": 200,
         "shutdown_s": 9,
         "catch_up_ms": 900,
--- a/hemlockrouter-member/src/lib.rs
+++ b/hemlockrouter-member/src/lib.rs
@@ -60,5 +60,6 @@
 pub use crate::registrar::Step;
 pub use crate::registrar::JOIN_EVERY_MS;
 pub use crate::registrar::LEASE_MS;
-pub use crate::sources::Source;
+pub use crate::sources::Call;
 pub use crate::sources::Sources;
+pub use crate::sources::Timing;
--- a/hemlockrouter-member/src/sources.rs
+++ b/hemlockrouter-member/src/sources.rs
@@ -1,173 +1,492 @@
 //! From whom an instance learns what the registry holds.
 //!
 //! A few instances read the registry and the others follow their relays, since the registry bounds its
-//! calls over all instances. Whoever loses its relay turns to the next one, and to the registry itself
-//! only when no relay is in touch with it. The registry may be out of order for all: then relays still
-//! answer, and an instance that follows them looks for itself only now and then, at a time of its own.
+//! calls over all instances. What is known has an age: the time since the registry was in that state at
+//! least. A change must be in force everywhere within a bound, so the age must not reach it at any
+//! instance, as long as the registry answers any one of those that can be reached. [`Timing`] divides the
+//! bound among the steps.
+//!
+//! An instance whose knowledge is stale asks all relays at once and follows one that is in touch. If
+//! there is none it asks the registry itself, and offers itself to its relays when it is answered: the
+//! registry may turn away exactly those that are to read it. Nobody follows an instance that heard
+//! through it, which the path says that comes with each answer.
+//!
+//! The registry may be out of order for all. Then relays still answer, and instances that are not to
+//! read for others ask the registry ever more rarely.
+
+mod relays;
+mod timing;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Reading;
 
-/// A relay whose last word from the registry is older than this is not in touch, in milliseconds.
-const AGE_MAX_MS: u64 = 3_000;
+use self::relays::Answered;
+use self::relays::Relays;
+pub use self::timing::Timing;
 
-/// For how long a relay that is not in touch is not asked if another one is, in milliseconds.
-const OUTDATED_MS: u64 = 2_000;
-
-/// For how long a relay that did not answer is not asked, in milliseconds. It doubles each time.
-const BARRED_MIN_MS: u64 = 2_000;
-
-/// The longest time for which a relay that did not answer is not asked, in milliseconds.
-const BARRED_MAX_MS: u64 = 16_000;
+/// Through how many instances news may come. Each step takes a moment, and a longer way is found only
+/// where a shorter one exists.
+const STEPS_MAX: usize = 4;
 
 /// The pause of a reader after the registry first did not answer, in milliseconds. It doubles each time.
 const READER_PAUSE_MIN_MS: u64 = 250;
 
-/// The longest pause of a reader, in milliseconds.
-const READER_PAUSE_MAX_MS: u64 = 1_000;
+/// The pause before the followed relay is asked again, in milliseconds.
+const FOLLOW_PAUSE_MS: u64 = 50;
+
+/// How many relays one search asks: as many as there are readers nearby and of other availability zones.
+const ASKED_MAX: usize = 8;
 
-/// The pause of other instances after the registry first did not answer, in milliseconds. It doubles
-/// each time.
-const FOLLOWER_PAUSE_MIN_MS: u64 = 1_000;
+/// The pause after a search of all relays that found none, in milliseconds.
+const SEARCH_PAUSE_MIN_MS: u64 = 200;
 
-/// The longest pause of other instances, in milliseconds.
-const FOLLOWER_PAUSE_MAX_MS: u64 = 4_000;
+/// After so many searches in a row that found none the pause doubles each time.
+const QUICK_SEARCHES: u32 = 3;
 
-/// Where the next news comes from.
+/// The longest pause between two searches, in milliseconds. Meanwhile a relay is asked to wait for news.
+const SEARCH_PAUSE_MAX_MS: u64 = 3_200;
+
+/// The longest time between two looks at what is due, in milliseconds.
+const LOOK_EVERY_MS: u64 = 1_000;
+
+/// A call to be made.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Source {
-    /// The registry itself.
-    Registry,
-    /// Another instance.
-    Relay(SocketAddr),
-    /// Nowhere for so long, in milliseconds.
-    Nowhere {
-        /// How long to wait.
+pub enum Call {
+    /// Ask the registry for changes.
+    Watch {
+        /// How long it waits for one, in milliseconds.
+        wait_ms: u64,
+        /// How long the call may take, in milliseconds.
+        limit_ms: u64,
+    },
+    /// Ask another instance for changes.
+    Ask {
+        /// Where it is.
+        relay: SocketAddr,
+        /// How long it waits until it has heard more, in milliseconds.
         wait_ms: u64,
+        /// How long the call may take, in milliseconds.
+        limit_ms: u64,
+    },
+    /// Tell another instance that this one is in touch with the registry.
+    Offer {
+        /// Where it is.
+        relay: SocketAddr,
     },
 }
 
 /// What is known of the ways to the registry.
 #[derive(Clone, Debug)]
 pub struct Sources {
-    relays: BTreeMap<SocketAddr, Relay>,
-    registry_failures: u32,
-    registry_due_at: Time,
-    /// Since when relays answer but none is in touch.
-    outdated_since: Option<Time>,
+    name: String,
+    timing: Timing,
     /// A number that differs between instances and spreads their calls.
     spread: u64,
+    started_at: Time,
+    heard_at: Option<Time>,
+    registry: Registry,
+    /// No relay is in touch, so this instance reads for itself.
+    reads_alone: bool,
+    relays: Relays,
+    /// Whom it may ask, the best one first.
+    candidates: Vec<SocketAddr>,
+    followed: Option<SocketAddr>,
+    follow_at: Time,
+    search: Search,
+    review_at: Time,
+    /// Whom it is to ask at once, since they offered themselves.
+    asks: Vec<SocketAddr>,
+    was_stale: bool,
+    wake_at: Time,
+}
+
+/// How the registry answers this instance.
+#[derive(Clone, Copy, Debug, Default)]
+struct Registry {
+    /// Since when a call is under way.
+    asked_at: Option<Time>,
+    /// The last call was answered.
+    serves: bool,
+    failures: u32,
+    due_at: Time,
 }
 
+/// The state of asking all relays at once.
 #[derive(Clone, Copy, Debug, Default)]
-struct Relay {
+struct Search {
+    /// Until when answers are waited for.
+    until: Option<Time>,
+    /// How many searches in a row have found nobody.
     failures: u32,
-    barred_until: Time,
-    outdated_until: Time,
+    due_at: Time,
 }
 
 impl Sources {
     /// Makes the state of an instance that has asked nobody yet. `spread` is to differ between
     /// instances.
-    pub fn new(spread: u64) -> Sources {
+    pub fn new(name: &str, timing: Timing, spread: u64, now: Time) -> Sources {
         Sources {
-            relays: BTreeMap::new(),
-            registry_failures: 0,
-            registry_due_at: Time::ZERO,
-            outdated_since: None,
+            name: String::from(name),
+            timing,
             spread,
+            started_at: now,
+            heard_at: None,
+            registry: Registry::default(),
+            reads_alone: false,
+            relays: Relays::default(),
+            candidates: Vec::new(),
+            followed: None,
+            follow_at: Time::ZERO,
+            search: Search::default(),
+            review_at: Time::ZERO,
+            asks: Vec::new(),
+            was_stale: true,
+            wake_at: Time::ZERO,
         }
     }
 
-    /// Returns whom to ask next.
-    pub fn next(&mut self, now: Time, reading: &Reading) -> Source {
-        let is_due = now >= self.registry_due_at;
-        if reading.reads && is_due {
-            return Source::Registry;
-        }
-        let answering = reading.relays.iter().copied();
-        let mut answering = answering.filter(|relay| !self.is_barred(now, *relay));
-        let first = answering.clone().next();
-        if let Some(relay) = answering.find(|relay| !self.is_outdated(now, *relay)) {
-            return Source::Relay(relay);
-        }
-        let Some(outdated) = first else {
-            return self.registry_or_wait(now);
-        };
-        // The registry is most likely out of order for all.
-        let since = *self.outdated_since.get_or_insert(now);
-        let look_at = since + self.spread % FOLLOWER_PAUSE_MAX_MS;
-        if is_due && now >= look_at {
-            return Source::Registry;
+    /// Returns whether what is known is so old that other ways are looked for.
+    pub fn is_stale(&self, now: Time) -> bool {
+        let stale_ms = self.timing.stale_ms();
+        self.heard_at.is_none_or(|at| now.since(at) > stale_ms)
+    }
+
+    /// Returns the calls to be made now.
+    pub fn poll(&mut self, now: Time, reading: &Reading) -> Vec<Call> {
+        let mut calls = Vec::new();
+        self.candidates = self.relays.candidates(&reading.relays);
+        self.relays.forget(now, &self.candidates);
+        self.begin_or_end_stale_time(now);
+        self.watch(now, reading, &mut calls);
+        self.ask_offered(&mut calls);
+        if self.needs_relay(now, reading) {
+            self.end_search_if_over(now);
+            self.search(now, &mut calls);
+            self.follow(now, &mut calls);
+        } else {
+            self.followed = None;
+            self.search.until = None;
+            if self.reads_alone && self.registry.serves {
+                self.review(now, &mut calls);
+            }
         }
-        Source::Relay(outdated)
+        self.wake_at = self.next_look(now, reading);
+        calls
     }
 
-    /// Takes over that the registry has answered.
-    pub fn registry_answered(&mut self, now: Time) {
-        self.registry_failures = 0;
-        self.registry_due_at = now;
+    /// Returns which relay is followed, if one is.
+    pub fn followed(&self) -> Option<SocketAddr> {
+        self.followed
+    }
+
+    /// Returns when to [`poll`](Sources::poll) again if nothing happens before.
+    pub fn wake_at(&self) -> Time {
+        self.wake_at
+    }
+
+    /// Takes over that the registry was in the state that is known at least at `heard_at`.
+    pub fn heard(&mut self, heard_at: Time) {
+        self.heard_at = self.heard_at.max(Some(heard_at));
+    }
+
+    /// Takes over that the registry has answered; the next call is due after `pace_ms`. Returns whom to
+    /// tell that this instance is in touch.
+    pub fn registry_answered(&mut self, now: Time, pace_ms: u64) -> Vec<Call> {
+        let was_serving = std::mem::replace(&mut self.registry.serves, true);
+        self.registry.asked_at = None;
+        self.registry.failures = 0;
+        self.registry.due_at = now + pace_ms;
+        if self.reads_alone && !was_serving {
+            self.review_at = now + self.review_pause_ms();
+            self.offers()
+        } else {
+            Vec::new()
+        }
     }
 
     /// Takes over that the registry has not answered.
     pub fn registry_failed(&mut self, now: Time, reading: &Reading) {
         let (min_ms, max_ms) = match reading.reads {
-            true => (READER_PAUSE_MIN_MS, READER_PAUSE_MAX_MS),
-            false => (FOLLOWER_PAUSE_MIN_MS, FOLLOWER_PAUSE_MAX_MS),
+            true => (READER_PAUSE_MIN_MS, self.timing.reader_pause_max_ms()),
+            false => (self.timing.pause_min_ms(), self.timing.pause_max_ms()),
         };
-        let pause_ms = doubled(min_ms, self.registry_failures, max_ms);
+        let pause_ms = doubled(min_ms, self.registry.failures, max_ms);
         // Up to a quarter longer, so that instances do not call all at once.
-        let pause_ms = pause_ms + self.spread % (pause_ms / 4);
-        self.registry_failures += 1;
-        self.registry_due_at = now + pause_ms;
+        let pause_ms = pause_ms + self.spread % (pause_ms / 4).max(1);
+        self.registry.asked_at = None;
+        self.registry.serves = false;
+        self.registry.failures += 1;
+        self.registry.due_at = now + pause_ms;
     }
 
-    /// Takes over that a relay has answered that heard of the registry `age_ms` ago, perhaps through this
-    /// instance, and returns whether it is in touch.
+    /// Takes over that a relay has answered that heard of the registry `age_ms` ago through the instances
+    /// of `path`, and returns whether it can be followed.
     pub fn relay_answered(
         &mut self,
         now: Time,
         relay: SocketAddr,
         age_ms: u64,
-        is_through_me: bool,
+        path: &[String],
     ) -> bool {
-        let known = self.relays.entry(relay).or_default();
-        known.failures = 0;
-        let is_in_touch = age_ms <= AGE_MAX_MS && !is_through_me;
-        if is_in_touch {
-            self.outdated_since = None;
-        } else {
-            known.outdated_until = now + OUTDATED_MS;
+        let is_through_me = path.contains(&self.name);
+        let is_in_touch = age_ms <= self.timing.stale_ms() && path.len() <= STEPS_MAX;
+        let is_usable = is_in_touch && !is_through_me;
+        self.relays.answered(
+            relay,
+            match is_usable {
+                true => Answered::Usable,
+                false => Answered::Unusable,
+            },
+        );
+        if is_usable && self.is_better(relay) {
+            self.choose(now, relay);
+        }
+        if self.followed == Some(relay) {
+            self.follow_at = now + FOLLOW_PAUSE_MS;
         }
-        is_in_touch
+        is_usable
     }
 
     /// Takes over that a relay has not answered, or with less than is known.
     pub fn relay_failed(&mut self, now: Time, relay: SocketAddr) {
-        let known = self.relays.entry(relay).or_default();
-        let barred_ms = doubled(BARRED_MIN_MS, known.failures, BARRED_MAX_MS);
-        known.failures += 1;
-        known.barred_until = now + barred_ms;
+        self.relays.failed(now, relay);
+        if self.followed == Some(relay) {
+            self.followed = None;
+            self.search.due_at = now;
+        }
     }
 
-    fn registry_or_wait(&self, now: Time) -> Source {
-        match self.registry_due_at.left(now) {
-            0 => Source::Registry,
-            wait_ms => Source::Nowhere { wait_ms },
+    /// Takes over that another instance says that it is in touch with the registry.
+    pub fn offered(&mut self, now: Time, relay: SocketAddr) {
+        self.relays.offered(relay, now + self.timing.offer_ms());
+        if self.is_stale(now) {
+            self.asks.push(relay);
         }
     }
 
-    fn is_barred(&self, now: Time, relay: SocketAddr) -> bool {
-        let known = self.relays.get(&relay);
-        known.is_some_and(|known| now < known.barred_until)
+    /// A stale time begins with a try at once: what failed before may be in order by now.
+    fn begin_or_end_stale_time(&mut self, now: Time) {
+        let is_stale = self.is_stale(now);
+        if is_stale && !self.was_stale {
+            self.registry.failures = 0;
+            self.registry.due_at = self.registry.due_at.min(now + self.spread_ms());
+            // All instances know the same, and become stale together when the registry falls silent.
+            self.search = Search {
+                due_at: now + self.spread_ms(),
+                ..Search::default()
+            };
+        }
+        self.was_stale = is_stale;
     }
 
-    fn is_outdated(&self, now: Time, relay: SocketAddr) -> bool {
-        let known = self.relays.get(&relay);
-        known.is_some_and(|known| now < known.outdated_until)
+    /// Returns whether this instance reads the registry itself.
+    fn reads(&self, reading: &Reading) -> bool {
+        reading.reads || self.reads_alone
+    }
+
+    fn watch(&mut self, now: Time, reading: &Reading, calls: &mut Vec<Call>) {
+        if !self.reads(reading) {
+            self.registry.serves = false;
+            return;
+        }
+        if self.registry.asked_at.is_some() || now < self.registry.due_at {
+            return;
+        }
+        // The first answer is to come at once: it shows that the registry answers.
+        let wait_ms = match self.registry.serves {
+            true => self.timing.watch_ms(),
+            false => 0,
+        };
+        self.registry.asked_at = Some(now);
+        calls.push(Call::Watch {
+            wait_ms,
+            limit_ms: wait_ms + self.timing.watch_slack_ms(),
+        });
+    }
+
+    fn needs_relay(&self, now: Time, reading: &Reading) -> bool {
+        if !self.reads(reading) || self.registry.failures > 0 {
+            return true;
+        }
+        let asked_ms = self.registry.asked_at.map(|at| now.since(at));
+        let is_just_asked = asked_ms.is_none_or(|ms| ms < self.timing.search_ms());
+        let is_first = !self.registry.serves && !self.reads_alone && is_just_asked;
+        self.is_stale(now) && !is_first
+    }
+
+    fn ask_offered(&mut self, calls: &mut Vec<Call>) {
+        for relay in std::mem::take(&mut self.asks) {
+            self.ask_now(relay, calls);
+        }
+    }
+
+    /// Asks a relay for what it knows now, unless it is being asked.
+    fn ask_now(&mut self, relay: SocketAddr, calls: &mut Vec<Call>) {
+        if self.relays.get(relay).is_asked {
+            return;
+        }
+        self.relays.asked(relay);
+        calls.push(Call::Ask {
+            relay,
+            wait_ms: 0,
+            limit_ms: self.timing.search_ms(),
+        });
+    }
+
+    /// Returns whether the relay that is followed is in touch.
+    fn follows_well(&self) -> bool {
+        let answered = self.followed.map(|relay| self.relays.get(relay).answered);
+        answered == Some(Answered::Usable)
+    }
+
+    fn search(&mut self, now: Time, calls: &mut Vec<Call>) {
+        if self.search.until.is_some() {
+            return;
+        }
+        if self.follows_well() && !self.is_stale(now) {
+            return self.review(now, calls);
+        }
+        if now < self.search.due_at {
+            return;
+        }
+        self.search.until = Some(now + self.timing.search_ms());
+        // Every other search asks the last ones, so that none is left out for long.
+        let mut asked = self.candidates.clone();
+        if self.search.failures % 2 == 1 {
+            asked.reverse();
+        }
+        for relay in asked.into_iter().take(ASKED_MAX) {
+            self.ask_now(relay, calls);
+        }
+        self.end_search_if_over(now);
+    }
+
+    /// Ends a search whose relays have all answered or had the time to, and that has found none.
+    fn end_search_if_over(&mut self, now: Time) {
+        let Some(until) = self.search.until else {
+            return;
+        };
+        let mut asked = self.candidates.iter().map(|relay| self.relays.get(*relay));
+        if now < until && asked.any(|relay| relay.is_asked) {
+            return;
+        }
+        self.search.until = None;
+        let doublings = self.search.failures.saturating_sub(QUICK_SEARCHES);
+        let pause_ms = doubled(SEARCH_PAUSE_MIN_MS, doublings, SEARCH_PAUSE_MAX_MS);
+        self.search.failures += 1;
+        self.search.due_at = now + pause_ms;
+        let is_starting = now.since(self.started_at) < self.timing.stale_ms();
+        if self.is_stale(now) && !self.reads_alone && !is_starting {
+            self.reads_alone = true;
+            self.registry.due_at = self.registry.due_at.min(now);
+        }
+        if self.followed.is_none() {
+            let answering = |relay: &&SocketAddr| {
+                let relay = self.relays.get(**relay);
+                relay.answered == Answered::Unusable && !relay.is_asked
+            };
+            self.followed = self.candidates.iter().find(answering).copied();
+            self.follow_at = now;
+        }
+    }
+
+    /// Asks those that are preferred to the one in use, from time to time.
+    fn review(&mut self, now: Time, calls: &mut Vec<Call>) {
+        if now < self.review_at {
+            return;
+        }
+        self.review_at = now + self.review_pause_ms();
+        let better = self.candidates.iter().copied();
+        let better = better.take_while(|relay| Some(*relay) != self.followed);
+        let better = better.filter(|relay| !self.relays.is_barred(now, *relay));
+        for relay in better.collect::<Vec<SocketAddr>>() {
+            self.ask_now(relay, calls);
+        }
+        if self.reads_alone {
+            calls.extend(self.offers());
+        }
+    }
+
+    fn follow(&mut self, now: Time, calls: &mut Vec<Call>) {
+        let Some(relay) = self.followed else {
+            return;
+        };
+        if now < self.follow_at || self.relays.get(relay).is_asked {
+            return;
+        }
+        self.relays.asked(relay);
+        let wait_ms = self.timing.relay_wait_ms();
+        calls.push(Call::Ask {
+            relay,
+            wait_ms,
+            limit_ms: wait_ms + self.timing.search_ms(),
+        });
+    }
+
+    /// Returns whether a relay that is in touch is better than the one in use.
+    fn is_better(&self, relay: SocketAddr) -> bool {
+        if !self.follows_well() {
+            return true;
+        }
+        let place = |of: Option<SocketAddr>| {
+            let mut candidates = self.candidates.iter();
+            candidates.position(|relay| Some(*relay) == of)
+        };
+        match (place(Some(relay)), place(self.followed)) {
+            (Some(place), Some(followed)) => place < followed,
+            (place, None) => place.is_some(),
+            (None, Some(_)) => false,
+        }
+    }
+
+    fn choose(&mut self, now: Time, relay: SocketAddr) {
+        self.followed = Some(relay);
+        self.follow_at = now;
+        self.search = Search {
+            due_at: now,
+            ..Search::default()
+        };
+        self.review_at = now + self.review_pause_ms();
+        self.reads_alone = false;
+    }
+
+    fn offers(&self) -> Vec<Call> {
+        let candidates = self.candidates.iter();
+        candidates
+            .map(|relay| Call::Offer { relay: *relay })
+            .collect()
+    }
+
+    fn spread_ms(&self) -> u64 {
+        self.spread % self.timing.spread_ms().max(1)
+    }
+
+    /// Returns the time until the next review. It differs between instances, so that two which follow
+    /// each other's readers do not change at the same moment.
+    fn review_pause_ms(&self) -> u64 {
+        let review_ms = self.timing.review_ms();
+        review_ms + self.spread % review_ms.max(1)
+    }
+
+    fn next_look(&self, now: Time, reading: &Reading) -> Time {
+        let mut looks = vec![now + LOOK_EVERY_MS];
+        if self.reads(reading) && self.registry.asked_at.is_none() {
+            looks.push(self.registry.due_at);
+        }
+        if let Some(at) = self.registry.asked_at.filter(|_| !self.registry.serves) {
+            looks.push(at + self.timing.search_ms());
+        }
+        if let Some(heard_at) = self.heard_at.filter(|_| !self.is_stale(now)) {
+            looks.push(heard_at + self.timing.stale_ms() + 1);
+        }
+        if self.needs_relay(now, reading) {
+            looks.push(self.search.until.unwrap_or(self.search.due_at));
+            looks.push(self.follow_at);
+        }
+        let later = looks.into_iter().filter(|at| *at > now);
+        later.min().unwrap_or(now + LOOK_EVERY_MS)
     }
 }
 
--- /dev/null
+++ b/hemlockrouter-member/src/sources/relays.rs
@@ -0,0 +1,102 @@
+//! What is known of other instances as ways to the registry.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use hemlockrouter_types::prelude::*;
+
+use super::doubled;
+
+/// For how long a relay that did not answer is not asked unless all are, in milliseconds. It doubles
+/// each time.
+const BARRED_MIN_MS: u64 = 2_000;
+
+/// The longest time for which a relay that did not answer is not asked, in milliseconds.
+const BARRED_MAX_MS: u64 = 16_000;
+
+/// How many instances that offered themselves are remembered.
+const OFFERED_MAX: usize = 8;
+
+/// How a relay answered last.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum Answered {
+    /// Not at all.
+    #[default]
+    Nothing,
+    /// It heard through this instance, or is out of touch.
+    Unusable,
+    /// It can be followed.
+    Usable,
+}
+
+/// What is known of one relay.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Relay {
+    pub(super) is_asked: bool,
+    pub(super) answered: Answered,
+    failures: u32,
+    barred_until: Time,
+}
+
+/// What is known of all relays.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Relays {
+    known: BTreeMap<SocketAddr, Relay>,
+    /// Instances that offered themselves, and until when they are remembered.
+    offered: BTreeMap<SocketAddr, Time>,
+}
+
+impl Relays {
+    pub(super) fn get(&self, relay: SocketAddr) -> Relay {
+        self.known.get(&relay).copied().unwrap_or_default()
+    }
+
+    pub(super) fn is_barred(&self, now: Time, relay: SocketAddr) -> bool {
+        now < self.get(relay).barred_until
+    }
+
+    pub(super) fn asked(&mut self, relay: SocketAddr) {
+        self.known.entry(relay).or_default().is_asked = true;
+    }
+
+    pub(super) fn answered(&mut self, relay: SocketAddr, answered: Answered) {
+        self.known.insert(
+            relay,
+            Relay {
+                answered,
+                ..Relay::default()
+            },
+        );
+    }
+
+    pub(super) fn failed(&mut self, now: Time, relay: SocketAddr) {
+        let known = self.known.entry(relay).or_default();
+        known.is_asked = false;
+        known.answered = Answered::Nothing;
+        known.barred_until = now + doubled(BARRED_MIN_MS, known.failures, BARRED_MAX_MS);
+        known.failures += 1;
+    }
+
+    pub(super) fn offered(&mut self, relay: SocketAddr, until: Time) {
+        if self.offered.len() < OFFERED_MAX || self.offered.contains_key(&relay) {
+            self.offered.insert(relay, until);
+        }
+    }
+
+    /// Forgets offers that are too old, and relays that are no candidates any more.
+    pub(super) fn forget(&mut self, now: Time, candidates: &[SocketAddr]) {
+        self.offered.retain(|_, until| now < *until);
+        let offered = &self.offered;
+        self.known.retain(|relay, known| {
+            known.is_asked || candidates.contains(relay) || offered.contains_key(relay)
+        });
+    }
+
+    /// Returns whom this instance may ask: those of `listed`, and those that offered themselves.
+    pub(super) fn candidates(&self, listed: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut candidates = listed.to_vec();
+        let offered = self.offered.keys().copied();
+        candidates.extend(offered.filter(|relay| !listed.contains(relay)));
+        candidates
+    }
+}
--- a/hemlockrouter-member/tests/registry/sources.rs
+++ b/hemlockrouter-member/tests/registry/sources.rs
@@ -2,15 +2,26 @@
 
 use std::net::SocketAddr;
 
-use hemlockrouter_member::Source;
+use hemlockrouter_member::Call;
 use hemlockrouter_member::Sources;
+use hemlockrouter_member::Timing;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Reading;
 
+/// How soon a change must be in force, and how soon after an outage all is known, in milliseconds.
+const BOUND_MS: u64 = 3_000;
+const CATCH_UP_MS: u64 = 5_000;
+
+/// The same, at the size that the fleet is designed for.
+const LARGE_BOUND_MS: u64 = 11_000;
+
 /// The age of a relay that is in touch, and of one that is not, in milliseconds.
 const FRESH_MS: u64 = 900;
 const OLD_MS: u64 = 4_000;
 
+/// The pause after an answer of the registry, in milliseconds.
+const PACE_MS: u64 = 300;
+
 fn at(ms: u64) -> Time {
     Time::from_ms(ms)
 }
@@ -22,7 +33,6 @@
 fn reader() -> Reading {
     Reading {
         reads: true,
-        is_followed: true,
         relays: vec![relay(1)],
     }
 }
@@ -30,103 +40,237 @@
 fn follower() -> Reading {
     Reading {
         reads: false,
-        is_followed: true,
         relays: vec![relay(1), relay(2)],
     }
 }
 
+fn sources(spread: u64) -> Sources {
+    let timing = Timing::new(BOUND_MS, CATCH_UP_MS);
+    Sources::new("me", timing, spread, Time::ZERO)
+}
+
+/// Returns an instance that has heard of the registry at `now`, some time after its start.
+fn in_touch(now: Time) -> Sources {
+    let mut sources = sources(0);
+    sources.heard(now);
+    sources
+}
+
+fn path(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| String::from(*name)).collect()
+}
+
+/// Returns which relays are asked.
+fn asked(calls: &[Call]) -> Vec<SocketAddr> {
+    let asked = calls.iter().filter_map(|call| match call {
+        Call::Ask { relay, .. } => Some(*relay),
+        Call::Watch { .. } | Call::Offer { .. } => None,
+    });
+    asked.collect()
+}
+
+fn watches(calls: &[Call]) -> bool {
+    calls.iter().any(|call| matches!(call, Call::Watch { .. }))
+}
+
+/// Has a relay answer that reads the registry itself.
+fn answer(sources: &mut Sources, now: Time, relay: SocketAddr, age_ms: u64) -> bool {
+    sources.heard(now.before(age_ms));
+    sources.relay_answered(now, relay, age_ms, &path(&["other"]))
+}
+
 #[test]
 fn a_reader_asks_the_registry_and_meanwhile_its_neighbours_when_it_is_turned_away() {
-    let mut sources = Sources::new(0);
+    let mut sources = in_touch(at(10_000));
+    let reading = reader();
+    assert!(watches(&sources.poll(at(10_000), &reading)));
+    sources.registry_failed(at(10_000), &reading);
+    assert_eq!(asked(&sources.poll(at(10_010), &reading)), [relay(1)]);
+    assert!(answer(&mut sources, at(10_020), relay(1), FRESH_MS));
+    assert_eq!(asked(&sources.poll(at(10_070), &reading)), [relay(1)]);
+    // The registry is asked again while the relay is.
+    assert!(watches(&sources.poll(at(10_250), &reading)));
+    sources.registry_answered(at(10_260), PACE_MS);
+    sources.heard(at(10_260));
+    answer(&mut sources, at(10_300), relay(1), FRESH_MS);
+    let calls = sources.poll(at(10_560), &reading);
+    assert!(watches(&calls) && asked(&calls).is_empty());
+}
+
+#[test]
+fn a_reader_whose_call_hangs_asks_its_neighbours_before_the_call_is_over() {
+    let mut sources = in_touch(at(10_000));
     let reading = reader();
-    assert_eq!(sources.next(at(0), &reading), Source::Registry);
-    sources.registry_failed(at(0), &reading);
-    assert_eq!(sources.next(at(10), &reading), Source::Relay(relay(1)));
-    assert!(sources.relay_answered(at(20), relay(1), FRESH_MS, false));
-    assert_eq!(sources.next(at(250), &reading), Source::Registry);
-    sources.registry_answered(at(260));
-    assert_eq!(sources.next(at(270), &reading), Source::Registry);
+    assert!(watches(&sources.poll(at(10_000), &reading)));
+    sources.registry_answered(at(10_010), PACE_MS);
+    assert!(watches(&sources.poll(at(10_310), &reading)));
+    assert!(asked(&sources.poll(at(10_900), &reading)).is_empty());
+    // The call is under way all the time.
+    let calls = sources.poll(at(11_501), &reading);
+    assert!(!watches(&calls));
+    assert_eq!(asked(&calls), [relay(1)]);
 }
 
 #[test]
 fn a_reader_without_neighbours_asks_ever_more_rarely() {
-    let mut sources = Sources::new(0);
+    let timing = Timing::new(2 * BOUND_MS, CATCH_UP_MS);
+    let mut sources = Sources::new("me", timing, 0, Time::ZERO);
+    sources.heard(at(10_000));
     let reading = Reading {
         relays: Vec::new(),
         ..reader()
     };
-    let mut now = at(0);
+    let mut now = at(10_000);
     let mut waits = Vec::new();
-    for _ in 0..5 {
-        assert_eq!(sources.next(now, &reading), Source::Registry);
+    let mut last = now;
+    for _ in 0..6 {
+        while !watches(&sources.poll(now, &reading)) {
+            now = now + 10;
+        }
+        waits.push(now.since(last));
+        last = now;
         sources.registry_failed(now, &reading);
-        let Source::Nowhere { wait_ms } = sources.next(now, &reading) else {
-            panic!("nobody else can be asked");
-        };
-        waits.push(wait_ms);
-        now = now + wait_ms;
+        sources.heard(now);
     }
-    assert_eq!(waits, [250, 500, 1_000, 1_000, 1_000]);
+    assert_eq!(waits, [0, 250, 500, 1_000, 1_000, 1_000]);
 }
 
 #[test]
-fn a_follower_whose_relay_is_lost_asks_the_next_one_and_then_the_registry() {
-    let mut sources = Sources::new(0);
+fn a_follower_whose_relay_is_lost_asks_the_others_at_once_and_then_the_registry() {
+    let mut sources = in_touch(at(10_000));
     let reading = follower();
-    assert_eq!(sources.next(at(0), &reading), Source::Relay(relay(1)));
-    sources.relay_failed(at(0), relay(1));
-    assert_eq!(sources.next(at(0), &reading), Source::Relay(relay(2)));
-    sources.relay_failed(at(100), relay(2));
-    assert_eq!(sources.next(at(100), &reading), Source::Registry);
-    sources.registry_answered(at(200));
-    // The first relay may be back.
-    assert_eq!(sources.next(at(2_000), &reading), Source::Relay(relay(1)));
-    sources.relay_failed(at(2_000), relay(1));
-    assert_eq!(sources.next(at(4_000), &reading), Source::Relay(relay(2)));
+    assert_eq!(
+        asked(&sources.poll(at(10_000), &reading)),
+        [relay(1), relay(2)]
+    );
+    sources.relay_failed(at(10_000), relay(2));
+    assert!(answer(&mut sources, at(10_000), relay(1), FRESH_MS));
+    assert_eq!(asked(&sources.poll(at(10_050), &reading)), [relay(1)]);
+    sources.relay_failed(at(10_060), relay(1));
+    assert_eq!(
+        asked(&sources.poll(at(10_060), &reading)),
+        [relay(1), relay(2)]
+    );
+    sources.relay_failed(at(10_070), relay(1));
+    sources.relay_failed(at(10_070), relay(2));
+    // What is known is fresh as yet, and one of them may be back.
+    assert!(!watches(&sources.poll(at(10_070), &reading)));
+    sources.poll(at(10_700), &reading);
+    sources.relay_failed(at(10_710), relay(1));
+    sources.relay_failed(at(10_710), relay(2));
+    sources.poll(at(10_710), &reading);
+    let calls = sources.poll(at(11_600), &reading);
+    assert_eq!(asked(&calls).len(), 2);
+    sources.relay_failed(at(11_610), relay(1));
+    sources.relay_failed(at(11_610), relay(2));
+    sources.poll(at(11_610), &reading);
+    assert!(watches(&sources.poll(at(11_620), &reading)));
 }
 
 #[test]
 fn followers_leave_a_relay_that_is_out_of_touch_for_one_that_is_not() {
-    let mut sources = Sources::new(0);
+    let mut sources = in_touch(at(10_000));
     let reading = follower();
-    assert!(!sources.relay_answered(at(0), relay(1), OLD_MS, false));
-    assert_eq!(sources.next(at(0), &reading), Source::Relay(relay(2)));
-    assert!(sources.relay_answered(at(100), relay(2), FRESH_MS, false));
-    assert_eq!(sources.next(at(100), &reading), Source::Relay(relay(2)));
-    assert_eq!(sources.next(at(2_000), &reading), Source::Relay(relay(1)));
+    sources.poll(at(10_000), &reading);
+    assert!(!answer(&mut sources, at(10_000), relay(1), OLD_MS));
+    assert!(answer(&mut sources, at(10_010), relay(2), FRESH_MS));
+    assert_eq!(asked(&sources.poll(at(10_060), &reading)), [relay(2)]);
+    assert_eq!(sources.followed(), Some(relay(2)));
+}
+
+#[test]
+fn a_follower_goes_back_to_the_best_relay_when_that_is_in_touch_again() {
+    let mut sources = in_touch(at(10_000));
+    let reading = follower();
+    sources.poll(at(10_000), &reading);
+    answer(&mut sources, at(10_000), relay(1), OLD_MS);
+    answer(&mut sources, at(10_010), relay(2), FRESH_MS);
+    let mut now = at(10_010);
+    let mut last_asked = Vec::new();
+    while now < at(10_010 + 2 * BOUND_MS) && !last_asked.contains(&relay(1)) {
+        now = now + 100;
+        last_asked = asked(&sources.poll(now, &reading));
+        if last_asked.contains(&relay(2)) {
+            answer(&mut sources, now, relay(2), FRESH_MS);
+        }
+    }
+    assert!(answer(&mut sources, now, relay(1), FRESH_MS));
+    assert_eq!(sources.followed(), Some(relay(1)));
 }
 
 #[test]
 fn a_relay_that_heard_through_its_follower_is_left_for_another_one() {
-    let mut sources = Sources::new(0);
+    let mut sources = in_touch(at(10_000));
+    let reading = follower();
+    sources.poll(at(10_000), &reading);
+    let through_me = path(&["other", "me", "relay"]);
+    assert!(!sources.relay_answered(at(10_000), relay(1), FRESH_MS, &through_me));
+    assert!(answer(&mut sources, at(10_010), relay(2), FRESH_MS));
+    assert_eq!(sources.followed(), Some(relay(2)));
+}
+
+#[test]
+fn an_instance_that_finds_the_registry_alone_offers_itself_to_its_relays() {
+    let mut sources = in_touch(at(10_000));
     let reading = follower();
-    assert!(!sources.relay_answered(at(0), relay(1), FRESH_MS, true));
-    assert_eq!(sources.next(at(0), &reading), Source::Relay(relay(2)));
+    let mut now = at(10_000);
+    while !watches(&sources.poll(now, &reading)) {
+        for number in [1, 2] {
+            sources.relay_answered(now, relay(number), OLD_MS, &path(&["other"]));
+        }
+        now = now + 10;
+    }
+    let took_ms = now.since(at(10_000));
+    assert!(took_ms <= BOUND_MS * 7 / 10, "{took_ms} ms");
+    let calls = sources.registry_answered(now, PACE_MS);
+    let offer = |relay| Call::Offer { relay };
+    assert_eq!(calls, [offer(relay(1)), offer(relay(2))]);
 }
 
 #[test]
-fn followers_look_for_themselves_at_different_times_when_all_relays_are_out_of_touch() {
+fn a_stale_instance_asks_one_that_offers_itself_at_once() {
+    let mut sources = in_touch(at(10_000));
+    let reading = reader();
+    let stale_at = at(10_000 + BOUND_MS);
+    sources.poll(stale_at, &reading);
+    sources.offered(stale_at + 10, relay(7));
+    let calls = sources.poll(stale_at + 10, &reading);
+    assert_eq!(asked(&calls), [relay(7)]);
+    assert!(answer(&mut sources, stale_at + 20, relay(7), FRESH_MS));
+    assert_eq!(sources.followed(), Some(relay(7)));
+}
+
+#[test]
+fn few_followers_call_and_not_all_at_once_when_all_relays_are_out_of_touch() {
     let reading = follower();
+    let timing = Timing::new(LARGE_BOUND_MS, CATCH_UP_MS);
+    let from = at(100_000);
     let mut calls = Vec::new();
-    for spread in (0..4_000).step_by(40) {
-        let mut sources = Sources::new(spread);
-        let mut now = at(0);
-        while now < at(6_000) {
-            match sources.next(now, &reading) {
-                Source::Registry => {
-                    calls.push(now.as_ms());
-                    sources.registry_failed(now, &reading);
-                }
-                Source::Relay(relay) => {
-                    sources.relay_answered(now, relay, OLD_MS, false);
+    for number in 0..720_u64 {
+        let spread = xxhash_rust::xxh3::xxh3_64(&number.to_le_bytes());
+        let mut sources = Sources::new("me", timing, spread, Time::ZERO);
+        sources.heard(from);
+        let mut now = from;
+        while now < from + LARGE_BOUND_MS / 2 + 6_000 {
+            for call in sources.poll(now, &reading) {
+                match call {
+                    Call::Watch { .. } => {
+                        calls.push(now.since(from));
+                        sources.registry_failed(now, &reading);
+                    }
+                    Call::Ask { relay, .. } => {
+                        sources.relay_answered(now, relay, OLD_MS + LARGE_BOUND_MS, &path(&["x"]));
+                    }
+                    Call::Offer { .. } => panic!("the registry does not answer"),
                 }
-                Source::Nowhere { .. } => panic!("relays answer"),
             }
             now = now + 50;
         }
     }
-    // Of 100 instances, each calls three times in 6 s at most.
-    assert!(calls.len() <= 300, "{} calls", calls.len());
-    let busiest = (0..60).map(|slot| calls.iter().filter(|ms| **ms / 100 == slot).count());
-    assert!(busiest.max() <= Some(20), "they call all at once");
+    // Each calls three times in 6 s at most.
+    assert!(calls.len() <= 3 * 720, "{} calls", calls.len());
+    let slots = (LARGE_BOUND_MS + 6_000) / 100;
+    let busiest = (0..slots).map(|slot| calls.iter().filter(|ms| **ms / 100 == slot).count());
+    let busiest = busiest.max();
+    assert!(busiest <= Some(720 / 5), "{busiest:?} call at once");
 }
--- a/hemlockrouter-route/src/direct/readers.rs
+++ b/hemlockrouter-route/src/direct/readers.rs
@@ -73,7 +73,6 @@
         }
         Reading {
             reads: is_small || (is_first && !waits_for_seeds),
-            is_followed: !is_small,
             relays,
         }
     }
--- a/hemlockrouter-route/tests/direct/readers.rs
+++ b/hemlockrouter-route/tests/direct/readers.rs
@@ -49,7 +49,6 @@
     let instances = list(&zone);
     for entry in &zone {
         let reading = instances.reading(SETTLED, entry, &[]);
-        assert!(reading.is_followed);
         assert_eq!(reading.reads, entry.name == zone[5].name);
         if !reading.reads {
             assert_eq!(first_relay(&reading), zone[5].relay, "it has the most time");
@@ -64,7 +63,7 @@
     let instances = list(&[near.clone(), far.clone()].concat());
     for entry in &near {
         let reading = instances.reading(SETTLED, entry, &[]);
-        assert!(reading.reads && !reading.is_followed);
+        assert!(reading.reads);
         let is_far = |relay: &SocketAddr| far.iter().any(|entry| entry.relay == Some(*relay));
         assert!(
             reading.relays.iter().any(is_far),
--- a/hemlockrouter-types/src/routing.rs
+++ b/hemlockrouter-types/src/routing.rs
@@ -180,8 +180,6 @@
 pub struct Reading {
     /// It reads the registry for itself.
     pub reads: bool,
-    /// Others follow it, so that each answer of the registry counts as a sign of life for them.
-    pub is_followed: bool,
     /// Whom it follows if it does not read, or can't: the best one first.
     pub relays: Vec<SocketAddr>,
 }
--- /dev/null
+++ b/src/direct/first_read.rs
@@ -0,0 +1,212 @@
+//! The first read of the registry.
+//!
+//! When many instances start at once the way to the registry is too narrow for all, so those that are no
+//! readers read from the readers of their availability zone. Who these are is in the list of instances,
+//! or is asked of the seeds while the registry does not answer.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hemlockrouter_edge::Change;
+use hemlockrouter_edge::Protocol;
+use hemlockrouter_route::direct::Instances;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::InstanceEntry;
+use hemlockrouter_types::routing::Reading;
+use log::info;
+use log::warn;
+
+use super::node::Node;
+use super::reads;
+use super::reads::relays_of;
+use super::reads::Known;
+use super::reads::Read;
+use super::registry::CallError;
+use super::registry::Registry;
+use super::registry::CALL_MS;
+use super::relay;
+
+/// Up to so many instances read everything from the registry when they start, even all at once: it then
+/// takes less time than finding somebody else to read from.
+const ALL_READ_FIRST_MAX: usize = 100;
+
+/// How soon a reader that knows nothing yet tries again to read, in milliseconds; it adds up to as much
+/// again, so that not all call at once. Until then it serves nobody, and others wait for it.
+const FIRST_EVERY_MS: u64 = 150;
+
+/// After so many tries a reader that knows nothing yet finds out whether others have read: it may be
+/// turned away alone.
+const READER_TRIES: u32 = 5;
+
+/// How long a reader waits for the answer of a seed, in milliseconds.
+const READER_ASKS_MS: u64 = 100;
+
+/// How long seeds that do not answer are tried, in milliseconds. Machines that start together do so
+/// within a few tenths of a second.
+const SILENT_SEEDS_MS: u64 = 800;
+
+/// How often an instance that reads first tries each instance that it may read from.
+const RELAY_TRIES: usize = 2;
+
+/// How long seeds are waited for that have not read the registry either, in milliseconds; instances add
+/// up to as much again.
+const WAITING_SEEDS_MS: u64 = 3_000;
+
+/// How long another instance may take to pass everything on, in milliseconds.
+const RELAY_READ_MS: u64 = 1_500;
+
+/// The status with which a seed answers that has not read the registry yet.
+const NOT_READ_YET: u16 = 503;
+
+/// The pause after a failure before somebody else is asked.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Reads the registry for the first time.
+pub(super) struct FirstRead<'a> {
+    pub(super) name: &'a str,
+    pub(super) zone: &'a str,
+    /// A number that differs between instances and spreads their calls.
+    pub(super) spread: u64,
+    pub(super) clock: Clock,
+    pub(super) protocol: &'a Rc<dyn Protocol>,
+    pub(super) node: &'a Node,
+    pub(super) registry: &'a mut Registry,
+    pub(super) lost_since: Option<Time>,
+}
+
+impl FirstRead<'_> {
+    /// Tries until everything is read.
+    pub(super) async fn run(&mut self) -> Read {
+        for tries in 1_u32.. {
+            let reading = self.node.reading();
+            match self.read_or_ask_readers().await {
+                Ok(read) => return read,
+                Err(err) => self.note_lost(&err),
+            }
+            let asks_seeds = !reading.reads || tries % READER_TRIES == 0;
+            if asks_seeds {
+                if let Some(read) = self.read_by_seeds(&reading).await {
+                    return read;
+                }
+            }
+            let wait_ms = FIRST_EVERY_MS + self.spread % FIRST_EVERY_MS;
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        }
+        unreachable!("tries are not counted to an end")
+    }
+
+    fn note_lost(&mut self, err: &CallError) {
+        if self.lost_since.is_none() {
+            self.lost_since = Some(self.clock.now());
+            warn!(target: "dependency", why = err.to_string(); "registry lost");
+        }
+    }
+
+    /// Reads everything from the registry, or from a reader of the zone if there are many instances.
+    async fn read_or_ask_readers(&mut self) -> Result<Read, CallError> {
+        let request = self.protocol.write_read_instances();
+        let (status, body) = self.registry.call(request, CALL_MS).await?;
+        let page = self.protocol.read_page(status, &body);
+        let page = page.map_err(CallError::Refused)?;
+        let is_large = page.entries.len() > ALL_READ_FIRST_MAX || page.next.is_some();
+        if is_large {
+            let mut listed = Instances::default();
+            for entry in page.entries {
+                if let Change::Instance(instance) = entry.change {
+                    listed.joined(Time::ZERO, instance);
+                }
+            }
+            let readers = listed.first_readers(self.zone);
+            let is_reader = readers.iter().any(|entry| entry.name == self.name);
+            if !is_reader {
+                if let Some(read) = self.read_from_any(&relays_of(&readers)).await {
+                    return Ok(read);
+                }
+            }
+        }
+        let protocol = Rc::clone(self.protocol);
+        reads::whole(self.registry, &*protocol, true).await
+    }
+
+    /// Asks the seeds from whom to read, and reads if that is another instance. Seeds that wait for the
+    /// registry are waited for; those that do not answer are given up soon.
+    async fn read_by_seeds(&self, reading: &Reading) -> Option<Read> {
+        let started = self.clock.now();
+        let silent_ms = match reading.reads {
+            true => READER_ASKS_MS,
+            false => SILENT_SEEDS_MS,
+        };
+        let mut give_up_at = started + silent_ms;
+        for seed in reading.relays.iter().copied().cycle() {
+            if self.clock.now() >= give_up_at {
+                break;
+            }
+            match self.readers(seed, reading.reads).await {
+                Ok(readers) => {
+                    let is_reader = readers.iter().any(|entry| entry.name == self.name);
+                    if is_reader {
+                        return None;
+                    }
+                    return self.read_from_any(&relays_of(&readers)).await;
+                }
+                // Readers that waited for each other would never read.
+                Err(CallError::Outdated { .. }) if reading.reads => break,
+                Err(CallError::Outdated { .. }) => {
+                    give_up_at = started + WAITING_SEEDS_MS + self.spread % WAITING_SEEDS_MS;
+                }
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            }
+        }
+        None
+    }
+
+    /// Asks a seed from whom to read. A seed that has not read the registry either answers when it has,
+    /// which one that `reads` itself does not wait for.
+    async fn readers(
+        &self,
+        seed: SocketAddr,
+        reads: bool,
+    ) -> Result<Vec<InstanceEntry>, CallError> {
+        let request = relay::write_readers(self.zone);
+        let request = request.ok_or_else(|| CallError::NoAnswer(String::from("no such zone")))?;
+        let limit_ms = match reads {
+            true => READER_ASKS_MS,
+            false => RELAY_READ_MS,
+        };
+        let (status, body) = Registry::of_instance(seed).call(request, limit_ms).await?;
+        if status == NOT_READ_YET {
+            return Err(CallError::Outdated { age_ms: u64::MAX });
+        }
+        relay::read_readers(status, &body).map_err(CallError::NoAnswer)
+    }
+
+    async fn read_from_any(&self, relays: &[SocketAddr]) -> Option<Read> {
+        for relay in relays.repeat(RELAY_TRIES) {
+            if let Some(read) = self.read_from(relay).await {
+                return Some(read);
+            }
+        }
+        None
+    }
+
+    /// Reads everything from another instance, if that one knows anything.
+    async fn read_from(&self, relay: SocketAddr) -> Option<Read> {
+        let nothing = Known {
+            revision: None,
+            age_ms: u64::MAX,
+        };
+        let address = relay.to_string();
+        let mut connection = Registry::of_instance(relay);
+        match reads::ask(&mut connection, nothing, relay::WAIT_MS, RELAY_READ_MS).await {
+            Ok(read) => {
+                info!(target: "dependency", relay = address, age_ms = read.age_ms; "read from a relay");
+                Some(read)
+            }
+            Err(err) => {
+                warn!(target: "dependency", relay = address, why = err.to_string(); "relay lost");
+                None
+            }
+        }
+    }
+}
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -8,6 +8,7 @@
 use eyre::WrapErr;
 use hemlockrouter_config::DirectSettings;
 use hemlockrouter_edge::Protocol;
+use hemlockrouter_member::Timing;
 use hemlockrouter_route::direct::Config;
 use hemlockrouter_route::direct::RepeatBound;
 use hemlockrouter_route::direct::Sharing;
@@ -139,10 +140,10 @@
     let log = Rc::new(RequestsLog {
         metrics: Rc::clone(&metrics),
     });
-    let follower = Follower::new(follower::Parts {
+    let (follower, offers) = Follower::new(follower::Parts {
         me: Rc::clone(&me),
         clock,
-        catch_up_ms: settings.catch_up_ms,
+        timing: timing(settings),
         registry_address: settings.registry_address,
         protocol: Rc::clone(&protocol),
         node: Rc::clone(&node),
@@ -163,6 +164,7 @@
                 phase: phase.clone(),
             }),
             member: Rc::clone(&member),
+            offers,
             zones: settings.zones.keys().cloned().collect(),
         });
         tokio::task::spawn_local(relay.accept(listener));
@@ -291,6 +293,18 @@
     Ended::Finished
 }
 
+/// Returns how soon the instance must know what the registry holds: within the shortest of the bounds that
+/// run from its acknowledgement.
+fn timing(settings: &DirectSettings) -> Timing {
+    let bounds_ms = [
+        settings.in_force_ms,
+        settings.evacuate_ms,
+        settings.drain_ms,
+    ];
+    let bound_ms = bounds_ms.into_iter().min().expect("there are three");
+    Timing::new(bound_ms, settings.catch_up_ms)
+}
+
 /// Returns what the settings say to the dispatcher.
 fn config(settings: &DirectSettings) -> Config {
     Config {
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -11,9 +11,15 @@
 use hemlockrouter_types::prelude::*;
 use tokio::sync::Notify;
 
+use super::reads::Known;
+
 /// How many changes are kept for followers; one that is further behind reads everything again.
 const CHANGES_MAX: usize = 4_096;
 
+/// How much later this instance must have heard from the registry than a follower to have news, in
+/// milliseconds: the way between them counts as age.
+const LATER_MS: u64 = 100;
+
 /// What an entry is about.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Subject {
@@ -88,6 +94,8 @@
         if is_other {
             state.path = path.to_vec();
         }
+        drop(state);
+        self.changed.notify_waiters();
         is_other
     }
 
@@ -106,10 +114,6 @@
             state.encoded = None;
         }
         state.revision = state.revision.max(revision);
-        drop(state);
-        if is_whole || !entries.is_empty() {
-            self.changed.notify_waiters();
-        }
     }
 
     /// Returns whether the registry was read, as soon as it is or `wait` is over.
@@ -122,32 +126,41 @@
         self.revision().is_some()
     }
 
-    /// Returns what a follower lacks that has read up to revision `after`, as soon as there is
-    /// something or `wait` is over.
+    /// Returns what a follower lacks, as soon as there is something, this instance has heard more lately
+    /// than the follower, or `wait` is over.
     ///
     /// # Errors
     ///
     /// Returns why the page can't be encoded.
     pub(super) async fn page(
         &self,
-        after: Option<u64>,
+        known: Known,
         wait: std::time::Duration,
     ) -> Result<RelayPage, rmp_serde::encode::Error> {
-        let changed = self.changed.notified();
-        if !self.has_news(after) {
-            // Whether a change came or the time is over: the page says it.
-            let _ = tokio::time::timeout(wait, changed).await;
-        }
-        self.page_now(after)
+        let heard_at = self.clock.now().before(known.age_ms);
+        let waiting = async {
+            loop {
+                let changed = self.changed.notified();
+                if self.has_news(known.revision, heard_at) {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        // Whether there is something or the time is over: the page says it.
+        let _ = tokio::time::timeout(wait, waiting).await;
+        self.page_now(known.revision)
     }
 
-    /// Returns whether there is anything that a follower lacks.
-    fn has_news(&self, after: Option<u64>) -> bool {
+    /// Returns whether there is anything that a follower lacks that has heard of the registry as it was
+    /// at `heard_at`.
+    fn has_news(&self, after: Option<u64>, heard_at: Time) -> bool {
         let state = self.state.borrow();
         let Some(after) = after else {
             return state.heard_at.is_some();
         };
-        after < state.kept_from || state.newer(after).next().is_some()
+        let has_heard_more = state.heard_at > Some(heard_at + LATER_MS);
+        has_heard_more || after < state.kept_from || state.newer(after).next().is_some()
     }
 
     fn page_now(&self, after: Option<u64>) -> Result<RelayPage, rmp_serde::encode::Error> {
--- /dev/null
+++ b/src/direct/reads.rs
@@ -0,0 +1,138 @@
+//! Calls that read the registry, from itself or from an instance that passes it on.
+
+use std::net::SocketAddr;
+
+use hemlockrouter_edge::Entry;
+use hemlockrouter_edge::Protocol;
+use hemlockrouter_edge::RegistryError;
+use hemlockrouter_edge::RelayPage;
+use hemlockrouter_types::routing::InstanceEntry;
+use log::info;
+
+use super::registry::CallError;
+use super::registry::Registry;
+use super::registry::CALL_MS;
+use super::relay;
+
+/// How old a read may be that may lag, in milliseconds, as far as is known.
+const LAG_MAX_MS: u64 = 10_000;
+
+/// What was read of the registry.
+pub(super) struct Read {
+    pub(super) entries: Vec<Entry>,
+    /// The revision to follow from.
+    pub(super) revision: u64,
+    /// Whether the entries are all that the registry holds, and not only what has changed.
+    pub(super) is_whole: bool,
+    /// How long ago the registry was in that state at least, in milliseconds.
+    pub(super) age_ms: u64,
+    /// The instances that this came through, the one that read the registry first.
+    pub(super) path: Vec<String>,
+}
+
+/// What an instance has heard, for the one that it asks.
+#[derive(Clone, Copy)]
+pub(super) struct Known {
+    /// `None` before the first read.
+    pub(super) revision: Option<u64>,
+    /// How long ago the registry was in the state that is known, in milliseconds.
+    pub(super) age_ms: u64,
+}
+
+/// Reads the whole registry.
+///
+/// # Errors
+///
+/// Returns why a page is missing.
+pub(super) async fn whole(
+    registry: &mut Registry,
+    protocol: &dyn Protocol,
+    may_lag: bool,
+) -> Result<Read, CallError> {
+    let mut entries: Vec<Entry> = Vec::new();
+    let mut revision = None;
+    let mut from = None;
+    loop {
+        let request = protocol.write_read(from.as_deref(), may_lag);
+        let (status, body) = registry.call(request, CALL_MS).await?;
+        let page = protocol.read_page(status, &body);
+        let page = page.map_err(CallError::Refused)?;
+        entries.extend(page.entries);
+        // Pages are no snapshot: what changed since the first one is read once more.
+        let revision = *revision.get_or_insert(page.revision);
+        from = page.next;
+        if from.is_none() {
+            return Ok(Read {
+                entries,
+                revision,
+                is_whole: true,
+                age_ms: if may_lag { LAG_MAX_MS } else { 0 },
+                path: Vec::new(),
+            });
+        }
+    }
+}
+
+/// Waits up to `wait_ms` for changes after `revision`. If the registry has forgotten those, everything is
+/// read.
+///
+/// # Errors
+///
+/// Returns why there is no answer within `limit_ms`, or why not everything can be read.
+pub(super) async fn watch(
+    registry: &mut Registry,
+    protocol: &dyn Protocol,
+    revision: u64,
+    wait_ms: u64,
+    limit_ms: u64,
+) -> Result<Read, CallError> {
+    let request = protocol.write_watch(revision, wait_ms);
+    let (status, body) = registry.call(request, limit_ms).await?;
+    match protocol.read_changes(status, &body) {
+        Ok(page) => Ok(Read {
+            entries: page.entries,
+            revision: page.revision,
+            is_whole: false,
+            age_ms: 0,
+            path: Vec::new(),
+        }),
+        Err(RegistryError::HistoryGone) => {
+            info!(target: "belief", revision = revision; "the registry's history is gone; reading again");
+            whole(registry, protocol, false).await
+        }
+        Err(err) => Err(CallError::Refused(err)),
+    }
+}
+
+/// Asks another instance for what it has heard beyond `known`, and to wait for that up to `wait_ms`.
+///
+/// # Errors
+///
+/// Returns why there is no answer within `limit_ms`, or that the other one knows less.
+pub(super) async fn ask(
+    relay: &mut Registry,
+    known: Known,
+    wait_ms: u64,
+    limit_ms: u64,
+) -> Result<Read, CallError> {
+    let request = relay::write_call(known, wait_ms);
+    let (status, body) = relay.call(request, limit_ms).await?;
+    let page: RelayPage = relay::read_page(status, &body).map_err(CallError::NoAnswer)?;
+    if page.is_whole && page.revision < known.revision.unwrap_or(1) {
+        let age_ms = page.age_ms;
+        return Err(CallError::Outdated { age_ms });
+    }
+    let entries = page.entries.decode();
+    Ok(Read {
+        entries: entries.map_err(|err| CallError::NoAnswer(err.to_string()))?,
+        revision: page.revision,
+        is_whole: page.is_whole,
+        age_ms: page.age_ms,
+        path: page.path,
+    })
+}
+
+/// Returns where instances are that can be followed.
+pub(super) fn relays_of(instances: &[InstanceEntry]) -> Vec<SocketAddr> {
+    instances.iter().filter_map(|entry| entry.relay).collect()
+}
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -2,6 +2,7 @@
 //! registers instances that ask for it.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +23,7 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 
 use super::batches;
 use super::collector::Collector;
@@ -30,10 +32,17 @@
 use super::listener::page;
 use super::member::Member;
 use super::mirror::Mirror;
+use super::reads::Known;
 
-/// How long a follower's call waits for a change, in milliseconds.
+/// How long the call of an instance that has read nothing yet waits until this one has, in milliseconds.
 pub(super) const WAIT_MS: u64 = 1_000;
 
+/// The longest time for which a follower's call waits for news, in milliseconds.
+const WAIT_MAX_MS: u64 = 10_000;
+
+/// Where instances that read the registry alone offer to be followed.
+const OFFER_PATH: &str = "/offer";
+
 /// Where instances ask to be registered.
 const JOIN_PATH: &str = "/join";
 
@@ -55,6 +64,8 @@
     pub(super) mirror: Rc<Mirror>,
     pub(super) collector: Rc<Collector>,
     pub(super) member: Rc<Member>,
+    /// Tells the follower of instances that offer to be followed.
+    pub(super) offers: mpsc::Sender<SocketAddr>,
     /// The availability zones that the settings name.
     pub(super) zones: BTreeSet<String>,
 }
@@ -81,6 +92,7 @@
             }
             JOIN_PATH => self.join(request).await,
             LEAVE_PATH => self.leave(request).await,
+            OFFER_PATH => self.offer(request).await,
             _ => changes(&self.mirror, &request).await,
         };
         answer.map(Full::new).map(Either::Left)
@@ -134,6 +146,23 @@
         }
     }
 
+    async fn offer(&self, request: Request<Incoming>) -> Response<Bytes> {
+        let entry: InstanceEntry = match read(request).await {
+            Ok(entry) => entry,
+            Err(why) => return refused(&why),
+        };
+        if let Err(why) = self.check(&entry) {
+            return refused(why);
+        }
+        let Some(relay) = entry.relay else {
+            return refused("it names no relay");
+        };
+        match self.offers.try_send(relay) {
+            Ok(()) => page(StatusCode::OK, "taken"),
+            Err(_) => page(StatusCode::SERVICE_UNAVAILABLE, "too many offers"),
+        }
+    }
+
     /// Checks an instance that wants to be registered.
     fn check(&self, entry: &InstanceEntry) -> Result<(), &'static str> {
         if entry.name.is_empty() || entry.name.len() > NAME_MAX_BYTES {
@@ -191,6 +220,11 @@
     write(JOIN_PATH, me)
 }
 
+/// Writes the call of an instance that offers to be followed.
+pub(super) fn write_offer(me: &InstanceEntry) -> Request<Bytes> {
+    write(OFFER_PATH, me)
+}
+
 /// Writes the call of an instance that stops.
 pub(super) fn write_leave(name: &str) -> Request<Bytes> {
     write(LEAVE_PATH, &name)
@@ -208,10 +242,13 @@
 }
 
 async fn changes(mirror: &Mirror, request: &Request<Incoming>) -> Response<Bytes> {
-    let Some(after) = read_call(request) else {
+    let Some(call) = Call::read(request.uri()) else {
         return page(StatusCode::BAD_REQUEST, "no such page");
     };
-    let changes = mirror.page(after, Duration::from_millis(WAIT_MS)).await;
+    let wait_ms = call.wait_ms.min(WAIT_MAX_MS);
+    let changes = mirror
+        .page(call.known, Duration::from_millis(wait_ms))
+        .await;
     encoded_page(changes.and_then(|changes| rmp_serde::to_vec(&changes)))
 }
 
@@ -228,25 +265,46 @@
     }
 }
 
-/// Writes the call of a follower that has read up to revision `after`.
-pub(super) fn write_call(after: Option<u64>) -> Request<Bytes> {
-    let path = match after {
-        Some(after) => format!("/changes/{after}"),
+/// The call of a follower.
+struct Call {
+    known: Known,
+    wait_ms: u64,
+}
+
+impl Call {
+    fn read(uri: &Uri) -> Option<Call> {
+        let revision = match uri.path().strip_prefix("/changes")? {
+            "" => None,
+            revision => Some(revision.strip_prefix('/')?.parse().ok()?),
+        };
+        let query = uri.query().unwrap_or_default();
+        let number = |name: &str| {
+            let mut fields = query.split('&');
+            let value = fields.find_map(|field| field.strip_prefix(name)?.strip_prefix('='))?;
+            value.parse().ok()
+        };
+        Some(Call {
+            known: Known {
+                revision,
+                age_ms: number("age_ms")?,
+            },
+            wait_ms: number("wait_ms")?,
+        })
+    }
+}
+
+/// Writes the call of a follower that lacks what is newer than `known`, and waits up to `wait_ms` for it.
+pub(super) fn write_call(known: Known, wait_ms: u64) -> Request<Bytes> {
+    let path = match known.revision {
+        Some(revision) => format!("/changes/{revision}"),
         None => String::from("/changes"),
     };
+    let path = format!("{path}?age_ms={}&wait_ms={wait_ms}", known.age_ms);
     let mut request = Request::new(Bytes::new());
-    *request.uri_mut() = path.parse().expect("a number makes a path");
+    *request.uri_mut() = path.parse().expect("numbers make a path");
     request
 }
 
-/// Reads the call of a follower.
-fn read_call(request: &Request<Incoming>) -> Option<Option<u64>> {
-    match request.uri().path().strip_prefix("/changes")? {
-        "" => Some(None),
-        after => after.strip_prefix('/')?.parse().ok().map(Some),
-    }
-}
-
 /// Reads the answer to a follower's call.
 ///
 /// # Errors
