An upstream that may have left long ago is used for a shorter time

Changes now come with the time for which the registry was not heard from, and what that and the time of use exceed nine tenths of the time to drain is taken off. Registrations that lapse are not cut short after an outage longer than the time to drain: they lapse in it and come back. Ruled out: counting from the end of the time always; it gives up use in a calm, when news comes within 1.2 s.

--- a/hemlockrouter-route/src/direct/config.rs
+++ b/hemlockrouter-route/src/direct/config.rs
@@ -21,6 +21,9 @@
     pub cold_slack: f64,
     /// How long an upstream that is leaving is still used, in milliseconds.
     pub linger_ms: u64,
+    /// How soon after it has said so in the registry an upstream that is leaving gets nothing more, in
+    /// milliseconds.
+    pub drain_ms: u64,
     /// When and how searches are shared with other instances.
     pub sharing: Sharing,
 }
--- a/hemlockrouter-route/src/direct/upstreams.rs
+++ b/hemlockrouter-route/src/direct/upstreams.rs
@@ -31,6 +31,10 @@
 pub(super) use choose::Reach;
 pub(super) use choose::Wanted;
 
+/// The part of the time to drain after which an upstream that is leaving gets nothing more. The rest is
+/// for requests that are on their way.
+const DRAIN_PART: f64 = 0.9;
+
 /// What the registration of an upstream changed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Registered {
@@ -93,6 +97,9 @@
     services: Arena<ServiceKey, Service>,
     by_name: HashMap<String, ServiceKey>,
     evacuated: BTreeSet<String>,
+    /// How long before the changes that are taken over now the registry was heard from last, in
+    /// milliseconds.
+    unheard_ms: u64,
     departed: Departed,
     instances: Instances,
     owned_groups: OwnedGroups,
@@ -114,6 +121,7 @@
             services: Arena::new(),
             by_name: HashMap::new(),
             evacuated: BTreeSet::new(),
+            unheard_ms: 0,
             departed: Departed::default(),
             owned_groups: OwnedGroups::default(),
             restarted_at: None,
@@ -146,6 +154,12 @@
         service.cold_per_s = entry.cold_per_s;
     }
 
+    /// Takes over how long before the changes that follow the registry was heard from last, in milliseconds.
+    /// They may be as old as that.
+    pub fn unheard_for(&mut self, ms: u64) {
+        self.unheard_ms = ms;
+    }
+
     /// Takes over what an upstream says of itself.
     pub fn register(&mut self, now: Time, entry: UpstreamEntry) -> Registered {
         let Some(&key) = self.by_id.get(&entry.id) else {
@@ -161,6 +175,7 @@
             self.insert(now, entry);
             return Registered::Restarted;
         }
+        let leaving_from = self.leaving_from(now);
         let upstream = self
             .upstreams
             .get_mut(key)
@@ -169,7 +184,7 @@
         upstream.missing = false;
         upstream.leaving_since = match (entry.draining, upstream.leaving_since) {
             (false, _) => None,
-            (true, since) => since.or(Some(now)),
+            (true, since) => since.or(Some(leaving_from)),
         };
         upstream.cold_until = now + entry.cold_ms;
         upstream.entry = entry;
@@ -186,12 +201,25 @@
         let Some(&key) = self.by_id.get(id) else {
             return;
         };
+        let leaving_from = match self.unheard_ms > self.config.drain_ms {
+            // Registrations lapse in an outage of the registry, and come back.
+            true => now,
+            false => self.leaving_from(now),
+        };
         let upstream = self
             .upstreams
             .get_mut(key)
             .expect("the key is in the index");
         upstream.missing = true;
-        upstream.leaving_since = upstream.leaving_since.or(Some(now));
+        upstream.leaving_since = upstream.leaving_since.or(Some(leaving_from));
+    }
+
+    /// Returns since when an upstream counts as leaving that is known to leave now. One that may have said
+    /// so long ago is used for a shorter time, so that it gets nothing more in time.
+    fn leaving_from(&self, now: Time) -> Time {
+        let in_time_ms = (self.config.drain_ms as f64 * DRAIN_PART) as u64;
+        let over_ms = (self.unheard_ms + self.config.linger_ms).saturating_sub(in_time_ms);
+        now.before(over_ms)
     }
 
     /// Takes over that only the upstreams of `ids` are registered.
@@ -329,13 +357,14 @@
     }
 
     fn insert(&mut self, now: Time, entry: UpstreamEntry) {
+        let leaving_from = self.leaving_from(now);
         let service = self.service(&entry.service);
         let id = entry.id.clone();
         let zones: &BTreeMap<String, String> = &self.config.zones;
         let key = self.upstreams.insert(Upstream {
             service,
             region: zones.get(&entry.zone).cloned(),
-            leaving_since: entry.draining.then_some(now),
+            leaving_since: entry.draining.then_some(leaving_from),
             missing: false,
             said: self.departed.said(&id, entry.incarnation),
             cold_until: now + entry.cold_ms,
--- a/hemlockrouter-route/tests/direct/cases.rs
+++ b/hemlockrouter-route/tests/direct/cases.rs
@@ -201,6 +201,41 @@
     assert!(matches!(fixture.ending(id), Some(Ending::NotRun { .. })));
 }
 
+/// Guards against an upstream that gets requests later than the time to drain, since the registry was not
+/// heard from when it said that it leaves.
+#[test]
+fn an_upstream_that_may_have_left_long_ago_is_not_used_for_long() {
+    let mut fixture = Fixture::new();
+    let now = fixture.now;
+    let upstreams = fixture.dispatcher.upstreams_mut();
+    upstreams.evacuate("south-b", true);
+    upstreams.unheard_for(2_500);
+    let mut leaving = upstream("ledger", "north-a");
+    leaving.draining = true;
+    upstreams.register(now, leaving);
+    fixture.start(LOOK_UP);
+    assert_eq!(fixture.sent()[0].1, "ledger@north-a");
+    // It may have said so 2.5 s ago, and drains for 3 s.
+    fixture.wait(300);
+    let id = fixture.start(LOOK_UP);
+    assert!(fixture.sent().is_empty());
+    assert!(matches!(fixture.ending(id), Some(Ending::NotRun { .. })));
+}
+
+#[test]
+fn a_registration_that_lapses_in_an_outage_is_used_until_it_had_time_to_come_back() {
+    let mut fixture = Fixture::new();
+    let now = fixture.now;
+    fixture.dispatcher.upstreams_mut().unheard_for(9_000);
+    for zone in ["north-a", "south-b"] {
+        let id = upstream("ledger", zone).id;
+        fixture.dispatcher.upstreams_mut().unregister(now, &id);
+    }
+    fixture.wait(1_000);
+    fixture.start(LOOK_UP);
+    assert_eq!(fixture.sent().len(), 1);
+}
+
 #[test]
 fn a_registration_that_lapses_for_a_moment_stops_nothing() {
     let mut fixture = Fixture::new();
--- a/hemlockrouter-route/tests/direct/fixture.rs
+++ b/hemlockrouter-route/tests/direct/fixture.rs
@@ -58,6 +58,7 @@
         cold_overage: 1.5,
         cold_slack: 5.0,
         linger_ms: 1_200,
+        drain_ms: 3_000,
         sharing: Sharing {
             parts_min: 40,
             parts_each: 14,
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -337,7 +337,10 @@
         self.mirror.take(&entries, read.revision, read.is_whole);
         if read.is_whole || !entries.is_empty() {
             let changes = entries.into_iter().map(|entry| entry.change);
-            self.node.changed(changes.collect(), read.is_whole);
+            // What a first read holds may be of any age, and nothing was done with it before.
+            let unheard_ms = self.mirror.age_ms().unwrap_or_default();
+            self.node
+                .changed(changes.collect(), read.is_whole, unheard_ms);
         }
     }
 
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -319,6 +319,7 @@
         cold_overage: settings.cold_overage,
         cold_slack: settings.cold_slack,
         linger_ms: (settings.drain_ms as f64 * LINGER_PART) as u64,
+        drain_ms: settings.drain_ms,
         sharing: Sharing {
             parts_min: settings.sharing_parts_min,
             parts_each: settings.sharing_parts_each,
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -248,9 +248,10 @@
         self.run();
     }
 
-    /// Takes over changes of the registry; `is_whole` if they are all that it holds.
-    pub(super) fn changed(&self, changes: Vec<Change>, is_whole: bool) {
-        call!([self.decider], changed(changes, is_whole));
+    /// Takes over changes of the registry; `is_whole` if they are all that it holds. They have happened
+    /// within the last `unheard_ms`.
+    pub(super) fn changed(&self, changes: Vec<Change>, is_whole: bool, unheard_ms: u64) {
+        call!([self.decider], changed(changes, is_whole, unheard_ms));
         self.run();
     }
 
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -136,8 +136,15 @@
         self.shared.batches.tidy();
     }
 
-    pub(super) fn changed(&mut self, _: CX![], changes: Vec<Change>, is_whole: bool) {
+    pub(super) fn changed(
+        &mut self,
+        _: CX![],
+        changes: Vec<Change>,
+        is_whole: bool,
+        unheard_ms: u64,
+    ) {
         let now = self.shared.clock.now();
+        self.dispatcher.upstreams_mut().unheard_for(unheard_ms);
         if is_whole {
             self.keep_only(now, &changes);
         }
