A first read in pages loses no change made between them

Watches now begin at the oldest page. What that replays counts only where it is newer than what is known of the same subject, so nothing goes back for a moment.

--- a/hemlockrouter-cli/tests/direct/in_force.rs
+++ b/hemlockrouter-cli/tests/direct/in_force.rs
@@ -4,11 +4,13 @@
 use std::time::Instant;
 
 use hemlockrouter_lab::link::Condition;
+use http::StatusCode;
 use rand::rngs::StdRng;
 use rand::RngExt;
 use rand::SeedableRng;
 use serde_json::Value;
 
+use crate::world::eventually;
 use crate::world::World;
 
 /// Five instances for each of two availability zones: one reads for the others.
@@ -119,3 +121,26 @@
         play(seed);
     }
 }
+
+/// Guards against a change that is lost between the pages of a first read, which are no snapshot: the
+/// first one is newer than the others.
+#[test]
+fn a_version_that_the_last_page_of_a_first_read_lacks_is_in_force_in_time() {
+    let mut world = World::start(1);
+    // The configuration stands on the second page.
+    for number in 0..60 {
+        let key = format!("hemlock/instances/{number:02}");
+        world.store.put(&key, b"unreadable");
+    }
+    world.store.lag_behind_first_page();
+    world.configure(|config| config["routes"][2]["pathPrefix"] = "/moved/".into());
+    world.daemons[0].kill();
+    world.start_daemon(0);
+    world.wait_ready(0);
+    let ready = Instant::now();
+    eventually("the version is in force", || {
+        world.call(0, "/moved/x", 500).status == Some(StatusCode::OK)
+    });
+    let took = ready.elapsed();
+    assert!(took < IN_FORCE_WITHIN, "{took:?}");
+}
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -328,12 +328,10 @@
     }
 
     fn take_entries(&mut self, read: &Read, known: u64) {
-        // A page that comes a second time, late, must not bring back what has changed since.
-        let newer = read
-            .entries
-            .iter()
-            .filter(|entry| read.is_whole || entry.revision > known);
-        let entries: Vec<Entry> = newer.cloned().collect();
+        let entries: Vec<Entry> = match read.is_whole {
+            true => read.entries.clone(),
+            false => self.mirror.newer(&read.entries, known),
+        };
         self.mirror.take(&entries, read.revision, read.is_whole);
         if read.is_whole || !entries.is_empty() {
             let changes = entries.into_iter().map(|entry| entry.change);
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -99,6 +99,29 @@
         is_other
     }
 
+    /// Returns those of `entries` that change what is known up to revision `known`: a page that comes a
+    /// second time, late, brings nothing back, and of several entries about one subject only the last one
+    /// counts. A whole read may hold entries that are newer than its revision.
+    pub(super) fn newer(&self, entries: &[Entry], known: u64) -> Vec<Entry> {
+        let state = self.state.borrow();
+        let mut last: BTreeMap<Subject, u64> = BTreeMap::new();
+        for entry in entries {
+            if let Some((subject, _)) = subject(&entry.change) {
+                last.insert(subject, entry.revision);
+            }
+        }
+        let is_newer = |entry: &&Entry| {
+            let Some((subject, _)) = subject(&entry.change) else {
+                return true;
+            };
+            let known = state.entries.get(&subject);
+            let is_last = last.get(&subject) == Some(&entry.revision);
+            is_last && known.is_none_or(|known| known.revision < entry.revision)
+        };
+        let newer = entries.iter().filter(|entry| entry.revision > known);
+        newer.filter(is_newer).cloned().collect()
+    }
+
     /// Takes over what was read.
     pub(super) fn take(&self, entries: &[Entry], revision: u64, is_whole: bool) {
         let mut state = self.state.borrow_mut();
--- a/src/direct/reads.rs
+++ b/src/direct/reads.rs
@@ -50,7 +50,7 @@
     may_lag: bool,
 ) -> Result<Read, CallError> {
     let mut entries: Vec<Entry> = Vec::new();
-    let mut revision = None;
+    let mut revision = u64::MAX;
     let mut from = None;
     loop {
         let request = protocol.write_read(from.as_deref(), may_lag);
@@ -58,8 +58,8 @@
         let page = protocol.read_page(status, &body);
         let page = page.map_err(CallError::Refused)?;
         entries.extend(page.entries);
-        // Pages are no snapshot: what changed since the first one is read once more.
-        let revision = *revision.get_or_insert(page.revision);
+        // Pages are no snapshot: what changed since the oldest one is read once more.
+        revision = revision.min(page.revision);
         from = page.next;
         if from.is_none() {
             return Ok(Read {
