--- a/hemlockrouter-cli/tests/direct/relays.rs
+++ b/hemlockrouter-cli/tests/direct/relays.rs
@@ -1,5 +1,6 @@
 //! Instances of a large availability zone that follow others, which read the registry for them.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -226,6 +227,37 @@
     });
 }
 
+#[test]
+fn an_offer_or_a_call_for_news_that_makes_no_sense_is_refused() {
+    let world = World::start(1);
+    let config = ureq::Agent::config_builder().http_status_as_error(false);
+    let agent = ureq::Agent::new_with_config(config.build());
+    let relay = world.daemons[0].relay;
+    let offer = |body: &[u8]| {
+        let answer = agent.post(format!("http://{relay}/offer")).send(body);
+        answer.expect("there is an answer").status().as_u16()
+    };
+    let none: Option<String> = None;
+    let other = Some(world.daemons[0].callers);
+    let entry = |zone: &str, relay: Option<SocketAddr>| {
+        let entry = ("other", zone, relay, 250, &none);
+        rmp_serde::to_vec(&entry).expect("it can be written")
+    };
+    assert_eq!(offer(&entry("north-a", other)), 200);
+    assert_eq!(offer(&entry("north-a", None)), 400);
+    assert_eq!(offer(&entry("nowhere", other)), 400);
+    assert_eq!(offer(b"no entry"), 400);
+    assert_eq!(offer(&[b'x'; 100_000]), 400);
+    let news = |path: &str| {
+        let answer = agent.get(format!("http://{relay}{path}")).call();
+        answer.expect("there is an answer").status().as_u16()
+    };
+    assert_eq!(news("/changes?age_ms=0&wait_ms=0"), 200);
+    assert_eq!(news("/changes"), 400);
+    assert_eq!(news("/changes/x?age_ms=0&wait_ms=0"), 400);
+    assert_eq!(news("/changes/1?age_ms=-1&wait_ms=0"), 400);
+}
+
 #[test]
 fn followers_of_a_frozen_instance_learn_of_a_new_version_in_time() {
     let (mut world, followers) = start();
--- a/hemlockrouter-member/src/sources/relays.rs
+++ b/hemlockrouter-member/src/sources/relays.rs
@@ -78,8 +78,12 @@
     }
 
     pub(super) fn offered(&mut self, relay: SocketAddr, until: Time) {
-        if self.offered.len() < OFFERED_MAX || self.offered.contains_key(&relay) {
-            self.offered.insert(relay, until);
+        self.offered.insert(relay, until);
+        if self.offered.len() > OFFERED_MAX {
+            let oldest = self.offered.iter().min_by_key(|(_, until)| **until);
+            if let Some(oldest) = oldest.map(|(relay, _)| *relay) {
+                self.offered.remove(&oldest);
+            }
         }
     }
 
--- a/hemlockrouter-member/tests/registry/sources.rs
+++ b/hemlockrouter-member/tests/registry/sources.rs
@@ -240,6 +240,22 @@
     assert_eq!(sources.followed(), Some(relay(7)));
 }
 
+#[test]
+fn of_many_instances_that_offer_themselves_the_last_ones_are_remembered() {
+    let mut sources = in_touch(at(10_000));
+    let reading = Reading {
+        relays: Vec::new(),
+        ..follower()
+    };
+    for port in 1..=50 {
+        sources.offered(at(10_000 + u64::from(port)), relay(port));
+    }
+    let calls = sources.poll(at(10_000 + BOUND_MS), &reading);
+    let asked = asked(&calls);
+    assert!(asked.len() <= 8, "{} are asked", asked.len());
+    assert!(asked.contains(&relay(50)));
+}
+
 #[test]
 fn few_followers_call_and_not_all_at_once_when_all_relays_are_out_of_touch() {
     let reading = follower();
