--- a/hemlockrouter-member/src/sources.rs
+++ b/hemlockrouter-member/src/sources.rs
@@ -14,6 +14,8 @@
 //! The registry may be out of order for all. Then relays still answer, and instances that are not to
 //! read for others ask the registry ever more rarely.
 
+mod call;
+mod registry;
 mod relays;
 mod timing;
 
@@ -22,6 +24,8 @@
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::Reading;
 
+pub use self::call::Call;
+use self::registry::Registry;
 use self::relays::Answered;
 use self::relays::Relays;
 pub use self::timing::Timing;
@@ -30,9 +34,6 @@
 /// where a shorter one exists.
 const STEPS_MAX: usize = 4;
 
-/// The pause of a reader after the registry first did not answer, in milliseconds. It doubles each time.
-const READER_PAUSE_MIN_MS: u64 = 250;
-
 /// The pause before the followed relay is asked again, in milliseconds.
 const FOLLOW_PAUSE_MS: u64 = 50;
 
@@ -51,32 +52,6 @@
 /// The longest time between two looks at what is due, in milliseconds.
 const LOOK_EVERY_MS: u64 = 1_000;
 
-/// A call to be made.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Call {
-    /// Ask the registry for changes.
-    Watch {
-        /// How long it waits for one, in milliseconds.
-        wait_ms: u64,
-        /// How long the call may take, in milliseconds.
-        limit_ms: u64,
-    },
-    /// Ask another instance for changes.
-    Ask {
-        /// Where it is.
-        relay: SocketAddr,
-        /// How long it waits until it has heard more, in milliseconds.
-        wait_ms: u64,
-        /// How long the call may take, in milliseconds.
-        limit_ms: u64,
-    },
-    /// Tell another instance that this one is in touch with the registry.
-    Offer {
-        /// Where it is.
-        relay: SocketAddr,
-    },
-}
-
 /// What is known of the ways to the registry.
 #[derive(Clone, Debug)]
 pub struct Sources {
@@ -102,17 +77,6 @@
     wake_at: Time,
 }
 
-/// How the registry answers this instance.
-#[derive(Clone, Copy, Debug, Default)]
-struct Registry {
-    /// Since when a call is under way.
-    asked_at: Option<Time>,
-    /// The last call was answered.
-    serves: bool,
-    failures: u32,
-    due_at: Time,
-}
-
 /// The state of asking all relays at once.
 #[derive(Clone, Copy, Debug, Default)]
 struct Search {
@@ -194,10 +158,8 @@
     /// Takes over that the registry has answered; the next call is due after `pace_ms`. Returns whom to
     /// tell that this instance is in touch.
     pub fn registry_answered(&mut self, now: Time, pace_ms: u64) -> Vec<Call> {
-        let was_serving = std::mem::replace(&mut self.registry.serves, true);
-        self.registry.asked_at = None;
-        self.registry.failures = 0;
-        self.registry.due_at = now + pace_ms;
+        let was_serving = self.registry.serves;
+        self.registry.answered(now, pace_ms);
         if self.reads_alone && !was_serving {
             self.review_at = now + self.review_pause_ms();
             self.offers()
@@ -208,17 +170,8 @@
 
     /// Takes over that the registry has not answered.
     pub fn registry_failed(&mut self, now: Time, reading: &Reading) {
-        let (min_ms, max_ms) = match reading.reads {
-            true => (READER_PAUSE_MIN_MS, self.timing.reader_pause_max_ms()),
-            false => (self.timing.pause_min_ms(), self.timing.pause_max_ms()),
-        };
-        let pause_ms = doubled(min_ms, self.registry.failures, max_ms);
-        // Up to a quarter longer, so that instances do not call all at once.
-        let pause_ms = pause_ms + self.spread % (pause_ms / 4).max(1);
-        self.registry.asked_at = None;
-        self.registry.serves = false;
-        self.registry.failures += 1;
-        self.registry.due_at = now + pause_ms;
+        self.registry
+            .failed(now, reading.reads, &self.timing, self.spread);
     }
 
     /// Takes over that a relay has answered that heard of the registry `age_ms` ago through the instances
@@ -270,8 +223,7 @@
     fn begin_or_end_stale_time(&mut self, now: Time) {
         let is_stale = self.is_stale(now);
         if is_stale && !self.was_stale {
-            self.registry.failures = 0;
-            self.registry.due_at = self.registry.due_at.min(now + self.spread_ms());
+            self.registry.try_again(now + self.spread_ms());
             // All instances know the same, and become stale together when the registry falls silent.
             self.search = Search {
                 due_at: now + self.spread_ms(),
@@ -287,32 +239,19 @@
     }
 
     fn watch(&mut self, now: Time, reading: &Reading, calls: &mut Vec<Call>) {
-        if !self.reads(reading) {
+        if self.reads(reading) {
+            calls.extend(self.registry.watch(now, &self.timing));
+        } else {
             self.registry.serves = false;
-            return;
         }
-        if self.registry.asked_at.is_some() || now < self.registry.due_at {
-            return;
-        }
-        // The first answer is to come at once: it shows that the registry answers.
-        let wait_ms = match self.registry.serves {
-            true => self.timing.watch_ms(),
-            false => 0,
-        };
-        self.registry.asked_at = Some(now);
-        calls.push(Call::Watch {
-            wait_ms,
-            limit_ms: wait_ms + self.timing.watch_slack_ms(),
-        });
     }
 
     fn needs_relay(&self, now: Time, reading: &Reading) -> bool {
-        if !self.reads(reading) || self.registry.failures > 0 {
+        if !self.reads(reading) || self.registry.is_lost {
             return true;
         }
-        let asked_ms = self.registry.asked_at.map(|at| now.since(at));
-        let is_just_asked = asked_ms.is_none_or(|ms| ms < self.timing.search_ms());
-        let is_first = !self.registry.serves && !self.reads_alone && is_just_asked;
+        let has_time = self.registry.asked_ms(now) < self.timing.search_ms();
+        let is_first = !self.registry.serves && !self.reads_alone && has_time;
         self.is_stale(now) && !is_first
     }
 
@@ -380,7 +319,7 @@
         let is_starting = now.since(self.started_at) < self.timing.stale_ms();
         if self.is_stale(now) && !self.reads_alone && !is_starting {
             self.reads_alone = true;
-            self.registry.due_at = self.registry.due_at.min(now);
+            self.registry.due_by(now);
         }
         if self.followed.is_none() {
             let answering = |relay: &&SocketAddr| {
