--- a/hemlockrouter-lab/tests/registry_fleet/main.rs
+++ b/hemlockrouter-lab/tests/registry_fleet/main.rs
@@ -4,14 +4,18 @@
 //! room for, and that nobody knows only what the registry held longer ago than the bound on changes
 //! allows; and afterwards how soon all views agree again, and how many calls the registry gets.
 
+mod calls;
+mod checks;
 mod fleet;
+mod node;
+mod registry;
 
 use rand::rngs::StdRng;
 use rand::RngExt;
 use rand::SeedableRng;
 
 use crate::fleet::Fleet;
-use crate::fleet::Shape;
+use crate::node::Shape;
 
 /// A fleet of six availability zones, and the bound of such a size.
 const LARGE: Shape = Shape {
--- /dev/null
+++ b/hemlockrouter-lab/tests/registry_fleet/registry.rs
@@ -0,0 +1,78 @@
+//! The registry of a simulated fleet: the list of instances, its history, and leases.
+
+use std::collections::BTreeMap;
+
+use hemlockrouter_member::Failed;
+use hemlockrouter_member::Step;
+use hemlockrouter_member::LEASE_MS;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::InstanceEntry;
+
+/// The registry: the list, its history, and leases.
+#[derive(Default)]
+pub(crate) struct Registry {
+    pub(crate) list: BTreeMap<String, (InstanceEntry, u64)>,
+    pub(crate) history: Vec<(String, Option<InstanceEntry>)>,
+    pub(crate) leases: BTreeMap<u64, Time>,
+    pub(crate) is_down: bool,
+    pub(crate) calls: u64,
+}
+
+impl Registry {
+    pub(crate) fn revision(&self) -> usize {
+        self.history.len()
+    }
+
+    pub(crate) fn put(&mut self, entry: &InstanceEntry, lease: u64) {
+        let name = entry.name.clone();
+        self.history.push((name.clone(), Some(entry.clone())));
+        self.list.insert(name, (entry.clone(), lease));
+    }
+
+    pub(crate) fn remove(&mut self, name: &str) {
+        if self.list.remove(name).is_some() {
+            self.history.push((String::from(name), None));
+        }
+    }
+
+    pub(crate) fn expire(&mut self, now: Time) {
+        self.leases.retain(|_, ends| *ends > now);
+        let list = self.list.iter();
+        let lapsed = list.filter(|(_, (_, lease))| !self.leases.contains_key(lease));
+        let lapsed: Vec<String> = lapsed.map(|(name, _)| name.clone()).collect();
+        for name in lapsed {
+            self.remove(&name);
+        }
+    }
+
+    /// Carries out what a registrar wants; an error says that the lease is gone.
+    pub(crate) fn carry_out(
+        &mut self,
+        now: Time,
+        step: &Step,
+        lease_for_new: u64,
+    ) -> Result<(), Failed> {
+        match step {
+            Step::Wait => {}
+            Step::Grant => {
+                self.leases.insert(lease_for_new, now + LEASE_MS);
+            }
+            Step::Renew { lease } => {
+                let ends = self.leases.get_mut(lease).ok_or(Failed::LeaseGone)?;
+                *ends = now + LEASE_MS;
+            }
+            Step::Write {
+                lease,
+                puts,
+                removes,
+            } => {
+                if !puts.is_empty() && !self.leases.contains_key(lease) {
+                    return Err(Failed::LeaseGone);
+                }
+                puts.iter().for_each(|entry| self.put(entry, *lease));
+                removes.iter().for_each(|name| self.remove(name));
+            }
+        }
+        Ok(())
+    }
+}
