An instance that reads and that nobody asks is found: relays name two of each other zone

The first instance of a zone of two was frozen and all others but its second were turned away; the second read, since all do in zones of two, so it offered itself to nobody, and nobody had it on his list. Relays now name the first two of each zone, the first ones of all before the second ones. Ruled out: offers by every instance that reads, which cost a call to each relay in a calm.

--- a/hemlockrouter-route/src/direct/readers.rs
+++ b/hemlockrouter-route/src/direct/readers.rs
@@ -23,7 +23,7 @@
 /// In an availability zone of no more instances than this, all read the registry.
 const ALL_READ_MAX: usize = 2;
 
-/// How many instances of its availability zone one may follow.
+/// How many instances of each availability zone one may follow.
 const RELAYS_MAX: usize = 2;
 
 impl Instances {
@@ -41,16 +41,16 @@
     pub fn reading(&self, now: Time, me: &InstanceEntry, seeds: &[SocketAddr]) -> Reading {
         let others = self.with_relay().filter(|entry| entry.name != me.name);
         let mut near: Vec<&InstanceEntry> = Vec::new();
-        let mut far: BTreeMap<&str, &InstanceEntry> = BTreeMap::new();
+        let mut far: BTreeMap<&str, Vec<&InstanceEntry>> = BTreeMap::new();
         for entry in others {
             if entry.zone == me.zone {
                 near.push(entry);
                 continue;
             }
-            let best = far.entry(&entry.zone).or_insert(entry);
-            if rank(entry) < rank(best) {
-                *best = entry;
-            }
+            let best = far.entry(&entry.zone).or_default();
+            best.push(entry);
+            best.sort_by_key(|entry| rank(entry));
+            best.truncate(RELAYS_MAX);
         }
         near.sort_by_key(|entry| rank(entry));
         let is_small = near.len() < ALL_READ_MAX && self.is_settled(now);
@@ -65,7 +65,11 @@
             .iter()
             .filter(|entry| is_first || rank(entry) < rank(me));
         relays.extend(before_me.take(RELAYS_MAX).filter_map(|entry| entry.relay));
-        relays.extend(far.values().filter_map(|entry| entry.relay));
+        // The first ones of all other zones come before the second ones, which may read alone.
+        for place in 0..RELAYS_MAX {
+            let of_place = far.values().filter_map(|of_zone| of_zone.get(place));
+            relays.extend(of_place.filter_map(|entry| entry.relay));
+        }
         for seed in turned(other_seeds, &me.name) {
             if !relays.contains(&seed) {
                 relays.push(seed);
--- a/hemlockrouter-route/tests/direct/readers.rs
+++ b/hemlockrouter-route/tests/direct/readers.rs
@@ -56,6 +56,24 @@
     }
 }
 
+/// Guards against an instance that reads and that nobody asks, as the first one of its zone is frozen.
+#[test]
+fn the_second_instance_of_another_zone_is_known_after_the_first_ones_of_all() {
+    let zone = |name: &str, port: u16| [of_zone(name, port), of_zone(name, port + 1)];
+    let zones = [zone("north-a", 1), zone("south-b", 11), zone("east-c", 21)];
+    let all: Vec<InstanceEntry> = zones.concat();
+    let instances = list(&all);
+    let me = &zones[0][0];
+    let reading = instances.reading(SETTLED, me, &[]);
+    let zone_of = |relay: &SocketAddr| {
+        let entry = all.iter().find(|entry| entry.relay == Some(*relay));
+        entry.map(|entry| entry.zone.as_str())
+    };
+    let order: Vec<Option<&str>> = reading.relays.iter().map(zone_of).collect();
+    let (near, first, second) = ("north-a", "east-c", "south-b");
+    assert_eq!(order, [near, first, second, first, second].map(Some));
+}
+
 #[test]
 fn all_read_in_a_small_zone_and_know_whom_to_ask_else() {
     let near: Vec<InstanceEntry> = (0..2).map(|port| of_zone("north-a", port)).collect();
