Paths between instances do not grow while nobody is in touch

While the registry is out of order for all, instances follow each other and what came around was taken as heard, with its path: a name more for each exchange, some thousands in an hour, in each answer. What came over more than four steps or through the instance itself now tells nothing of the registry; a first read over such a way is used and counts as 10 s old. The simulated fleet checks the length of paths all the time.

--- a/hemlockrouter-lab/tests/registry_fleet/calls.rs
+++ b/hemlockrouter-lab/tests/registry_fleet/calls.rs
@@ -179,7 +179,11 @@
             let me = node.entry.name.clone();
             node.instances.first_read(&me);
         }
-        if heard_at >= known_at {
+        let heard_at = match node.sources.counts(&path) {
+            true => heard_at,
+            false => known_at,
+        };
+        if heard_at > known_at {
             node.path = path;
         }
         node.known = Some((known.max(revision), known_at.max(heard_at)));
--- a/hemlockrouter-lab/tests/registry_fleet/checks.rs
+++ b/hemlockrouter-lab/tests/registry_fleet/checks.rs
@@ -8,6 +8,9 @@
 /// How much all parts of the bound may add up to: instances hand out half of it.
 const PARTS_MAX: f64 = 2.0;
 
+/// Through how many instances news may come.
+const STEPS_MAX: usize = 4;
+
 /// How many instances the message of a failed check tells of.
 const STORY_MAX: usize = 20;
 
@@ -37,6 +40,10 @@
         if !answers_any {
             self.disturbed_at = now;
         }
+        for node in &self.nodes {
+            let name = &node.entry.name;
+            assert!(node.path.len() <= STEPS_MAX, "{name}: {:?}", node.path);
+        }
         if now.since(self.disturbed_at) < CALM_MS {
             return;
         }
--- a/hemlockrouter-member/src/sources.rs
+++ b/hemlockrouter-member/src/sources.rs
@@ -174,6 +174,13 @@
             .failed(now, reading.reads, &self.timing, self.spread);
     }
 
+    /// Returns whether what came through the instances of `path` tells this one how the registry is: it
+    /// came not through itself, and over few steps. Paths would grow without end otherwise while nobody
+    /// is in touch.
+    pub fn counts(&self, path: &[String]) -> bool {
+        path.len() <= STEPS_MAX && !path.contains(&self.name)
+    }
+
     /// Takes over that a relay has answered that heard of the registry `age_ms` ago through the instances
     /// of `path`, and returns whether it can be followed.
     pub fn relay_answered(
@@ -183,9 +190,7 @@
         age_ms: u64,
         path: &[String],
     ) -> bool {
-        let is_through_me = path.contains(&self.name);
-        let is_in_touch = age_ms <= self.timing.stale_ms() && path.len() <= STEPS_MAX;
-        let is_usable = is_in_touch && !is_through_me;
+        let is_usable = age_ms <= self.timing.stale_ms() && self.counts(path);
         self.relays.answered(
             relay,
             match is_usable {
--- a/hemlockrouter-member/tests/registry/sources.rs
+++ b/hemlockrouter-member/tests/registry/sources.rs
@@ -209,6 +209,15 @@
     assert_eq!(sources.followed(), Some(relay(2)));
 }
 
+/// Guards against paths that grow without end while nobody is in touch and all follow each other.
+#[test]
+fn what_came_through_many_instances_or_this_one_counts_for_nothing() {
+    let sources = sources(0);
+    assert!(sources.counts(&path(&["a", "b", "c", "d"])));
+    assert!(!sources.counts(&path(&["a", "b", "c", "d", "e"])));
+    assert!(!sources.counts(&path(&["a", "me"])));
+}
+
 #[test]
 fn an_instance_that_finds_the_registry_alone_offers_itself_to_its_relays() {
     let mut sources = in_touch(at(10_000));
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -315,12 +315,19 @@
         if !read.is_whole || read.revision >= known {
             self.take_entries(read, known);
         }
-        self.sources.heard(now.before(read.age_ms));
-        if self.mirror.heard(read.age_ms, &read.path) {
+        let is_first = self.mirror.revision().is_none();
+        let (age_ms, path) = match self.sources.counts(&read.path) {
+            true => (read.age_ms, read.path.as_slice()),
+            // What was read is used, but says nothing of how the registry is now.
+            false if is_first => (read.age_ms.max(reads::LAG_MAX_MS), &[][..]),
+            false => return,
+        };
+        self.sources.heard(now.before(age_ms));
+        if self.mirror.heard(age_ms, path) {
             info!(
                 target: "dependency",
-                path = shown(&read.path),
-                age_ms = read.age_ms,
+                path = shown(path),
+                age_ms = age_ms,
                 revision = read.revision;
                 "registry heard another way"
             );
--- a/src/direct/reads.rs
+++ b/src/direct/reads.rs
@@ -15,7 +15,7 @@
 use super::relay;
 
 /// How old a read may be that may lag, in milliseconds, as far as is known.
-const LAG_MAX_MS: u64 = 10_000;
+pub(super) const LAG_MAX_MS: u64 = 10_000;
 
 /// What was read of the registry.
 pub(super) struct Read {
