The rank of each instance is worked out once for each look at the list

Ranks hash names, and the list was sorted by them anew at every insertion of another zone's instance, on each event of the follower. One sorted list now gives both the instances of the zone and those of others; the order is as before, and the tests of readers and of direct dispatch pass (76).

--- a/hemlockrouter-route/src/direct/readers.rs
+++ b/hemlockrouter-route/src/direct/readers.rs
@@ -31,9 +31,8 @@
     /// once, the best ones first.
     pub fn first_readers(&self, zone: &str) -> Vec<InstanceEntry> {
         let of_zone = self.with_relay().filter(|entry| entry.zone == zone);
-        let mut ranked: Vec<&InstanceEntry> = of_zone.collect();
-        ranked.sort_by_key(|entry| rank(entry));
-        ranked.into_iter().take(RELAYS_MAX).cloned().collect()
+        let ranked = ranked(of_zone).into_iter();
+        ranked.take(RELAYS_MAX).cloned().collect()
     }
 
     /// Returns how the instance `me` learns what the registry holds. `seeds` are instances that are
@@ -42,17 +41,13 @@
         let others = self.with_relay().filter(|entry| entry.name != me.name);
         let mut near: Vec<&InstanceEntry> = Vec::new();
         let mut far: BTreeMap<&str, Vec<&InstanceEntry>> = BTreeMap::new();
-        for entry in others {
+        for entry in ranked(others) {
             if entry.zone == me.zone {
                 near.push(entry);
-                continue;
+            } else {
+                far.entry(&entry.zone).or_default().push(entry);
             }
-            let best = far.entry(&entry.zone).or_default();
-            best.push(entry);
-            best.sort_by_key(|entry| rank(entry));
-            best.truncate(RELAYS_MAX);
         }
-        near.sort_by_key(|entry| rank(entry));
         let is_small = near.len() < ALL_READ_MAX && self.is_settled(now);
         let is_first = near.first().is_none_or(|first| rank(me) < rank(first));
         let is_alone = near.is_empty() && !self.is_settled(now);
@@ -82,6 +77,16 @@
     }
 }
 
+/// Returns instances in the order of their rank, each of which is worked out once.
+fn ranked<'a, I>(entries: I) -> Vec<&'a InstanceEntry>
+where
+    I: Iterator<Item = &'a InstanceEntry>,
+{
+    let mut ranked: Vec<&InstanceEntry> = entries.collect();
+    ranked.sort_by_cached_key(|entry| rank(entry));
+    ranked
+}
+
 /// Returns where an instance stands among those of its availability zone.
 fn rank(entry: &InstanceEntry) -> (Reverse<u32>, u64, &str) {
     let hash = xxh3_64(entry.name.as_bytes());
