That the registry is lost is noted in one place

The first read and the follower each had the same lines; the list of relays that only the first read uses stands there. No change of behaviour: 27 tests of relays, faults and a first read in pages pass.

--- a/src/direct/first_read.rs
+++ b/src/direct/first_read.rs
@@ -19,9 +19,9 @@
 
 use super::node::Node;
 use super::reads;
-use super::reads::relays_of;
 use super::reads::Known;
 use super::reads::Read;
+use super::registry::note_lost;
 use super::registry::CallError;
 use super::registry::Registry;
 use super::registry::CALL_MS;
@@ -82,7 +82,7 @@
             let reading = self.node.reading();
             match self.read_or_ask_readers().await {
                 Ok(read) => return read,
-                Err(err) => self.note_lost(&err),
+                Err(err) => note_lost(&mut self.lost_since, self.clock.now(), &err),
             }
             let asks_seeds = !reading.reads || tries % READER_TRIES == 0;
             if asks_seeds {
@@ -96,13 +96,6 @@
         unreachable!("tries are not counted to an end")
     }
 
-    fn note_lost(&mut self, err: &CallError) {
-        if self.lost_since.is_none() {
-            self.lost_since = Some(self.clock.now());
-            warn!(target: "dependency", why = err.to_string(); "registry lost");
-        }
-    }
-
     /// Reads everything from the registry, or from a reader of the zone if there are many instances.
     async fn read_or_ask_readers(&mut self) -> Result<Read, CallError> {
         let request = self.protocol.write_read_instances();
@@ -210,3 +203,7 @@
         }
     }
 }
+
+fn relays_of(instances: &[InstanceEntry]) -> Vec<SocketAddr> {
+    instances.iter().filter_map(|entry| entry.relay).collect()
+}
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -28,6 +28,7 @@
 use super::reads;
 use super::reads::Known;
 use super::reads::Read;
+use super::registry::note_lost;
 use super::registry::CallError;
 use super::registry::Registry;
 use super::relay;
@@ -361,10 +362,7 @@
         let now = self.clock.now();
         let reading = self.node.reading();
         self.sources.registry_failed(now, &reading);
-        if self.lost_since.is_none() {
-            self.lost_since = Some(now);
-            warn!(target: "dependency", why = err.to_string(); "registry lost");
-        }
+        note_lost(&mut self.lost_since, now, err);
     }
 
     fn note_registry_answers(&mut self) {
--- a/src/direct/reads.rs
+++ b/src/direct/reads.rs
@@ -1,12 +1,9 @@
 //! Calls that read the registry, from itself or from an instance that passes it on.
 
-use std::net::SocketAddr;
-
 use hemlockrouter_edge::Entry;
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_edge::RegistryError;
 use hemlockrouter_edge::RelayPage;
-use hemlockrouter_types::routing::InstanceEntry;
 use log::info;
 
 use super::registry::CallError;
@@ -131,8 +128,3 @@
         path: page.path,
     })
 }
-
-/// Returns where instances are that can be followed.
-pub(super) fn relays_of(instances: &[InstanceEntry]) -> Vec<SocketAddr> {
-    instances.iter().filter_map(|entry| entry.relay).collect()
-}
--- a/src/direct/registry.rs
+++ b/src/direct/registry.rs
@@ -5,10 +5,12 @@
 use bytes::Bytes;
 use derive_more::Display;
 use hemlockrouter_edge::RegistryError;
+use hemlockrouter_types::prelude::*;
 use http::header;
 use http::HeaderValue;
 use http::Request;
 use http_body_util::Full;
+use log::warn;
 
 use super::connection::within_ms;
 use super::connection::Connection;
@@ -101,3 +103,11 @@
         }
     }
 }
+
+/// Notes that the registry does not answer, with a log line if it did before.
+pub(super) fn note_lost(lost_since: &mut Option<Time>, now: Time, err: &CallError) {
+    if lost_since.is_none() {
+        *lost_since = Some(now);
+        warn!(target: "dependency", why = err.to_string(); "registry lost");
+    }
+}
