Simpler pieces in what keeps up with the registry; no change of behaviour

The subject of each entry of a page is worked out once, not twice. What only the ways to the registry use of their timing, and whether they are stale, is private. Tests of relays share one client.

--- a/hemlockrouter-cli/tests/direct/relays.rs
+++ b/hemlockrouter-cli/tests/direct/relays.rs
@@ -69,6 +69,12 @@
     assert!(took < Duration::from_millis(CATCH_UP_MS), "{took:?}");
 }
 
+/// Returns a client for which an answer with an error status is an answer.
+fn agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder().http_status_as_error(false);
+    ureq::Agent::new_with_config(config.build())
+}
+
 #[test]
 fn followers_learn_of_a_new_version_and_spare_the_registry() {
     let (mut world, followers) = start();
@@ -203,9 +209,7 @@
     let world = World::start(1);
     let join = |body: &[u8]| {
         let url = format!("http://{}/join", world.daemons[0].relay);
-        let config = ureq::Agent::config_builder().http_status_as_error(false);
-        let agent = ureq::Agent::new_with_config(config.build());
-        let answer = agent.post(url).send(body);
+        let answer = agent().post(url).send(body);
         answer.expect("there is an answer").status().as_u16()
     };
     let none: Option<String> = None;
@@ -231,8 +235,7 @@
 #[test]
 fn an_offer_or_a_call_for_news_that_makes_no_sense_is_refused() {
     let world = World::start(1);
-    let config = ureq::Agent::config_builder().http_status_as_error(false);
-    let agent = ureq::Agent::new_with_config(config.build());
+    let agent = agent();
     let relay = world.daemons[0].relay;
     let offer = |body: &[u8]| {
         let answer = agent.post(format!("http://{relay}/offer")).send(body);
--- a/hemlockrouter-member/src/sources.rs
+++ b/hemlockrouter-member/src/sources.rs
@@ -112,7 +112,7 @@
     }
 
     /// Returns whether what is known is so old that other ways are looked for.
-    pub fn is_stale(&self, now: Time) -> bool {
+    fn is_stale(&self, now: Time) -> bool {
         let stale_ms = self.timing.stale_ms();
         self.heard_at.is_none_or(|at| now.since(at) > stale_ms)
     }
@@ -191,13 +191,11 @@
         path: &[String],
     ) -> bool {
         let is_usable = age_ms <= self.timing.stale_ms() && self.counts(path);
-        self.relays.answered(
-            relay,
-            match is_usable {
-                true => Answered::Usable,
-                false => Answered::Unusable,
-            },
-        );
+        let answered = match is_usable {
+            true => Answered::Usable,
+            false => Answered::Unusable,
+        };
+        self.relays.answered(relay, answered);
         if is_usable && self.is_better(relay) {
             self.choose(now, relay);
         }
--- a/hemlockrouter-member/src/sources/timing.rs
+++ b/hemlockrouter-member/src/sources/timing.rs
@@ -46,17 +46,17 @@
     }
 
     /// Returns the age from which on what is known is stale, in milliseconds.
-    pub fn stale_ms(&self) -> u64 {
+    pub(super) fn stale_ms(&self) -> u64 {
         self.bound_ms / 2
     }
 
     /// Returns for how long the registry is asked to wait for a change, in milliseconds.
-    pub fn watch_ms(&self) -> u64 {
+    pub(super) fn watch_ms(&self) -> u64 {
         self.bound_ms / 4
     }
 
     /// Returns how much longer than it waits a call to the registry may take, in milliseconds.
-    pub fn watch_slack_ms(&self) -> u64 {
+    pub(super) fn watch_slack_ms(&self) -> u64 {
         self.bound_ms / 4
     }
 
@@ -67,47 +67,47 @@
 
     /// Returns for how long a relay is asked to wait for news, in milliseconds. One that is in touch has
     /// some earlier.
-    pub fn relay_wait_ms(&self) -> u64 {
+    pub(super) fn relay_wait_ms(&self) -> u64 {
         self.bound_ms * 2 / 5
     }
 
     /// Returns for how long relays are asked all at once, and how much longer than it waits a call to a
     /// relay may take, in milliseconds.
-    pub fn search_ms(&self) -> u64 {
+    pub(super) fn search_ms(&self) -> u64 {
         (self.bound_ms / 10).min(SEARCH_MAX_MS)
     }
 
     /// Returns the time over which the calls of instances are spread that turn to the registry together,
     /// in milliseconds.
-    pub fn spread_ms(&self) -> u64 {
+    pub(super) fn spread_ms(&self) -> u64 {
         self.bound_ms / 16
     }
 
     /// Returns the interval at which is looked for a better way than the one in use, in milliseconds.
-    pub fn review_ms(&self) -> u64 {
+    pub(super) fn review_ms(&self) -> u64 {
         self.bound_ms
     }
 
     /// Returns for how long an instance that offered itself as a relay is remembered, in milliseconds.
-    pub fn offer_ms(&self) -> u64 {
+    pub(super) fn offer_ms(&self) -> u64 {
         self.bound_ms * 4
     }
 
     /// Returns the longest pause of an instance that reads for others and that the registry does not
     /// answer, in milliseconds.
-    pub fn reader_pause_max_ms(&self) -> u64 {
+    pub(super) fn reader_pause_max_ms(&self) -> u64 {
         (self.bound_ms / 6).min(READER_PAUSE_MAX_MS)
     }
 
     /// Returns the pause of an instance that does not read for others after the registry first did not
     /// answer, in milliseconds. It doubles each time.
-    pub fn pause_min_ms(&self) -> u64 {
+    pub(super) fn pause_min_ms(&self) -> u64 {
         (self.bound_ms / 8).min(PAUSE_MIN_MAX_MS)
     }
 
     /// Returns the longest pause of an instance that does not read for others and that the registry does
     /// not answer, in milliseconds. It may take a quarter longer.
-    pub fn pause_max_ms(&self) -> u64 {
+    pub(super) fn pause_max_ms(&self) -> u64 {
         (self.catch_up_ms * 4 / 5).clamp(1, PAUSE_MAX_MS)
     }
 }
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -104,22 +104,26 @@
     /// counts. A whole read may hold entries that are newer than its revision.
     pub(super) fn newer(&self, entries: &[Entry], known: u64) -> Vec<Entry> {
         let state = self.state.borrow();
-        let mut last: BTreeMap<Subject, u64> = BTreeMap::new();
-        for entry in entries {
-            if let Some((subject, _)) = subject(&entry.change) {
+        let newer = entries.iter().filter(|entry| entry.revision > known);
+        let newer: Vec<(&Entry, Option<Subject>)> = newer
+            .map(|entry| (entry, subject(&entry.change).map(|(subject, _)| subject)))
+            .collect();
+        let mut last: BTreeMap<&Subject, u64> = BTreeMap::new();
+        for (entry, subject) in &newer {
+            if let Some(subject) = subject {
                 last.insert(subject, entry.revision);
             }
         }
-        let is_newer = |entry: &&Entry| {
-            let Some((subject, _)) = subject(&entry.change) else {
-                return true;
-            };
-            let known = state.entries.get(&subject);
-            let is_last = last.get(&subject) == Some(&entry.revision);
+        let changes_something = |entry: &Entry, subject: &Subject| {
+            let known = state.entries.get(subject);
+            let is_last = last.get(subject) == Some(&entry.revision);
             is_last && known.is_none_or(|known| known.revision < entry.revision)
         };
-        let newer = entries.iter().filter(|entry| entry.revision > known);
-        newer.filter(is_newer).cloned().collect()
+        let changing = newer.iter().filter(|(entry, subject)| {
+            let subject = subject.as_ref();
+            subject.is_none_or(|subject| changes_something(entry, subject))
+        });
+        changing.map(|(entry, _)| (*entry).clone()).collect()
     }
 
     /// Takes over what was read.
