The fuzz oracle knows which parts another instance has sent to nobody

Seen: both zones are out of service; the instance of another region, which is to collect all parts, says of each that it sends it to nobody. The entry instance releases the call and refuses the search as not run.

Cause: the check, not the dispatcher. The oracle took any released call to another instance for parts that may have run, also where that instance had said of all of them that it sent none. What is refused as not run has not run there.

Ruled out: that the collecting instance sends a part later that it has said to send to nobody. It says so of parts when it starts, and such a part has no timer, no place in a queue and no open call.

In its place, as strict: the oracle keeps the parts that were said to be unsent, batch by batch, and any other part of a call that is released, cancelled, lost or done may have run.

--- a/hemlockrouter-route/tests/direct/fuzz.rs
+++ b/hemlockrouter-route/tests/direct/fuzz.rs
@@ -87,6 +87,15 @@
     request: Option<RequestId>,
     parts: Vec<BatchPart>,
     has_reported: bool,
+    /// Places of parts that the other instance has said to send to nobody.
+    unsent: BTreeSet<usize>,
+}
+
+impl OpenBatch {
+    /// Returns whether the other instance may have sent any part to an upstream.
+    fn may_have_sent(&self) -> bool {
+        self.unsent.len() < self.parts.len()
+    }
 }
 
 #[derive(Default)]
@@ -154,12 +163,7 @@
                     panic!("nothing is collected for others here")
                 }
                 Command::Cancel { call } | Command::Release { call } => {
-                    let batch = self.batches.remove(&call);
-                    let open = self.open.remove(&call).map(|(request, _)| request);
-                    let request = batch.and_then(|batch| batch.request).or(open);
-                    let request = request.expect("it was open");
-                    let known = self.requests.get_mut(&request).expect("it was started");
-                    known.may_have_run = true;
+                    self.break_off(call);
                 }
                 Command::Finish {
                     request, ending, ..
@@ -190,10 +194,24 @@
             request,
             parts,
             has_reported: false,
+            unsent: BTreeSet::new(),
         };
         self.batches.insert(call, batch);
     }
 
+    /// Takes over that nobody waits any more for a call to an upstream or to another instance.
+    fn break_off(&mut self, call: CallId) {
+        if let Some(batch) = self.batches.remove(&call) {
+            assert!(batch.request.is_some(), "it belongs to no request");
+            if batch.may_have_sent() {
+                self.note_run(batch.request);
+            }
+            return;
+        }
+        let (request, _) = self.open.remove(&call).expect("it was open");
+        self.note_run(Some(request));
+    }
+
     /// Picks an open batch.
     fn batch(&self, at: prop::sample::Index) -> Option<CallId> {
         let calls: Vec<CallId> = self.batches.keys().copied().collect();
@@ -228,6 +246,7 @@
             unsent: unsent.collect(),
             notices: Vec::new(),
         };
+        batch.unsent.extend(&collected.unsent);
         let request = batch.request;
         if !collected.answers.is_empty() || collected.unsent.is_empty() {
             self.note_run(request);
@@ -243,7 +262,7 @@
             1 => BatchEnd::Lost,
             _ => BatchEnd::Done,
         };
-        if end != BatchEnd::NotTaken {
+        if end != BatchEnd::NotTaken && batch.may_have_sent() {
             self.note_run(batch.request);
         }
         let (now, out) = (fixture.now, &mut fixture.out);
--- a/hemlockrouter-route/tests/direct/regions.rs
+++ b/hemlockrouter-route/tests/direct/regions.rs
@@ -152,6 +152,33 @@
     assert!(fixture.ending(id).is_some());
 }
 
+#[test]
+fn a_search_that_neither_region_sends_to_anybody_is_refused_as_not_run() {
+    let mut entry = Fixture::lonely();
+    acquaint(&mut entry);
+    let (id, call, _, batch) = start(&mut entry);
+    let mut collector = Fixture::new();
+    for fixture in [&mut entry, &mut collector] {
+        for zone in ["north-a", "south-b"] {
+            fixture.dispatcher.upstreams_mut().evacuate(zone, true);
+        }
+    }
+    let (now, out) = (collector.now, &mut collector.out);
+    collector
+        .dispatcher
+        .start_batch(now, RequestId(1), batch, 700, out);
+    assert!(collector.sent().is_empty());
+    for command in std::mem::take(&mut collector.out) {
+        if let Command::Report { collected, .. } = command {
+            let (now, out) = (entry.now, &mut entry.out);
+            entry.dispatcher.collected(now, call, collected, out);
+        }
+    }
+    assert!(entry.sent().is_empty());
+    let ending = entry.ending(id);
+    assert!(matches!(ending, Some(Ending::NotRun { .. })), "{ending:?}");
+}
+
 /// Records of a part, out of few so that many are equal.
 fn part() -> impl Strategy<Value = Vec<u8>> {
     let record = prop_oneof![(0..6_u8).prop_map(|byte| [byte; 16]), any::<[u8; 16]>()];
