What only waits at the instance has not run: callers are told so, and nothing is sent for those who left

What callers saw: - A booking that waited for room until its time was over got 504, and a search whose upstreams were taken out of service while all of its parts waited got 502, though nothing of either had left the instance. Who must not repeat on his own did not learn that he may. - A booking whose caller had left was still sent when room came free, or to a second upstream after a rejection.

Cause: a part in the queue counted as one that may have run, and a request that must not be repeated ran on whatever had become of it when its caller left.

Now only a part that was sent and not answered, or that ran, counts as one that may have run. A request whose time is over before anything was sent of it is refused as not run, with the time until room is expected. When the caller leaves, what was not sent is dropped; what an upstream may be running is left to end and sent nowhere else.

--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -247,7 +247,7 @@
                 Dispatcher::report(call.request, &mut request, out);
             }
         } else if let Some(cause) = again {
-            if part.open.is_empty() {
+            if part.open.is_empty() && !request.is_abandoned {
                 self.send(now, call.request, &mut request, call.part, cause, out);
             }
         }
@@ -257,12 +257,14 @@
     }
 
     /// Takes over that the caller of a request has left, and returns whether the request is given up.
-    /// One that must not be repeated runs on.
+    /// One that must not be repeated and that an upstream may be running is left to end, but is sent to no
+    /// other upstream.
     pub fn abandoned(&mut self, now: Time, id: RequestId, out: &mut Vec<Command>) -> bool {
-        let Some(request) = self.requests.get(&id) else {
+        let Some(request) = self.requests.get_mut(&id) else {
             return true;
         };
-        if !request.route.entry.idempotent {
+        if !request.route.entry.idempotent && request.may_have_run() {
+            request.is_abandoned = true;
             return false;
         }
         let request = self.requests.remove(&id).expect("it was just found");
--- a/hemlockrouter-route/src/direct/dispatcher/finish.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/finish.rs
@@ -138,7 +138,16 @@
         }
         let mut request = self.requests.remove(&id).expect("it was just found");
         request.summary.answered = request.answered();
-        self.finish(now, id, request, Ending::TimedOut, out);
+        let ending = if request.may_have_run() {
+            Ending::TimedOut
+        } else {
+            let room_after_ms = self.room_after_ms(now, &request);
+            Ending::NotRun {
+                why: Why::NoRoom,
+                retry_after_ms: room_after_ms.unwrap_or(RETRY_FAULT_MS),
+            }
+        };
+        self.finish(now, id, request, ending, out);
     }
 
     pub(super) fn finish(
--- a/hemlockrouter-route/src/direct/dispatcher/wait.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/wait.rs
@@ -16,12 +16,8 @@
     /// Returns whether upstreams will have room for enough parts of a request before its time is over. One
     /// that would wait in vain is told at once when to come back.
     pub(super) fn has_time(&self, now: Time, request: &mut Request) -> bool {
-        let route = &request.route;
         let left_ms = request.deadline.before(DEADLINE_MARGIN_MS).left(now) as f64;
-        let waits = request.parts.iter().map(|part| {
-            let wanted = Wanted::any(part.service, route);
-            self.upstreams.wait_ms(now, &wanted)
-        });
+        let waits = self.waits_ms(now, request);
         let (in_time, late): (Vec<f64>, Vec<f64>) = waits.partition(|wait_ms| *wait_ms < left_ms);
         if in_time.len() >= request.needed() {
             return true;
@@ -31,6 +27,24 @@
         false
     }
 
+    /// Returns after how long upstreams will have room for enough parts of a request, in milliseconds; `None`
+    /// if there are too few upstreams for that.
+    pub(super) fn room_after_ms(&self, now: Time, request: &Request) -> Option<u64> {
+        let waits = self.waits_ms(now, request);
+        let mut waits: Vec<f64> = waits.filter(|wait_ms| wait_ms.is_finite()).collect();
+        waits.sort_by(f64::total_cmp);
+        let last_needed = request.needed().saturating_sub(1);
+        waits.get(last_needed).map(|wait_ms| *wait_ms as u64)
+    }
+
+    /// Returns how long each part of a request would wait for room, in milliseconds.
+    fn waits_ms<'d>(&'d self, now: Time, request: &'d Request) -> impl Iterator<Item = f64> + 'd {
+        request.parts.iter().map(move |part| {
+            let wanted = Wanted::any(part.service, &request.route);
+            self.upstreams.wait_ms(now, &wanted)
+        })
+    }
+
     /// Has a part wait until an upstream has room for it. A hedge does not wait: its first try is under way.
     pub(super) fn enqueue(
         &mut self,
--- a/hemlockrouter-route/src/direct/request.rs
+++ b/hemlockrouter-route/src/direct/request.rs
@@ -78,6 +78,8 @@
     /// Calls by which other instances collect parts.
     pub(super) shares: Vec<CallId>,
     pub(super) answer_to: AnswerTo,
+    /// Its caller has left, so nothing more is sent of it.
+    pub(super) is_abandoned: bool,
     /// The greatest records of what was passed on to another instance.
     pub(super) greatest: Greatest,
     pub(super) summary: Summary,
@@ -115,8 +117,12 @@
 
     /// Returns whether it waits for an answer.
     pub(super) fn is_waiting(&self) -> bool {
-        let is_under_way = !self.open.is_empty() || self.shared.is_some();
-        !self.has_answered && (is_under_way || self.queued)
+        !self.has_answered && (self.is_under_way() || self.queued)
+    }
+
+    /// Returns whether it was sent to an upstream or another instance that may still work on it.
+    fn is_under_way(&self) -> bool {
+        !self.open.is_empty() || self.shared.is_some()
     }
 
     /// Returns whether it neither has an answer nor waits for one.
@@ -191,6 +197,7 @@
             parts,
             shares: Vec::new(),
             answer_to,
+            is_abandoned: false,
             greatest: Greatest::default(),
             summary,
             route,
@@ -225,9 +232,10 @@
         }
     }
 
-    /// Returns whether any upstream has run or may have run it, or still may.
+    /// Returns whether any upstream has run or may have run it, or still may. What only waits at this instance
+    /// is not sent once the request has ended.
     pub(super) fn may_have_run(&self) -> bool {
         let mut parts = self.parts.iter();
-        parts.any(|part| part.ran || part.has_answered || part.is_waiting())
+        parts.any(|part| part.ran || part.has_answered || part.is_under_way())
     }
 }
--- a/hemlockrouter-route/tests/direct/fuzz.rs
+++ b/hemlockrouter-route/tests/direct/fuzz.rs
@@ -78,6 +78,8 @@
     may_have_run: bool,
     has_ended: bool,
     has_left: bool,
+    /// It was given up when its caller left, so that it does not end.
+    is_dropped: bool,
 }
 
 /// A batch that another instance collects.
@@ -142,6 +144,7 @@
                     assert!(left_ms <= LINGER_MS, "it leaves for {left_ms} ms");
                     let known = self.requests.get_mut(&request).expect("it was started");
                     assert!(!known.has_ended, "sent after its end");
+                    assert!(!known.has_left, "sent after its caller has left");
                     let sent = known.sent.entry(entry.service.clone()).or_default();
                     if !sent.contains(&entry.id) {
                         sent.push(entry.id.clone());
@@ -362,6 +365,7 @@
                         may_have_run: false,
                         has_ended: false,
                         has_left: false,
+                        is_dropped: false,
                     },
                 );
                 assert_eq!(fixture.start(path), id);
@@ -376,7 +380,8 @@
                 let id = RequestId(at.index(self.requests.len()) as u64 + 1);
                 let over = fixture.dispatcher.abandoned(now, id, &mut fixture.out);
                 let known = self.requests.get_mut(&id).expect("it was started");
-                known.has_left |= over;
+                known.has_left = true;
+                known.is_dropped |= over;
             }
             Step::Evacuate(first, out) => {
                 self.out_of_service.retain(|other| *other != zone(first));
@@ -422,7 +427,10 @@
         oracle.take(&mut fixture);
     }
     for known in oracle.requests.values() {
-        assert!(known.has_ended || known.has_left, "never ended: {known:?}");
+        assert!(
+            known.has_ended || known.is_dropped,
+            "never ended: {known:?}"
+        );
     }
     assert_eq!(fixture.dispatcher.pending(), 0);
 }
--- a/hemlockrouter-route/tests/direct/waiting.rs
+++ b/hemlockrouter-route/tests/direct/waiting.rs
@@ -96,6 +96,75 @@
     assert!(fixture.sent().is_empty());
 }
 
+/// A caller that may repeat nothing on its own has to know that it may ask again.
+#[test]
+fn a_request_whose_time_is_over_before_it_was_sent_is_refused_as_not_run() {
+    let mut fixture = Fixture::new();
+    start(&mut fixture, BOOK, 2);
+    let waits = fixture.start(BOOK);
+    fixture.wait(800);
+    let ending = fixture.ending(waits);
+    let Some(Ending::NotRun {
+        why: Why::NoRoom, ..
+    }) = ending
+    else {
+        panic!("{ending:?}");
+    };
+}
+
+#[test]
+fn a_search_that_loses_its_upstreams_while_all_of_its_parts_wait_is_refused_as_not_run() {
+    let mut fixture = Fixture::new();
+    start(&mut fixture, SEARCH, 2);
+    let waits = fixture.start(SEARCH);
+    assert!(fixture.sent().is_empty(), "no upstream has room");
+    for zone in ["north-a", "south-b"] {
+        fixture.dispatcher.upstreams_mut().evacuate(zone, true);
+    }
+    fixture.wait(300);
+    let ending = fixture.ending(waits);
+    let Some(Ending::NotRun {
+        why: Why::NoUpstream,
+        ..
+    }) = ending
+    else {
+        panic!("{ending:?}");
+    };
+}
+
+#[test]
+fn a_request_that_waits_is_not_sent_after_its_caller_has_left() {
+    let mut fixture = Fixture::new();
+    let sent = start(&mut fixture, BOOK, 2);
+    let waits = fixture.start(BOOK);
+    let (now, out) = (fixture.now, &mut fixture.out);
+    assert!(fixture.dispatcher.abandoned(now, waits, out));
+    fixture.answer(sent);
+    assert!(fixture.sent().is_empty());
+}
+
+#[test]
+fn a_request_that_must_not_be_repeated_runs_on_after_its_caller_has_left() {
+    let mut fixture = Fixture::new();
+    let id = fixture.start(BOOK);
+    assert_eq!(fixture.sent().len(), 1);
+    let (now, out) = (fixture.now, &mut fixture.out);
+    assert!(!fixture.dispatcher.abandoned(now, id, out));
+    assert!(fixture.out.is_empty(), "{:?}", fixture.out);
+}
+
+#[test]
+fn a_request_that_was_rejected_is_not_sent_again_after_its_caller_has_left() {
+    let mut fixture = Fixture::new();
+    let id = fixture.start(BOOK);
+    let (call, _) = fixture.sent().remove(0);
+    let (now, out) = (fixture.now, &mut fixture.out);
+    assert!(!fixture.dispatcher.abandoned(now, id, out));
+    fixture.end(call, rejected());
+    assert!(fixture.sent().is_empty());
+    assert!(matches!(fixture.ending(id), Some(Ending::NotRun { .. })));
+}
+
 /// Load pattern: an upstream stops answering. What has been sent to it says nothing yet, and what would wait
 /// for its room would wait in vain.
 #[test]
