--- a/hemlockrouter-cli/src/bin/hemlockctl/direct.rs
+++ b/hemlockrouter-cli/src/bin/hemlockctl/direct.rs
@@ -20,6 +20,9 @@
     /// Left out by earlier versions.
     #[serde(default)]
     registry_path: Vec<String>,
+    /// Left out by earlier versions.
+    #[serde(default)]
+    registry_generation: Option<u64>,
     instances: Vec<Instance>,
     upstreams: Vec<Upstream>,
 }
@@ -78,8 +81,10 @@
         [] => String::new(),
         path => format!(" through {}", path.join(" ")),
     };
+    let generation = status.registry_generation;
+    let generation = generation.map_or(String::new(), |number| format!(" (generation {number})"));
     println!(
-        "instance {} in {}: {ready}, version {}, {} routes, registry heard from {age}{path}, {} requests",
+        "instance {} in {}: {ready}, version {}, {} routes, registry{generation} heard from {age}{path}, {} requests",
         status.instance, status.zone, status.version, status.routes, status.pending
     );
     println!("\ninstances:");
--- a/hemlockrouter-cli/tests/direct/in_force.rs
+++ b/hemlockrouter-cli/tests/direct/in_force.rs
@@ -1,4 +1,5 @@
-//! How soon a confirmed version is in force everywhere while the store turns some instances away.
+//! How soon a confirmed version is in force everywhere while the store turns some instances away, or comes
+//! back from copies.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -27,10 +28,16 @@
 const ROUND_MIN_MS: u64 = 1_500;
 const ROUND_MAX_MS: u64 = 5_000;
 
+/// How old a copy is at most from which the store comes back.
+const COPY_MAX: Duration = Duration::from_secs(3);
+
 /// Versions, and when they were confirmed.
 struct Written {
     world: World,
     versions: Vec<(u64, Instant)>,
+    last: u64,
+    /// The version that each instance had when it was asked last.
+    seen: Vec<u64>,
 }
 
 impl Written {
@@ -40,13 +47,13 @@
             return;
         }
         self.world.configure(|_| {});
-        let version = last.map_or(2, |(version, _)| version + 1);
-        self.versions.push((version, Instant::now()));
+        self.last += 1;
+        self.versions.push((self.last, Instant::now()));
     }
 
     /// Checks that no instance is behind by more than the bound.
-    fn check(&self) {
-        for daemon in &self.world.daemons {
+    fn check(&mut self) {
+        for (at, daemon) in self.world.daemons.iter().enumerate() {
             let asked_at = Instant::now();
             let url = format!("http://{}/status", daemon.ready);
             let status: Value = ureq::get(url)
@@ -54,6 +61,8 @@
                 .and_then(|mut answer| answer.body_mut().read_json())
                 .expect("the daemon tells its status");
             let in_force = status["version"].as_u64().expect("a number");
+            let before = std::mem::replace(&mut self.seen[at], in_force);
+            assert!(in_force >= before, "{} went back: {status:#}", daemon.name);
             let due = self.versions.iter().rev().find(|(_, at)| {
                 let confirmed_for = asked_at.saturating_duration_since(*at);
                 confirmed_for > IN_FORCE_WITHIN
@@ -78,6 +87,19 @@
         }
     }
 
+    /// Has the store come back from a copy of a moment before. Operators write again after a while; how soon
+    /// it is in force counts from then.
+    fn come_back(&mut self, rng: &mut StdRng) {
+        let copy = self.world.store.copy();
+        self.play(rng.random_range(Duration::ZERO..COPY_MAX));
+        self.world.store.restore(&copy);
+        let is_known = |(_, at): &(u64, Instant)| at.elapsed() > IN_FORCE_WITHIN;
+        self.versions.retain(is_known);
+        for upstream in &self.world.upstreams {
+            upstream.register(&self.world.store, false);
+        }
+    }
+
     /// Turns some instances away, by resets or by silence, and serves the others.
     fn turn_away(&self, rng: &mut StdRng) {
         let served = rng.random_range(0..DAEMONS);
@@ -94,7 +116,14 @@
     }
 }
 
-fn play(seed: u64) {
+/// What happens beside instances being turned away.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Store {
+    Lasts,
+    ComesBackFromCopies,
+}
+
+fn play(seed: u64, store: Store) {
     println!("seed {seed}");
     let mut rng = StdRng::seed_from_u64(seed);
     let world = World::start(DAEMONS);
@@ -102,23 +131,40 @@
     let mut written = Written {
         world,
         versions: Vec::new(),
+        last: 1,
+        seen: vec![0; DAEMONS],
     };
     for _ in 0..ROUNDS {
         written.turn_away(&mut rng);
+        if store == Store::ComesBackFromCopies {
+            written.come_back(&mut rng);
+        }
         let ms = rng.random_range(ROUND_MIN_MS..ROUND_MAX_MS);
         written.play(Duration::from_millis(ms));
     }
 }
 
-/// Guards against the incident docs/incidents/halls-config.md.
-#[test]
-fn a_confirmed_version_is_in_force_in_time_while_the_store_turns_instances_away() {
-    let seeds = std::env::var("HEMLOCK_IN_FORCE_SEEDS").ok();
+/// Returns the seeds to play: those that the variable names, or a few.
+fn seeds(variable: &str) -> std::ops::Range<u64> {
+    let seeds = std::env::var(variable).ok();
     let seeds = seeds.unwrap_or_else(|| String::from("1..3"));
     let (from, to) = seeds.split_once("..").expect("seeds are written A..B");
     let number = |text: &str| text.parse::<u64>().expect("seeds are numbers");
-    for seed in number(from)..number(to) {
-        play(seed);
+    number(from)..number(to)
+}
+
+/// Guards against the incident docs/incidents/halls-config.md.
+#[test]
+fn a_confirmed_version_is_in_force_in_time_while_the_store_turns_instances_away() {
+    for seed in seeds("HEMLOCK_IN_FORCE_SEEDS") {
+        play(seed, Store::Lasts);
+    }
+}
+
+#[test]
+fn a_confirmed_version_is_in_force_in_time_while_the_store_comes_back_from_copies() {
+    for seed in seeds("HEMLOCK_COPIES_SEEDS") {
+        play(seed, Store::ComesBackFromCopies);
     }
 }
 
--- a/hemlockrouter-cli/tests/direct/main.rs
+++ b/hemlockrouter-cli/tests/direct/main.rs
@@ -8,6 +8,7 @@
 mod notices;
 mod relays;
 mod replayer;
+mod restored;
 mod serving;
 mod sharing;
 mod soak;
--- /dev/null
+++ b/hemlockrouter-cli/tests/direct/restored.rs
@@ -0,0 +1,249 @@
+//! A store that comes back from a copy some seconds old.
+//!
+//! What was written since the copy is gone, and revisions are given out once more. Operators and upstreams
+//! write again what they wrote; until then nothing that an instance knows goes back with the store.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockrouter_corporation_lab::Seen;
+use hemlockrouter_lab::link::Condition;
+use http::StatusCode;
+use serde_json::Value;
+
+use crate::world::eventually;
+use crate::world::World;
+use crate::world::LOOK_UP;
+use crate::world::SEARCH;
+use crate::world::ZONES;
+
+/// How soon a version is in force after it was confirmed.
+const IN_FORCE_WITHIN: Duration = Duration::from_millis(3_000);
+
+/// A time after the return in which operators and upstreams have not written again.
+const NOT_WRITTEN_YET: Duration = Duration::from_millis(1_500);
+
+/// How long an upstream is used after its registration has ended, and a moment.
+const GONE_AFTER: Duration = Duration::from_millis(2_500);
+
+fn move_route(config: &mut Value, to: &str) {
+    config["routes"][2]["pathPrefix"] = to.into();
+}
+
+/// Sends requests to all daemons in turn for some time.
+fn calls_for(world: &World, time: Duration, path: &str) -> Vec<Seen> {
+    let start = Instant::now();
+    let mut seen = Vec::new();
+    while start.elapsed() < time {
+        for at in 0..world.daemons.len() {
+            seen.push(world.call(at, path, 800));
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    seen
+}
+
+fn assert_all_served(seen: &[Seen]) {
+    for one in seen {
+        assert_eq!(one.status, Some(StatusCode::OK), "{one:?}");
+    }
+}
+
+fn wait_in_force(world: &World, path: &str) {
+    let start = Instant::now();
+    for at in 0..world.daemons.len() {
+        eventually("the version is in force", || {
+            world.call(at, path, 500).status == Some(StatusCode::OK)
+        });
+    }
+    assert!(start.elapsed() < IN_FORCE_WITHIN, "{:?}", start.elapsed());
+}
+
+#[test]
+fn a_version_that_the_copy_lacks_stays_in_force_and_later_ones_come() {
+    let mut world = World::start(4);
+    let copy = world.store.copy();
+    world.configure(|config| move_route(config, "/moved/"));
+    wait_in_force(&world, "/moved/x");
+    world.store.restore(&copy);
+    assert_all_served(&calls_for(&world, NOT_WRITTEN_YET, "/moved/x"));
+    world.configure(|config| move_route(config, "/moved-on/"));
+    wait_in_force(&world, "/moved-on/x");
+}
+
+#[test]
+fn a_version_comes_after_the_store_has_given_out_the_revisions_of_the_copy_again() {
+    let mut world = World::start(2);
+    let copy = world.store.copy();
+    world.configure(|config| move_route(config, "/moved/"));
+    wait_in_force(&world, "/moved/x");
+    world.store.restore(&copy);
+    for upstream in &world.upstreams {
+        upstream.register(&world.store, false);
+    }
+    world.configure(|config| move_route(config, "/moved-on/"));
+    wait_in_force(&world, "/moved-on/x");
+}
+
+#[test]
+fn an_instance_that_the_store_turns_away_hears_of_the_return_through_others() {
+    let mut world = World::start(4);
+    let copy = world.store.copy();
+    world.configure(|config| move_route(config, "/moved/"));
+    wait_in_force(&world, "/moved/x");
+    let cut = Condition {
+        cut: true,
+        ..Condition::default()
+    };
+    world.daemons[0].link.set(cut);
+    world.store.restore(&copy);
+    world.configure(|config| move_route(config, "/moved-on/"));
+    wait_in_force(&world, "/moved-on/x");
+}
+
+#[test]
+fn an_upstream_that_had_left_gets_nothing_until_it_is_registered_again() {
+    let mut world = World::start(2);
+    let gone = world.add_upstream("ledger", ZONES[0]);
+    let runs = |world: &World| {
+        let runs = world.ledger.runs();
+        let id = world.upstreams[gone].id();
+        runs.iter().filter(|run| run.upstream == id).count()
+    };
+    eventually("the upstream is used", || {
+        world.call(0, LOOK_UP, 800);
+        runs(&world) > 0
+    });
+    let copy = world.store.copy();
+    world.upstreams[gone].unregister(&world.store);
+    std::thread::sleep(GONE_AFTER);
+    let before = runs(&world);
+    world.store.restore(&copy);
+    assert_all_served(&calls_for(&world, GONE_AFTER, LOOK_UP));
+    assert_eq!(runs(&world), before, "it had left");
+    world.upstreams[gone].register(&world.store, false);
+    eventually("the upstream is used again", || {
+        world.call(0, LOOK_UP, 800);
+        runs(&world) > before
+    });
+}
+
+#[test]
+fn upstreams_that_the_copy_lacks_are_used_until_they_had_time_to_register_again() {
+    let world = World::start(2);
+    let ledgers = || {
+        let upstreams = world.upstreams.iter();
+        upstreams.filter(|upstream| upstream.service() == "ledger")
+    };
+    ledgers().for_each(|upstream| upstream.unregister(&world.store));
+    let copy = world.store.copy();
+    ledgers().for_each(|upstream| upstream.register(&world.store, false));
+    std::thread::sleep(GONE_AFTER);
+    world.store.restore(&copy);
+    assert_all_served(&calls_for(&world, NOT_WRITTEN_YET, LOOK_UP));
+    // One of them lives, the other one is taken for gone in the end.
+    ledgers()
+        .take(1)
+        .for_each(|upstream| upstream.register(&world.store, false));
+    assert_all_served(&calls_for(&world, GONE_AFTER, LOOK_UP));
+    std::thread::sleep(GONE_AFTER);
+    let start = Instant::now();
+    assert_all_served(&calls_for(&world, NOT_WRITTEN_YET, LOOK_UP));
+    let gone = ledgers().nth(1).expect("there are two").id();
+    let runs = world.ledger.runs();
+    let late = runs
+        .iter()
+        .filter(|run| run.at >= start && run.upstream == gone);
+    assert_eq!(late.count(), 0, "it is not registered");
+}
+
+#[test]
+fn a_zone_out_of_service_gets_nothing_though_the_copy_does_not_know_of_it() {
+    let world = World::start(2);
+    let copy = world.store.copy();
+    world.store.evacuate(ZONES[0], true);
+    std::thread::sleep(GONE_AFTER);
+    world.store.restore(&copy);
+    let start = Instant::now();
+    assert_all_served(&calls_for(&world, NOT_WRITTEN_YET, SEARCH));
+    world.store.evacuate(ZONES[0], true);
+    assert_all_served(&calls_for(&world, GONE_AFTER, SEARCH));
+    let runs = world.ledger.runs();
+    let late = runs
+        .iter()
+        .filter(|run| run.at >= start && run.zone == ZONES[0]);
+    assert_eq!(late.count(), 0, "the zone is out of service");
+}
+
+#[test]
+fn instances_register_again_and_renew_no_lease_that_somebody_else_has_now() {
+    let world = World::start(2);
+    world.wait_settled();
+    let registered = || world.store.keys("hemlock/instances/").len();
+    eventually("all are registered", || registered() == 2);
+    let copy = world.store.copy().without_leases();
+    let leases = world.store.leases();
+    assert!(!leases.is_empty());
+    world.store.restore(&copy);
+    leases.iter().for_each(|lease| world.store.grant(*lease));
+    let returned = Instant::now();
+    eventually("all are registered again", || registered() == 2);
+    assert!(
+        returned.elapsed() < IN_FORCE_WITHIN,
+        "{:?}",
+        returned.elapsed()
+    );
+    let renewals = || {
+        let renewals = leases.iter().map(|lease| world.store.renewals(*lease));
+        renewals.sum::<u64>()
+    };
+    let before = renewals();
+    // Longer than the interval between two renewals.
+    std::thread::sleep(Duration::from_secs(8));
+    assert_eq!(renewals(), before);
+}
+
+#[test]
+fn two_returns_in_a_row_take_nothing_back() {
+    let mut world = World::start(4);
+    let copy = world.store.copy();
+    world.configure(|config| move_route(config, "/moved/"));
+    wait_in_force(&world, "/moved/x");
+    world.store.restore(&copy);
+    assert_all_served(&calls_for(&world, Duration::from_millis(400), "/moved/x"));
+    world.store.restore(&copy);
+    assert_all_served(&calls_for(&world, NOT_WRITTEN_YET, "/moved/x"));
+    world.configure(|config| move_route(config, "/moved-on/"));
+    wait_in_force(&world, "/moved-on/x");
+}
+
+#[test]
+fn what_the_copy_lacks_is_used_though_everything_is_read_once_more() {
+    let world = World::start(1);
+    let ledgers = || {
+        let upstreams = world.upstreams.iter();
+        upstreams.filter(|upstream| upstream.service() == "ledger")
+    };
+    ledgers().for_each(|upstream| upstream.unregister(&world.store));
+    let copy = world.store.copy();
+    ledgers().for_each(|upstream| upstream.register(&world.store, false));
+    std::thread::sleep(GONE_AFTER);
+    world.store.restore(&copy);
+    std::thread::sleep(Duration::from_millis(200));
+    world.store.put("op/other", b"{}");
+    world.store.compact();
+    assert_all_served(&calls_for(&world, NOT_WRITTEN_YET, LOOK_UP));
+}
+
+#[test]
+fn a_generation_that_goes_down_or_is_left_out_has_no_effect() {
+    let mut world = World::start(1);
+    for (era, path) in [(7, "/a/"), (3, "/b/"), (0, "/c/"), (7, "/d/")] {
+        world.store.set_era(era);
+        world.configure(|config| move_route(config, path));
+        wait_in_force(&world, &format!("{path}x"));
+    }
+    let log = world.log(0);
+    let lines = log.matches("the registry's generation is not used").count();
+    assert!((1..=2).contains(&lines), "once by each connection: {lines}");
+}
--- a/hemlockrouter-edge/src/lib.rs
+++ b/hemlockrouter-edge/src/lib.rs
@@ -10,11 +10,15 @@
 //! - [`batch`]: what instances say to each other to share a search.
 //! - [`caller`]: requests of callers, and answers to them.
 //! - [`registry`]: the store in which routes, upstreams and instances are registered.
+//! - [`generation`]: how far the history of that store is known.
+//! - [`reconcile`](mod@reconcile): what to believe after it was restored from a copy.
 //! - [`protocol`]: the trait itself.
 
 pub mod batch;
 pub mod caller;
+pub mod generation;
 pub mod protocol;
+pub mod reconcile;
 pub mod registry;
 
 pub use crate::batch::BadBatch;
@@ -22,7 +26,14 @@
 pub use crate::batch::CollectedFrame;
 pub use crate::caller::BadRequest;
 pub use crate::caller::CallerRequest;
+pub use crate::generation::Generation;
+pub use crate::generation::Position;
 pub use crate::protocol::Protocol;
+pub use crate::reconcile::reconcile;
+pub use crate::reconcile::Departed;
+pub use crate::reconcile::Held;
+pub use crate::reconcile::Reconciled;
+pub use crate::reconcile::Subject;
 pub use crate::registry::Change;
 pub use crate::registry::EncodedEntries;
 pub use crate::registry::Entry;
--- a/hemlockrouter-edge/src/protocol.rs
+++ b/hemlockrouter-edge/src/protocol.rs
@@ -12,6 +12,7 @@
 
 use crate::caller::BadRequest;
 use crate::caller::CallerRequest;
+use crate::generation::Generation;
 use crate::registry::Lease;
 use crate::registry::Page;
 use crate::registry::RegistryError;
@@ -72,6 +73,14 @@
     /// Returns why there are no changes.
     fn read_changes(&self, status: u16, body: &[u8]) -> Result<Page, RegistryError>;
 
+    /// Reads from the head of any answer of the registry how often that one was restored; `None` if it does not
+    /// say it.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with it.
+    fn read_generation(&self, head: &response::Parts) -> Result<Option<Generation>, String>;
+
     /// Asks for a lease of `ttl_ms` milliseconds.
     fn write_lease(&self, ttl_ms: u64) -> Request<Bytes>;
 
--- a/hemlockrouter-edge/src/registry.rs
+++ b/hemlockrouter-edge/src/registry.rs
@@ -13,6 +13,8 @@
 use serde::Serialize;
 use serde_bytes::ByteBuf;
 
+use crate::generation::Position;
+
 /// One page of the registry, or what has changed in it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Page {
@@ -75,8 +77,8 @@
 pub struct RelayPage {
     /// Whether the entries are all that the registry holds, and not only what has changed.
     pub is_whole: bool,
-    /// The revision to follow from.
-    pub revision: u64,
+    /// From where to follow.
+    pub position: Position,
     /// How long ago the sender last heard from the registry, in milliseconds.
     pub age_ms: u64,
     /// The instances that this came through: the one that read the registry first, the sender last.
--- a/src/direct/first_read.rs
+++ b/src/direct/first_read.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use hemlockrouter_edge::Change;
+use hemlockrouter_edge::Generation;
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_route::direct::Instances;
 use hemlockrouter_types::prelude::*;
@@ -99,8 +100,8 @@
     /// Reads everything from the registry, or from a reader of the zone if there are many instances.
     async fn read_or_ask_readers(&mut self) -> Result<Read, CallError> {
         let request = self.protocol.write_read_instances();
-        let (status, body) = self.registry.call(request, CALL_MS).await?;
-        let page = self.protocol.read_page(status, &body);
+        let answer = self.registry.call(request, CALL_MS).await?;
+        let page = self.protocol.read_page(answer.status(), &answer.body);
         let page = page.map_err(CallError::Refused)?;
         let is_large = page.entries.len() > ALL_READ_FIRST_MAX || page.next.is_some();
         if is_large {
@@ -119,7 +120,7 @@
             }
         }
         let protocol = Rc::clone(self.protocol);
-        reads::whole(self.registry, &*protocol, true).await
+        reads::whole(self.registry, &*protocol, Generation::default(), true).await
     }
 
     /// Asks the seeds from whom to read, and reads if that is another instance. Seeds that wait for the
@@ -167,11 +168,11 @@
             true => READER_ASKS_MS,
             false => RELAY_READ_MS,
         };
-        let (status, body) = Registry::of_instance(seed).call(request, limit_ms).await?;
-        if status == NOT_READ_YET {
+        let answer = Registry::of_instance(seed).call(request, limit_ms).await?;
+        if answer.status() == NOT_READ_YET {
             return Err(CallError::Outdated { age_ms: u64::MAX });
         }
-        relay::read_readers(status, &body).map_err(CallError::NoAnswer)
+        relay::read_readers(answer.status(), &answer.body).map_err(CallError::NoAnswer)
     }
 
     async fn read_from_any(&self, relays: &[SocketAddr]) -> Option<Read> {
@@ -186,7 +187,7 @@
     /// Reads everything from another instance, if that one knows anything.
     async fn read_from(&self, relay: SocketAddr) -> Option<Read> {
         let nothing = Known {
-            revision: None,
+            position: None,
             age_ms: u64::MAX,
         };
         let address = relay.to_string();
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -11,11 +11,13 @@
 use std::time::Duration;
 
 use hemlockrouter_edge::Entry;
+use hemlockrouter_edge::Position;
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_member::Call;
 use hemlockrouter_member::Sources;
 use hemlockrouter_member::Timing;
 use hemlockrouter_types::prelude::*;
+use log::error;
 use log::info;
 use log::warn;
 use tokio::sync::mpsc;
@@ -32,6 +34,7 @@
 use super::registry::CallError;
 use super::registry::Registry;
 use super::relay;
+use super::restored::HELD_MS;
 
 /// The pause between two watches while the registry fills again: after the first read and after an
 /// outage, when registrations that have lapsed come back, in milliseconds.
@@ -54,6 +57,10 @@
 /// How many offers of others wait to be looked at; more are dropped, since a few relays are enough.
 const OFFERS_MAX: usize = 16;
 
+/// What was not written again after the registry was restored may have left as long ago as it was
+/// waited for, in milliseconds.
+const RESTORED_UNHEARD_MS: u64 = HELD_MS;
+
 /// What a follower learns of.
 enum Event {
     Registry {
@@ -143,7 +150,13 @@
             let reading = self.node.reading();
             let calls = self.sources.poll(now, &reading);
             calls.into_iter().for_each(|call| self.begin(call));
-            let wait_ms = self.sources.wake_at().left(self.clock.now());
+            self.end_restored();
+            let wake_at = self.sources.wake_at();
+            let wake_at = self
+                .mirror
+                .held_until()
+                .map_or(wake_at, |at| wake_at.min(at));
+            let wait_ms = wake_at.left(self.clock.now());
             tokio::select! {
                 event = self.events.recv() => event.into_iter().for_each(|event| self.take_event(event)),
                 offer = self.offers.recv() => offer.into_iter().for_each(|relay| self.take_offer(relay)),
@@ -196,11 +209,10 @@
     fn begin_watch(&mut self, wait_ms: u64, limit_ms: u64) {
         let mut connection = self.connection();
         let protocol = Rc::clone(&self.protocol);
-        let revision = self.mirror.revision().unwrap_or_default();
+        let known = self.mirror.position().unwrap_or_default();
         let events = self.events_tx.clone();
         tokio::task::spawn_local(async move {
-            let result =
-                reads::watch(&mut connection, &*protocol, revision, wait_ms, limit_ms).await;
+            let result = reads::watch(&mut connection, &*protocol, known, wait_ms, limit_ms).await;
             // The follower is there as long as the process runs.
             let _ = events.send(Event::Registry { connection, result });
         });
@@ -210,7 +222,7 @@
         let kept = self.relays.remove(&address);
         let mut connection = kept.unwrap_or_else(|| Registry::of_instance(address));
         let known = Known {
-            revision: self.mirror.revision(),
+            position: self.mirror.position(),
             age_ms: self.mirror.age_ms().unwrap_or(u64::MAX),
         };
         let events = self.events_tx.clone();
@@ -311,12 +323,19 @@
         if was_old && read.age_ms <= OUTAGE_MS {
             self.filling_until = now + FILLING_MS;
         }
-        let known = self.mirror.revision().unwrap_or_default();
-        // What is known is whole up to its revision, so an older state adds nothing.
-        if !read.is_whole || read.revision >= known {
+        let known = self.mirror.position();
+        let is_first = known.is_none();
+        let known = known.unwrap_or_default();
+        if read.position.generation < known.generation {
+            // It tells how the registry was before it was restored.
+            return;
+        }
+        if read.position.generation > known.generation && !is_first {
+            self.take_restored(read, known);
+        } else if !read.is_whole || read.position >= known {
+            // What is known is whole up to its revision, so an older state adds nothing.
             self.take_entries(read, known);
         }
-        let is_first = self.mirror.revision().is_none();
         let (age_ms, path) = match self.sources.counts(&read.path) {
             true => (read.age_ms, read.path.as_slice()),
             // What was read is used, but says nothing of how the registry is now.
@@ -329,18 +348,51 @@
                 target: "dependency",
                 path = shown(path),
                 age_ms = age_ms,
-                revision = read.revision;
+                revision = read.position.revision;
                 "registry heard another way"
             );
         }
     }
 
-    fn take_entries(&mut self, read: &Read, known: u64) {
+    /// Takes over that the registry was restored from a copy.
+    fn take_restored(&mut self, read: &Read, known: Position) {
+        if !read.is_whole {
+            error!(target: "belief", "changes of another generation without what they rest on");
+            return;
+        }
+        self.take_entries(read, known);
+        let counts = self.mirror.held();
+        let generation = read.position.generation;
+        warn!(
+            target: "belief",
+            generation = generation.0,
+            was = known.generation.0,
+            revision = read.position.revision,
+            revision_was = known.revision,
+            held = counts.held,
+            refused = counts.refused;
+            "the registry was restored from a copy"
+        );
+    }
+
+    /// Takes over what was not written again in time after the registry was restored.
+    fn end_restored(&mut self) {
+        let due = self.mirror.take_due();
+        if !due.is_empty() {
+            info!(target: "belief", count = due.len(); "not written again since the registry was restored");
+            self.node.changed(due, false, RESTORED_UNHEARD_MS);
+        }
+    }
+
+    fn take_entries(&mut self, read: &Read, known: Position) {
         let entries: Vec<Entry> = match read.is_whole {
-            true => read.entries.clone(),
-            false => self.mirror.newer(&read.entries, known),
+            true => self.mirror.replace(&read.entries, read.position),
+            false => {
+                let newer = self.mirror.newer(&read.entries, known.revision);
+                self.mirror.take(&newer, read.position);
+                newer
+            }
         };
-        self.mirror.take(&entries, read.revision, read.is_whole);
         if read.is_whole || !entries.is_empty() {
             let changes = entries.into_iter().map(|entry| entry.change);
             // What a first read holds may be of any age, and nothing was done with it before.
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -30,6 +30,7 @@
 use super::collector::Collector;
 use super::follower;
 use super::follower::Follower;
+use super::member;
 use super::member::Member;
 use super::mirror::Mirror;
 use super::node::Identity;
@@ -150,9 +151,14 @@
         mirror: Rc::clone(&mirror),
     });
     tokio::task::spawn_local(follower.run());
-    let registry = settings.registry_address;
-    let member = Member::new(clock, me, registry, Rc::clone(&protocol), Rc::clone(&node));
-    let member = Rc::new(member);
+    let member = Rc::new(Member::new(member::Parts {
+        me,
+        clock,
+        registry_address: settings.registry_address,
+        protocol: Rc::clone(&protocol),
+        node: Rc::clone(&node),
+        mirror: Rc::clone(&mirror),
+    }));
     let keeping = Rc::clone(&member);
     tokio::task::spawn_local(async move { keeping.keep().await });
     if let Some(listener) = relay_listener {
--- a/src/direct/member.rs
+++ b/src/direct/member.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hemlockrouter_edge::Generation;
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_edge::RegistryError;
 use hemlockrouter_member::Failed;
@@ -23,8 +24,10 @@
 use log::info;
 use log::warn;
 
+use super::mirror::Mirror;
 use super::node::Identity;
 use super::node::Node;
+use super::registry::Answer;
 use super::registry::CallError;
 use super::registry::Registry;
 use super::registry::CALL_MS;
@@ -47,20 +50,35 @@
     registry_address: SocketAddr,
     protocol: Rc<dyn Protocol>,
     node: Rc<Node>,
+    mirror: Rc<Mirror>,
     registrar: RefCell<Registrar>,
     /// Who has registered this instance, unless it has done so itself.
     registered_by: Cell<Option<SocketAddr>>,
     has_left: Cell<bool>,
+    /// The generation of the registry in which the lease was granted.
+    generation: Cell<Generation>,
+}
+
+/// What a member works with.
+pub(super) struct Parts {
+    pub(super) me: Rc<Identity>,
+    pub(super) clock: Clock,
+    pub(super) registry_address: SocketAddr,
+    pub(super) protocol: Rc<dyn Protocol>,
+    pub(super) node: Rc<Node>,
+    pub(super) mirror: Rc<Mirror>,
 }
 
 impl Member {
-    pub(super) fn new(
-        clock: Clock,
-        me: Rc<Identity>,
-        registry_address: SocketAddr,
-        protocol: Rc<dyn Protocol>,
-        node: Rc<Node>,
-    ) -> Member {
+    pub(super) fn new(parts: Parts) -> Member {
+        let Parts {
+            me,
+            clock,
+            registry_address,
+            protocol,
+            node,
+            mirror,
+        } = parts;
         Member {
             clock,
             registrar: RefCell::new(Registrar::new(me.entry.clone())),
@@ -70,6 +88,8 @@
             node,
             registered_by: Cell::new(None),
             has_left: Cell::new(false),
+            generation: Cell::default(),
+            mirror,
         }
     }
 
@@ -103,6 +123,7 @@
                     refusals += 1;
                 }
             }
+            self.note_restored();
             self.register(&mut registry).await;
             tokio::time::sleep(LOOK_EVERY).await;
         }
@@ -142,13 +163,13 @@
             .call(request, JOIN_MS)
             .await;
         match joined {
-            Ok((status, _)) if (200..300).contains(&status) => {
+            Ok(answer) if (200..300).contains(&answer.status()) => {
                 self.set_registered_by(now, Some(registrar));
                 return true;
             }
-            Ok((status, _)) => {
+            Ok(answer) => {
                 let address = registrar.to_string();
-                info!(target: "dependency", registrar = address, status = status; "not registered");
+                info!(target: "dependency", registrar = address, status = answer.status(); "not registered");
             }
             Err(err) => {
                 let address = registrar.to_string();
@@ -206,9 +227,10 @@
 
     async fn grant(&self, registry: &mut Registry) -> Result<(), CallError> {
         let request = self.protocol.write_lease(LEASE_MS);
-        let (status, body) = registry.call(request, CALL_MS).await?;
-        let lease = self.protocol.read_lease(status, &body);
+        let answer = registry.call(request, CALL_MS).await?;
+        let lease = self.protocol.read_lease(answer.status(), &answer.body);
         let lease = lease.map_err(CallError::Refused)?;
+        self.is_restored(registry, &answer);
         info!(target: "dependency", lease = lease.id; "lease granted");
         let mut registrar = self.registrar.borrow_mut();
         registrar.granted(self.clock.now(), lease.id);
@@ -242,8 +264,32 @@
         registry: &mut Registry,
         request: Request<Bytes>,
     ) -> Result<(), CallError> {
-        let (status, _) = registry.call(request, CALL_MS).await?;
-        let done = self.protocol.read_done(status);
+        let answer = registry.call(request, CALL_MS).await?;
+        if self.is_restored(registry, &answer) {
+            // The lease may be somebody else's by now.
+            return Err(CallError::Refused(RegistryError::NotFound));
+        }
+        let done = self.protocol.read_done(answer.status());
         done.map_err(CallError::Refused)
     }
+
+    /// Returns whether the registry was restored since its last answer.
+    fn is_restored(&self, registry: &mut Registry, answer: &Answer) -> bool {
+        let known = self.generation.get();
+        let generation = registry.generation(&*self.protocol, answer, known);
+        self.generation.replace(generation) != generation && known != Generation::default()
+    }
+
+    /// Gives the lease up if the registry was restored since it was granted.
+    fn note_restored(&self) {
+        let generation = self.mirror.position().unwrap_or_default().generation;
+        if generation > self.generation.get() {
+            let was = self.generation.replace(generation);
+            if was != Generation::default() {
+                info!(target: "belief", generation = generation.0, was = was.0; "registering again");
+                let mut registrar = self.registrar.borrow_mut();
+                registrar.failed(self.clock.now(), Failed::LeaseGone);
+            }
+        }
+    }
 }
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -7,11 +7,15 @@
 use hemlockrouter_edge::Change;
 use hemlockrouter_edge::EncodedEntries;
 use hemlockrouter_edge::Entry;
+use hemlockrouter_edge::Position;
 use hemlockrouter_edge::RelayPage;
+use hemlockrouter_edge::Subject;
 use hemlockrouter_types::prelude::*;
 use tokio::sync::Notify;
 
 use super::reads::Known;
+use super::restored::Counts;
+use super::restored::Restored;
 
 /// How many changes are kept for followers; one that is further behind reads everything again.
 const CHANGES_MAX: usize = 4_096;
@@ -20,15 +24,6 @@
 /// milliseconds: the way between them counts as age.
 const LATER_MS: u64 = 100;
 
-/// What an entry is about.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Subject {
-    Routes,
-    Zone(String),
-    Upstream(String),
-    Instance(String),
-}
-
 /// What this instance has read of the registry.
 pub(super) struct Mirror {
     clock: Clock,
@@ -40,15 +35,18 @@
 
 #[derive(Default)]
 struct State {
-    revision: u64,
+    position: Position,
     /// Changes after this revision are all kept.
     kept_from: u64,
     heard_at: Option<Time>,
     /// The instances through which this one heard, the one that read the registry first.
     path: Vec<String>,
-    /// All entries as they travel, and the revision up to which they are encoded.
-    encoded: Option<(u64, EncodedEntries)>,
+    /// All entries as they travel, and the position up to which they are encoded.
+    encoded: Option<(Position, EncodedEntries)>,
+    /// What the registry holds.
     entries: BTreeMap<Subject, Entry>,
+    /// What is believed against that.
+    restored: Restored,
     changes: VecDeque<Entry>,
 }
 
@@ -62,10 +60,10 @@
         }
     }
 
-    /// Returns the revision that was read last; `None` before the first.
-    pub(super) fn revision(&self) -> Option<u64> {
+    /// Returns up to where the registry was read; `None` before the first read.
+    pub(super) fn position(&self) -> Option<Position> {
         let state = self.state.borrow();
-        state.heard_at.map(|_| state.revision)
+        state.heard_at.map(|_| state.position)
     }
 
     /// Returns how long ago the registry was in the state that is known, at least; `None` before the
@@ -105,9 +103,8 @@
     pub(super) fn newer(&self, entries: &[Entry], known: u64) -> Vec<Entry> {
         let state = self.state.borrow();
         let newer = entries.iter().filter(|entry| entry.revision > known);
-        let newer: Vec<(&Entry, Option<Subject>)> = newer
-            .map(|entry| (entry, subject(&entry.change).map(|(subject, _)| subject)))
-            .collect();
+        let newer: Vec<(&Entry, Option<Subject>)> =
+            newer.map(|entry| (entry, entry.change.subject())).collect();
         let mut last: BTreeMap<&Subject, u64> = BTreeMap::new();
         for (entry, subject) in &newer {
             if let Some(subject) = subject {
@@ -126,31 +123,60 @@
         changing.map(|(entry, _)| (*entry).clone()).collect()
     }
 
-    /// Takes over what was read.
-    pub(super) fn take(&self, entries: &[Entry], revision: u64, is_whole: bool) {
+    /// Takes over changes.
+    pub(super) fn take(&self, changes: &[Entry], position: Position) {
+        let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        if is_whole {
-            state.entries.clear();
-            state.changes.clear();
-            state.kept_from = revision;
+        for entry in changes {
+            state.put(now, entry);
         }
-        for entry in entries {
-            state.put(entry, is_whole);
-        }
-        if is_whole || !entries.is_empty() {
+        if !changes.is_empty() {
             state.encoded = None;
         }
-        state.revision = state.revision.max(revision);
+        state.position = state.position.max(position);
+    }
+
+    /// Takes over all that the registry holds, and returns what to believe. Where the registry was restored
+    /// from a copy, that is not the same.
+    pub(super) fn replace(&self, entries: &[Entry], position: Position) -> Vec<Entry> {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let is_restored =
+            state.heard_at.is_some() && position.generation > state.position.generation;
+        let believed = match is_restored {
+            true => state.begin_restored(now, entries),
+            false => state.restored.again(entries),
+        };
+        state.replace(now, entries, is_restored);
+        state.kept_from = position.revision;
+        state.position = position;
+        believed
+    }
+
+    /// Returns what stands against the copy from which the registry was restored.
+    pub(super) fn held(&self) -> Counts {
+        self.state.borrow().restored.counts()
+    }
+
+    /// Returns until when something stands against the copy.
+    pub(super) fn held_until(&self) -> Option<Time> {
+        self.state.borrow().restored.held_until()
+    }
+
+    /// Returns what counts from now on since it was not written again after the registry was restored.
+    pub(super) fn take_due(&self) -> Vec<Change> {
+        let now = self.clock.now();
+        self.state.borrow_mut().restored.take_due(now)
     }
 
     /// Returns whether the registry was read, as soon as it is or `wait` is over.
     pub(super) async fn is_read(&self, wait: std::time::Duration) -> bool {
         let changed = self.changed.notified();
-        if self.revision().is_none() {
+        if self.position().is_none() {
             // Whether it was read meanwhile or the time is over shows below.
             let _ = tokio::time::timeout(wait, changed).await;
         }
-        self.revision().is_some()
+        self.position().is_some()
     }
 
     /// Returns what a follower lacks, as soon as there is something, this instance has heard more lately
@@ -168,7 +194,7 @@
         let waiting = async {
             loop {
                 let changed = self.changed.notified();
-                if self.has_news(known.revision, heard_at) {
+                if self.has_news(known.position, heard_at) {
                     return;
                 }
                 changed.await;
@@ -176,34 +202,34 @@
         };
         // Whether there is something or the time is over: the page says it.
         let _ = tokio::time::timeout(wait, waiting).await;
-        self.page_now(known.revision)
+        self.page_now(known.position)
     }
 
     /// Returns whether there is anything that a follower lacks that has heard of the registry as it was
     /// at `heard_at`.
-    fn has_news(&self, after: Option<u64>, heard_at: Time) -> bool {
+    fn has_news(&self, after: Option<Position>, heard_at: Time) -> bool {
         let state = self.state.borrow();
         let Some(after) = after else {
             return state.heard_at.is_some();
         };
         let has_heard_more = state.heard_at > Some(heard_at + LATER_MS);
-        has_heard_more || after < state.kept_from || state.newer(after).next().is_some()
+        has_heard_more || !state.keeps(after) || state.newer(after.revision).next().is_some()
     }
 
-    fn page_now(&self, after: Option<u64>) -> Result<RelayPage, rmp_serde::encode::Error> {
+    fn page_now(&self, after: Option<Position>) -> Result<RelayPage, rmp_serde::encode::Error> {
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
-        let kept = after.filter(|after| *after >= state.kept_from);
+        let kept = after.filter(|after| state.keeps(*after));
         let entries = match kept {
             Some(after) => {
-                let newer: Vec<Entry> = state.newer(after).cloned().collect();
+                let newer: Vec<Entry> = state.newer(after.revision).cloned().collect();
                 EncodedEntries::encode(&newer)?
             }
             None => state.encoded()?,
         };
         Ok(RelayPage {
             is_whole: kept.is_none(),
-            revision: state.revision,
+            position: state.position,
             age_ms: state.heard_at.map_or(u64::MAX, |at| now.since(at)),
             path: state.path.iter().chain([&self.name]).cloned().collect(),
             entries,
@@ -221,28 +247,73 @@
 
     /// Returns all entries as they travel.
     fn encoded(&mut self) -> Result<EncodedEntries, rmp_serde::encode::Error> {
-        if let Some((revision, encoded)) = &self.encoded {
-            if *revision == self.revision {
+        if let Some((position, encoded)) = &self.encoded {
+            if *position == self.position {
                 return Ok(encoded.clone());
             }
         }
         let all: Vec<Entry> = self.entries.values().cloned().collect();
         let encoded = EncodedEntries::encode(&all)?;
-        self.encoded = Some((self.revision, encoded.clone()));
+        self.encoded = Some((self.position, encoded.clone()));
         Ok(encoded)
     }
 
-    fn put(&mut self, entry: &Entry, is_whole: bool) {
-        if let Some((subject, is_present)) = subject(&entry.change) {
-            if is_present {
+    /// Returns whether all changes after `after` are kept.
+    fn keeps(&self, after: Position) -> bool {
+        after.generation == self.position.generation && after.revision >= self.kept_from
+    }
+
+    fn begin_restored(&mut self, now: Time, copy: &[Entry]) -> Vec<Entry> {
+        self.restored.begin(now, &self.entries, copy)
+    }
+
+    /// Takes over all that the registry holds. Routes do not go back with it.
+    fn replace(&mut self, now: Time, entries: &[Entry], is_restored: bool) {
+        let before = std::mem::take(&mut self.entries);
+        self.changes.clear();
+        self.encoded = None;
+        for entry in entries {
+            if let Some(subject) = entry.change.subject().filter(|_| entry.change.is_present()) {
                 self.entries.insert(subject, entry.clone());
-            } else {
-                self.entries.remove(&subject);
             }
         }
-        if is_whole {
+        if is_restored {
+            self.keep_routes(before);
             return;
         }
+        for entry in before.into_values() {
+            if let Change::Upstream(upstream) = entry.change {
+                if !self
+                    .entries
+                    .contains_key(&Subject::Upstream(upstream.id.clone()))
+                {
+                    self.restored.left(now, &upstream.id, upstream.incarnation);
+                }
+            }
+        }
+    }
+
+    /// Keeps the routes of `before` if the registry has none that are newer.
+    fn keep_routes(&mut self, mut before: BTreeMap<Subject, Entry>) {
+        let Some(mut routes) = before.remove(&Subject::Routes) else {
+            return;
+        };
+        if self.routes_version() < version(&routes.change) {
+            // Whatever is written from now on is newer.
+            routes.revision = 0;
+            self.entries.insert(Subject::Routes, routes);
+        }
+    }
+
+    fn routes_version(&self) -> Option<u64> {
+        version(&self.entries.get(&Subject::Routes)?.change)
+    }
+
+    fn put(&mut self, now: Time, entry: &Entry) {
+        if let Some(subject) = entry.change.subject() {
+            self.restored.written(&subject);
+            self.put_subject(now, subject, entry);
+        }
         self.changes.push_back(entry.clone());
         if self.changes.len() > CHANGES_MAX {
             if let Some(dropped) = self.changes.pop_front() {
@@ -250,17 +321,27 @@
             }
         }
     }
+
+    fn put_subject(&mut self, now: Time, subject: Subject, entry: &Entry) {
+        if entry.change.is_present() {
+            let is_older_routes =
+                subject == Subject::Routes && version(&entry.change) < self.routes_version();
+            if !is_older_routes {
+                self.entries.insert(subject, entry.clone());
+            }
+            return;
+        }
+        let removed = self.entries.remove(&subject);
+        if let Some(Change::Upstream(upstream)) = removed.map(|entry| entry.change) {
+            self.restored.left(now, &upstream.id, upstream.incarnation);
+        }
+    }
 }
 
-/// Returns what a change is about, and whether it is there after the change.
-fn subject(change: &Change) -> Option<(Subject, bool)> {
-    Some(match change {
-        Change::Routes(_) => (Subject::Routes, true),
-        Change::Zone { zone, out } => (Subject::Zone(zone.clone()), *out),
-        Change::Upstream(entry) => (Subject::Upstream(entry.id.clone()), true),
-        Change::UpstreamGone { id } => (Subject::Upstream(id.clone()), false),
-        Change::Instance(entry) => (Subject::Instance(entry.name.clone()), true),
-        Change::InstanceGone { name } => (Subject::Instance(name.clone()), false),
-        Change::Unreadable { upstream, .. } => (Subject::Upstream(upstream.clone()?), false),
-    })
+/// Returns the version of routes; `None` for any other change.
+fn version(change: &Change) -> Option<u64> {
+    match change {
+        Change::Routes(document) => Some(document.version),
+        _ => None,
+    }
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -43,5 +43,6 @@
 mod registry;
 mod relay;
 mod requests_log;
+mod restored;
 
 pub use self::instance::run;
--- a/src/direct/operators.rs
+++ b/src/direct/operators.rs
@@ -36,6 +36,8 @@
     registry_age_ms: Option<u64>,
     /// The instances through which it was heard, the one that read it first.
     registry_path: Vec<String>,
+    /// How often the registry was restored from a copy; none if never heard from.
+    registry_generation: Option<u64>,
     #[serde(flatten)]
     status: Status,
 }
@@ -68,9 +70,10 @@
     }
 
     fn metrics(&self) -> Response<Bytes> {
-        if let Some(age_ms) = self.mirror.age_ms() {
-            let steps = self.mirror.path().len();
-            self.metrics.registry_heard(age_ms, steps as u64);
+        if let (Some(age_ms), Some(at)) = (self.mirror.age_ms(), self.mirror.position()) {
+            let steps = self.mirror.path().len() as u64;
+            let generation = at.generation.0;
+            self.metrics.registry_heard(age_ms, steps, generation);
         }
         page(StatusCode::OK, self.metrics.text())
     }
@@ -83,6 +86,7 @@
             ready: self.is_ready(),
             registry_age_ms: self.mirror.age_ms(),
             registry_path: self.mirror.path(),
+            registry_generation: self.mirror.position().map(|at| at.generation.0),
             status,
         })
     }
--- a/src/direct/registry.rs
+++ b/src/direct/registry.rs
@@ -4,9 +4,12 @@
 
 use bytes::Bytes;
 use derive_more::Display;
+use hemlockrouter_edge::Generation;
+use hemlockrouter_edge::Protocol;
 use hemlockrouter_edge::RegistryError;
 use hemlockrouter_types::prelude::*;
 use http::header;
+use http::response;
 use http::HeaderValue;
 use http::Request;
 use http_body_util::Full;
@@ -32,6 +35,21 @@
     address: SocketAddr,
     connect_ms: u64,
     connection: Option<Connection>,
+    /// What was wrong with the generation that an answer named last.
+    odd_generation: Option<String>,
+}
+
+/// A whole answer.
+pub(super) struct Answer {
+    head: response::Parts,
+    pub(super) body: Bytes,
+}
+
+impl Answer {
+    /// Returns the HTTP status.
+    pub(super) fn status(&self) -> u16 {
+        self.head.status.as_u16()
+    }
 }
 
 /// Why a call failed.
@@ -57,6 +75,7 @@
             address,
             connect_ms: CONNECT_MS,
             connection: None,
+            odd_generation: None,
         }
     }
 
@@ -66,10 +85,11 @@
             address,
             connect_ms: INSTANCE_CONNECT_MS,
             connection: None,
+            odd_generation: None,
         }
     }
 
-    /// Makes a call and returns the status and body of the answer.
+    /// Makes a call and returns the answer.
     ///
     /// # Errors
     ///
@@ -78,7 +98,7 @@
         &mut self,
         request: Request<Bytes>,
         limit_ms: u64,
-    ) -> Result<(u16, Bytes), CallError> {
+    ) -> Result<Answer, CallError> {
         let answer = within_ms(limit_ms, self.try_call(request)).await;
         let answer = answer.unwrap_or_else(|| Err(String::from("the time is over")));
         if answer.is_err() {
@@ -87,7 +107,7 @@
         answer.map_err(CallError::NoAnswer)
     }
 
-    async fn try_call(&mut self, request: Request<Bytes>) -> Result<(u16, Bytes), String> {
+    async fn try_call(&mut self, request: Request<Bytes>) -> Result<Answer, String> {
         let mut request = request.map(Full::new);
         let host = HeaderValue::try_from(self.address.to_string());
         let host = host.map_err(|err| err.to_string())?;
@@ -97,13 +117,36 @@
         }
         let connection = self.connection.as_mut().expect("it was just opened");
         match connection.call(request).await {
-            Ok((head, body)) => Ok((head.status.as_u16(), body)),
+            Ok((head, body)) => Ok(Answer { head, body }),
             Err(NoAnswer::NotSent) => Err(String::from("the connection was closed")),
             Err(NoAnswer::Lost(why)) => Err(why),
         }
     }
 }
 
+impl Registry {
+    /// Returns the generation that an answer of the registry is of. One that is unreadable, or earlier than
+    /// the `known` one, is noted and has no effect.
+    pub(super) fn generation(
+        &mut self,
+        protocol: &dyn Protocol,
+        answer: &Answer,
+        known: Generation,
+    ) -> Generation {
+        let why = match protocol.read_generation(&answer.head) {
+            Ok(None) => return known,
+            Ok(Some(generation)) if generation >= known => return generation,
+            Ok(Some(generation)) => format!("generation {generation} after {known}"),
+            Err(why) => why,
+        };
+        if self.odd_generation.as_ref() != Some(&why) {
+            warn!(target: "belief", why = why.as_str(); "the registry's generation is not used");
+            self.odd_generation = Some(why);
+        }
+        known
+    }
+}
+
 /// Notes that the registry does not answer, with a log line if it did before.
 pub(super) fn note_lost(lost_since: &mut Option<Time>, now: Time, err: &CallError) {
     if lost_since.is_none() {
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hemlockrouter_edge::Generation;
+use hemlockrouter_edge::Position;
 use hemlockrouter_edge::RelayPage;
 use hemlockrouter_types::routing::InstanceEntry;
 use http::Method;
@@ -273,9 +275,9 @@
 
 impl Call {
     fn read(uri: &Uri) -> Option<Call> {
-        let revision = match uri.path().strip_prefix("/changes")? {
+        let position = match uri.path().strip_prefix("/changes")? {
             "" => None,
-            revision => Some(revision.strip_prefix('/')?.parse().ok()?),
+            after => Some(read_position(after)?),
         };
         let query = uri.query().unwrap_or_default();
         let number = |name: &str| {
@@ -285,7 +287,7 @@
         };
         Some(Call {
             known: Known {
-                revision,
+                position,
                 age_ms: number("age_ms")?,
             },
             wait_ms: number("wait_ms")?,
@@ -293,10 +295,19 @@
     }
 }
 
+/// Reads the rest of a path, which names a generation and a revision.
+fn read_position(path: &str) -> Option<Position> {
+    let (generation, revision) = path.strip_prefix('/')?.split_once('/')?;
+    Some(Position {
+        generation: Generation(generation.parse().ok()?),
+        revision: revision.parse().ok()?,
+    })
+}
+
 /// Writes the call of a follower that lacks what is newer than `known`, and waits up to `wait_ms` for it.
 pub(super) fn write_call(known: Known, wait_ms: u64) -> Request<Bytes> {
-    let path = match known.revision {
-        Some(revision) => format!("/changes/{revision}"),
+    let path = match known.position {
+        Some(at) => format!("/changes/{}/{}", at.generation, at.revision),
         None => String::from("/changes"),
     };
     let path = format!("{path}?age_ms={}&wait_ms={wait_ms}", known.age_ms);
--- /dev/null
+++ b/src/direct/restored.rs
@@ -0,0 +1,127 @@
+//! What stands against a registry that was restored from a copy.
+//!
+//! What to believe of the copy is worked out by [`reconcile`]. This module remembers what it rests on, the
+//! upstreams that have left lately, and for how long it holds.
+
+use std::collections::BTreeMap;
+
+use hemlockrouter_edge::reconcile;
+use hemlockrouter_edge::Change;
+use hemlockrouter_edge::Departed;
+use hemlockrouter_edge::Entry;
+use hemlockrouter_edge::Held;
+use hemlockrouter_edge::Subject;
+use hemlockrouter_types::prelude::*;
+
+/// How long after a return of the registry what its copy lacks is believed, in milliseconds. Upstreams that
+/// live and reach the registry have written again by then.
+pub(super) const HELD_MS: u64 = 2_000;
+
+/// How long an upstream that has left is remembered, in milliseconds: longer than a copy is old.
+const DEPARTED_MS: u64 = 60_000;
+
+/// What was known before the registry was restored, as far as it still counts.
+#[derive(Default)]
+pub(super) struct Restored {
+    /// Upstreams that have left, and when.
+    departed: BTreeMap<String, (Departed, Time)>,
+    held: BTreeMap<Subject, Held>,
+    /// Upstreams of the copy that are not used, with the revisions of their entries.
+    refused: BTreeMap<Subject, u64>,
+    held_until: Option<Time>,
+}
+
+/// How many entries stand against a copy, for the log.
+pub(super) struct Counts {
+    pub(super) held: usize,
+    pub(super) refused: usize,
+}
+
+impl Restored {
+    /// Takes over that an upstream has left.
+    pub(super) fn left(&mut self, now: Time, id: &str, incarnation: u64) {
+        self.departed
+            .retain(|_, (_, at)| now.since(*at) <= DEPARTED_MS);
+        let departed = Departed { incarnation };
+        self.departed.insert(String::from(id), (departed, now));
+    }
+
+    /// Takes over that something was written, which counts at once.
+    pub(super) fn written(&mut self, subject: &Subject) {
+        self.held.remove(subject);
+        self.refused.remove(subject);
+        if let Subject::Upstream(id) = subject {
+            self.departed.remove(id);
+        }
+    }
+
+    /// Takes over a copy from which the registry was restored, and returns what to believe. `entries` is what
+    /// the registry held before.
+    pub(super) fn begin(
+        &mut self,
+        now: Time,
+        entries: &BTreeMap<Subject, Entry>,
+        copy: &[Entry],
+    ) -> Vec<Entry> {
+        let mut known = entries.clone();
+        known.retain(|subject, entry| self.refused.get(subject) != Some(&entry.revision));
+        let held = std::mem::take(&mut self.held).into_iter();
+        known.extend(held.map(|(subject, held)| (subject, held.believed)));
+        let departed = self.departed.iter();
+        let departed = departed.map(|(id, (departed, _))| (id.clone(), *departed));
+        let reconciled = reconcile(&known, &departed.collect(), copy);
+        self.held = reconciled.held;
+        self.refused = reconciled.refused;
+        self.held_until = Some(now + HELD_MS);
+        reconciled.believed
+    }
+
+    /// Returns what to believe of a further read of everything.
+    pub(super) fn again(&mut self, copy: &[Entry]) -> Vec<Entry> {
+        let mut believed = Vec::with_capacity(copy.len());
+        for entry in copy {
+            if let Some(subject) = entry.change.subject() {
+                if self.refused.get(&subject) == Some(&entry.revision) {
+                    continue;
+                }
+                let held = self.held.get(&subject);
+                if held.is_some_and(|held| held.copied_revision == Some(entry.revision)) {
+                    continue;
+                }
+                self.held.remove(&subject);
+            }
+            believed.push(entry.clone());
+        }
+        believed.extend(self.held.values().map(|held| held.believed.clone()));
+        believed
+    }
+
+    /// Returns what stands against the copy.
+    pub(super) fn counts(&self) -> Counts {
+        Counts {
+            held: self.held.len(),
+            refused: self.refused.len(),
+        }
+    }
+
+    /// Returns when [`Restored::take_due`] is to be called.
+    pub(super) fn held_until(&self) -> Option<Time> {
+        self.held_until
+    }
+
+    /// Returns what counts from now on where nothing was written again.
+    pub(super) fn take_due(&mut self, now: Time) -> Vec<Change> {
+        if self.held_until.is_none_or(|until| now < until) {
+            return Vec::new();
+        }
+        self.held_until = None;
+        let mut due = Vec::with_capacity(self.held.len());
+        for held in std::mem::take(&mut self.held).into_values() {
+            if let Change::Upstream(upstream) = &held.believed.change {
+                self.left(now, &upstream.id, upstream.incarnation);
+            }
+            due.push(held.word);
+        }
+        due
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -24,6 +24,7 @@
     messages: Counter<u64>,
     registry_age_ms: Gauge<u64>,
     registry_steps: Gauge<u64>,
+    registry_generation: Gauge<u64>,
 }
 
 impl Metrics {
@@ -72,6 +73,10 @@
                 .u64_gauge("registry_steps")
                 .with_description("Through how many instances the registry was heard")
                 .build(),
+            registry_generation: meter
+                .u64_gauge("registry_generation")
+                .with_description("How often the registry was restored, as it says itself")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -102,10 +107,11 @@
         self.messages.add(count, &[]);
     }
 
-    /// Sets how long ago the registry was heard from, and through how many instances.
-    pub(crate) fn registry_heard(&self, age_ms: u64, steps: u64) {
+    /// Sets how long ago the registry was heard from, through how many instances, and in which generation.
+    pub(crate) fn registry_heard(&self, age_ms: u64, steps: u64, generation: u64) {
         self.registry_age_ms.record(age_ms, &[]);
         self.registry_steps.record(steps, &[]);
+        self.registry_generation.record(generation, &[]);
     }
 
     /// Returns all metrics in the text format of Prometheus.
