--- a/hemlockrouter-config/src/direct.rs
+++ b/hemlockrouter-config/src/direct.rs
@@ -223,6 +223,9 @@
     /// that it can't.
     pub fn changed(&self, newer: &DirectSettings) -> ChangedFields {
         let live = [
+            ("bounds.in_force_ms", self.in_force_ms != newer.in_force_ms),
+            ("bounds.evacuate_ms", self.evacuate_ms != newer.evacuate_ms),
+            ("bounds.catch_up_ms", self.catch_up_ms != newer.catch_up_ms),
             ("bounds.drain_ms", self.drain_ms != newer.drain_ms),
             ("bounds.shutdown_s", self.shutdown_ms != newer.shutdown_ms),
             (
@@ -270,9 +273,6 @@
             ("seeds", self.seeds != newer.seeds),
             ("cpu_share", self.cpu_permille != newer.cpu_permille),
             ("memory_mb", self.memory_bytes != newer.memory_bytes),
-            ("bounds.in_force_ms", self.in_force_ms != newer.in_force_ms),
-            ("bounds.evacuate_ms", self.evacuate_ms != newer.evacuate_ms),
-            ("bounds.catch_up_ms", self.catch_up_ms != newer.catch_up_ms),
             (
                 "bounds.repeat_window_s",
                 self.repeat_window_ms != newer.repeat_window_ms,
@@ -287,6 +287,9 @@
 
     /// Takes over the fields of `newer` that a running instance can take over.
     pub fn take_over(&mut self, newer: &DirectSettings) {
+        self.in_force_ms = newer.in_force_ms;
+        self.evacuate_ms = newer.evacuate_ms;
+        self.catch_up_ms = newer.catch_up_ms;
         self.drain_ms = newer.drain_ms;
         self.shutdown_ms = newer.shutdown_ms;
         self.repeat_ratio = newer.repeat_ratio;
--- a/hemlockrouter-member/src/sources.rs
+++ b/hemlockrouter-member/src/sources.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Takes over another timing. Calls that are under way keep their limits.
+    pub fn set_timing(&mut self, timing: Timing) {
+        self.timing = timing;
+    }
+
     /// Returns whether what is known is so old that other ways are looked for.
     fn is_stale(&self, now: Time) -> bool {
         let stale_ms = self.timing.stale_ms();
--- a/hemlockrouter-member/tests/registry/sources.rs
+++ b/hemlockrouter-member/tests/registry/sources.rs
@@ -56,6 +56,25 @@
     sources
 }
 
+#[test]
+fn a_shorter_bound_counts_from_the_next_call_on() {
+    let watch_ms = |sources: &mut Sources, now: Time| {
+        let calls = sources.poll(now, &reader());
+        let wait = calls.iter().find_map(|call| match call {
+            Call::Watch { wait_ms, .. } => Some(*wait_ms),
+            _ => None,
+        });
+        sources.heard(now);
+        sources.registry_answered(now, PACE_MS);
+        wait.expect("the registry is asked")
+    };
+    let mut sources = in_touch(at(10_000));
+    watch_ms(&mut sources, at(10_000));
+    let before_ms = watch_ms(&mut sources, at(11_000));
+    sources.set_timing(Timing::new(BOUND_MS / 2, CATCH_UP_MS));
+    assert_eq!(watch_ms(&mut sources, at(12_000)), before_ms / 2);
+}
+
 fn path(names: &[&str]) -> Vec<String> {
     names.iter().map(|name| String::from(*name)).collect()
 }
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -5,6 +5,7 @@
 //! nothing any more must notice it and find another way in time. Whom to call when is decided by
 //! [`Sources`]; this module makes the calls, several at a time, and takes over what comes back.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -78,7 +79,7 @@
 pub(super) struct Follower {
     me: Rc<Identity>,
     clock: Clock,
-    timing: Timing,
+    timing: Rc<Cell<Timing>>,
     protocol: Rc<dyn Protocol>,
     node: Rc<Node>,
     mirror: Rc<Mirror>,
@@ -104,7 +105,8 @@
 pub(super) struct Parts {
     pub(super) me: Rc<Identity>,
     pub(super) clock: Clock,
-    pub(super) timing: Timing,
+    /// As the settings say now.
+    pub(super) timing: Rc<Cell<Timing>>,
     pub(super) registry_address: SocketAddr,
     pub(super) protocol: Rc<dyn Protocol>,
     pub(super) node: Rc<Node>,
@@ -119,7 +121,7 @@
         let name = &parts.me.entry.name;
         let spread = xxh3_64(name.as_bytes());
         let follower = Follower {
-            sources: Sources::new(name, parts.timing, spread, parts.clock.now()),
+            sources: Sources::new(name, parts.timing.get(), spread, parts.clock.now()),
             me: parts.me,
             clock: parts.clock,
             timing: parts.timing,
@@ -148,6 +150,7 @@
         loop {
             let now = self.clock.now();
             let reading = self.node.reading();
+            self.sources.set_timing(self.timing.get());
             let calls = self.sources.poll(now, &reading);
             calls.into_iter().for_each(|call| self.begin(call));
             self.end_restored();
@@ -312,7 +315,7 @@
         if self.clock.now() < self.filling_until {
             QUICK_PACE_MS
         } else {
-            self.timing.pace_ms()
+            self.timing.get().pace_ms()
         }
     }
 
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -89,6 +89,7 @@
     let Running {
         node,
         member,
+        timing: timing_in_use,
         callers,
     } = running;
     info!(
@@ -101,6 +102,7 @@
     wait_for_stop(|| {
         if reread(&mut settings, &reload) {
             node.reconfigure(config(&settings));
+            timing_in_use.set(timing(&settings));
         }
     })
     .await?;
@@ -116,6 +118,8 @@
 struct Running {
     node: Rc<Node>,
     member: Rc<Member>,
+    /// How the registry is kept up with.
+    timing: Rc<Cell<Timing>>,
     callers: Rc<Callers>,
 }
 
@@ -141,10 +145,11 @@
     let log = Rc::new(RequestsLog {
         metrics: Rc::clone(&metrics),
     });
+    let timing = Rc::new(Cell::new(timing(settings)));
     let (follower, offers) = Follower::new(follower::Parts {
         me: Rc::clone(&me),
         clock,
-        timing: timing(settings),
+        timing: Rc::clone(&timing),
         registry_address: settings.registry_address,
         protocol: Rc::clone(&protocol),
         node: Rc::clone(&node),
@@ -194,6 +199,7 @@
     Ok(Running {
         node,
         member,
+        timing,
         callers,
     })
 }
