--- a/hemlockrouter-cli/tests/direct/soak.rs
+++ b/hemlockrouter-cli/tests/direct/soak.rs
@@ -17,6 +17,7 @@
 use hemlockrouter_corporation_lab::Down;
 use hemlockrouter_corporation_lab::Ledger;
 use hemlockrouter_corporation_lab::Seen;
+use hemlockrouter_corporation_lab::StoreCopy;
 use hemlockrouter_lab::link::Condition;
 use http::StatusCode;
 use rand::rngs::StdRng;
@@ -60,6 +61,12 @@
 /// How long they want to be left alone.
 const REST: Duration = Duration::from_millis(700);
 
+/// At how many steps a copy of the store is made, if there is none.
+const COPY_PART: f64 = 0.2;
+
+/// At how many steps the store comes back from the copy that was made.
+const RETURN_PART: f64 = 0.4;
+
 /// The longest time between two steps.
 const STEP_MAX: Duration = Duration::from_millis(900);
 
@@ -156,6 +163,45 @@
     }
 }
 
+/// The store's returns from copies.
+struct Returns {
+    rng: StdRng,
+    copy: Option<StoreCopy>,
+}
+
+impl Returns {
+    /// Makes a copy of the store, or has it come back from one.
+    fn step(&mut self, world: &mut World, under_way: &[(Instant, Fault)]) {
+        if self.copy.is_none() {
+            let copies = self.rng.random_bool(COPY_PART);
+            self.copy = copies.then(|| world.store.copy());
+        } else if self.rng.random_bool(RETURN_PART) {
+            let copy = self.copy.take().expect("there is one");
+            world.store.restore(&copy);
+            write_again(world, under_way);
+        }
+    }
+}
+
+/// Has operators and upstreams write again what they wrote.
+fn write_again(world: &mut World, under_way: &[(Instant, Fault)]) {
+    for upstream in &world.upstreams {
+        upstream.register(&world.store, false);
+    }
+    for zone in ZONES {
+        world.store.evacuate(zone, false);
+    }
+    world.configure(|_| {});
+    for (_, fault) in under_way {
+        if matches!(
+            fault,
+            Fault::Replace(_) | Fault::Drain(_) | Fault::Evacuate(_)
+        ) {
+            fault.begin(world);
+        }
+    }
+}
+
 /// One request of a caller.
 struct Observed {
     path: &'static str,
@@ -272,6 +318,10 @@
     let mut rng = StdRng::seed_from_u64(seed);
     // Drawn apart, so that what older seeds draw stays as it was.
     let mut rests = StdRng::seed_from_u64(!seed);
+    let mut returns = Returns {
+        rng: StdRng::seed_from_u64(seed.rotate_left(32)),
+        copy: None,
+    };
     let mut world = World::start(DAEMONS);
     let stop = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..CALLERS)
@@ -303,6 +353,7 @@
         let over: Vec<(Instant, Fault)> = over;
         over.into_iter()
             .for_each(|(_, fault)| fault.end(&mut world));
+        returns.step(&mut world, &under_way);
     }
     under_way
         .into_iter()
