--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -3,7 +3,7 @@
 //! The registry is read whole once and then followed by watches, or through another instance. Bounds on
 //! how soon a change is in force run from the registry's acknowledgement, so an instance that hears
 //! nothing any more must notice it and find another way in time. Whom to call when is decided by
-//! [`Sources`]; this module makes the calls, several at a time, and takes over what comes back.
+//! [`Sources`]; this module makes the calls, several at a time; what comes back is taken over by [`Knowledge`].
 
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -11,20 +11,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hemlockrouter_edge::Entry;
-use hemlockrouter_edge::Position;
 use hemlockrouter_edge::Protocol;
 use hemlockrouter_member::Call;
 use hemlockrouter_member::Sources;
 use hemlockrouter_member::Timing;
 use hemlockrouter_types::prelude::*;
-use log::error;
 use log::info;
 use log::warn;
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::first_read::FirstRead;
+use super::knowledge::shown;
+use super::knowledge::Knowledge;
 use super::mirror::Mirror;
 use super::node::Identity;
 use super::node::Node;
@@ -35,19 +34,11 @@
 use super::registry::CallError;
 use super::registry::Registry;
 use super::relay;
-use super::restored::HELD_MS;
 
 /// The pause between two watches while the registry fills again: after the first read and after an
 /// outage, when registrations that have lapsed come back, in milliseconds.
 const QUICK_PACE_MS: u64 = 100;
 
-/// How long the registry is taken to fill again, in milliseconds.
-const FILLING_MS: u64 = 3_000;
-
-/// An instance whose last word from the registry was older than this has missed an outage of it, in
-/// milliseconds.
-const OUTAGE_MS: u64 = 3_000;
-
 /// The pause after the first read before others are asked, in which those that started at the same
 /// time have registered.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -58,10 +49,6 @@
 /// How many offers of others wait to be looked at; more are dropped, since a few relays are enough.
 const OFFERS_MAX: usize = 16;
 
-/// What was not written again after the registry was restored may have left as long ago as it was
-/// waited for, in milliseconds.
-const RESTORED_UNHEARD_MS: u64 = HELD_MS;
-
 /// What a follower learns of.
 enum Event {
     Registry {
@@ -93,8 +80,7 @@
     sources: Sources,
     /// Since when the registry does not answer.
     lost_since: Option<Time>,
-    /// Until when the registry fills again.
-    filling_until: Time,
+    knowledge: Knowledge,
     offers: mpsc::Receiver<SocketAddr>,
     events: mpsc::UnboundedReceiver<Event>,
     /// Each call that is under way sends one event.
@@ -126,6 +112,11 @@
             clock: parts.clock,
             timing: parts.timing,
             protocol: parts.protocol,
+            knowledge: Knowledge::new(
+                parts.clock,
+                Rc::clone(&parts.node),
+                Rc::clone(&parts.mirror),
+            ),
             node: parts.node,
             mirror: parts.mirror,
             registry: Some(Registry::new(parts.registry_address)),
@@ -133,7 +124,6 @@
             relays: HashMap::new(),
             followed: None,
             lost_since: None,
-            filling_until: Time::ZERO,
             offers,
             events,
             events_tx,
@@ -153,7 +143,7 @@
             self.sources.set_timing(self.timing.get());
             let calls = self.sources.poll(now, &reading);
             calls.into_iter().for_each(|call| self.begin(call));
-            self.end_restored();
+            self.knowledge.take_due();
             let wake_at = self.sources.wake_at();
             let wake_at = self
                 .mirror
@@ -187,7 +177,7 @@
         if read.path.is_empty() {
             self.note_registry_answers();
         }
-        self.take(&read);
+        self.knowledge.take(&read, &mut self.sources);
     }
 
     /// Returns the connection to the registry.
@@ -282,14 +272,14 @@
 
     fn take_from_registry(&mut self, read: &Read) {
         self.note_registry_answers();
-        self.take(read);
+        self.knowledge.take(read, &mut self.sources);
         let pace_ms = self.pace_ms();
         let offers = self.sources.registry_answered(self.clock.now(), pace_ms);
         offers.into_iter().for_each(|call| self.begin(call));
     }
 
     fn take_from_relay(&mut self, address: SocketAddr, read: &Read) {
-        self.take(read);
+        self.knowledge.take(read, &mut self.sources);
         let now = self.clock.now();
         let is_usable = self
             .sources
@@ -312,99 +302,13 @@
 
     /// Returns how long to pause after an answer of the registry, in milliseconds.
     fn pace_ms(&self) -> u64 {
-        if self.clock.now() < self.filling_until {
+        if self.knowledge.is_filling() {
             QUICK_PACE_MS
         } else {
             self.timing.get().pace_ms()
         }
     }
 
-    /// Takes over what was read.
-    fn take(&mut self, read: &Read) {
-        let now = self.clock.now();
-        let was_old = self.mirror.age_ms().is_none_or(|age_ms| age_ms > OUTAGE_MS);
-        if was_old && read.age_ms <= OUTAGE_MS {
-            self.filling_until = now + FILLING_MS;
-        }
-        let known = self.mirror.position();
-        let is_first = known.is_none();
-        let known = known.unwrap_or_default();
-        if read.position.generation < known.generation {
-            // It tells how the registry was before it was restored.
-            return;
-        }
-        if read.position.generation > known.generation && !is_first {
-            self.take_restored(read, known);
-        } else if !read.is_whole || read.position >= known {
-            // What is known is whole up to its revision, so an older state adds nothing.
-            self.take_entries(read, known);
-        }
-        let (age_ms, path) = match self.sources.counts(&read.path) {
-            true => (read.age_ms, read.path.as_slice()),
-            // What was read is used, but says nothing of how the registry is now.
-            false if is_first => (read.age_ms.max(reads::LAG_MAX_MS), &[][..]),
-            false => return,
-        };
-        self.sources.heard(now.before(age_ms));
-        if self.mirror.heard(age_ms, path) {
-            info!(
-                target: "dependency",
-                path = shown(path),
-                age_ms = age_ms,
-                revision = read.position.revision;
-                "registry heard another way"
-            );
-        }
-    }
-
-    /// Takes over that the registry was restored from a copy.
-    fn take_restored(&mut self, read: &Read, known: Position) {
-        if !read.is_whole {
-            error!(target: "belief", "changes of another generation without what they rest on");
-            return;
-        }
-        self.take_entries(read, known);
-        let counts = self.mirror.held();
-        let generation = read.position.generation;
-        warn!(
-            target: "belief",
-            generation = generation.0,
-            was = known.generation.0,
-            revision = read.position.revision,
-            revision_was = known.revision,
-            held = counts.held,
-            refused = counts.refused;
-            "the registry was restored from a copy"
-        );
-    }
-
-    /// Takes over what was not written again in time after the registry was restored.
-    fn end_restored(&mut self) {
-        let due = self.mirror.take_due();
-        if !due.is_empty() {
-            info!(target: "belief", count = due.len(); "not written again since the registry was restored");
-            self.node.changed(due, false, RESTORED_UNHEARD_MS);
-        }
-    }
-
-    fn take_entries(&mut self, read: &Read, known: Position) {
-        let entries: Vec<Entry> = match read.is_whole {
-            true => self.mirror.replace(&read.entries, read.position),
-            false => {
-                let newer = self.mirror.newer(&read.entries, known.revision);
-                self.mirror.take(&newer, read.position);
-                newer
-            }
-        };
-        if read.is_whole || !entries.is_empty() {
-            let changes = entries.into_iter().map(|entry| entry.change);
-            // What a first read holds may be of any age, and nothing was done with it before.
-            let unheard_ms = self.mirror.age_ms().unwrap_or_default();
-            self.node
-                .changed(changes.collect(), read.is_whole, unheard_ms);
-        }
-    }
-
     fn note_relay_failed(&mut self, address: SocketAddr, err: &CallError) {
         warn!(target: "dependency", relay = address.to_string(), why = err.to_string(); "relay lost");
         if self.followed == Some(address) {
@@ -427,11 +331,3 @@
         }
     }
 }
-
-/// Returns the instances through which news came, for the log.
-fn shown(path: &[String]) -> String {
-    match path {
-        [] => String::from("none"),
-        path => path.join(" "),
-    }
-}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -15,8 +15,12 @@
 //! - `pool`: connections that wait for their next call.
 //! - `connection`: one client connection, used for upstreams and the registry.
 //! - `follower`: keeps up with the registry.
+//! - `first_read`: reads the registry for the first time.
+//! - `reads`: calls that read the registry, from itself or from another instance.
 //! - `registry`: calls to the registry.
-//! - `mirror`: what was read of the registry.
+//! - `knowledge`: takes over what was read.
+//! - `mirror`: what was read, for those that follow this instance.
+//! - `restored`: what stands against a registry that was restored from a copy.
 //! - `relay`: the port for other instances: passes it on, and takes batches.
 //! - `batches`: calls to other instances that collect a part of a search.
 //! - `collector`: collects parts for other instances.
@@ -33,6 +37,7 @@
 mod first_read;
 mod follower;
 mod instance;
+mod knowledge;
 mod listener;
 mod member;
 mod mirror;
