What an upstream wrote before and after a return of the registry is told apart by its sequence

The store came back from a copy while it was silent, and its upstreams had written again before the instances could read it. One was known to leave, its entry said that it serves, of the same start: taken for an old word, it was held for 2 s and then taken for gone, and nothing came after that.

Cause: the start of an upstream does not order what it wrote. Ruled out: a lost change (the entry is in the read).

Now entries carry the sequence that grows with each write, and a later write counts at once. An upstream that had left and that the copy still has is refused for 10 s and not for ever: its registration lapses in that time if it is gone.

--- a/hemlockrouter-cli/tests/direct/soak.rs
+++ b/hemlockrouter-cli/tests/direct/soak.rs
@@ -40,6 +40,8 @@
 const REGRESSIONS: &[u64] = &[
     // A watch that the store never answered was waited for over 16 s.
     129,
+    // An upstream that was written again before the copy was read was taken for gone 2 s later.
+    1023,
 ];
 
 /// The seed that CI runs beside those that failed once.
--- a/hemlockrouter-edge/src/reconcile.rs
+++ b/hemlockrouter-edge/src/reconcile.rs
@@ -9,14 +9,16 @@
 //! | routes | the greater version | the greater version |
 //! | availability zone | out of service if either says so | as the registry says |
 //! | upstream that the copy lacks | used | gone |
-//! | upstream that is known to leave | leaving | gone |
-//! | upstream that is known to be gone, or an earlier start of one | not used | not used |
+//! | upstream that has started again or says that it leaves since the write that the copy has | as known | gone |
+//! | upstream that is known to be gone, and of which the copy has no later write | not used | as the registry says |
 //! | instance that the copy lacks | counted | gone |
 //!
 //! Whatever is written after the return counts at once.
 
 use std::collections::BTreeMap;
 
+use hemlockrouter_types::routing::UpstreamEntry;
+
 use crate::registry::Change;
 use crate::registry::Entry;
 
@@ -33,11 +35,23 @@
     Instance(String),
 }
 
-/// An upstream that was known to leave or to be gone.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Departed {
+/// Tells what an upstream wrote last; the later one is the greater one.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct LastWrite {
     /// Which start of the upstream.
     pub incarnation: u64,
+    /// Which write of that start.
+    pub sequence: u64,
+}
+
+impl LastWrite {
+    /// Returns which write of an upstream its entry is.
+    pub fn of(entry: &UpstreamEntry) -> LastWrite {
+        LastWrite {
+            incarnation: entry.incarnation,
+            sequence: entry.sequence,
+        }
+    }
 }
 
 /// What stands against the copy until it had time to be written again.
@@ -58,7 +72,8 @@
     pub believed: Vec<Entry>,
     /// What of it stands against the copy, and for how long only.
     pub held: BTreeMap<Subject, Held>,
-    /// Upstreams of the copy that are not used until they are written again, with the revisions of the entries.
+    /// Upstreams of the copy that are not used, with the revisions of their entries. Those that are gone lose
+    /// their registration by themselves.
     pub refused: BTreeMap<Subject, u64>,
 }
 
@@ -89,10 +104,10 @@
 }
 
 /// Works out what to believe of a copy. `known` is what was believed before, and `departed` names upstreams
-/// that had left, by their ids.
+/// that had left, by their ids, with what they had written last.
 pub fn reconcile(
     known: &BTreeMap<Subject, Entry>,
-    departed: &BTreeMap<String, Departed>,
+    departed: &BTreeMap<String, LastWrite>,
     copy: &[Entry],
 ) -> Reconciled {
     let mut result = Reconciled::default();
@@ -117,7 +132,7 @@
         &mut self,
         subject: Subject,
         before: Option<Entry>,
-        departed: &BTreeMap<String, Departed>,
+        departed: &BTreeMap<String, LastWrite>,
         copied: &Entry,
     ) {
         let revision = copied.revision;
@@ -126,13 +141,13 @@
                 copied.version >= before.version
             }
             (Change::Upstream(copied), Some(Change::Upstream(before))) => {
-                let is_newer = copied.incarnation > before.incarnation;
-                let is_same = copied.incarnation == before.incarnation;
-                is_newer || (is_same && (copied.draining || !before.draining))
+                let is_later = LastWrite::of(copied) > LastWrite::of(before);
+                let is_same_start = copied.incarnation == before.incarnation;
+                is_later || (is_same_start && copied.draining == before.draining)
             }
             (Change::Upstream(copied), None) => {
                 let departed = departed.get(&copied.id);
-                if departed.is_some_and(|one| one.incarnation >= copied.incarnation) {
+                if departed.is_some_and(|last| *last >= LastWrite::of(copied)) {
                     self.refused.insert(subject, revision);
                     return;
                 }
--- a/hemlockrouter-edge/tests/reconcile.rs
+++ b/hemlockrouter-edge/tests/reconcile.rs
@@ -4,8 +4,8 @@
 
 use hemlockrouter_edge::reconcile;
 use hemlockrouter_edge::Change;
-use hemlockrouter_edge::Departed;
 use hemlockrouter_edge::Entry;
+use hemlockrouter_edge::LastWrite;
 use hemlockrouter_edge::Reconciled;
 use hemlockrouter_edge::Subject;
 use hemlockrouter_types::routing::CallerLimits;
@@ -37,10 +37,11 @@
     }
 }
 
-fn upstream(id: u8, incarnation: u64, draining: bool) -> Change {
+fn upstream(id: u8, incarnation: u64, sequence: u64, draining: bool) -> Change {
     Change::Upstream(UpstreamEntry {
         id: format!("upstream-{id}"),
         incarnation,
+        sequence,
         service: String::from("ledger"),
         address: "127.0.0.1:1".parse().expect("it is an address"),
         zone: String::from("zone-0"),
@@ -64,11 +65,8 @@
     prop_oneof![
         (1..9_u64).prop_map(routes),
         (0..3_u8).prop_map(zone),
-        (0..4_u8, 1..4_u64, any::<bool>()).prop_map(|(id, incarnation, draining)| upstream(
-            id,
-            incarnation,
-            draining
-        )),
+        (0..4_u8, 1..4_u64, 1..4_u64, any::<bool>())
+            .prop_map(|(id, start, sequence, draining)| upstream(id, start, sequence, draining)),
         (0..3_u8).prop_map(instance),
     ]
 }
@@ -84,12 +82,16 @@
     })
 }
 
-fn departed() -> impl Strategy<Value = BTreeMap<String, Departed>> {
-    let one = (0..4_u8, 1..4_u64);
+fn departed() -> impl Strategy<Value = BTreeMap<String, LastWrite>> {
+    let one = (0..4_u8, 1..4_u64, 1..4_u64);
     prop::collection::vec(one, 0..4).prop_map(|ids| {
-        let ids = ids.into_iter();
-        let departed =
-            ids.map(|(id, incarnation)| (format!("upstream-{id}"), Departed { incarnation }));
+        let departed = ids.into_iter().map(|(id, incarnation, sequence)| {
+            let last = LastWrite {
+                incarnation,
+                sequence,
+            };
+            (format!("upstream-{id}"), last)
+        });
         departed.collect()
     })
 }
@@ -124,8 +126,8 @@
                 }
                 (Change::Upstream(before), Some(Change::Upstream(now))) => {
                     prop_assert!(now.incarnation >= before.incarnation);
-                    let is_same = now.incarnation == before.incarnation;
-                    prop_assert!(!is_same || now.draining || !before.draining);
+                    let is_later = LastWrite::of(now) > LastWrite::of(before);
+                    prop_assert!(is_later || now.draining || !before.draining);
                 }
                 _ => {}
             }
@@ -136,7 +138,7 @@
                 continue;
             }
             let now = as_upstream(believed.get(&subject).copied());
-            prop_assert!(now.is_none_or(|now| now.incarnation > departed.incarnation));
+            prop_assert!(now.is_none_or(|now| LastWrite::of(now) > *departed));
         }
     }
 
@@ -149,6 +151,31 @@
         prop_assert!(result.refused.is_empty());
     }
 
+    /// Guards against an upstream that was written again before the copy was read, and was taken for gone
+    /// in the end.
+    #[test]
+    fn a_later_write_of_an_upstream_counts_at_once(
+        known in entries(),
+        departed in departed(),
+        copy in entries(),
+    ) {
+        let copied: Vec<Entry> = copy.values().cloned().collect();
+        let result = reconcile(&known, &departed, &copied);
+        let believed = believed(&result);
+        for (subject, entry) in &copy {
+            let Some(now) = as_upstream(Some(&entry.change)) else {
+                continue;
+            };
+            let before = as_upstream(known.get(subject).map(|entry| &entry.change));
+            let before = before.map(LastWrite::of).or_else(|| departed.get(&now.id).copied());
+            if before.is_none_or(|before| LastWrite::of(now) > before) {
+                prop_assert_eq!(believed.get(subject).copied(), Some(&entry.change));
+                prop_assert!(!result.held.contains_key(subject));
+                prop_assert!(!result.refused.contains_key(subject));
+            }
+        }
+    }
+
     /// What stands against the copy ends as the registry says, unless it is written again.
     #[test]
     fn what_is_held_is_believed_and_ends(known in entries(), departed in departed(), copy in entries()) {
--- a/hemlockrouter-route/tests/direct/fixture.rs
+++ b/hemlockrouter-route/tests/direct/fixture.rs
@@ -125,6 +125,7 @@
     UpstreamEntry {
         id: format!("{service}@{zone}"),
         incarnation: 1,
+        sequence: 1,
         service: String::from(service),
         address: "127.0.0.1:1".parse().expect("it is an address"),
         zone: String::from(zone),
--- a/hemlockrouter-types/src/routing.rs
+++ b/hemlockrouter-types/src/routing.rs
@@ -109,8 +109,10 @@
 pub struct UpstreamEntry {
     /// The upstream's id; a restart may keep it.
     pub id: String,
-    /// Tells one start of this id from another.
+    /// Tells one start of this id from another; a later one is greater.
     pub incarnation: u64,
+    /// Grows with each time that this start of it writes.
+    pub sequence: u64,
     /// The service that it is an upstream of.
     pub service: String,
     /// Where it serves.
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -145,10 +145,8 @@
             calls.into_iter().for_each(|call| self.begin(call));
             self.knowledge.take_due();
             let wake_at = self.sources.wake_at();
-            let wake_at = self
-                .mirror
-                .held_until()
-                .map_or(wake_at, |at| wake_at.min(at));
+            let due_at = self.mirror.due_at();
+            let wake_at = due_at.map_or(wake_at, |at| wake_at.min(at));
             let wait_ms = wake_at.left(self.clock.now());
             tokio::select! {
                 event = self.events.recv() => event.into_iter().for_each(|event| self.take_event(event)),
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -158,15 +158,20 @@
         self.state.borrow().restored.counts()
     }
 
-    /// Returns until when something stands against the copy.
-    pub(super) fn held_until(&self) -> Option<Time> {
-        self.state.borrow().restored.held_until()
+    /// Returns when [`Mirror::take_due`] is to be called.
+    pub(super) fn due_at(&self) -> Option<Time> {
+        self.state.borrow().restored.due_at()
     }
 
-    /// Returns what counts from now on since it was not written again after the registry was restored.
+    /// Returns what counts from now on since nothing else was written after the registry was restored.
     pub(super) fn take_due(&self) -> Vec<Change> {
         let now = self.clock.now();
-        self.state.borrow_mut().restored.take_due(now)
+        let mut state = self.state.borrow_mut();
+        let mut due = state.restored.take_due(now);
+        let refused = state.restored.take_refused(now);
+        let registered = refused.iter().filter_map(|one| state.entries.get(one));
+        due.extend(registered.map(|entry| entry.change.clone()));
+        due
     }
 
     /// Returns whether the registry was read, as soon as it is or `wait` is over.
@@ -287,7 +292,7 @@
                     .entries
                     .contains_key(&Subject::Upstream(upstream.id.clone()))
                 {
-                    self.restored.left(now, &upstream.id, upstream.incarnation);
+                    self.restored.left(now, &upstream);
                 }
             }
         }
@@ -333,7 +338,7 @@
         }
         let removed = self.entries.remove(&subject);
         if let Some(Change::Upstream(upstream)) = removed.map(|entry| entry.change) {
-            self.restored.left(now, &upstream.id, upstream.incarnation);
+            self.restored.left(now, &upstream);
         }
     }
 }
--- a/src/direct/restored.rs
+++ b/src/direct/restored.rs
@@ -7,28 +7,34 @@
 
 use hemlockrouter_edge::reconcile;
 use hemlockrouter_edge::Change;
-use hemlockrouter_edge::Departed;
 use hemlockrouter_edge::Entry;
 use hemlockrouter_edge::Held;
+use hemlockrouter_edge::LastWrite;
 use hemlockrouter_edge::Subject;
 use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::UpstreamEntry;
 
 /// How long after a return of the registry what its copy lacks is believed, in milliseconds. Upstreams that
 /// live and reach the registry have written again by then.
 pub(super) const HELD_MS: u64 = 2_000;
 
+/// How long after a return of the registry an upstream that had left is not used though it is registered, in
+/// milliseconds. The registration of one that is gone has lapsed by then.
+const REFUSED_MS: u64 = 10_000;
+
 /// How long an upstream that has left is remembered, in milliseconds: longer than a copy is old.
 const DEPARTED_MS: u64 = 60_000;
 
 /// What was known before the registry was restored, as far as it still counts.
 #[derive(Default)]
 pub(super) struct Restored {
-    /// Upstreams that have left, and when.
-    departed: BTreeMap<String, (Departed, Time)>,
+    /// Upstreams that have left, what they had written last, and when they left.
+    departed: BTreeMap<String, (LastWrite, Time)>,
     held: BTreeMap<Subject, Held>,
     /// Upstreams of the copy that are not used, with the revisions of their entries.
     refused: BTreeMap<Subject, u64>,
     held_until: Option<Time>,
+    refused_until: Option<Time>,
 }
 
 /// How many entries stand against a copy, for the log.
@@ -39,11 +45,11 @@
 
 impl Restored {
     /// Takes over that an upstream has left.
-    pub(super) fn left(&mut self, now: Time, id: &str, incarnation: u64) {
+    pub(super) fn left(&mut self, now: Time, entry: &UpstreamEntry) {
         self.departed
             .retain(|_, (_, at)| now.since(*at) <= DEPARTED_MS);
-        let departed = Departed { incarnation };
-        self.departed.insert(String::from(id), (departed, now));
+        let last = LastWrite::of(entry);
+        self.departed.insert(entry.id.clone(), (last, now));
     }
 
     /// Takes over that something was written, which counts at once.
@@ -68,11 +74,12 @@
         let held = std::mem::take(&mut self.held).into_iter();
         known.extend(held.map(|(subject, held)| (subject, held.believed)));
         let departed = self.departed.iter();
-        let departed = departed.map(|(id, (departed, _))| (id.clone(), *departed));
+        let departed = departed.map(|(id, (last, _))| (id.clone(), *last));
         let reconciled = reconcile(&known, &departed.collect(), copy);
         self.held = reconciled.held;
         self.refused = reconciled.refused;
         self.held_until = Some(now + HELD_MS);
+        self.refused_until = Some(now + REFUSED_MS);
         reconciled.believed
     }
 
@@ -104,9 +111,21 @@
         }
     }
 
-    /// Returns when [`Restored::take_due`] is to be called.
-    pub(super) fn held_until(&self) -> Option<Time> {
-        self.held_until
+    /// Returns when [`Restored::take_due`] or [`Restored::take_refused`] is to be called.
+    pub(super) fn due_at(&self) -> Option<Time> {
+        match (self.held_until, self.refused_until) {
+            (Some(held), Some(refused)) => Some(held.min(refused)),
+            (held, refused) => held.or(refused),
+        }
+    }
+
+    /// Returns the upstreams that count from now on if they are still registered.
+    pub(super) fn take_refused(&mut self, now: Time) -> Vec<Subject> {
+        if self.refused_until.is_none_or(|until| now < until) {
+            return Vec::new();
+        }
+        self.refused_until = None;
+        std::mem::take(&mut self.refused).into_keys().collect()
     }
 
     /// Returns what counts from now on where nothing was written again.
@@ -118,7 +137,7 @@
         let mut due = Vec::with_capacity(self.held.len());
         for held in std::mem::take(&mut self.held).into_values() {
             if let Change::Upstream(upstream) = &held.believed.change {
-                self.left(now, &upstream.id, upstream.incarnation);
+                self.left(now, upstream);
             }
             due.push(held.word);
         }
