Answers that break off or come twice, shown with real processes

Two faults that operators of similar systems have had. Neither happens here: a success needs the whole body, in a length, in chunks or up to a close that is no reset, and the caller's id.

--- a/hemlockrouter-cli/tests/direct/main.rs
+++ b/hemlockrouter-cli/tests/direct/main.rs
@@ -12,4 +12,5 @@
 mod serving;
 mod sharing;
 mod soak;
+mod torn;
 mod world;
--- a/hemlockrouter-cli/tests/direct/replayer.rs
+++ b/hemlockrouter-cli/tests/direct/replayer.rs
@@ -1,4 +1,4 @@
-//! A relay between two instances that hands out answers twice.
+//! A relay that hands out answers twice.
 
 use std::io::Read;
 use std::io::Write;
@@ -15,10 +15,11 @@
 /// How much is read at once, in bytes.
 const CHUNK_BYTES: usize = 64 << 10;
 
-/// The least size of an answer that is handed out twice, in bytes. Answers without parts are smaller.
-const ANSWER_MIN_BYTES: usize = 400;
+/// The least size of an answer between instances that is handed out twice, in bytes. Those without parts
+/// are smaller.
+pub(crate) const BATCH_MIN_BYTES: usize = 400;
 
-/// A relay that passes connections on to an instance. When the second request comes on a connection,
+/// A relay that passes connections on. When the second request comes on a connection,
 /// it hands out the answer to the first one once more before it passes the request on.
 pub(crate) struct Replayer {
     address: SocketAddr,
@@ -26,8 +27,9 @@
 }
 
 impl Replayer {
-    /// Starts one in front of the instance at `to`. It runs as long as the test.
-    pub(crate) fn start(to: SocketAddr) -> Replayer {
+    /// Starts one in front of `to`, which hands out answers of `min_bytes` or more twice. It runs as long as
+    /// the test.
+    pub(crate) fn start(to: SocketAddr, min_bytes: usize) -> Replayer {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("it is bound");
         let replayed = Arc::new(Mutex::new(0));
@@ -37,7 +39,7 @@
                 let counted = Arc::clone(&counted);
                 std::thread::spawn(move || {
                     // A connection that breaks ends here; the other end sees it.
-                    let _ = serve(&stream, to, &counted);
+                    let _ = serve(&stream, to, min_bytes, &counted);
                     let _ = stream.shutdown(Shutdown::Both);
                 });
             }
@@ -45,6 +47,11 @@
         Replayer { address, replayed }
     }
 
+    /// Returns where it listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Writes an instance of that name into the store that is reached through this relay.
     pub(crate) fn register(&self, store: &Store, name: &str, zone: &str) {
         let entry = json!({
@@ -64,7 +71,12 @@
     }
 }
 
-fn serve(stream: &TcpStream, to: SocketAddr, replayed: &Mutex<usize>) -> std::io::Result<()> {
+fn serve(
+    stream: &TcpStream,
+    to: SocketAddr,
+    min_bytes: usize,
+    replayed: &Mutex<usize>,
+) -> std::io::Result<()> {
     let upstream = TcpStream::connect(to)?;
     upstream.set_nodelay(true)?;
     stream.set_nodelay(true)?;
@@ -92,7 +104,7 @@
             return upstream.shutdown(Shutdown::Both);
         }
         let before = std::mem::take(&mut *answer.lock().expect("no thread panics with it"));
-        if before.len() >= ANSWER_MIN_BYTES {
+        if before.len() >= min_bytes {
             *replayed.lock().expect("no thread panics with it") += 1;
             client.write_all(&before)?;
         }
--- a/hemlockrouter-cli/tests/direct/sharing.rs
+++ b/hemlockrouter-cli/tests/direct/sharing.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 
 use crate::replayer::Replayer;
+use crate::replayer::BATCH_MIN_BYTES;
 use crate::world::eventually;
 use crate::world::World;
 use crate::world::SEARCH;
@@ -116,7 +117,7 @@
 #[test]
 fn a_late_second_copy_of_what_was_collected_belongs_to_no_other_search() {
     let world = sharing();
-    let replayer = Replayer::start(world.daemons[PEER].relay);
+    let replayer = Replayer::start(world.daemons[PEER].relay, BATCH_MIN_BYTES);
     for number in 0..REPLAYERS {
         replayer.register(&world.store, &format!("replayer-{number}"), ZONES[0]);
     }
