--- a/hemlockrouter-cli/tests/direct/restored.rs
+++ b/hemlockrouter-cli/tests/direct/restored.rs
@@ -7,6 +7,8 @@
 use std::time::Instant;
 
 use hemlockrouter_corporation_lab::Seen;
+use hemlockrouter_corporation_lab::StoreCopy;
+use hemlockrouter_corporation_lab::Upstream;
 use hemlockrouter_lab::link::Condition;
 use http::StatusCode;
 use serde_json::Value;
@@ -59,6 +61,20 @@
     assert!(start.elapsed() < IN_FORCE_WITHIN, "{:?}", start.elapsed());
 }
 
+fn ledgers(world: &World) -> impl Iterator<Item = &Upstream> {
+    let upstreams = world.upstreams.iter();
+    upstreams.filter(|upstream| upstream.service() == "ledger")
+}
+
+/// Returns a copy of the store that lacks the upstreams of one service, which are in use.
+fn copy_without_ledgers(world: &World) -> StoreCopy {
+    ledgers(world).for_each(|upstream| upstream.unregister(&world.store));
+    let copy = world.store.copy();
+    ledgers(world).for_each(|upstream| upstream.register(&world.store, false));
+    std::thread::sleep(GONE_AFTER);
+    copy
+}
+
 #[test]
 fn a_version_that_the_copy_lacks_stays_in_force_and_later_ones_come() {
     let mut world = World::start(4);
@@ -131,25 +147,18 @@
 #[test]
 fn upstreams_that_the_copy_lacks_are_used_until_they_had_time_to_register_again() {
     let world = World::start(2);
-    let ledgers = || {
-        let upstreams = world.upstreams.iter();
-        upstreams.filter(|upstream| upstream.service() == "ledger")
-    };
-    ledgers().for_each(|upstream| upstream.unregister(&world.store));
-    let copy = world.store.copy();
-    ledgers().for_each(|upstream| upstream.register(&world.store, false));
-    std::thread::sleep(GONE_AFTER);
+    let copy = copy_without_ledgers(&world);
     world.store.restore(&copy);
     assert_all_served(&calls_for(&world, NOT_WRITTEN_YET, LOOK_UP));
     // One of them lives, the other one is taken for gone in the end.
-    ledgers()
+    ledgers(&world)
         .take(1)
         .for_each(|upstream| upstream.register(&world.store, false));
     assert_all_served(&calls_for(&world, GONE_AFTER, LOOK_UP));
     std::thread::sleep(GONE_AFTER);
     let start = Instant::now();
     assert_all_served(&calls_for(&world, NOT_WRITTEN_YET, LOOK_UP));
-    let gone = ledgers().nth(1).expect("there are two").id();
+    let gone = ledgers(&world).nth(1).expect("there are two").id();
     let runs = world.ledger.runs();
     let late = runs
         .iter()
@@ -220,14 +229,7 @@
 #[test]
 fn what_the_copy_lacks_is_used_though_everything_is_read_once_more() {
     let world = World::start(1);
-    let ledgers = || {
-        let upstreams = world.upstreams.iter();
-        upstreams.filter(|upstream| upstream.service() == "ledger")
-    };
-    ledgers().for_each(|upstream| upstream.unregister(&world.store));
-    let copy = world.store.copy();
-    ledgers().for_each(|upstream| upstream.register(&world.store, false));
-    std::thread::sleep(GONE_AFTER);
+    let copy = copy_without_ledgers(&world);
     world.store.restore(&copy);
     std::thread::sleep(Duration::from_millis(200));
     world.store.put("op/other", b"{}");
