--- a/hemlockrouter-edge/src/reconcile.rs
+++ b/hemlockrouter-edge/src/reconcile.rs
@@ -2,9 +2,9 @@
 //!
 //! The copy lacks what was written since it was made. Operators and upstreams write again what they
 //! wrote, and what an instance knows must not go back until they have. So its own knowledge stands against the
-//! copy, as a rule for each kind of entry, and for most kinds only until [`Held::word`] of the registry counts:
+//! copy, as a rule for each kind of entry, and for most kinds only until [`Held::fallback`] applies:
 //!
-//! | entry | while it is held | then |
+//! | entry | while it is held | fallback |
 //! | --- | --- | --- |
 //! | routes | the greater version | the greater version |
 //! | availability zone | out of service if either says so | as the registry says |
@@ -61,8 +61,8 @@
     pub believed: Entry,
     /// The revision of what the copy has in its place, if it has anything.
     pub copied_revision: Option<u64>,
-    /// What counts if nothing was written by then.
-    pub word: Change,
+    /// What applies if nothing was written in time.
+    pub fallback: Change,
 }
 
 /// What is believed after the registry was restored.
@@ -169,7 +169,7 @@
             ..before
         };
         self.believed.push(believed.clone());
-        let word = match &subject {
+        let fallback = match &subject {
             Subject::Routes => return,
             Subject::Zone(zone) => Change::Zone {
                 zone: zone.clone(),
@@ -181,7 +181,7 @@
         let held = Held {
             believed,
             copied_revision,
-            word,
+            fallback,
         };
         self.held.insert(subject, held);
     }
--- a/hemlockrouter-edge/tests/reconcile.rs
+++ b/hemlockrouter-edge/tests/reconcile.rs
@@ -184,8 +184,8 @@
         let believed = believed(&result);
         for (subject, held) in &result.held {
             prop_assert_eq!(believed.get(subject), Some(&&held.believed.change));
-            prop_assert_eq!(held.word.subject(), Some(subject.clone()));
-            prop_assert!(!held.word.is_present());
+            prop_assert_eq!(held.fallback.subject(), Some(subject.clone()));
+            prop_assert!(!held.fallback.is_present());
             let copied = copy.get(subject).map(|entry| entry.revision);
             prop_assert_eq!(held.copied_revision, copied);
         }
--- a/src/direct/knowledge.rs
+++ b/src/direct/knowledge.rs
@@ -93,7 +93,7 @@
         }
         self.take_entries(read, known);
         self.filling_until = self.clock.now() + FILLING_MS;
-        let counts = self.mirror.held();
+        let counts = self.mirror.held_counts();
         let generation = read.position.generation;
         warn!(
             target: "belief",
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -144,8 +144,8 @@
         let is_restored =
             state.heard_at.is_some() && position.generation > state.position.generation;
         let believed = match is_restored {
-            true => state.begin_restored(now, entries),
-            false => state.restored.again(entries),
+            true => state.reconcile_copy(now, entries),
+            false => state.restored.reconcile_reread(entries),
         };
         state.replace(now, entries, is_restored);
         state.kept_from = position.revision;
@@ -154,7 +154,7 @@
     }
 
     /// Returns what stands against the copy from which the registry was restored.
-    pub(super) fn held(&self) -> Counts {
+    pub(super) fn held_counts(&self) -> Counts {
         self.state.borrow().restored.counts()
     }
 
@@ -268,8 +268,9 @@
         after.generation == self.position.generation && after.revision >= self.kept_from
     }
 
-    fn begin_restored(&mut self, now: Time, copy: &[Entry]) -> Vec<Entry> {
-        self.restored.begin(now, &self.entries, copy)
+    /// Returns what to believe of a copy from which the registry was restored.
+    fn reconcile_copy(&mut self, now: Time, copy: &[Entry]) -> Vec<Entry> {
+        self.restored.reconcile_copy(now, &self.entries, copy)
     }
 
     /// Takes over all that the registry holds. Routes do not go back with it.
@@ -292,7 +293,7 @@
                     .entries
                     .contains_key(&Subject::Upstream(upstream.id.clone()))
                 {
-                    self.restored.left(now, &upstream);
+                    self.restored.note_left(now, &upstream);
                 }
             }
         }
@@ -316,7 +317,7 @@
 
     fn put(&mut self, now: Time, entry: &Entry) {
         if let Some(subject) = entry.change.subject() {
-            self.restored.written(&subject);
+            self.restored.note_written(&subject);
             self.put_subject(now, subject, entry);
         }
         self.changes.push_back(entry.clone());
@@ -338,7 +339,7 @@
         }
         let removed = self.entries.remove(&subject);
         if let Some(Change::Upstream(upstream)) = removed.map(|entry| entry.change) {
-            self.restored.left(now, &upstream);
+            self.restored.note_left(now, &upstream);
         }
     }
 }
--- a/src/direct/registry.rs
+++ b/src/direct/registry.rs
@@ -35,8 +35,8 @@
     address: SocketAddr,
     connect_ms: u64,
     connection: Option<Connection>,
-    /// What was wrong with the generation that an answer named last.
-    odd_generation: Option<String>,
+    /// Why the generation of an answer was not used, the last time.
+    unused_generation: Option<String>,
 }
 
 /// A whole answer.
@@ -75,7 +75,7 @@
             address,
             connect_ms: CONNECT_MS,
             connection: None,
-            odd_generation: None,
+            unused_generation: None,
         }
     }
 
@@ -85,7 +85,7 @@
             address,
             connect_ms: INSTANCE_CONNECT_MS,
             connection: None,
-            odd_generation: None,
+            unused_generation: None,
         }
     }
 
@@ -139,9 +139,9 @@
             Ok(Some(generation)) => format!("generation {generation} after {known}"),
             Err(why) => why,
         };
-        if self.odd_generation.as_ref() != Some(&why) {
+        if self.unused_generation.as_ref() != Some(&why) {
             warn!(target: "belief", why = why.as_str(); "the registry's generation is not used");
-            self.odd_generation = Some(why);
+            self.unused_generation = Some(why);
         }
         known
     }
--- a/src/direct/restored.rs
+++ b/src/direct/restored.rs
@@ -45,7 +45,7 @@
 
 impl Restored {
     /// Takes over that an upstream has left.
-    pub(super) fn left(&mut self, now: Time, entry: &UpstreamEntry) {
+    pub(super) fn note_left(&mut self, now: Time, entry: &UpstreamEntry) {
         self.departed
             .retain(|_, (_, at)| now.since(*at) <= DEPARTED_MS);
         let last = LastWrite::of(entry);
@@ -53,7 +53,7 @@
     }
 
     /// Takes over that something was written, which counts at once.
-    pub(super) fn written(&mut self, subject: &Subject) {
+    pub(super) fn note_written(&mut self, subject: &Subject) {
         self.held.remove(subject);
         self.refused.remove(subject);
         if let Subject::Upstream(id) = subject {
@@ -63,7 +63,7 @@
 
     /// Takes over a copy from which the registry was restored, and returns what to believe. `entries` is what
     /// the registry held before.
-    pub(super) fn begin(
+    pub(super) fn reconcile_copy(
         &mut self,
         now: Time,
         entries: &BTreeMap<Subject, Entry>,
@@ -84,7 +84,7 @@
     }
 
     /// Returns what to believe of a further read of everything.
-    pub(super) fn again(&mut self, copy: &[Entry]) -> Vec<Entry> {
+    pub(super) fn reconcile_reread(&mut self, copy: &[Entry]) -> Vec<Entry> {
         let mut believed = Vec::with_capacity(copy.len());
         for entry in copy {
             if let Some(subject) = entry.change.subject() {
@@ -137,9 +137,9 @@
         let mut due = Vec::with_capacity(self.held.len());
         for held in std::mem::take(&mut self.held).into_values() {
             if let Change::Upstream(upstream) = &held.believed.change {
-                self.left(now, upstream);
+                self.note_left(now, upstream);
             }
-            due.push(held.word);
+            due.push(held.fallback);
         }
         due
     }
