A first generation of 0 is not taken for none

What is known is an Option now, and one function, which says that it stores, serves both ways in which a generation is heard of. The new test passes; that it fails without the change was read in the code, not run.

--- a/hemlockrouter-cli/tests/direct/restored.rs
+++ b/hemlockrouter-cli/tests/direct/restored.rs
@@ -186,7 +186,24 @@
 
 #[test]
 fn instances_register_again_and_renew_no_lease_that_somebody_else_has_now() {
-    let world = World::start(2);
+    check_registered_again(&World::start(2));
+}
+
+/// Guards against a first generation of 0 that is taken for none.
+#[test]
+fn instances_register_again_after_the_first_generation_that_the_store_says() {
+    let mut world = World::start(2);
+    world.store.set_era(0);
+    for at in 0..world.daemons.len() {
+        world.daemons[at].kill();
+        world.start_daemon(at);
+        world.wait_ready(at);
+    }
+    check_registered_again(&world);
+}
+
+/// Has the store come back from a copy from before any lease, and somebody else hold the leases.
+fn check_registered_again(world: &World) {
     world.wait_settled();
     let registered = || world.store.keys("hemlock/instances/").len();
     eventually("all are registered", || registered() == 2);
--- a/src/direct/member.rs
+++ b/src/direct/member.rs
@@ -55,8 +55,8 @@
     /// Who has registered this instance, unless it has done so itself.
     registered_by: Cell<Option<SocketAddr>>,
     has_left: Cell<bool>,
-    /// The generation of the registry in which the lease was granted.
-    generation: Cell<Generation>,
+    /// The generation of the registry that was heard of last; `None` before the first answer.
+    generation: Cell<Option<Generation>>,
 }
 
 /// What a member works with.
@@ -230,7 +230,7 @@
         let answer = registry.call(request, CALL_MS).await?;
         let lease = self.protocol.read_lease(answer.status(), &answer.body);
         let lease = lease.map_err(CallError::Refused)?;
-        self.is_restored(registry, &answer);
+        self.take_generation_of(registry, &answer);
         info!(target: "dependency", lease = lease.id; "lease granted");
         let mut registrar = self.registrar.borrow_mut();
         registrar.granted(self.clock.now(), lease.id);
@@ -265,7 +265,7 @@
         request: Request<Bytes>,
     ) -> Result<(), CallError> {
         let answer = registry.call(request, CALL_MS).await?;
-        if self.is_restored(registry, &answer) {
+        if self.take_generation_of(registry, &answer) {
             // The lease may be somebody else's by now.
             return Err(CallError::Refused(RegistryError::NotFound));
         }
@@ -273,23 +273,29 @@
         done.map_err(CallError::Refused)
     }
 
-    /// Returns whether the registry was restored since its last answer.
-    fn is_restored(&self, registry: &mut Registry, answer: &Answer) -> bool {
+    /// Takes over the generation of an answer, and returns whether the registry was restored since the one
+    /// before.
+    fn take_generation_of(&self, registry: &mut Registry, answer: &Answer) -> bool {
+        let known = self.generation.get().unwrap_or_default();
+        self.take_generation(registry.generation(&*self.protocol, answer, known))
+    }
+
+    /// Takes over a generation that was heard of, and returns whether it is later than the one before.
+    fn take_generation(&self, generation: Generation) -> bool {
         let known = self.generation.get();
-        let generation = registry.generation(&*self.protocol, answer, known);
-        self.generation.replace(generation) != generation && known != Generation::default()
+        self.generation.set(known.max(Some(generation)));
+        known.is_some_and(|known| generation > known)
     }
 
     /// Gives the lease up if the registry was restored since it was granted.
     fn note_restored(&self) {
-        let generation = self.mirror.position().unwrap_or_default().generation;
-        if generation > self.generation.get() {
-            let was = self.generation.replace(generation);
-            if was != Generation::default() {
-                info!(target: "belief", generation = generation.0, was = was.0; "registering again");
-                let mut registrar = self.registrar.borrow_mut();
-                registrar.failed(self.clock.now(), Failed::LeaseGone);
-            }
+        let Some(known) = self.mirror.position() else {
+            return;
+        };
+        if self.take_generation(known.generation) {
+            info!(target: "belief", generation = known.generation.0; "registering again");
+            let mut registrar = self.registrar.borrow_mut();
+            registrar.failed(self.clock.now(), Failed::LeaseGone);
         }
     }
 }
