Review, case 2: an entry without its fields names an upstream

Cause: entries that lack version, warmupLeftMs, sequence and born are taken for valid. Added: the case.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 //! case could not run. With `TROUBLE=0` in the environment the disruption is left out.
 
 mod client;
+mod foreign;
 mod http;
 mod json;
 mod node;
@@ -53,6 +54,7 @@
     };
     let verdict = match name.as_str() {
         "repeat" => repeat::run(&case),
+        "foreign" => foreign::run(&case),
         _ => Verdict::CouldNotRun(format!("no case {name}")),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
