Review, case 3: an answer without a seal reaches the caller as a success

Cause: a 2xx answer without a signature counts as a failure, and the last failure is forwarded unchanged. Added: the case.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -13,6 +13,7 @@
 mod record;
 mod repeat;
 mod replica;
+mod spoil;
 mod store;
 
 use std::path::PathBuf;
@@ -55,6 +56,7 @@
     let verdict = match name.as_str() {
         "repeat" => repeat::run(&case),
         "foreign" => foreign::run(&case),
+        "spoil" => spoil::run(&case),
         _ => Verdict::CouldNotRun(format!("no case {name}")),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
