Review, case 4: a version that a first read contains never reaches followers

Cause: a relay keeps entries of its first read that are newer than the position of that read, but not among the changes for its followers. Added: the case.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,7 @@
 mod repeat;
 mod replica;
 mod spoil;
+mod stale;
 mod store;
 
 use std::path::PathBuf;
@@ -57,6 +58,7 @@
         "repeat" => repeat::run(&case),
         "foreign" => foreign::run(&case),
         "spoil" => spoil::run(&case),
+        "stale" => stale::run(&case),
         _ => Verdict::CouldNotRun(format!("no case {name}")),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
