--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod foreign;
 mod http;
 mod json;
+mod keys;
 mod node;
 mod random;
 mod record;
@@ -57,6 +58,7 @@
     let verdict = match name.as_str() {
         "repeat" => repeat::run(&case),
         "foreign" => foreign::run(&case),
+        "keys" => keys::run(&case),
         "spoil" => spoil::run(&case),
         "stale" => stale::run(&case),
         _ => Verdict::CouldNotRun(format!("no case {name}")),
