--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -79,7 +79,7 @@
         let wait = wait + Duration::from_millis(500);
         stream.set_read_timeout(Some(wait)).ok()?;
         (&stream).write_all(request).ok()?;
-        let answer = http::read_message(&mut BufReader::new(&stream), false)?;
+        let answer = http::read_message(&mut BufReader::new(&stream))?;
         let closes = answer
             .header("connection")
             .is_some_and(|value| value.contains("close"));
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -7,9 +7,6 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// A message: its first line, its headers with names in lower case, and its body.
@@ -54,7 +51,7 @@
 }
 
 /// Reads one message. Returns `None` at the end of the connection, or if the message is incomplete.
-pub fn read_message<R>(reader: &mut BufReader<R>, answers_head: bool) -> Option<Message>
+pub fn read_message<R>(reader: &mut BufReader<R>) -> Option<Message>
 where
     R: Read,
 {
@@ -76,7 +73,7 @@
         .is_some_and(|coding| coding.contains("chunked"));
     if is_chunked {
         message.body = read_chunks(reader)?;
-    } else if !answers_head {
+    } else {
         let length = message.header("content-length");
         let length: usize = length.and_then(|length| length.parse().ok()).unwrap_or(0);
         message.body = vec![0; length];
@@ -130,17 +127,13 @@
     [head.as_bytes(), body].concat()
 }
 
-/// Accepts connections on `listener` and runs `serve` for each in its own thread. Closes the listener
-/// at the first connection after `has_ended` was set.
-pub fn serve<F>(listener: TcpListener, has_ended: Arc<AtomicBool>, serve: F)
+/// Accepts connections on `listener` and runs `serve` for each in its own thread.
+pub fn serve<F>(listener: TcpListener, serve: F)
 where
     F: Fn(TcpStream) + Clone + Send + 'static,
 {
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            if has_ended.load(Ordering::Relaxed) {
-                return;
-            }
             let serve = serve.clone();
             let _ = stream.set_nodelay(true);
             std::thread::spawn(move || serve(stream));
@@ -155,5 +148,5 @@
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
     (&stream).write_all(request).ok()?;
-    read_message(&mut BufReader::new(&stream), false)
+    read_message(&mut BufReader::new(&stream))
 }
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -27,7 +27,7 @@
 
 extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
-    fn prctl(option: i32, argument: u64) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 /// Loopback addresses of one run.
--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -4,7 +4,6 @@
 use std::collections::HashMap;
 use std::io::BufReader;
 use std::io::Write;
-use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -89,13 +88,6 @@
     /// Requests that run and requests that wait.
     load: Mutex<(usize, usize)>,
     freed: Condvar,
-    is_registered: AtomicBool,
-    /// Whether the process has ended: it accepts and answers nothing any more.
-    has_exited: Arc<AtomicBool>,
-    /// Open connections, which end with the process.
-    connections: Mutex<HashMap<SocketAddr, TcpStream>>,
-    /// When the replica's requests arrived, and their ids.
-    arrivals: Mutex<Vec<(Instant, String)>>,
     /// Whether every `repeat_every`th answer is sent a second time, late.
     repeats: AtomicBool,
     /// The name of the header with the signature has a wrong byte in every `spoil_every`th answer.
@@ -130,10 +122,6 @@
                 record: record.clone(),
                 load: Mutex::new((0, 0)),
                 freed: Condvar::new(),
-                is_registered: AtomicBool::new(true),
-                has_exited: Arc::default(),
-                connections: Mutex::default(),
-                arrivals: Mutex::default(),
                 repeats: AtomicBool::new(false),
                 spoil_every: AtomicU64::new(u64::MAX),
                 spoilt: AtomicU64::new(0),
@@ -144,15 +132,12 @@
             }),
         };
         let served = Arc::clone(&replica.shared);
-        let has_exited = Arc::clone(&replica.shared.has_exited);
-        http::serve(listener, has_exited, move |stream| served.serve(&stream));
+        http::serve(listener, move |stream| served.serve(&stream));
         replica.shared.register();
         let beating = Arc::clone(&replica.shared);
         std::thread::spawn(move || loop {
             std::thread::sleep(HEARTBEAT);
-            if beating.is_registered.load(Ordering::Relaxed) {
-                beating.register();
-            }
+            beating.register();
         });
         Ok(replica)
     }
@@ -179,45 +164,6 @@
         self.shared.spoilt.load(Ordering::Relaxed)
     }
 
-    /// Writes the entry by a call whose answer is lost, and which the store executes `late` later.
-    pub fn write_late(&self, late: Duration) {
-        let (key, entry) = self.shared.entry();
-        let shared = Arc::clone(&self.shared);
-        std::thread::spawn(move || {
-            std::thread::sleep(late);
-            shared.store.put(&key, &entry);
-            shared
-                .record
-                .write(&format!("the store executes a late write of {}", shared.id));
-        });
-    }
-
-    /// Removes the replica's entry and ends its heartbeats, without reporting a drain. The replica
-    /// goes on serving. Returns when the store has acknowledged.
-    pub fn leave(&self) {
-        self.shared.is_registered.store(false, Ordering::Relaxed);
-        self.shared
-            .store
-            .remove(&format!("servers/{}", self.shared.id));
-    }
-
-    /// Lets the store remove the entry, as it does after three heartbeat intervals of silence.
-    pub fn expire(&self) {
-        self.shared
-            .store
-            .remove(&format!("servers/{}", self.shared.id));
-    }
-
-    /// Ends the replica's process: its connections and its port are closed.
-    pub fn exit(&self) {
-        self.shared.has_exited.store(true, Ordering::Relaxed);
-        for connection in self.shared.connections.lock().unwrap().values() {
-            let _ = connection.shutdown(Shutdown::Both);
-        }
-        // The listener is closed after this connection.
-        let _ = TcpStream::connect(self.shared.address);
-    }
-
     pub fn id(&self) -> &str {
         &self.shared.id
     }
@@ -226,10 +172,6 @@
         self.shared.address
     }
 
-    pub fn arrivals(&self) -> Vec<(Instant, String)> {
-        self.shared.arrivals.lock().unwrap().clone()
-    }
-
     /// Returns the number of answers, of answers sent twice, and of rejections among the latter.
     pub fn counts(&self) -> (u64, u64, u64) {
         let shared = &self.shared;
@@ -263,25 +205,10 @@
     }
 
     fn serve(&self, stream: &TcpStream) {
-        let (Ok(peer), Ok(connection)) = (stream.peer_addr(), stream.try_clone()) else {
-            return;
-        };
-        self.connections.lock().unwrap().insert(peer, connection);
-        self.serve_requests(stream);
-        self.connections.lock().unwrap().remove(&peer);
-    }
-
-    fn serve_requests(&self, stream: &TcpStream) {
         let mut reader = BufReader::new(stream);
         let mut owed_copy: Option<Vec<u8>> = None;
-        while let Some(request) = http::read_message(&mut reader, false) {
+        while let Some(request) = http::read_message(&mut reader) {
             std::thread::sleep(self.kind.transit);
-            if self.has_exited.load(Ordering::Relaxed) {
-                return;
-            }
-            let attempt = request.header("hemlockrouter-attempt-id").unwrap_or("-");
-            let arrival = (Instant::now(), String::from(attempt));
-            self.arrivals.lock().unwrap().push(arrival);
             let mut writer = stream;
             if let Some(copy) = owed_copy.take() {
                 if writer.write_all(&copy).is_err() {
@@ -304,7 +231,7 @@
                 ));
                 owed_copy = Some(answer.clone());
             }
-            if self.has_exited.load(Ordering::Relaxed) || writer.write_all(&answer).is_err() {
+            if writer.write_all(&answer).is_err() {
                 return;
             }
         }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -86,9 +86,7 @@
         for (index, address) in addresses.iter().enumerate() {
             let served = store.clone();
             let listener = TcpListener::bind(address)?;
-            http::serve(listener, Arc::default(), move |stream| {
-                served.serve(stream, index)
-            });
+            http::serve(listener, move |stream| served.serve(stream, index));
         }
         let expiring = store.clone();
         std::thread::spawn(move || loop {
@@ -106,13 +104,6 @@
         state.revision
     }
 
-    pub fn remove(&self, key: &str) -> u64 {
-        let mut state = self.state.0.lock().unwrap();
-        state.remove(key);
-        self.state.1.notify_all();
-        state.revision
-    }
-
     /// Lets one of the two copies that serve stale reads lag behind. The stale reads of a connection
     /// go to both copies in turn. The lagging copy has the first turn at the address with the index
     /// `lagging_first`, and the other copy at all other addresses.
@@ -139,7 +130,7 @@
     fn serve(&self, stream: TcpStream, address_index: usize) {
         let mut reader = BufReader::new(&stream);
         let mut stale_reads = 0;
-        while let Some(request) = http::read_message(&mut reader, false) {
+        while let Some(request) = http::read_message(&mut reader) {
             let era = self.state.0.lock().unwrap().era;
             let (status, body) = self.answer(&request, address_index, &mut stale_reads);
             if self.state.0.lock().unwrap().era != era {
