Classify an upstream's answer once, so that no unsigned success reaches a caller

Cause: Reply::is_success decided what counts as a success, while give_up forwarded the last failure unchanged. An unsigned 2xx was a failure for the first and was passed on by the second, at once for a request that must not be repeated and after the last attempt for the others.

ReplyKind::classify now decides at the one place where an answer is decoded. A success holds its signature; an answer that contradicts itself has no kind and ends like a lost one. Batches between instances use the same function. The soak draws upstreams that leave signatures out.

--- a/hemlockrouter-cli/tests/direct/soak.rs
+++ b/hemlockrouter-cli/tests/direct/soak.rs
@@ -92,13 +92,19 @@
 }
 
 impl Fault {
-    fn random(rng: &mut StdRng, cooldown_rng: &mut StdRng, upstreams: usize) -> Fault {
+    fn random(
+        rng: &mut StdRng,
+        cooldown_rng: &mut StdRng,
+        signature_rng: &mut StdRng,
+        upstreams: usize,
+    ) -> Fault {
         let daemon = rng.random_range(0..DAEMON_COUNT);
         let upstream = rng.random_range(0..upstreams);
         let behaviour = Behaviour {
             work_duration: Duration::from_millis(rng.random_range(1..60)),
             reject_permille: rng.random_range(0..500),
             lost_response_permille: rng.random_range(0..200),
+            unsigned_response_permille: signature_rng.random_range(0..200),
             never_responds: rng.random_range(0..4) == 0,
             is_leaving: false,
             retry_after: cooldown_rng.random_bool(COOLDOWN_SHARE).then_some(COOLDOWN),
@@ -345,8 +351,10 @@
 /// Runs one seed, and returns the first violation as an error.
 fn run(seed: u64, seconds: u64) -> Result<(), String> {
     let mut rng = StdRng::seed_from_u64(seed);
-    // Cooldowns have their own generator, so that the faults of older seeds stay the same.
+    // Later kinds of faults have their own generators, so that the faults of older seeds stay the
+    // same.
     let mut cooldown_rng = StdRng::seed_from_u64(!seed);
+    let mut signature_rng = StdRng::seed_from_u64(seed.rotate_left(16));
     let mut store_restores = StoreRestores {
         rng: StdRng::seed_from_u64(seed.rotate_left(32)),
         copy: None,
@@ -360,7 +368,12 @@
     let mut active_faults: Vec<(Instant, Fault)> = Vec::new();
     let mut frozen = Vec::new();
     while started.elapsed() < Duration::from_secs(seconds) {
-        let fault = Fault::random(&mut rng, &mut cooldown_rng, deployment.upstreams.len());
+        let fault = Fault::random(
+            &mut rng,
+            &mut cooldown_rng,
+            &mut signature_rng,
+            deployment.upstreams.len(),
+        );
         fault.inject(&mut deployment);
         let duration = Duration::from_millis(rng.random_range(100..4_000));
         let ends = Instant::now() + duration;
--- a/hemlockrouter-cli/tests/direct/torn.rs
+++ b/hemlockrouter-cli/tests/direct/torn.rs
@@ -1,5 +1,6 @@
 //! Tests with responses of upstreams that are truncated or sent twice.
 
+use hemlockrouter_corporation_lab::Behaviour;
 use hemlockrouter_corporation_lab::TruncatingUpstream;
 use hemlockrouter_corporation_lab::TruncationPoint;
 use hemlockrouter_corporation_lab::Upstream;
@@ -101,6 +102,29 @@
     }
 }
 
+/// Guards against a success whose signature is missing, which the instance passes on although it
+/// does not count as a success.
+#[test]
+fn response_without_signature_is_not_a_success() {
+    let deployment = Deployment::start(1);
+    for upstream in &deployment.upstreams {
+        upstream.set_behaviour(Behaviour {
+            unsigned_response_permille: 1_000,
+            ..Behaviour::default()
+        });
+    }
+    for path in [BOOK_PATH, LOOK_UP_PATH, SEARCH_PATH] {
+        for _ in 0..REQUESTS_PER_KIND {
+            let answer = deployment.call(0, path, 800);
+            let is_success = answer.status.is_some_and(|status| status.is_success());
+            assert!(!is_success, "{path}: {answer:?}");
+            let is_refused = answer.status == Some(StatusCode::SERVICE_UNAVAILABLE);
+            let runs = deployment.ledger.runs_of(&answer.attempt_id);
+            assert!(!is_refused || runs.is_empty(), "{path}: {answer:?}");
+        }
+    }
+}
+
 #[test]
 fn repeated_upstream_response_is_not_used_for_another_request() {
     let deployment = Deployment::start(1);
--- a/hemlockrouter-edge/src/batch.rs
+++ b/hemlockrouter-edge/src/batch.rs
@@ -9,6 +9,7 @@
 use hemlockrouter_route::direct::BatchReport;
 use hemlockrouter_route::direct::PeerNotice;
 use hemlockrouter_route::direct::Reply;
+use hemlockrouter_route::direct::ReplyKind;
 use hemlockrouter_types::routing::Batch;
 use http::HeaderMap;
 use http::HeaderName;
@@ -136,7 +137,7 @@
     /// Decodes the collected parts and notices.
     pub fn into_report(self) -> BatchReport {
         let answers = self.answers.into_iter();
-        let answers = answers.map(|part| (part.at, part.into_reply()));
+        let answers = answers.filter_map(|part| Some((part.at, part.into_reply()?)));
         BatchReport {
             answers: answers.collect(),
             unsent: self.unsent,
@@ -146,24 +147,28 @@
 }
 
 impl CollectedPart {
-    /// Encodes the answer at place `at` of the batch. Returns `None` for an answer without a
-    /// signature, which is no valid part.
+    /// Encodes the answer at place `at` of the batch. Returns `None` for an answer that is no
+    /// success, which is no valid part.
     fn new(at: usize, reply: &Reply) -> Option<CollectedPart> {
+        let ReplyKind::Success { signature } = &reply.kind else {
+            return None;
+        };
         Some(CollectedPart {
             at,
             status: reply.status,
-            stamp: reply.signature.clone()?,
+            stamp: signature.clone(),
             body: ByteBuf::from(&reply.body[..]),
         })
     }
 
-    fn into_reply(self) -> Reply {
-        Reply {
+    /// Decodes the answer. Returns `None` if it is no success.
+    fn into_reply(self) -> Option<Reply> {
+        let kind = ReplyKind::classify(self.status, false, Some(self.stamp))?;
+        Some(Reply {
             status: self.status,
-            not_run: false,
-            signature: Some(self.stamp),
+            kind,
             headers: HeaderMap::new(),
             body: Bytes::from(self.body.into_vec()),
-        }
+        })
     }
 }
--- a/hemlockrouter-edge/src/protocol.rs
+++ b/hemlockrouter-edge/src/protocol.rs
@@ -47,7 +47,8 @@
     fn read_upstream_notice(&self, head: &response::Parts) -> Notice;
 
     /// Parses the complete answer of an upstream. Returns `None` if the answer belongs to another
-    /// request.
+    /// request, or if it contradicts itself, like a success without a signature. The request may
+    /// have run.
     fn read_upstream_answer(
         &self,
         request: &CallerRequest,
--- a/hemlockrouter-route/src/direct/dispatcher.rs
+++ b/hemlockrouter-route/src/direct/dispatcher.rs
@@ -25,6 +25,7 @@
 use super::event::CallId;
 use super::event::CallOutcome;
 use super::event::Command;
+use super::event::ReplyKind;
 use super::event::RequestId;
 use super::peers::Peers;
 use super::queue::PartQueues;
@@ -360,9 +361,12 @@
     /// Records the outcome of an attempt in the statistics of its upstream and route.
     fn record_outcome(&mut self, now: Time, route: &Route, attempt: &Attempt, end: &CallOutcome) {
         let outcome = match end {
-            CallOutcome::Answered(reply) if reply.is_success() => Outcome::Success,
-            CallOutcome::Answered(reply) if reply.not_run => Outcome::Rejected,
-            CallOutcome::Answered(_) | CallOutcome::Lost => Outcome::Failure,
+            CallOutcome::Answered(reply) => match reply.kind {
+                ReplyKind::Success { .. } => Outcome::Success,
+                ReplyKind::NotRun => Outcome::Rejected,
+                ReplyKind::Failure => Outcome::Failure,
+            },
+            CallOutcome::Lost => Outcome::Failure,
             CallOutcome::NotSent => Outcome::Unreachable,
         };
         if let Some(upstream) = self.upstreams.get_mut(attempt.upstream) {
--- a/hemlockrouter-route/src/direct/dispatcher/finish.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/finish.rs
@@ -8,6 +8,7 @@
 use crate::direct::event::FailedCall;
 use crate::direct::event::GiveUpReason;
 use crate::direct::event::Reply;
+use crate::direct::event::ReplyKind;
 use crate::direct::event::RequestId;
 use crate::direct::event::RequestResult;
 use crate::direct::event::Summary;
@@ -87,7 +88,10 @@
                     missing: request.parts.len() - answers.len(),
                     signatures: answers
                         .into_iter()
-                        .filter_map(|answer| answer.signature)
+                        .filter_map(|answer| match answer.kind {
+                            ReplyKind::Success { signature } => Some(signature),
+                            ReplyKind::NotRun | ReplyKind::Failure => None,
+                        })
                         .collect(),
                 }
             }
--- a/hemlockrouter-route/src/direct/dispatcher/share.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/share.rs
@@ -21,6 +21,7 @@
 use crate::direct::event::BatchReport;
 use crate::direct::event::CallId;
 use crate::direct::event::Command;
+use crate::direct::event::ReplyKind;
 use crate::direct::event::RequestId;
 use crate::direct::record::Outcome;
 use crate::direct::request::AnswerTo;
@@ -234,7 +235,7 @@
                 continue;
             };
             let part = &mut request.parts[*part_index];
-            if answer.is_success() {
+            if matches!(answer.kind, ReplyKind::Success { .. }) {
                 // The delegated answer replaces any answer from elsewhere and must be merged, since
                 // the collecting instance may have dropped records of its other answers that are
                 // smaller than records of this answer.
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -23,20 +23,53 @@
 pub struct Reply {
     /// The HTTP status of the answer.
     pub status: u16,
-    /// Whether the upstream states that it did not run the request and never will.
-    pub not_run: bool,
-    /// The upstream's signature of the answer.
-    pub signature: Option<String>,
+    /// What the answer says about the request.
+    pub kind: ReplyKind,
     /// The headers that are passed on to the caller.
     pub headers: HeaderMap,
     /// The complete body of the answer.
     pub body: Bytes,
 }
 
-impl Reply {
-    /// Returns whether the upstream ran the request successfully and signed the answer.
-    pub fn is_success(&self) -> bool {
-        (200..300).contains(&self.status) && self.signature.is_some() && !self.not_run
+/// What an upstream's answer says about the request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReplyKind {
+    /// The upstream ran the request successfully.
+    Success {
+        /// The upstream's signature of the answer.
+        signature: String,
+    },
+    /// The upstream did not run the request and never will.
+    NotRun,
+    /// The upstream ran the request and failed.
+    Failure,
+}
+
+impl ReplyKind {
+    /// Classifies an answer by its HTTP status, by whether it states that the request was not run,
+    /// and by its signature. Returns `None` if these contradict each other: a success bears a
+    /// signature, and a request that was not run has no success. Such an answer reaches no caller,
+    /// and the request may have run.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use hemlockrouter_route::direct::ReplyKind;
+    ///
+    /// assert_eq!(ReplyKind::classify(500, false, None), Some(ReplyKind::Failure));
+    /// assert_eq!(ReplyKind::classify(200, false, None), None);
+    /// ```
+    pub fn classify(status: u16, not_run: bool, signature: Option<String>) -> Option<ReplyKind> {
+        let is_success = (200..300).contains(&status);
+        match (is_success, not_run) {
+            (true, true) => None,
+            (true, false) => {
+                let signature = signature.filter(|signature| !signature.is_empty())?;
+                Some(ReplyKind::Success { signature })
+            }
+            (false, true) => Some(ReplyKind::NotRun),
+            (false, false) => Some(ReplyKind::Failure),
+        }
     }
 }
 
@@ -87,11 +120,13 @@
     /// Returns the fault of the call; `None` if the call succeeded.
     pub(super) fn fault(&self) -> Option<CallFault> {
         match self {
-            CallOutcome::Answered(reply) if reply.is_success() => None,
-            CallOutcome::Answered(reply) if reply.not_run => Some(CallFault::Rejected),
-            CallOutcome::Answered(reply) => Some(CallFault::Failed {
-                status: reply.status,
-            }),
+            CallOutcome::Answered(reply) => match reply.kind {
+                ReplyKind::Success { .. } => None,
+                ReplyKind::NotRun => Some(CallFault::Rejected),
+                ReplyKind::Failure => Some(CallFault::Failed {
+                    status: reply.status,
+                }),
+            },
             CallOutcome::Lost => Some(CallFault::Lost),
             CallOutcome::NotSent => Some(CallFault::Unreachable),
         }
--- a/hemlockrouter-route/src/direct/mod.rs
+++ b/hemlockrouter-route/src/direct/mod.rs
@@ -67,6 +67,7 @@
 pub use self::event::Notice;
 pub use self::event::PeerNotice;
 pub use self::event::Reply;
+pub use self::event::ReplyKind;
 pub use self::event::RequestId;
 pub use self::event::RequestResult;
 pub use self::event::Summary;
--- a/hemlockrouter-route/src/direct/request.rs
+++ b/hemlockrouter-route/src/direct/request.rs
@@ -7,6 +7,7 @@
 use super::event::CallId;
 use super::event::CallOutcome;
 use super::event::Reply;
+use super::event::ReplyKind;
 use super::event::Summary;
 use super::merge::GreatestRecords;
 use super::table::Route;
@@ -150,16 +151,18 @@
     pub(super) fn record_end(&mut self, end: CallOutcome, idempotent: bool) -> Option<SendReason> {
         match end {
             CallOutcome::NotSent => Some(SendReason::NotReached),
-            CallOutcome::Answered(reply) if reply.is_success() => {
-                self.set_answer(reply);
-                None
-            }
-            CallOutcome::Answered(reply) if reply.not_run => Some(SendReason::Retry),
-            CallOutcome::Answered(reply) => {
-                self.may_have_run = true;
-                self.last_failure = Some(reply);
-                idempotent.then_some(SendReason::Retry)
-            }
+            CallOutcome::Answered(reply) => match reply.kind {
+                ReplyKind::Success { .. } => {
+                    self.set_answer(reply);
+                    None
+                }
+                ReplyKind::NotRun => Some(SendReason::Retry),
+                ReplyKind::Failure => {
+                    self.may_have_run = true;
+                    self.last_failure = Some(reply);
+                    idempotent.then_some(SendReason::Retry)
+                }
+            },
             CallOutcome::Lost => {
                 self.may_have_run = true;
                 idempotent.then_some(SendReason::Retry)
--- a/hemlockrouter-route/tests/direct/fixture.rs
+++ b/hemlockrouter-route/tests/direct/fixture.rs
@@ -12,6 +12,7 @@
 use hemlockrouter_route::direct::Dispatcher;
 use hemlockrouter_route::direct::RepeatBound;
 use hemlockrouter_route::direct::Reply;
+use hemlockrouter_route::direct::ReplyKind;
 use hemlockrouter_route::direct::RequestId;
 use hemlockrouter_route::direct::RequestResult;
 use hemlockrouter_route::direct::Route;
@@ -328,8 +329,9 @@
 pub(crate) fn success(stamp: &str, body: &[u8]) -> CallOutcome {
     CallOutcome::Answered(Reply {
         status: 200,
-        not_run: false,
-        signature: Some(String::from(stamp)),
+        kind: ReplyKind::Success {
+            signature: String::from(stamp),
+        },
         headers: HeaderMap::new(),
         body: Bytes::copy_from_slice(body),
     })
@@ -339,8 +341,7 @@
 pub(crate) fn rejected() -> CallOutcome {
     CallOutcome::Answered(Reply {
         status: 503,
-        not_run: true,
-        signature: None,
+        kind: ReplyKind::NotRun,
         headers: HeaderMap::new(),
         body: Bytes::new(),
     })
@@ -350,8 +351,7 @@
 pub(crate) fn failure() -> CallOutcome {
     CallOutcome::Answered(Reply {
         status: 500,
-        not_run: false,
-        signature: Some(String::from("failed")),
+        kind: ReplyKind::Failure,
         headers: HeaderMap::new(),
         body: Bytes::from_static(b"failed"),
     })
