Keep every repeated change in the history that followers read

Cause: the content of a first read can be newer than its position. The watch repeats such entries, and Mirror dropped them as known before they entered the history for followers. A follower whose position lies between got no change and moved on.

--- a/hemlockrouter-cli/tests/direct/deployment.rs
+++ b/hemlockrouter-cli/tests/direct/deployment.rs
@@ -76,7 +76,8 @@
     pub(crate) ledger: Ledger,
     pub(crate) upstreams: Vec<Upstream>,
     pub(crate) daemons: Vec<Daemon>,
-    version: u64,
+    /// The version of the newest configuration in the store.
+    pub(crate) version: u64,
     /// Whether the directory with the logs is kept, so that a failed test can be investigated.
     pub(crate) keep_logs: bool,
     pub(crate) dir: PathBuf,
@@ -193,6 +194,14 @@
         self.runtime.block_on(call_future)
     }
 
+    /// Returns the version that a daemon has in force; `None` if the daemon does not answer.
+    pub(crate) fn version_in_force(&self, index: usize) -> Option<u64> {
+        let url = format!("http://{}/status", self.daemons[index].ready);
+        let mut answer = ureq::get(url).call().ok()?;
+        let status: Value = answer.body_mut().read_json().ok()?;
+        status["version"].as_u64()
+    }
+
     /// Returns the log of a daemon.
     pub(crate) fn log(&self, index: usize) -> String {
         fs::read_to_string(self.daemons[index].log(&self.dir)).unwrap_or_default()
--- a/hemlockrouter-cli/tests/direct/in_force.rs
+++ b/hemlockrouter-cli/tests/direct/in_force.rs
@@ -174,6 +174,34 @@
     }
 }
 
+/// Guards against followers that never learn of a version which their relay found in its first
+/// read. The first page of this read is newer than the revision from which the relay watches.
+#[test]
+fn version_newer_than_the_first_read_is_passed_on_to_followers() {
+    let mut deployment = Deployment::start(1);
+    // With 60 entries behind it, the configuration is on the first page.
+    for number in 0..60 {
+        deployment.store.put(&format!("zz/{number:02}"), b"filler");
+    }
+    deployment.store.freeze_stale_pages();
+    let follower_revision = deployment.store.revision();
+    deployment.write_config(|config| config["routes"][2]["pathPrefix"] = "/moved/".into());
+    deployment.daemons[0].kill();
+    deployment.start_daemon(0);
+    deployment.wait_ready(0);
+    let ready = Instant::now();
+    let relay = deployment.daemons[0].relay;
+    let url = format!("http://{relay}/changes/1/{follower_revision}?age_ms=0&wait_ms=100");
+    eventually("a follower gets the version", || {
+        let answer = ureq::get(&url).call();
+        let page = answer.and_then(|mut answer| answer.body_mut().read_to_vec());
+        let page = page.expect("the relay answers");
+        page.windows(7).any(|text| text == b"/moved/")
+    });
+    let elapsed = ready.elapsed();
+    assert!(elapsed < IN_FORCE_WITHIN, "{elapsed:?}");
+}
+
 /// Guards against the loss of a change during the first read of the store. The pages of this read
 /// are not a snapshot: the first page can be newer than the others.
 #[test]
--- a/hemlockrouter-cli/tests/direct/soak.rs
+++ b/hemlockrouter-cli/tests/direct/soak.rs
@@ -70,6 +70,13 @@
 /// The share of steps at which the store is restored, if a copy exists.
 const RESTORE_PROBABILITY: f64 = 0.4;
 
+/// The number of entries of another writer, with which the store's content takes several pages.
+const OTHER_ENTRIES: usize = 60;
+
+/// The share of steps at which stale reads begin to return the current content, except for their
+/// first page, which is always current.
+const STALE_PAGES_PROBABILITY: f64 = 0.3;
+
 /// The longest time between two steps.
 const STEP_MAX: Duration = Duration::from_millis(900);
 
@@ -205,6 +212,28 @@
     }
 }
 
+/// Another client of the store, whose entries fill pages, and the age of the pages.
+struct OtherWriter {
+    rng: StdRng,
+}
+
+impl OtherWriter {
+    /// Writes the entries.
+    fn fill_pages(&mut self, deployment: &Deployment) {
+        for number in 0..OTHER_ENTRIES {
+            let key = format!("zz/{number:02}");
+            deployment.store.put(&key, b"filler");
+        }
+    }
+
+    /// At random, lets the pages of stale reads differ in age from now on.
+    fn step(&mut self, deployment: &Deployment) {
+        if self.rng.random_bool(STALE_PAGES_PROBABILITY) {
+            deployment.store.freeze_stale_pages();
+        }
+    }
+}
+
 /// Repeats the writes of operators and upstreams that the restored store lacks.
 fn repeat_writes(deployment: &mut Deployment, active_faults: &[(Instant, Fault)]) {
     for upstream in &deployment.upstreams {
@@ -359,7 +388,11 @@
         rng: StdRng::seed_from_u64(seed.rotate_left(32)),
         copy: None,
     };
+    let mut other_writer = OtherWriter {
+        rng: StdRng::seed_from_u64(seed.rotate_left(48)),
+    };
     let mut deployment = Deployment::start(DAEMON_COUNT);
+    other_writer.fill_pages(&deployment);
     let stop = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|index| start_caller(&deployment, index, &stop))
@@ -399,6 +432,7 @@
             .into_iter()
             .for_each(|(_, fault)| fault.undo(&mut deployment));
         store_restores.step(&mut deployment, &active_faults);
+        other_writer.step(&deployment);
     }
     active_faults
         .into_iter()
@@ -435,7 +469,8 @@
         .try_for_each(|observed| check(observed, ledger, frozen))
 }
 
-/// Waits until every daemon serves all routes again, and searches with all shards.
+/// Waits until every daemon has the newest version, serves all routes again, and searches with all
+/// shards.
 fn wait_until_recovered(deployment: &Deployment) -> Result<(), String> {
     let ended = Instant::now();
     'again: loop {
@@ -443,6 +478,10 @@
             return Err(String::from("not all is served again in time"));
         }
         for index in 0..DAEMON_COUNT {
+            if deployment.version_in_force(index) != Some(deployment.version) {
+                std::thread::sleep(Duration::from_millis(50));
+                continue 'again;
+            }
             for path in [SEARCH_PATH, BOOK_PATH, LOOK_UP_PATH] {
                 let answer = deployment.call(index, path, DEADLINE_MS);
                 if answer.status != Some(StatusCode::OK) || answer.shards_missing > 0 {
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -98,45 +98,29 @@
         has_changed
     }
 
-    /// Returns the entries that change the known state of revision `known_revision`. A page that is
-    /// received a second time, late, restores no old state, and of several entries about one subject
-    /// only the last one counts. A complete read may hold entries that are newer than its revision.
-    pub(super) fn effective_changes(&self, entries: &[Entry], known_revision: u64) -> Vec<Entry> {
-        let state = self.state.borrow();
-        let newer = entries
-            .iter()
-            .filter(|entry| entry.revision > known_revision);
-        let newer: Vec<(&Entry, Option<EntrySubject>)> =
-            newer.map(|entry| (entry, entry.change.subject())).collect();
-        let mut last_revisions: BTreeMap<&EntrySubject, u64> = BTreeMap::new();
-        for (entry, subject) in &newer {
-            if let Some(subject) = subject {
-                last_revisions.insert(subject, entry.revision);
-            }
-        }
-        let is_effective = |entry: &Entry, subject: &EntrySubject| {
-            let known_entry = state.entries.get(subject);
-            let is_last = last_revisions.get(subject) == Some(&entry.revision);
-            is_last && known_entry.is_none_or(|known_entry| known_entry.revision < entry.revision)
-        };
-        let changing = newer.iter().filter(|(entry, subject)| {
-            let subject = subject.as_ref();
-            subject.is_none_or(|subject| is_effective(entry, subject))
-        });
-        changing.map(|(entry, _)| (*entry).clone()).collect()
-    }
-
-    /// Applies changes up to `position`.
-    pub(super) fn apply_changes(&self, changes: &[Entry], position: HistoryPosition) {
+    /// Applies the changes of a read up to `position`, and returns those that change the known
+    /// state.
+    ///
+    /// A page that is received a second time, late, restores no old state, and of several entries
+    /// about one subject only the last one counts. A complete read may hold entries that are newer
+    /// than its position. Their changes have no effect here when they come up again, but followers
+    /// that read the registry at another time lack them, so the history holds all of them.
+    pub(super) fn apply_changes(&self, entries: &[Entry], position: HistoryPosition) -> Vec<Entry> {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        for entry in changes {
+        let newer: Vec<&Entry> = entries
+            .iter()
+            .filter(|entry| entry.revision > state.position.revision)
+            .collect();
+        let effective_entries = state.effective_entries(&newer);
+        for entry in &effective_entries {
             state.apply_entry(now, entry);
         }
-        if !changes.is_empty() {
-            state.encoded = None;
+        for entry in newer {
+            state.record_change(entry);
         }
         state.position = state.position.max(position);
+        effective_entries
     }
 
     /// Replaces all entries by those of the registry, and returns the entries to use. The two
@@ -329,11 +313,40 @@
         version(&self.entries.get(&EntrySubject::Routes)?.change)
     }
 
+    /// Returns the entries of `newer` that change the known state.
+    fn effective_entries(&self, newer: &[&Entry]) -> Vec<Entry> {
+        let newer: Vec<(&Entry, Option<EntrySubject>)> = newer
+            .iter()
+            .map(|entry| (*entry, entry.change.subject()))
+            .collect();
+        let mut last_revisions: BTreeMap<&EntrySubject, u64> = BTreeMap::new();
+        for (entry, subject) in &newer {
+            if let Some(subject) = subject {
+                last_revisions.insert(subject, entry.revision);
+            }
+        }
+        let is_effective = |entry: &Entry, subject: &EntrySubject| {
+            let known_entry = self.entries.get(subject);
+            let is_last = last_revisions.get(subject) == Some(&entry.revision);
+            is_last && known_entry.is_none_or(|known_entry| known_entry.revision < entry.revision)
+        };
+        let changing = newer.iter().filter(|(entry, subject)| {
+            let subject = subject.as_ref();
+            subject.is_none_or(|subject| is_effective(entry, subject))
+        });
+        changing.map(|(entry, _)| (*entry).clone()).collect()
+    }
+
     fn apply_entry(&mut self, now: Time, entry: &Entry) {
+        self.encoded = None;
         if let Some(subject) = entry.change.subject() {
             self.overrides.record_written(&subject);
             self.apply_subject(now, subject, entry);
         }
+    }
+
+    /// Adds a change to the history that is kept for followers.
+    fn record_change(&mut self, entry: &Entry) {
         self.changes.push_back(entry.clone());
         if self.changes.len() > KEPT_CHANGES_MAX {
             if let Some(dropped) = self.changes.pop_front() {
--- a/src/direct/read_applier.rs
+++ b/src/direct/read_applier.rs
@@ -70,7 +70,7 @@
         } else if !read.is_whole || read.position >= known_position {
             // The local copy is complete up to its revision, so an older complete read adds
             // nothing.
-            self.apply_entries(read, known_position);
+            self.apply_entries(read);
         }
         let (age_ms, path) = match sources.is_usable_path(&read.path) {
             true => (read.age_ms, read.path.as_slice()),
@@ -96,7 +96,7 @@
             error!(target: "belief", "received changes of another generation without a full read");
             return;
         }
-        self.apply_entries(read, known_position);
+        self.apply_entries(read);
         self.refill_until = self.clock.now() + REFILL_PERIOD_MS;
         let counts = self.mirror.override_counts();
         let generation = read.position.generation;
@@ -126,16 +126,10 @@
         }
     }
 
-    fn apply_entries(&self, read: &RegistryRead, known_position: HistoryPosition) {
+    fn apply_entries(&self, read: &RegistryRead) {
         let entries: Vec<Entry> = match read.is_whole {
             true => self.mirror.replace(&read.entries, read.position),
-            false => {
-                let newer = self
-                    .mirror
-                    .effective_changes(&read.entries, known_position.revision);
-                self.mirror.apply_changes(&newer, read.position);
-                newer
-            }
+            false => self.mirror.apply_changes(&read.entries, read.position),
         };
         if read.is_whole || !entries.is_empty() {
             let changes = entries.into_iter().map(|entry| entry.change);
