Keep content that is newer than a complete read of another instance

Callers would see an evacuated zone in use again for a moment.

Cause: a complete page was accepted by its position alone, while the content of this instance may be newer than its own position. A page from between the two took the newer content back.

Evidence: the new property in hemlockrouter-edge/tests/reconcile.rs states the join by revision; the page taken as it is, as before, does not have it.

keep_newer joins a complete read with the known entries by revision.

--- a/hemlockrouter-edge/src/reconcile.rs
+++ b/hemlockrouter-edge/src/reconcile.rs
@@ -105,6 +105,37 @@
     }
 }
 
+/// Adds the known entries that are newer than a complete read to the entries of that read.
+///
+/// The read holds every entry that was written or removed up to `read_revision`, and possibly newer
+/// ones. Known entries that were written later are therefore kept, unless the read has a later
+/// entry about the same subject. The registry must not have been restored since `known_entries`
+/// were read.
+pub fn keep_newer(
+    known_entries: &BTreeMap<EntrySubject, Entry>,
+    read: &[Entry],
+    read_revision: u64,
+) -> Vec<Entry> {
+    let mut newer_entries = known_entries.clone();
+    newer_entries.retain(|_, entry| entry.revision > read_revision);
+    let mut entries = Vec::with_capacity(read.len() + newer_entries.len());
+    for entry in read {
+        let subject = entry.change.subject();
+        let known_entry = subject
+            .as_ref()
+            .and_then(|subject| newer_entries.get(subject));
+        if known_entry.is_some_and(|known_entry| known_entry.revision > entry.revision) {
+            continue;
+        }
+        if let Some(subject) = subject {
+            newer_entries.remove(&subject);
+        }
+        entries.push(entry.clone());
+    }
+    entries.extend(newer_entries.into_values());
+    entries
+}
+
 /// Merges the known entries with the entries of a registry that was restored from a backup.
 ///
 /// `known_entries` holds the entries that were used before, and `backup` those of the restored
--- a/hemlockrouter-edge/tests/reconcile.rs
+++ b/hemlockrouter-edge/tests/reconcile.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use hemlockrouter_edge::keep_newer;
 use hemlockrouter_edge::reconcile;
 use hemlockrouter_edge::Entry;
 use hemlockrouter_edge::EntryChange;
@@ -120,6 +121,32 @@
 }
 
 proptest! {
+    /// Guards against a complete read of another instance that undoes newer content.
+    #[test]
+    fn complete_read_never_undoes_newer_known_entries(
+        known_entries in any_entries(),
+        read in any_entries(),
+        read_revision in 1..99_u64,
+    ) {
+        let read_entries: Vec<Entry> = read.values().cloned().collect();
+        let merged = keep_newer(&known_entries, &read_entries, read_revision);
+        let revisions = |entries: &[Entry]| -> BTreeMap<EntrySubject, u64> {
+            let revisions = entries.iter();
+            revisions
+                .filter_map(|entry| Some((entry.change.subject()?, entry.revision)))
+                .collect()
+        };
+        let mut expected = revisions(&read_entries);
+        for (subject, entry) in &known_entries {
+            if entry.revision > read_revision {
+                let revision = expected.entry(subject.clone()).or_default();
+                *revision = entry.revision.max(*revision);
+            }
+        }
+        prop_assert_eq!(merged.len(), expected.len(), "a subject is named twice");
+        prop_assert_eq!(revisions(&merged), expected);
+    }
+
     #[test]
     fn known_entries_never_revert_to_older_backup_entries(
         known_entries in any_entries(),
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
+use hemlockrouter_edge::keep_newer;
 use hemlockrouter_edge::EncodedEntries;
 use hemlockrouter_edge::Entry;
 use hemlockrouter_edge::EntryChange;
@@ -131,10 +132,19 @@
         let is_restored =
             state.contact_at.is_some() && position.generation > state.position.generation;
         let effective_entries = match is_restored {
-            true => state.reconcile_copy(now, entries),
-            false => state.overrides.reconcile_reread(entries),
+            true => {
+                let effective_entries = state.reconcile_copy(now, entries);
+                state.replace(now, entries, is_restored);
+                effective_entries
+            }
+            false => {
+                // Another instance may have read the registry up to a later revision than this one
+                // and still hold older content.
+                let entries = keep_newer(&state.entries, entries, position.revision);
+                state.replace(now, &entries, is_restored);
+                state.overrides.reconcile_reread(&entries)
+            }
         };
-        state.replace(now, entries, is_restored);
         state.history_start = position.revision;
         state.position = position;
         effective_entries
