--- a/hemlockrouter-cli/tests/direct/faults.rs
+++ b/hemlockrouter-cli/tests/direct/faults.rs
@@ -27,6 +27,26 @@
     }
 }
 
+/// Guards against a key of another writer that ends the first read, so that no instance becomes
+/// ready after a restart.
+#[test]
+fn instance_starts_although_a_page_ends_with_a_key_of_another_writer() {
+    let mut deployment = Deployment::start(1);
+    for number in 0..60 {
+        let key = format!("servers/a b?c&after=d#e%20+\u{fc}\"{number:02}");
+        deployment.store.put(&key, b"unreadable");
+    }
+    deployment.daemons[0].kill();
+    deployment.start_daemon(0);
+    deployment.wait_ready(0);
+    let answer = deployment.call(0, SEARCH_PATH, 1_000);
+    assert_eq!(
+        (answer.status, answer.shards_missing),
+        (Some(StatusCode::OK), 0),
+        "{answer:?}"
+    );
+}
+
 #[test]
 fn search_is_complete_with_a_silent_replica() {
     let deployment = Deployment::start(1);
--- a/hemlockrouter-cli/tests/direct/soak.rs
+++ b/hemlockrouter-cli/tests/direct/soak.rs
@@ -73,6 +73,9 @@
 /// The number of entries of another writer, with which the store's content takes several pages.
 const OTHER_ENTRIES: usize = 60;
 
+/// Parts of the other writer's keys: plain text, and characters that have a meaning in a request.
+const OTHER_KEYS: [&str; 5] = ["plain", "a b", "a?b&after=c", "a#b%20", "a\"\u{fc}"];
+
 /// The share of steps at which stale reads begin to return the current content, except for their
 /// first page, which is always current.
 const STALE_PAGES_PROBABILITY: f64 = 0.3;
@@ -221,7 +224,9 @@
     /// Writes the entries.
     fn fill_pages(&mut self, deployment: &Deployment) {
         for number in 0..OTHER_ENTRIES {
-            let key = format!("zz/{number:02}");
+            let prefix = ["servers", "zz"][number % 2];
+            let text = OTHER_KEYS[self.rng.random_range(0..OTHER_KEYS.len())];
+            let key = format!("{prefix}/{text}{number:02}");
             deployment.store.put(&key, b"filler");
         }
     }
