Shut down when a task that must not end has ended

Cause: the event loop confines a panic to its task, and nobody awaited the end of the permanent ones.

TaskMonitor reports the end of a permanent task and the panic of a call that the follower waits for. Panics are logged. With dispatch through owners a panic on any thread ends the process in the same way.

--- a/hemlockrouter-cli/src/bin/hemlockd/logging.rs
+++ b/hemlockrouter-cli/src/bin/hemlockd/logging.rs
@@ -41,6 +41,21 @@
     Ok(writer)
 }
 
+/// Logs every panic, besides the message on standard error, and calls `on_panic`.
+pub(crate) fn watch_panics<F>(on_panic: F)
+where
+    F: Fn() + Send + Sync + 'static,
+{
+    let print_panic = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        let thread = std::thread::current();
+        let thread_name = thread.name().unwrap_or("unknown");
+        log::error!(target: "process", why = panic.to_string(), thread = thread_name; "panic");
+        print_panic(panic);
+        on_panic();
+    }));
+}
+
 /// Sets the least severe level to log. Has no effect if the settings have a filter by module, which
 /// takes precedence.
 pub(crate) fn set_level(log: &Log) {
--- a/hemlockrouter-cli/src/bin/hemlockd/main.rs
+++ b/hemlockrouter-cli/src/bin/hemlockd/main.rs
@@ -7,6 +7,9 @@
 use std::fs;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::thread;
 
 use eyre::WrapErr;
@@ -30,6 +33,7 @@
 const EXIT_USAGE: u8 = 2;
 const EXIT_SETTINGS: u8 = 3;
 const EXIT_START: u8 = 4;
+const EXIT_FAILED: u8 = 5;
 
 fn main() -> ExitCode {
     let args = match Args::parse() {
@@ -117,6 +121,8 @@
         }
         ModeSettings::Owners(_) => eyre::bail!("{path}: dispatch can't be changed"),
     };
+    // The instance itself notices tasks that fail.
+    logging::watch_panics(|| {});
     let code = match hemlockrouter::direct::run(*settings, protocol, reload) {
         Ok(ended) => exit_code(ended),
         Err(err) => print_failure(&err, EXIT_START),
@@ -134,6 +140,14 @@
         instances = instance.instances_address().to_string();
         "started"
     );
+    let has_panicked = Arc::new(AtomicBool::new(false));
+    let panic_flag = Arc::clone(&has_panicked);
+    let shutdown_handle = instance.shutdown_handle();
+    logging::watch_panics(move || {
+        // A thread that has ended is not replaced.
+        panic_flag.store(true, Ordering::Relaxed);
+        shutdown_handle.stop();
+    });
     let shutdown_handle = instance.shutdown_handle();
     let mut signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
         Ok(signals) => signals,
@@ -149,13 +163,18 @@
             }
         }
     });
-    exit_code(instance.run())
+    let ended = instance.run();
+    match has_panicked.load(Ordering::Relaxed) {
+        true => exit_code(ShutdownOutcome::Failed),
+        false => exit_code(ended),
+    }
 }
 
 fn exit_code(ended: ShutdownOutcome) -> ExitCode {
     match ended {
         ShutdownOutcome::Finished => ExitCode::SUCCESS,
         ShutdownOutcome::TimedOut => ExitCode::from(EXIT_TIMED_OUT),
+        ShutdownOutcome::Failed => ExitCode::from(EXIT_FAILED),
     }
 }
 
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -35,6 +35,7 @@
 use super::registry_reads::KnownState;
 use super::registry_reads::RegistryRead;
 use super::relay;
+use crate::tasks::TaskMonitor;
 
 /// Pause between two watches while the registry refills, in milliseconds. The registry refills
 /// after the first read and after an outage, when expired registrations are written again.
@@ -86,6 +87,7 @@
     events: mpsc::UnboundedReceiver<FollowerEvent>,
     /// Sender for the results; each call in flight sends one event.
     events_tx: mpsc::UnboundedSender<FollowerEvent>,
+    tasks: TaskMonitor,
 }
 
 /// Dependencies of a [`Follower`].
@@ -98,6 +100,7 @@
     pub(super) protocol: Rc<dyn Protocol>,
     pub(super) node: Rc<Node>,
     pub(super) mirror: Rc<Mirror>,
+    pub(super) tasks: TaskMonitor,
 }
 
 impl Follower {
@@ -128,6 +131,7 @@
             offers,
             events,
             events_tx,
+            tasks: parts.tasks,
         };
         (follower, offers_tx)
     }
@@ -206,7 +210,7 @@
         let protocol = Rc::clone(&self.protocol);
         let known_position = self.mirror.position().unwrap_or_default();
         let events = self.events_tx.clone();
-        tokio::task::spawn_local(async move {
+        self.tasks.spawn_call("watch", async move {
             let result = registry_reads::watch_changes(
                 &mut connection,
                 &*protocol,
@@ -228,7 +232,7 @@
             age_ms: self.mirror.age_ms().unwrap_or(u64::MAX),
         };
         let events = self.events_tx.clone();
-        tokio::task::spawn_local(async move {
+        self.tasks.spawn_call("relay poll", async move {
             let result =
                 registry_reads::poll_relay(&mut connection, known_state, wait_ms, timeout_ms).await;
             // Sending can't fail, because the follower lives as long as the process.
@@ -243,7 +247,7 @@
     fn start_offer(&self, address: SocketAddr) {
         let request = relay::build_offer_request(&self.identity.entry);
         info!(target: "dependency", relay = address.to_string(); "offering this instance as a relay");
-        tokio::task::spawn_local(async move {
+        self.tasks.spawn_call("relay offer", async move {
             let result = RegistryClient::for_instance(address)
                 .call(request, RELAY_OFFER_TIMEOUT_MS)
                 .await;
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -41,6 +41,7 @@
 use crate::edge::phase::ShutdownPhase;
 use crate::instance::ShutdownOutcome;
 use crate::metrics::Metrics;
+use crate::tasks::TaskMonitor;
 
 /// Fraction of the shutdown time during which connections are still accepted. Meanwhile the
 /// platform notices that the instance is not ready.
@@ -91,6 +92,7 @@
         member,
         timing: timing_in_use,
         callers,
+        tasks,
     } = running;
     info!(
         target: "process",
@@ -99,19 +101,25 @@
         callers = settings.callers_listen.to_string();
         "started"
     );
-    wait_for_stop(|| {
+    let stopped = wait_for_stop(|| {
         if reload_settings(&mut settings, &reload) {
             node.reconfigure(dispatcher_config(&settings));
             timing_in_use.set(follower_timing(&settings));
         }
-    })
-    .await?;
+    });
+    let has_failed = tokio::select! {
+        stopped = stopped => stopped.map(|()| false)?,
+        _ = tasks.failed() => true,
+    };
     info!(target: "process", open = callers.open_connections.get(); "shutting down");
     phase.send_replace(ShutdownPhase::Draining);
     tokio::task::spawn_local(async move { member.leave().await });
     let outcome = shut_down(&settings, &callers, &phase).await;
     info!(target: "process", open = callers.open_connections.get(), pending = node.pending(); "stopped");
-    Ok(outcome)
+    Ok(match has_failed {
+        true => ShutdownOutcome::Failed,
+        false => outcome,
+    })
 }
 
 /// Parts of a running instance that a reload or a shutdown uses.
@@ -121,6 +129,7 @@
     /// Timing of the registry follower.
     timing: Rc<Cell<RegistryTiming>>,
     callers: Rc<CallerServer>,
+    tasks: TaskMonitor,
 }
 
 /// Binds the ports and starts the tasks.
@@ -144,8 +153,9 @@
         calls,
         batches,
     );
+    let tasks = TaskMonitor::default();
     let timer_node = Rc::clone(&node);
-    tokio::task::spawn_local(async move { timer_node.run_timer().await });
+    tasks.spawn_permanent("timer", async move { timer_node.run_timer().await });
     let metrics = Rc::new(Metrics::new());
     let mirror = Rc::new(Mirror::new(clock, &settings.name));
     let log = Rc::new(RequestLog {
@@ -160,8 +170,9 @@
         protocol: Rc::clone(&protocol),
         node: Rc::clone(&node),
         mirror: Rc::clone(&mirror),
+        tasks: tasks.clone(),
     });
-    tokio::task::spawn_local(follower.run());
+    tasks.spawn_permanent("follower", follower.run());
     let member = Rc::new(Member::new(member::MemberParts {
         identity,
         clock,
@@ -171,7 +182,9 @@
         mirror: Rc::clone(&mirror),
     }));
     let registered_member = Rc::clone(&member);
-    tokio::task::spawn_local(async move { registered_member.keep_registered().await });
+    tasks.spawn_permanent("member", async move {
+        registered_member.keep_registered().await;
+    });
     if let Some(listener) = relay_listener {
         let relay = Rc::new(RelayServer {
             mirror: Rc::clone(&mirror),
@@ -184,7 +197,7 @@
             offers,
             zones: settings.zones.keys().cloned().collect(),
         });
-        tokio::task::spawn_local(relay.accept(listener));
+        tasks.spawn_permanent("relay", relay.accept(listener));
     }
     let operators = Rc::new(OperatorServer {
         node: Rc::clone(&node),
@@ -192,8 +205,8 @@
         phase: phase.clone(),
         mirror,
     });
-    serve_metrics(settings, &operators).await;
-    tokio::task::spawn_local(operators.accept(ready_listener));
+    serve_metrics(settings, &operators, &tasks).await;
+    tasks.spawn_permanent("operators", operators.accept(ready_listener));
     let callers = Rc::new(CallerServer {
         node: Rc::clone(&node),
         protocol,
@@ -201,12 +214,13 @@
         phase,
         open_connections: Cell::new(0),
     });
-    tokio::task::spawn_local(Rc::clone(&callers).accept(callers_listener));
+    tasks.spawn_permanent("callers", Rc::clone(&callers).accept(callers_listener));
     Ok(RunningInstance {
         node,
         member,
         timing,
         callers,
+        tasks,
     })
 }
 
@@ -246,9 +260,13 @@
 
 /// Serves metrics on a separate port if the settings name one. If the port can't be bound, the
 /// instance runs without metrics, since that is better than no instance.
-async fn serve_metrics(settings: &DirectSettings, operators: &Rc<OperatorServer>) {
+async fn serve_metrics(
+    settings: &DirectSettings,
+    operators: &Rc<OperatorServer>,
+    tasks: &TaskMonitor,
+) {
     if let Some(listener) = bind_optional("metrics", settings.metrics_listen).await {
-        tokio::task::spawn_local(Rc::clone(operators).accept(listener));
+        tasks.spawn_permanent("metrics", Rc::clone(operators).accept(listener));
     }
 }
 
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -62,6 +62,8 @@
     Finished,
     /// The shutdown timed out with work in flight.
     TimedOut,
+    /// The instance shut down because a part of it failed.
+    Failed,
 }
 
 /// One instance of the query tier.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 //! - `node`: the actors that drive the decision packages.
 //! - `edge`: serves callers, operators and other instances.
 //! - `outbound`: calls other instances, upstreams and the platform.
+//! - [`tasks`]: notices tasks that fail.
 //! - `tuning`: derives the configuration of each decision package from the settings.
 //! - `metrics` and `log_line`: metrics and decision log lines for operators.
 
@@ -38,6 +39,7 @@
 mod metrics;
 mod node;
 mod outbound;
+pub mod tasks;
 mod tuning;
 
 pub use crate::instance::Instance;
