Encode the zone in the path that asks for its readers

Instances of a zone whose name has a space, a slash or a question mark would find no reader while the registry is away: the zone went into the path as it was.

Evidence: relays::readers_of_a_zone_with_any_name_are_found fails before the change, as the encoded name is taken for another zone.

--- a/hemlockrouter-cli/tests/direct/relays.rs
+++ b/hemlockrouter-cli/tests/direct/relays.rs
@@ -246,6 +246,28 @@
     });
 }
 
+/// Guards against an availability zone whose name has a meaning in a path, so that its instances
+/// find no reader.
+#[test]
+fn readers_of_a_zone_with_any_name_are_found() {
+    let deployment = Deployment::start(1);
+    let relay = deployment.daemons[0].relay;
+    let readers_of = |zone: &str| {
+        let answer = http_client()
+            .get(format!("http://{relay}/readers/{zone}"))
+            .call();
+        let body = answer.and_then(|mut answer| answer.body_mut().read_to_vec());
+        body.expect("the relay answers")
+    };
+    let name = deployment.daemons[0].name.as_bytes();
+    let names_reader = |zone: &str| {
+        let readers = readers_of(zone);
+        readers.windows(name.len()).any(|text| text == name)
+    };
+    eventually("the readers are known", || names_reader("north-a"));
+    assert!(names_reader("north%2Da"));
+}
+
 #[test]
 fn invalid_relay_offer_or_changes_request_is_refused() {
     let deployment = Deployment::start(1);
--- a/src/direct/first_read.rs
+++ b/src/direct/first_read.rs
@@ -181,7 +181,6 @@
         is_reader: bool,
     ) -> Result<Vec<InstanceEntry>, CallError> {
         let request = relay::build_readers_request(self.zone);
-        let request = request.ok_or_else(|| CallError::NoAnswer(String::from("no such zone")))?;
         let timeout_ms = match is_reader {
             true => READER_SEED_TIMEOUT_MS,
             false => RELAY_READ_TIMEOUT_MS,
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -22,6 +22,9 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use log::warn;
+use percent_encoding::percent_decode_str;
+use percent_encoding::utf8_percent_encode;
+use percent_encoding::NON_ALPHANUMERIC;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -93,7 +96,7 @@
         let answer = match request.uri().path() {
             batches::BATCH_PATH => return self.serve_batch(request).await,
             path if path.starts_with(READERS_PATH) => {
-                let zone = String::from(&path[READERS_PATH.len()..]);
+                let zone = percent_decode_str(&path[READERS_PATH.len()..]).decode_utf8_lossy();
                 self.handle_readers(&zone).await
             }
             JOIN_PATH => self.handle_join(request).await,
@@ -204,11 +207,13 @@
     rmp_serde::from_slice(&body.to_bytes()).map_err(|err| err.to_string())
 }
 
-/// Builds the request for the readers of `zone`.
-pub(super) fn build_readers_request(zone: &str) -> Option<Request<Bytes>> {
+/// Builds the request for the readers of `zone`, whose name may hold any text.
+pub(super) fn build_readers_request(zone: &str) -> Request<Bytes> {
+    let zone = utf8_percent_encode(zone, NON_ALPHANUMERIC);
     let mut request = Request::new(Bytes::new());
-    *request.uri_mut() = format!("{READERS_PATH}{zone}").parse().ok()?;
-    Some(request)
+    let path = format!("{READERS_PATH}{zone}");
+    *request.uri_mut() = path.parse().expect("an encoded zone forms a valid path");
+    request
 }
 
 /// Decodes the answer to [`build_readers_request`], with the preferred readers first.
