Give no connection to a second attempt at a request that it has carried

Cause: an answer names the request, not the attempt. After a rejection the same idle connection was reused for the next attempt at the same booking, and a late copy of the rejection was taken for its answer.

The pool remembers which open requests a connection has carried and uses another one, idle or new, for the next attempt at one of them.

--- a/hemlockrouter-cli/tests/direct/repeating_proxy.rs
+++ b/hemlockrouter-cli/tests/direct/repeating_proxy.rs
@@ -30,6 +30,11 @@
     /// Starts a proxy in front of `to` that repeats responses of at least `min_bytes`. The proxy
     /// runs until the test process ends.
     pub(crate) fn start(to: SocketAddr, min_bytes: usize) -> RepeatingProxy {
+        RepeatingProxy::start_with_share(to, min_bytes, 1.0)
+    }
+
+    /// Starts a proxy that repeats a random share of the responses of at least `min_bytes`.
+    pub(crate) fn start_with_share(to: SocketAddr, min_bytes: usize, share: f64) -> RepeatingProxy {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("it is bound");
         let repeated_responses = Arc::new(Mutex::new(0));
@@ -39,7 +44,7 @@
                 let counter = Arc::clone(&counter);
                 std::thread::spawn(move || {
                     // If one connection breaks, the other connection is closed too.
-                    let _ = forward_connection(&stream, to, min_bytes, &counter);
+                    let _ = forward_connection(&stream, to, min_bytes, share, &counter);
                     let _ = stream.shutdown(Shutdown::Both);
                 });
             }
@@ -81,6 +86,7 @@
     stream: &TcpStream,
     to: SocketAddr,
     min_bytes: usize,
+    share: f64,
     repeated_responses: &Mutex<usize>,
 ) -> std::io::Result<()> {
     let upstream = TcpStream::connect(to)?;
@@ -111,7 +117,7 @@
         }
         let previous_response =
             std::mem::take(&mut *answer.lock().expect("no thread panics with it"));
-        if previous_response.len() >= min_bytes {
+        if previous_response.len() >= min_bytes && rand::random_bool(share) {
             *repeated_responses.lock().expect("no thread panics with it") += 1;
             client.write_all(&previous_response)?;
         }
--- a/hemlockrouter-cli/tests/direct/soak.rs
+++ b/hemlockrouter-cli/tests/direct/soak.rs
@@ -35,6 +35,7 @@
 use crate::deployment::REPEAT_RATIO;
 use crate::deployment::SEARCH_PATH;
 use crate::deployment::ZONES;
+use crate::repeating_proxy::RepeatingProxy;
 
 /// The seeds that failed in the past, each with its cause.
 const REGRESSION_SEEDS: &[u64] = &[
@@ -80,6 +81,9 @@
 /// first page, which is always current.
 const STALE_PAGES_PROBABILITY: f64 = 0.3;
 
+/// The share of responses that some upstreams send twice.
+const REPEATED_RESPONSE_SHARE: f64 = 0.05;
+
 /// The longest time between two steps.
 const STEP_MAX: Duration = Duration::from_millis(900);
 
@@ -105,7 +109,7 @@
     fn random(
         rng: &mut StdRng,
         cooldown_rng: &mut StdRng,
-        signature_rng: &mut StdRng,
+        answer_rng: &mut StdRng,
         upstreams: usize,
     ) -> Fault {
         let daemon = rng.random_range(0..DAEMON_COUNT);
@@ -114,9 +118,10 @@
             work_duration: Duration::from_millis(rng.random_range(1..60)),
             reject_permille: rng.random_range(0..500),
             lost_response_permille: rng.random_range(0..200),
-            unsigned_response_permille: signature_rng.random_range(0..200),
+            unsigned_response_permille: answer_rng.random_range(0..200),
             never_responds: rng.random_range(0..4) == 0,
             is_leaving: false,
+            omits_id_in_rejections: answer_rng.random(),
             retry_after: cooldown_rng.random_bool(COOLDOWN_SHARE).then_some(COOLDOWN),
         };
         let condition = LinkCondition {
@@ -239,6 +244,20 @@
     }
 }
 
+/// Registers the upstreams of one availability zone behind proxies that repeat responses. An
+/// upstream that registers again after a fault does so without its proxy.
+fn start_repeating_proxies(deployment: &Deployment) -> Vec<RepeatingProxy> {
+    let upstreams = deployment.upstreams.iter().step_by(ZONES.len());
+    upstreams
+        .map(|upstream| {
+            let address = upstream.address();
+            let proxy = RepeatingProxy::start_with_share(address, 1, REPEATED_RESPONSE_SHARE);
+            upstream.register_with_proxy_address(&deployment.store, proxy.address());
+            proxy
+        })
+        .collect()
+}
+
 /// Repeats the writes of operators and upstreams that the restored store lacks.
 fn repeat_writes(deployment: &mut Deployment, active_faults: &[(Instant, Fault)]) {
     for upstream in &deployment.upstreams {
@@ -388,7 +407,7 @@
     // Later kinds of faults have their own generators, so that the faults of older seeds stay the
     // same.
     let mut cooldown_rng = StdRng::seed_from_u64(!seed);
-    let mut signature_rng = StdRng::seed_from_u64(seed.rotate_left(16));
+    let mut answer_rng = StdRng::seed_from_u64(seed.rotate_left(16));
     let mut store_restores = StoreRestores {
         rng: StdRng::seed_from_u64(seed.rotate_left(32)),
         copy: None,
@@ -398,6 +417,7 @@
     };
     let mut deployment = Deployment::start(DAEMON_COUNT);
     other_writer.fill_pages(&deployment);
+    let _proxies = start_repeating_proxies(&deployment);
     let stop = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|index| start_caller(&deployment, index, &stop))
@@ -409,7 +429,7 @@
         let fault = Fault::random(
             &mut rng,
             &mut cooldown_rng,
-            &mut signature_rng,
+            &mut answer_rng,
             deployment.upstreams.len(),
         );
         fault.inject(&mut deployment);
--- a/hemlockrouter-cli/tests/direct/torn.rs
+++ b/hemlockrouter-cli/tests/direct/torn.rs
@@ -1,5 +1,7 @@
 //! Tests with responses of upstreams that are truncated or sent twice.
 
+use std::time::Duration;
+
 use hemlockrouter_corporation_lab::Behaviour;
 use hemlockrouter_corporation_lab::TruncatingUpstream;
 use hemlockrouter_corporation_lab::TruncationPoint;
@@ -17,6 +19,12 @@
 /// The number of requests of each kind.
 const REQUESTS_PER_KIND: usize = 12;
 
+/// The time for which an upstream that has left may get requests.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+
+/// The number of bookings at an upstream that rejects half of them.
+const REJECTED_BOOKINGS: usize = 60;
+
 const TRUNCATED_PARTS: [TruncationPoint; 4] = [
     TruncationPoint::Head,
     TruncationPoint::ContentLengthBody,
@@ -125,6 +133,42 @@
     }
 }
 
+/// Sends bookings to an upstream that rejects half of them and repeats its responses, and checks
+/// that a refused booking has not run and no booking runs twice.
+fn check_bookings_with_repeated_rejections(behaviour: Behaviour) {
+    let deployment = Deployment::start(1);
+    deployment.wait_until_instance_list_settles();
+    let mut upstreams = upstreams_of(&deployment, "ledger");
+    let upstream = upstreams.next().expect("the service has an upstream");
+    upstreams.for_each(|other| other.unregister(&deployment.store));
+    std::thread::sleep(DRAIN_TIME);
+    upstream.set_behaviour(behaviour);
+    let repeating_proxy = RepeatingProxy::start(upstream.address(), 1);
+    upstream.register_with_proxy_address(&deployment.store, repeating_proxy.address());
+    eventually("responses are repeated", || {
+        deployment.call(0, BOOK_PATH, 800);
+        repeating_proxy.repeated_responses() > 0
+    });
+    for _ in 0..REJECTED_BOOKINGS {
+        let answer = deployment.call(0, BOOK_PATH, 800);
+        let runs = deployment.ledger.runs_of(&answer.attempt_id);
+        assert_eq!(answer.mismatch, None, "{answer:?}");
+        assert!(runs.len() <= 1, "{answer:?} ran {runs:?}");
+        let is_refused = answer.status == Some(StatusCode::SERVICE_UNAVAILABLE);
+        assert!(!is_refused || runs.is_empty(), "{answer:?} ran {runs:?}");
+    }
+}
+
+/// Guards against a late copy of a rejection that is taken for the answer to the next attempt at
+/// the same booking, which then runs although it is refused.
+#[test]
+fn repeated_rejection_is_not_used_for_the_next_attempt() {
+    check_bookings_with_repeated_rejections(Behaviour {
+        reject_permille: 500,
+        ..Behaviour::default()
+    });
+}
+
 #[test]
 fn repeated_upstream_response_is_not_used_for_another_request() {
     let deployment = Deployment::start(1);
--- a/src/direct/batches.rs
+++ b/src/direct/batches.rs
@@ -102,6 +102,8 @@
             address: peer,
             connect_timeout_ms: INSTANCE_CONNECT_TIMEOUT_MS,
             idle_time_max: Duration::MAX,
+            // Each call has its own id.
+            request: None,
         };
         let call_id = HeaderValue::from(rand::random::<u64>());
         let build = || build_request(body.clone(), call_id.clone());
--- a/src/direct/calls.rs
+++ b/src/direct/calls.rs
@@ -23,10 +23,10 @@
 
 use super::answer_memory::AnswerMemory;
 use super::connection::with_timeout_ms;
-use super::connection::Connection;
 use super::connection::SendError;
 use super::pool::CallTarget;
 use super::pool::Pool;
+use super::pool::PooledConnection;
 
 /// Timeout for connecting to an upstream, in milliseconds. A round trip takes a tenth of this
 /// timeout. A lost first packet is retransmitted only after a second, so waiting for the
@@ -114,6 +114,7 @@
                 true => Duration::MAX,
                 false => NON_IDEMPOTENT_IDLE_MAX,
             },
+            request: Some(Rc::clone(&call.request)),
         };
         match self.send_and_read(call, &target, on_notice).await {
             Ok((connection, head, body)) => self.finish_call(call, connection, head, body),
@@ -131,7 +132,7 @@
         call: &UpstreamCall,
         target: &CallTarget<UpstreamKey>,
         on_notice: F,
-    ) -> Result<(Connection, response::Parts, Bytes), SendError>
+    ) -> Result<(PooledConnection, response::Parts, Bytes), SendError>
     where
         F: FnOnce(Notice),
     {
@@ -162,7 +163,7 @@
     fn finish_call(
         &self,
         call: &UpstreamCall,
-        connection: Connection,
+        connection: PooledConnection,
         head: response::Parts,
         body: Bytes,
     ) -> CallOutcome {
