Give every request a final answer before a planned stop ends

Callers saw requests end with a closed connection around SIGTERM: an instance took requests for half of the shutdown time, whatever their deadlines, and exited 300 ms before its end with whatever was pending.

Evidence: two of the new tests in stops.rs fail before the change, one because the connection ends without an answer, one because a booking is passed on that the shutdown leaves no time for.

The time of the final answers is now known from SIGTERM on. It bounds the deadlines of new requests and batches, a request that it leaves no time for is refused at once, and what is pending then gets its final answer. planned_stops_cut_no_request stops instances under callers that keep their connections until the process is gone.

--- a/hemlockrouter-cli/tests/direct/main.rs
+++ b/hemlockrouter-cli/tests/direct/main.rs
@@ -13,4 +13,5 @@
 mod serving;
 mod sharing;
 mod soak;
+mod stops;
 mod torn;
--- /dev/null
+++ b/hemlockrouter-cli/tests/direct/stops.rs
@@ -0,0 +1,323 @@
+//! Tests of planned stops, with callers that use their connections until the process is gone.
+//!
+//! `HEMLOCK_STOPS_SEEDS=100..150` selects other seeds than those that CI runs.
+
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockrouter_corporation_lab::Behaviour;
+use rand::rngs::StdRng;
+use rand::RngExt;
+use rand::SeedableRng;
+use serde_json::Value;
+
+use crate::deployment::eventually;
+use crate::deployment::Deployment;
+use crate::deployment::BOOK_PATH;
+use crate::deployment::HOST;
+use crate::deployment::LOOK_UP_PATH;
+use crate::deployment::SEARCH_PATH;
+
+const DAEMON_COUNT: usize = 3;
+const CALLER_COUNT: usize = 24;
+const ROUND_COUNT: usize = 3;
+
+/// The deadline of a request whose upstream never answers, in milliseconds: longer than the
+/// shutdown time.
+const LONG_DEADLINE_MS: u64 = 6_000;
+
+/// The longest time from SIGTERM until the process is gone: the shutdown time and a margin for a
+/// busy machine.
+const STOP_MAX: Duration = Duration::from_millis(4_500);
+
+/// The time for which a caller waits for an answer.
+const READ_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// A caller's connection, on which requests are written and answers read as plain text.
+struct CallerConnection {
+    stream: TcpStream,
+    answers: usize,
+}
+
+/// The end of one request.
+#[derive(Debug)]
+enum Exchange {
+    /// The connection had been closed before the request was sent.
+    NotSent,
+    /// A complete answer, with its status, and whether the connection is closed after it.
+    Answered { status: u16, closes: bool },
+    /// The connection ended without a complete answer.
+    Cut,
+}
+
+impl CallerConnection {
+    fn open(address: SocketAddr) -> Option<CallerConnection> {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
+        Some(CallerConnection { stream, answers: 0 })
+    }
+
+    /// Returns whether the other end has closed the connection, as far as this end knows.
+    fn is_closed(&self) -> bool {
+        if self.stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let peeked = self.stream.peek(&mut [0]);
+        let is_open = peeked.is_err_and(|err| err.kind() == ErrorKind::WouldBlock);
+        self.stream.set_nonblocking(false).is_err() || !is_open
+    }
+
+    fn call(&mut self, path: &str, attempt_id: &str, deadline_ms: u64) -> Exchange {
+        if self.is_closed() {
+            return Exchange::NotSent;
+        }
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nHemlockrouter-Attempt-Id: {attempt_id}\r\n\
+             Hemlockrouter-Deadline-Ms: {deadline_ms}\r\n\r\n"
+        );
+        if self.stream.write_all(request.as_bytes()).is_err() {
+            return Exchange::Cut;
+        }
+        let answered = self.read_answer();
+        self.answers += 1;
+        answered.unwrap_or(Exchange::Cut)
+    }
+
+    /// Reads one complete answer with a `Content-Length`.
+    fn read_answer(&mut self) -> Option<Exchange> {
+        let mut answer = Vec::new();
+        let mut chunk = [0; 4_096];
+        loop {
+            if let Some(end) = answer.windows(4).position(|text| text == b"\r\n\r\n") {
+                let head = String::from_utf8_lossy(&answer[..end]).to_ascii_lowercase();
+                let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+                let body_bytes: usize = field("content-length: ")?.trim().parse().ok()?;
+                if answer.len() >= end + 4 + body_bytes {
+                    let status = head.split(' ').nth(1)?.parse().ok()?;
+                    let closes = field("connection: ").is_some_and(|value| value == "close");
+                    return Some(Exchange::Answered { status, closes });
+                }
+            }
+            let read = self.stream.read(&mut chunk).ok()?;
+            if read == 0 {
+                return None;
+            }
+            answer.extend_from_slice(&chunk[..read]);
+        }
+    }
+}
+
+fn new_attempt_id() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
+
+fn silence_upstreams(deployment: &Deployment, service: &str) {
+    let upstreams = deployment.upstreams.iter();
+    for upstream in upstreams.filter(|upstream| upstream.service() == service) {
+        upstream.set_behaviour(Behaviour {
+            never_responds: true,
+            ..Behaviour::default()
+        });
+    }
+}
+
+/// Lets requests last longer than the shutdown time.
+fn use_long_timeouts(config: &mut Value) {
+    let routes = config["routes"].as_array_mut().expect("there are routes");
+    for route in routes {
+        route["timeoutMs"] = LONG_DEADLINE_MS.into();
+    }
+}
+
+/// Guards against a request that is taken late in a shutdown and cut off when the process exits.
+#[test]
+fn request_that_outlasts_the_shutdown_gets_an_answer() {
+    let mut deployment = Deployment::start(1);
+    deployment.write_config(use_long_timeouts);
+    eventually("the version is in force", || {
+        deployment.version_in_force(0) == Some(deployment.version)
+    });
+    silence_upstreams(&deployment, "ledger");
+    let address = deployment.daemons[0].callers;
+    let mut before = CallerConnection::open(address).expect("the instance accepts");
+    let pending =
+        thread::spawn(move || before.call(LOOK_UP_PATH, &new_attempt_id(), LONG_DEADLINE_MS));
+    thread::sleep(Duration::from_millis(100));
+    deployment.daemons[0].signal("TERM");
+    thread::sleep(Duration::from_millis(1_000));
+    let mut late = CallerConnection::open(address).expect("the instance accepts");
+    let late_look_up = late.call(LOOK_UP_PATH, &new_attempt_id(), LONG_DEADLINE_MS);
+    let is_answered = |exchange: &Exchange| {
+        matches!(
+            exchange,
+            Exchange::Answered {
+                status: 502..=504,
+                ..
+            }
+        )
+    };
+    assert!(is_answered(&late_look_up), "{late_look_up:?}");
+    let pending = pending.join().expect("the caller has not panicked");
+    assert!(is_answered(&pending), "{pending:?}");
+}
+
+/// Guards against a booking that is passed on although the shutdown leaves too little time for its
+/// answer.
+#[test]
+fn booking_that_would_outlast_the_shutdown_is_refused_and_not_run() {
+    let mut deployment = Deployment::start(1);
+    let address = deployment.daemons[0].callers;
+    deployment.daemons[0].signal("TERM");
+    // The route's timeout is 1.5 s, and the final answers are due 2.5 s after the signal.
+    thread::sleep(Duration::from_millis(1_200));
+    let mut connection = CallerConnection::open(address).expect("the instance accepts");
+    let attempt_id = new_attempt_id();
+    let exchange = connection.call(BOOK_PATH, &attempt_id, LONG_DEADLINE_MS);
+    let status = match exchange {
+        Exchange::Answered { status, .. } => status,
+        other => panic!("{other:?}"),
+    };
+    let runs = deployment.ledger.runs_of(&attempt_id);
+    assert!(status == 503 && runs.is_empty(), "{status}: {runs:?}");
+    let mut connection = CallerConnection::open(address).expect("the instance accepts");
+    let exchange = connection.call(BOOK_PATH, &new_attempt_id(), 500);
+    let is_served = matches!(exchange, Exchange::Answered { status: 200, .. });
+    assert!(is_served, "{exchange:?}");
+}
+
+/// Sends requests on kept connections until `stop` is set, and returns the cut ones.
+fn start_caller(
+    deployment: &Deployment,
+    seed: u64,
+    stop: &Arc<AtomicBool>,
+) -> JoinHandle<Vec<String>> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let stop = Arc::clone(stop);
+    let addresses = deployment.daemons.iter().map(|daemon| daemon.callers);
+    let addresses: Vec<SocketAddr> = addresses.collect();
+    thread::spawn(move || {
+        let mut cuts = Vec::new();
+        let mut connection: Option<CallerConnection> = None;
+        while !stop.load(Ordering::Relaxed) {
+            let address = addresses[rng.random_range(0..addresses.len())];
+            let Some(mut open) = connection
+                .take()
+                .or_else(|| CallerConnection::open(address))
+            else {
+                thread::sleep(Duration::from_millis(5));
+                continue;
+            };
+            let path = [LOOK_UP_PATH, BOOK_PATH, SEARCH_PATH][rng.random_range(0..3)];
+            let deadline_ms = [400, 1_500, LONG_DEADLINE_MS][rng.random_range(0..3)];
+            let attempt_id = new_attempt_id();
+            match open.call(path, &attempt_id, deadline_ms) {
+                Exchange::Answered { closes: false, .. } => connection = Some(open),
+                Exchange::Answered { .. } | Exchange::NotSent => {}
+                // A new connection may still wait in the queue of the port when the process exits.
+                Exchange::Cut if open.answers <= 1 => {}
+                Exchange::Cut => cuts.push(format!("{path} {attempt_id} {deadline_ms} ms")),
+            }
+            let pause_ms = match rng.random_bool(0.5) {
+                true => rng.random_range(0..20),
+                false => rng.random_range(0..1_200),
+            };
+            thread::sleep(Duration::from_millis(pause_ms));
+        }
+        cuts
+    })
+}
+
+/// Stops and starts instances while upstreams are slow, settings are reloaded and versions written.
+/// Returns the first violation as an error.
+fn run(seed: u64) -> Result<(), String> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut deployment = Deployment::start(DAEMON_COUNT);
+    deployment.write_config(use_long_timeouts);
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = (0..CALLER_COUNT as u64)
+        .map(|index| start_caller(&deployment, seed.rotate_left(32) ^ index, &stop));
+    let callers: Vec<JoinHandle<Vec<String>>> = callers.collect();
+    let mut result = Ok(());
+    for _ in 0..ROUND_COUNT {
+        for upstream in &deployment.upstreams {
+            let is_slow = rng.random_bool(0.4);
+            upstream.set_behaviour(Behaviour {
+                work_duration: Duration::from_millis(if is_slow { 700 } else { 3 }),
+                never_responds: rng.random_bool(0.1),
+                ..Behaviour::default()
+            });
+        }
+        if rng.random_bool(0.5) {
+            silence_upstreams(&deployment, "ledger");
+        }
+        let first = rng.random_range(0..DAEMON_COUNT);
+        let stopped: Vec<usize> = (0..rng.random_range(1..DAEMON_COUNT))
+            .map(|offset| (first + offset) % DAEMON_COUNT)
+            .collect();
+        for index in &stopped {
+            deployment.daemons[*index].signal("TERM");
+            thread::sleep(Duration::from_millis(rng.random_range(0..900)));
+            if rng.random_bool(0.5) {
+                deployment.daemons[*index].signal("HUP");
+                deployment.write_config(use_long_timeouts);
+            }
+        }
+        result = result.and(wait_until_gone(&mut deployment, &stopped));
+        stopped
+            .iter()
+            .for_each(|index| deployment.start_daemon(*index));
+        stopped
+            .iter()
+            .for_each(|index| deployment.wait_ready(*index));
+    }
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        let cuts = caller
+            .join()
+            .map_err(|_| String::from("a caller panicked"))?;
+        if !cuts.is_empty() {
+            result = result.and(Err(format!("cut: {cuts:?}")));
+        }
+    }
+    deployment.keep_logs = result.is_err();
+    result.map_err(|violation| format!("{violation}; logs in {}", deployment.dir.display()))
+}
+
+fn wait_until_gone(deployment: &mut Deployment, stopped: &[usize]) -> Result<(), String> {
+    let started = Instant::now();
+    for index in stopped {
+        while deployment.daemons[*index].is_running() {
+            if started.elapsed() > STOP_MAX {
+                return Err(format!("instance {index} has not stopped in time"));
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn planned_stops_cut_no_request() {
+    let seeds = std::env::var("HEMLOCK_STOPS_SEEDS").unwrap_or_else(|_| String::from("1..3"));
+    let (first, end) = seeds.split_once("..").expect("seeds are a range a..b");
+    let number = |text: &str| text.parse::<u64>().expect("seeds are whole numbers");
+    let mut broken = Vec::new();
+    for seed in number(first)..number(end) {
+        if let Err(violation) = run(seed) {
+            eprintln!("seed {seed}: {violation}");
+            broken.push(seed);
+        }
+    }
+    assert!(broken.is_empty(), "seeds that broke a promise: {broken:?}");
+}
--- a/hemlockrouter-route/src/direct/dispatcher/finish.rs
+++ b/hemlockrouter-route/src/direct/dispatcher/finish.rs
@@ -158,6 +158,14 @@
         }
     }
 
+    /// Ends all requests as if their deadlines had passed.
+    pub fn time_out_all(&mut self, now: Time, commands: &mut Vec<Command>) {
+        let request_ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        for request_id in request_ids {
+            self.time_out(now, request_id, commands);
+        }
+    }
+
     /// Ends a request whose deadline has passed.
     pub(super) fn time_out(
         &mut self,
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -263,6 +263,9 @@
     /// The instance has not received any routes yet.
     #[display("no routes yet")]
     NoRoutes,
+    /// The instance is shutting down, and too little time is left for the request.
+    #[display("shutting down")]
+    ShuttingDown,
     /// The service has no usable upstream.
     #[display("no upstream")]
     NoUpstream,
--- a/src/direct/callers.rs
+++ b/src/direct/callers.rs
@@ -41,6 +41,10 @@
 /// Delay before a caller retries on an instance that has no routes yet, in milliseconds.
 const UNCONFIGURED_RETRY_AFTER_MS: u64 = 200;
 
+/// Delay before a caller retries a request that a shutdown refuses, in milliseconds. Other
+/// instances can serve it at once.
+const SHUTDOWN_RETRY_AFTER_MS: u64 = 20;
+
 /// HTTP server for callers.
 pub(super) struct CallerServer {
     pub(super) node: Rc<Node>,
@@ -57,6 +61,24 @@
     BrokenOff,
 }
 
+/// Counts an open connection until it is dropped.
+struct ConnectionGuard(Rc<CallerServer>);
+
+impl ConnectionGuard {
+    fn new(callers: Rc<CallerServer>) -> ConnectionGuard {
+        let open_connections = &callers.open_connections;
+        open_connections.set(open_connections.get() + 1);
+        ConnectionGuard(callers)
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        let open_connections = &self.0.open_connections;
+        open_connections.set(open_connections.get() - 1);
+    }
+}
+
 impl CallerServer {
     /// Accepts connections for as long as the process runs.
     pub(super) async fn accept(self: Rc<CallerServer>, listener: TcpListener) {
@@ -68,7 +90,7 @@
 
     /// Serves one connection until it ends.
     async fn serve(self: Rc<CallerServer>, stream: TcpStream, peer: SocketAddr) {
-        self.open_connections.set(self.open_connections.get() + 1);
+        let _guard = ConnectionGuard::new(Rc::clone(&self));
         let limits = self.node.limits();
         let callers = Rc::clone(&self);
         let service = service_fn(move |request| {
@@ -85,9 +107,12 @@
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let mut phase = self.phase.clone();
+        // A connection that is accepted while the others are closed gets an answer to its first
+        // request.
+        let is_closing = *phase.borrow() == ShutdownPhase::Closing;
         let result = tokio::select! {
             result = connection.as_mut() => result,
-            _ = phase.wait_for(|phase| *phase == ShutdownPhase::Closing) => {
+            _ = phase.wait_for(|phase| *phase == ShutdownPhase::Closing), if !is_closing => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -95,7 +120,6 @@
         if let Err(err) = result {
             log::debug!(peer = peer.to_string(), why = err.to_string(); "a caller's connection broke");
         }
-        self.open_connections.set(self.open_connections.get() - 1);
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
@@ -141,6 +165,11 @@
     ) -> Response<Bytes> {
         let request = Rc::new(request);
         let deadline_ms = request.deadline_ms.unwrap_or(route.entry.timeout_ms);
+        if let Some(left_ms) = self.node.shutdown_left_ms() {
+            if !has_time(&route, deadline_ms, left_ms) {
+                return self.reject_shutting_down(&request, &route, left_ms);
+            }
+        }
         let (mut request_guard, finished) =
             self.node
                 .start(Rc::clone(&request), body, Rc::clone(&route), deadline_ms);
@@ -164,12 +193,39 @@
         self.protocol.write_response(request, request_result)
     }
 
+    fn reject_shutting_down(
+        &self,
+        request: &CallerRequest,
+        route: &Route,
+        left_ms: u64,
+    ) -> Response<Bytes> {
+        self.log
+            .log_shutting_down(request, &route.entry.name, left_ms);
+        let request_result = RequestResult::NotRun {
+            why: GiveUpReason::ShuttingDown,
+            retry_after_ms: SHUTDOWN_RETRY_AFTER_MS,
+        };
+        self.protocol.write_response(request, request_result)
+    }
+
     fn reject(&self, status: StatusCode, reason: &str) -> Response<Bytes> {
         self.log.log_rejected(status, reason);
         build_response(status, String::from(reason))
     }
 }
 
+/// Returns whether the rest of a shutdown suffices for a request. A request that must not be
+/// repeated needs all of its time, since its caller can't send it again once it may have run. Any
+/// other request needs the time in which an answer is expected.
+fn has_time(route: &Route, deadline_ms: u64, left_ms: u64) -> bool {
+    let deadline_ms = deadline_ms.min(route.entry.timeout_ms);
+    let needed_ms = match route.entry.idempotent {
+        true => deadline_ms.min(route.entry.target_latency_ms),
+        false => deadline_ms,
+    };
+    needed_ms <= left_ms
+}
+
 async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
     let result = Limited::new(body, max_bytes).collect().await;
     match result {
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -47,6 +47,10 @@
 /// platform notices that the instance is not ready.
 const SHUTDOWN_ACCEPT_FRACTION: f64 = 0.5;
 
+/// Time by which all requests have got their final answer before the end of the shutdown time, in
+/// milliseconds.
+const SHUTDOWN_ANSWER_MARGIN_MS: u64 = 500;
+
 /// Time by which the process exits before the end of the shutdown time, in milliseconds.
 const SHUTDOWN_EXIT_MARGIN_MS: u64 = 300;
 
@@ -311,14 +315,19 @@
 }
 
 /// Keeps accepting requests for a part of the shutdown time, then closes the callers' connections,
-/// idle ones first. Waits until all of them are closed and all requests have ended, or the shutdown
-/// time is over.
+/// idle ones first. Requests that have not ended shortly before the shutdown time is over get their
+/// final answer then. Waits until all connections are closed and all requests have ended, or the
+/// shutdown time is over.
 async fn shut_down(
     settings: &DirectSettings,
     callers: &CallerServer,
     phase: &watch::Sender<ShutdownPhase>,
 ) -> ShutdownOutcome {
     let started_at = tokio::time::Instant::now();
+    let answer_timeout_ms = settings
+        .shutdown_ms
+        .saturating_sub(SHUTDOWN_ANSWER_MARGIN_MS);
+    callers.node.start_shutdown(answer_timeout_ms);
     let accept_period_ms = (settings.shutdown_ms as f64 * SHUTDOWN_ACCEPT_FRACTION) as u64;
     tokio::time::sleep(Duration::from_millis(accept_period_ms)).await;
     phase.send_replace(ShutdownPhase::Closing);
@@ -328,6 +337,11 @@
         if started_at.elapsed() >= drain_timeout {
             return ShutdownOutcome::TimedOut;
         }
+        if callers.node.shutdown_left_ms() == Some(0) && callers.node.pending() > 0 {
+            let pending = callers.node.pending();
+            warn!(target: "process", pending = pending; "the last requests get their final answer");
+            callers.node.time_out_all();
+        }
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     ShutdownOutcome::Finished
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -98,6 +98,8 @@
     limits: Cell<CallerLimits>,
     is_loaded: Cell<bool>,
     wake_at: Cell<Option<Time>>,
+    /// Time at which all requests get their final answer; set by a shutdown.
+    final_answer_at: Cell<Option<Time>>,
 }
 
 /// Handle of a started request. Dropping the handle before [`RequestGuard::mark_ended`] was called
@@ -156,6 +158,7 @@
             limits: Cell::new(INITIAL_CALLER_LIMITS),
             is_loaded: Cell::new(false),
             wake_at: Cell::new(None),
+            final_answer_at: Cell::new(None),
         });
         let dispatcher = Dispatcher::new(config);
         Rc::new_cyclic(|node| {
@@ -192,6 +195,31 @@
         self.shared.pending_requests.borrow().len()
     }
 
+    /// Announces that all requests get their final answer in `left_ms` milliseconds.
+    pub(super) fn start_shutdown(&self, left_ms: u64) {
+        let at = self.shared.clock.now() + left_ms;
+        self.shared.final_answer_at.set(Some(at));
+    }
+
+    /// Returns the time until all requests get their final answer, in milliseconds; `None` if the
+    /// instance is not shutting down.
+    pub(super) fn shutdown_left_ms(&self) -> Option<u64> {
+        let at = self.shared.final_answer_at.get();
+        at.map(|at| at.remaining_ms(self.shared.clock.now()))
+    }
+
+    /// Gives all requests their final answer.
+    pub(super) fn time_out_all(&self) {
+        call!([self.decider], time_out_all());
+        self.run_actor();
+    }
+
+    /// Bounds a deadline by the end of a shutdown.
+    fn bounded_deadline_ms(&self, deadline_ms: u64) -> u64 {
+        let left_ms = self.shutdown_left_ms();
+        left_ms.map_or(deadline_ms, |left_ms| deadline_ms.min(left_ms))
+    }
+
     /// Starts a request. The receiver gets its outcome.
     pub(super) fn start(
         self: &Rc<Node>,
@@ -207,6 +235,7 @@
             idempotent: route.entry.idempotent,
             reply_to: ReplyTo::Caller(finished),
         });
+        let deadline_ms = self.bounded_deadline_ms(deadline_ms);
         call!([self.decider], start(request_guard.id, route, deadline_ms));
         self.run_actor();
         (request_guard, receiver)
@@ -227,7 +256,7 @@
             reply_to: ReplyTo::Peer(events),
         });
         let batch = call.batch.clone();
-        let left_ms = call.left_ms;
+        let left_ms = self.bounded_deadline_ms(call.left_ms);
         call!(
             [self.decider],
             start_batch(request_guard.id, batch, left_ms)
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -171,6 +171,12 @@
         self.set_timer();
     }
 
+    pub(super) fn time_out_all(&mut self, _: CX![]) {
+        let now = self.shared.clock.now();
+        self.dispatcher.time_out_all(now, &mut self.commands);
+        self.execute_commands();
+    }
+
     pub(super) fn reconfigure(&mut self, _: CX![], config: Config) {
         self.dispatcher.reconfigure(config);
     }
--- a/src/direct/request_log.rs
+++ b/src/direct/request_log.rs
@@ -130,6 +130,18 @@
         );
     }
 
+    /// Logs a request that is refused because the instance is shutting down.
+    pub(super) fn log_shutting_down(&self, request: &CallerRequest, route: &str, left_ms: u64) {
+        self.metrics.count_request("none", "shutting_down", 0);
+        info!(
+            target: "request",
+            request = request.attempt_id.as_deref().unwrap_or_default(),
+            route = route,
+            left_ms = left_ms;
+            "refused while shutting down"
+        );
+    }
+
     /// Logs a request that can't be read.
     pub(super) fn log_rejected(&self, status: StatusCode, reason: &str) {
         self.metrics.count_request("none", "bad_request", 0);
