Answer 408 on idle connections that a planned stop closes

Callers saw a kept connection end without an answer to the request that was just on its way: at half of the shutdown time idle connections were closed, and what had arrived unread was dropped with them.

Evidence: the new test in stops.rs fails before the change (Cut).

A 408 promises that the request was not run, and nothing is read after it. The connection is half closed and read empty, so that no reset overtakes the answer.

--- a/hemlockrouter-cli/tests/direct/stops.rs
+++ b/hemlockrouter-cli/tests/direct/stops.rs
@@ -43,6 +43,9 @@
 /// The time for which a caller waits for an answer.
 const READ_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// The time from SIGTERM until idle connections are closed.
+const CLOSING_AFTER: Duration = Duration::from_millis(1_500);
+
 /// A caller's connection, on which requests are written and answers read as plain text.
 struct CallerConnection {
     stream: TcpStream,
@@ -196,6 +199,57 @@
     assert!(is_served, "{exchange:?}");
 }
 
+/// Guards against a request that crosses the close of its kept connection and gets no answer.
+#[test]
+fn request_that_crosses_the_close_of_its_connection_gets_an_answer() {
+    let mut deployment = Deployment::start(1);
+    let address = deployment.daemons[0].callers;
+    let connections = (0..CALLER_COUNT).map(|_| {
+        let mut connection = CallerConnection::open(address).expect("the instance accepts");
+        let exchange = connection.call(LOOK_UP_PATH, &new_attempt_id(), 800);
+        assert!(
+            matches!(exchange, Exchange::Answered { .. }),
+            "{exchange:?}"
+        );
+        connection
+    });
+    let connections: Vec<CallerConnection> = connections.collect();
+    deployment.daemons[0].signal("TERM");
+    let closing_at = Instant::now() + CLOSING_AFTER;
+    let callers: Vec<JoinHandle<Exchange>> = connections
+        .into_iter()
+        .enumerate()
+        .map(|(index, mut connection)| {
+            thread::spawn(move || {
+                // The requests are written from 12 ms before the close until 12 ms after it, and
+                // the callers do not look whether the connection is closed.
+                let offset = Duration::from_millis(index as u64);
+                let send_at = closing_at - Duration::from_millis(12) + offset;
+                thread::sleep(send_at.saturating_duration_since(Instant::now()));
+                let request = format!(
+                    "GET {LOOK_UP_PATH} HTTP/1.1\r\nHost: {HOST}\r\n\
+                     Hemlockrouter-Attempt-Id: {}\r\n\r\n",
+                    new_attempt_id()
+                );
+                // Even if the connection is reset, the answer that came before can be read.
+                let _ = connection.stream.write_all(request.as_bytes());
+                connection.read_answer().unwrap_or(Exchange::Cut)
+            })
+        })
+        .collect();
+    for caller in callers {
+        let exchange = caller.join().expect("the caller has not panicked");
+        let is_answered = matches!(
+            exchange,
+            Exchange::Answered {
+                status: 200 | 408 | 503,
+                ..
+            }
+        );
+        assert!(is_answered, "{exchange:?}");
+    }
+}
+
 /// Sends requests on kept connections until `stop` is set, and returns the cut ones.
 fn start_caller(
     deployment: &Deployment,
--- a/src/direct/callers.rs
+++ b/src/direct/callers.rs
@@ -33,6 +33,8 @@
 use super::listener::build_response;
 use super::node::Node;
 use super::request_log::RequestLog;
+use crate::edge::caller_stream::AnnouncedClose;
+use crate::edge::caller_stream::CallerStream;
 use crate::edge::phase::ShutdownPhase;
 
 /// Minimum size of the header buffer that `hyper` allows, in bytes.
@@ -93,9 +95,12 @@
         let _guard = ConnectionGuard::new(Rc::clone(&self));
         let limits = self.node.limits();
         let callers = Rc::clone(&self);
+        let announced_close = AnnouncedClose::default();
+        let stream = CallerStream::new(stream, self.phase.clone(), announced_close.clone());
         let service = service_fn(move |request| {
             let callers = Rc::clone(&callers);
-            async move { Ok::<_, hyper::Error>(callers.respond(request).await) }
+            let announced_close = announced_close.clone();
+            async move { Ok::<_, hyper::Error>(callers.respond(request, &announced_close).await) }
         });
         // The header timeout of `hyper` starts when the connection becomes idle, so it includes the
         // idle timeout.
@@ -122,11 +127,16 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        announced_close: &AnnouncedClose,
+    ) -> Response<Full<Bytes>> {
         let mut response = self.handle(request).await;
         if *self.phase.borrow() != ShutdownPhase::Serving {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
+            announced_close.announce();
         }
         response.map(Full::new)
     }
