Decode each entry of the instance list by itself

Operators of systems like ours saw machines stop following a list because of one odd entry. With dispatch through owners that happened here too: an entry with a port out of range made every read of the instance list fail.

An invalid entry is logged and left out, as one with an invalid address was before.

--- a/hemlockrouter-cli/tests/direct/torn.rs
+++ b/hemlockrouter-cli/tests/direct/torn.rs
@@ -25,8 +25,9 @@
 /// The number of bookings at an upstream that rejects half of them.
 const REJECTED_BOOKINGS: usize = 60;
 
-const TRUNCATED_PARTS: [TruncationPoint; 4] = [
+const TRUNCATED_PARTS: [TruncationPoint; 5] = [
     TruncationPoint::Head,
+    TruncationPoint::HeadLine,
     TruncationPoint::ContentLengthBody,
     TruncationPoint::ChunkedBody,
     TruncationPoint::Reset,
--- a/hemlockrouter-lab/src/store/list.rs
+++ b/hemlockrouter-lab/src/store/list.rs
@@ -22,9 +22,9 @@
     /// IP address of the instance.
     #[serde(rename = "Address", default)]
     pub address: String,
-    /// Port of the instance.
+    /// Port of the instance, which is not checked.
     #[serde(rename = "Port", default)]
-    pub port: u16,
+    pub port: u64,
     /// Custom metadata, such as `zone` and `leaving`.
     #[serde(rename = "Meta", default)]
     pub meta: BTreeMap<String, String>,
--- a/hemlockrouter-platform/src/consul.rs
+++ b/hemlockrouter-platform/src/consul.rs
@@ -11,6 +11,7 @@
 use base64::Engine;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use ureq::http::Response;
 use ureq::Agent;
 use ureq::Body;
@@ -177,11 +178,13 @@
 impl InstanceList for ConsulClient {
     fn instances(&self, service: &str) -> Result<Vec<ListedProcess>, PlatformUnavailable> {
         self.counter.count_read();
-        let rows: Option<Vec<ListEntry>> =
+        // Each entry is decoded by itself, since one invalid entry must not hide the others.
+        let rows: Option<Vec<Box<RawValue>>> =
             self.read_json(&format!("/v1/health/service/{service}"))?;
         let rows = rows.unwrap_or_default();
         Ok(rows
-            .into_iter()
+            .iter()
+            .filter_map(|row| ListEntry::decode(row.get()))
             .filter_map(ListEntry::into_listed)
             .collect())
     }
--- a/hemlockrouter-platform/src/list.rs
+++ b/hemlockrouter-platform/src/list.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use log::warn;
 use serde::Deserialize;
 
 use crate::store::PlatformUnavailable;
@@ -66,8 +67,18 @@
 }
 
 impl ListEntry {
-    /// Converts the entry, or returns `None` if its address is not an IP address. One invalid entry
-    /// must not hide the others.
+    /// Decodes an entry, or returns `None` and logs the reason if it is invalid.
+    pub(crate) fn decode(entry: &str) -> Option<ListEntry> {
+        match serde_json::from_str(entry) {
+            Ok(entry) => Some(entry),
+            Err(err) => {
+                warn!(target: "belief", why = err.to_string(); "an entry of the instance list is not used");
+                None
+            }
+        }
+    }
+
+    /// Converts the entry, or returns `None` if its address is not an IP address.
     pub(crate) fn into_listed(self) -> Option<ListedProcess> {
         let ip = self.service.address.parse().ok()?;
         let meta = self.service.meta.unwrap_or(ServiceMeta {
--- a/hemlockrouter-platform/tests/consul.rs
+++ b/hemlockrouter-platform/tests/consul.rs
@@ -200,16 +200,20 @@
     assert_eq!(claims::claim(&consul, "l", b"nonce-3"), unavailable);
 }
 
+/// Guards also against an entry with a port out of range, which kept instances from reading the
+/// list.
 #[test]
 fn instance_list_returns_address_zone_and_leaving_flag() {
     let (fake_store, consul) = start_store_and_client();
-    let register = |id: &str, port: u16, meta: &str| {
+    let register = |id: &str, port: u64, meta: &str| {
         let body = format!(
             r#"{{"ID": "{id}", "Name": "s", "Address": "127.0.0.1", "Port": {port}, "Meta": {meta}}}"#
         );
         let url = format!("http://{}/v1/agent/service/register", fake_store.addr());
         ureq::put(url).send(&body).expect("an answer");
     };
+    // One odd entry of another writer must not hide the others.
+    register("odd", 99_999, "{}");
     register("a", 1, r#"{"zone": "z1"}"#);
     register("b", 2, r#"{"leaving": "true"}"#);
     // The instance list shows a change after a short delay.
