Answer 408 on connections that a stop closes, with dispatch through owners

Callers would see a connection end without an answer to a request that is on its way, as with direct dispatch: two seconds after SIGTERM connections without a request are closed.

Evidence: stops::connection_without_a_request_is_closed_with_an_answer in the tests of dispatch through owners reads nothing before the change and a 408 after it.

Both forms of dispatch now use the same CallerStream.

--- a/hemlockrouter-cli/tests/e2e/main.rs
+++ b/hemlockrouter-cli/tests/e2e/main.rs
@@ -11,5 +11,6 @@
 mod platform;
 mod secrets;
 mod serving;
+mod stops;
 mod versions;
 mod zones;
--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -32,6 +32,8 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
+use crate::edge::caller_stream::AnnouncedClose;
+use crate::edge::caller_stream::CallerStream;
 use crate::edge::phase::ShutdownPhase;
 use crate::edge::request;
 use crate::edge::request::CallerError;
@@ -163,14 +165,18 @@
     // An error is ignored, since the option only reduces latency.
     let _ = stream.set_nodelay(true);
     let service_phase = phase.clone();
+    let announced_close = AnnouncedClose::default();
+    let stream = CallerStream::new(stream, phase.clone(), announced_close.clone());
     let service = service_fn(move |request| {
         let mailbox = mailbox.clone();
         let phase = service_phase.clone();
+        let announced_close = announced_close.clone();
         async move {
             let mut response = answer_or_render_error(request, bounds, &mailbox).await;
             if *phase.borrow() != ShutdownPhase::Serving {
                 let close = header::HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
+                announced_close.announce();
             }
             Ok::<_, Infallible>(response)
         }
