Close a connection after an answer that names no request

Cause: the copy of such a rejection can't be told from the answer to the next request on the connection, and the connection was reused.

The protocol tells whether an answer names its request; if not, the connection is closed after it.

--- a/hemlockrouter-cli/tests/direct/torn.rs
+++ b/hemlockrouter-cli/tests/direct/torn.rs
@@ -170,6 +170,17 @@
     });
 }
 
+/// Guards against a late copy of a rejection without an id that is taken for the answer to another
+/// booking, which then runs twice.
+#[test]
+fn repeated_rejection_without_id_is_not_used_for_another_booking() {
+    check_bookings_with_repeated_rejections(Behaviour {
+        reject_permille: 500,
+        omits_id_in_rejections: true,
+        ..Behaviour::default()
+    });
+}
+
 #[test]
 fn repeated_upstream_response_is_not_used_for_another_request() {
     let deployment = Deployment::start(1);
--- a/hemlockrouter-edge/src/lib.rs
+++ b/hemlockrouter-edge/src/lib.rs
@@ -30,6 +30,7 @@
 pub use crate::generation::HistoryPosition;
 pub use crate::generation::RestoreGeneration;
 pub use crate::protocol::Protocol;
+pub use crate::protocol::UpstreamAnswer;
 pub use crate::reconcile::keep_newer;
 pub use crate::reconcile::reconcile;
 pub use crate::reconcile::EntrySubject;
--- a/hemlockrouter-edge/src/protocol.rs
+++ b/hemlockrouter-edge/src/protocol.rs
@@ -17,6 +17,16 @@
 use crate::registry::RegistrationLease;
 use crate::registry::RegistryError;
 
+/// Complete answer of an upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamAnswer {
+    /// Content of the answer.
+    pub reply: Reply,
+    /// Whether the answer names the request that it belongs to. A copy of an answer that does not
+    /// can't be told from the answer to a later request on the same connection.
+    pub names_request: bool,
+}
+
 /// Translates between the messages of a system and the types of this project.
 pub trait Protocol {
     /// Parses the head of a caller's request.
@@ -54,7 +64,7 @@
         request: &CallerRequest,
         head: response::Parts,
         body: Bytes,
-    ) -> Option<Reply>;
+    ) -> Option<UpstreamAnswer>;
 
     /// Builds the request for a page of the registry that starts at `from`, where an earlier page
     /// ended. A page that `may_lag` is cheaper and may have an older revision.
--- a/src/direct/calls.rs
+++ b/src/direct/calls.rs
@@ -168,17 +168,17 @@
         body: Bytes,
     ) -> CallOutcome {
         let idle_timeout = idle_timeout_after(&head.headers);
-        let Some(reply) = self
+        let Some(answer) = self
             .protocol
             .read_upstream_answer(&call.request, head, body)
         else {
             return CallOutcome::Lost;
         };
-        if let Some(max) = idle_timeout {
+        if let Some(max) = idle_timeout.filter(|_| answer.names_request) {
             self.pool
                 .put_back(call.upstream, connection, max, call.idle_connections_max);
         }
-        CallOutcome::Answered(reply)
+        CallOutcome::Answered(answer.reply)
     }
 }
 
