--- a/hemlockrouter-cli/tests/e2e/harness/cluster.rs
+++ b/hemlockrouter-cli/tests/e2e/harness/cluster.rs
@@ -134,6 +134,7 @@
             link,
             store,
             seeds: Vec::new(),
+            shutdown_ms: self.layout.shutdown_ms,
         }
     }
 
--- a/hemlockrouter-cli/tests/e2e/harness/instance.rs
+++ b/hemlockrouter-cli/tests/e2e/harness/instance.rs
@@ -30,6 +30,8 @@
     pub(crate) link: Option<TcpRelay>,
     pub(crate) store: SocketAddr,
     pub(crate) seeds: Vec<SocketAddr>,
+    /// The time that a graceful shutdown may take, in milliseconds.
+    pub(crate) shutdown_ms: u64,
 }
 
 impl InstanceSpec {
@@ -51,6 +53,7 @@
                 "instances_key_env": "HEMLOCK_INSTANCES_KEY",
             },
             "seeds": self.seeds,
+            "timing": {"shutdown_ms": self.shutdown_ms},
             "log": {"level": "info", "filter": "hemlockrouter=debug"},
         });
         settings.to_string()
--- a/hemlockrouter-cli/tests/e2e/harness/layout.rs
+++ b/hemlockrouter-cli/tests/e2e/harness/layout.rs
@@ -25,6 +25,8 @@
     /// The limits of the upstreams that serve searches. The name and the address are replaced for
     /// each upstream.
     pub(crate) search_spec: UpstreamSpec,
+    /// The time that a graceful shutdown may take, in milliseconds.
+    pub(crate) shutdown_ms: u64,
 }
 
 impl Layout {
@@ -38,6 +40,7 @@
             single_zone_shard: false,
             has_links: false,
             search_spec: UpstreamSpec::new("", free_address),
+            shutdown_ms: 30_000,
         }
     }
 
--- a/hemlockrouter-cli/tests/e2e/stops.rs
+++ b/hemlockrouter-cli/tests/e2e/stops.rs
@@ -5,6 +5,9 @@
 use std::thread;
 use std::time::Duration;
 
+use hemlockrouter_lab::upstream::UpstreamBehaviour;
+
+use crate::harness::Caller;
 use crate::harness::Cluster;
 use crate::harness::Layout;
 
@@ -12,6 +15,32 @@
 /// after the signal, and a connection without a request 1 s after it was opened.
 const CONNECT_AFTER: Duration = Duration::from_millis(1_500);
 
+/// A shutdown time that is shorter than the deadline of a search, in milliseconds.
+const SHORT_SHUTDOWN_MS: u64 = 2_500;
+
+/// Guards against a request that is pending when the process exits and gets no answer.
+#[test]
+fn search_that_outlasts_the_shutdown_gets_an_answer() {
+    let mut cluster = Cluster::start(Layout {
+        shutdown_ms: SHORT_SHUTDOWN_MS,
+        ..Layout::new()
+    });
+    for upstream in &cluster.upstreams {
+        upstream.set_behaviour(UpstreamBehaviour {
+            straggle_per_mille: 1_000,
+            straggle_times: 10_000,
+            ..UpstreamBehaviour::default()
+        });
+    }
+    let address = cluster.callers()[0];
+    // `search` panics if there is no answer.
+    let caller = thread::spawn(move || Caller::for_teachers().search(address, "late"));
+    thread::sleep(Duration::from_millis(300));
+    cluster.instances[0].shut_down();
+    let (status, body) = caller.join().expect("the caller gets an answer");
+    assert_eq!(status, 502, "{body}");
+}
+
 /// Guards against a request that crosses the close of its connection and gets no answer.
 #[test]
 fn connection_without_a_request_is_closed_with_an_answer() {
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -313,6 +313,10 @@
                 });
             }
         }
+        if state.should_answer_finally(now) {
+            call!([self.actors.entry], answer_finally());
+            self.stakker.run(Instant::now(), false);
+        }
         if !self.shared.callers_closed() {
             return None;
         }
--- a/src/node/entry/mod.rs
+++ b/src/node/entry/mod.rs
@@ -231,6 +231,17 @@
         call!([self.control], handle_explanation(choices, reply));
     }
 
+    /// Ends all callers' requests at the end of a shutdown. Each caller is told that the request may
+    /// have run.
+    pub(crate) fn answer_finally(&mut self, _: CX![]) {
+        for (id, pending) in std::mem::take(&mut self.requests) {
+            let request = id.to_string();
+            let took_ms = self.clock.now().ms_since(pending.started_at);
+            log::warn!(request = request, took_ms = took_ms; "final answer of a shutdown");
+            self.admission.finish(pending.customer);
+        }
+    }
+
     /// Reports the number of requests that have not been answered.
     pub(crate) fn report_pending(&mut self, _: CX![], shared: Arc<SharedStatus>) {
         shared.set_entry_pending(self.requests.len() + self.forwarded.len());
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -2,7 +2,8 @@
 //!
 //! In the first phase the instance reports that it is not ready but still serves callers, so that
 //! the platform's load balancer directs them elsewhere before any connection is refused. In the
-//! second phase the callers' port is closed, and the requests in flight are finished.
+//! second phase the callers' port is closed, and the requests in flight are finished. Shortly before
+//! the end, those that are still in flight get their final answer.
 
 use hemlockrouter_config::settings::Timing;
 use hemlockrouter_types::Time;
@@ -10,10 +11,14 @@
 /// Maximum time for which callers are served after readiness was turned off, in milliseconds.
 const CALLER_DRAIN_MS: u64 = 2_000;
 
+/// Time for sending the final answers before the end of a shutdown, in milliseconds.
+const FINAL_ANSWERS_MS: u64 = 300;
+
 /// State of a shutdown.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Shutdown {
     close_at: Time,
+    final_answers_at: Time,
     end_at: Time,
 }
 
@@ -22,6 +27,7 @@
     pub(crate) fn new(now: Time, timing: &Timing) -> Shutdown {
         Shutdown {
             close_at: now + CALLER_DRAIN_MS.min(timing.shutdown_ms / 2),
+            final_answers_at: now + timing.shutdown_ms.saturating_sub(FINAL_ANSWERS_MS),
             end_at: now + timing.shutdown_ms,
         }
     }
@@ -31,6 +37,11 @@
         now >= self.close_at
     }
 
+    /// Returns whether it is time to give requests in flight their final answer.
+    pub(crate) fn should_answer_finally(&self, now: Time) -> bool {
+        now >= self.final_answers_at
+    }
+
     /// Returns whether the shutdown has timed out.
     pub(crate) fn has_timed_out(&self, now: Time) -> bool {
         now >= self.end_at
