--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -127,15 +127,12 @@
     }
 
     /// Takes the connection that was used last and may be used for the target's request. Drops
-    /// those that are no longer usable, and leaves those that have carried the same request.
+    /// those that are no longer usable, and leaves those that may be used for other requests.
     fn take_idle(&self, target: &CallTarget<K>) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let idle = idle.get_mut(&target.key)?;
-        idle.retain(|idle| idle.is_usable() && idle.idle_since.elapsed() <= target.idle_time_max);
-        let position = idle.iter().rposition(|idle| {
-            let request = target.request.as_ref();
-            !request.is_some_and(|request| idle.pooled.has_carried(request))
-        })?;
+        idle.retain(IdleConnection::is_usable);
+        let position = idle.iter().rposition(|idle| idle.fits(target))?;
         Some(idle.remove(position).pooled)
     }
 }
@@ -161,6 +158,13 @@
 }
 
 impl IdleConnection {
+    /// Returns whether the connection was used recently enough and has not carried the same request.
+    fn fits<K>(&self, target: &CallTarget<K>) -> bool {
+        let request = target.request.as_ref();
+        self.idle_since.elapsed() <= target.idle_time_max
+            && !request.is_some_and(|request| self.pooled.has_carried(request))
+    }
+
     fn is_usable(&self) -> bool {
         self.pooled.connection.is_open() && self.idle_since.elapsed() < self.idle_timeout
     }
