--- a/hemlockrouter-cli/tests/direct/soak/mod.rs
+++ b/hemlockrouter-cli/tests/direct/soak/mod.rs
@@ -5,6 +5,9 @@
 //! seeds that failed in the past. `HEMLOCK_SOAK_SEEDS=100..150` selects other seeds, and
 //! `HEMLOCK_SOAK_SECONDS` sets the duration of each run.
 
+mod fault;
+mod store;
+
 use std::collections::HashMap;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -12,19 +15,19 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hemlockrouter_corporation_lab::Behaviour;
 use hemlockrouter_corporation_lab::CallResult;
 use hemlockrouter_corporation_lab::Caller;
 use hemlockrouter_corporation_lab::Ledger;
-use hemlockrouter_corporation_lab::StoreCopy;
-use hemlockrouter_corporation_lab::StoreFault;
-use hemlockrouter_lab::link::LinkCondition;
 use http::StatusCode;
 use rand::rngs::StdRng;
 use rand::RngExt;
 use rand::SeedableRng;
 use tokio::task::JoinHandle;
 
+use self::fault::Fault;
+use self::store::start_repeating_proxies;
+use self::store::OtherWriter;
+use self::store::StoreRestores;
 use crate::deployment::shards;
 use crate::deployment::Deployment;
 use crate::deployment::BOOK_PATH;
@@ -34,8 +37,6 @@
 use crate::deployment::REPEAT_ALLOWANCE;
 use crate::deployment::REPEAT_RATIO;
 use crate::deployment::SEARCH_PATH;
-use crate::deployment::ZONES;
-use crate::repeating_proxy::RepeatingProxy;
 
 /// The seeds that failed in the past, each with its cause.
 const REGRESSION_SEEDS: &[u64] = &[
@@ -59,224 +60,9 @@
 /// The longest time after the last fault until all requests are served again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
-/// The share of misbehaving upstreams that ask for a cooldown when they reject a request.
-const COOLDOWN_SHARE: f64 = 0.25;
-
-/// The cooldown that misbehaving upstreams ask for.
-const COOLDOWN: Duration = Duration::from_millis(700);
-
-/// The share of steps at which the store is copied, if no copy exists.
-const COPY_PROBABILITY: f64 = 0.2;
-
-/// The share of steps at which the store is restored, if a copy exists.
-const RESTORE_PROBABILITY: f64 = 0.4;
-
-/// The number of entries of another writer, with which the store's content takes several pages.
-const OTHER_ENTRIES: usize = 60;
-
-/// Parts of the other writer's keys: plain text, and characters that have a meaning in a request.
-const OTHER_KEYS: [&str; 5] = ["plain", "a b", "a?b&after=c", "a#b%20", "a\"\u{fc}"];
-
-/// The share of steps at which stale reads begin to return the current content, except for their
-/// first page, which is always current.
-const STALE_PAGES_PROBABILITY: f64 = 0.3;
-
-/// The share of responses that some upstreams send twice.
-const REPEATED_RESPONSE_SHARE: f64 = 0.05;
-
 /// The longest time between two steps.
 const STEP_MAX: Duration = Duration::from_millis(900);
 
-/// A fault. Most faults are undone at a later step.
-#[derive(Clone, Copy, Debug)]
-enum Fault {
-    Kill(usize),
-    ShutDown(usize),
-    Freeze(usize),
-    ReloadSettings(usize),
-    CutFromStore(usize, LinkCondition),
-    Store(StoreFault),
-    SlowStore,
-    Compact,
-    Upstream(usize, Behaviour),
-    Replace(usize),
-    Drain(usize),
-    Evacuate(usize),
-    Configure,
-}
-
-impl Fault {
-    fn random(
-        rng: &mut StdRng,
-        cooldown_rng: &mut StdRng,
-        answer_rng: &mut StdRng,
-        upstreams: usize,
-    ) -> Fault {
-        let daemon = rng.random_range(0..DAEMON_COUNT);
-        let upstream = rng.random_range(0..upstreams);
-        let behaviour = Behaviour {
-            work_duration: Duration::from_millis(rng.random_range(1..60)),
-            reject_permille: rng.random_range(0..500),
-            lost_response_permille: rng.random_range(0..200),
-            unsigned_response_permille: answer_rng.random_range(0..200),
-            never_responds: rng.random_range(0..4) == 0,
-            is_leaving: false,
-            omits_id_in_rejections: answer_rng.random(),
-            retry_after: cooldown_rng.random_bool(COOLDOWN_SHARE).then_some(COOLDOWN),
-        };
-        let condition = LinkCondition {
-            cut: rng.random(),
-            half_open: rng.random(),
-            delay_ms: rng.random_range(0..50),
-        };
-        let down_kinds = [
-            StoreFault::Status503,
-            StoreFault::ClosesConnections,
-            StoreFault::NeverResponds,
-        ];
-        match rng.random_range(0..13) {
-            0 => Fault::Kill(daemon),
-            1 => Fault::ShutDown(daemon),
-            2 => Fault::Freeze(daemon),
-            3 => Fault::ReloadSettings(daemon),
-            4 => Fault::CutFromStore(daemon, condition),
-            5 => Fault::Store(down_kinds[rng.random_range(0..down_kinds.len())]),
-            6 => Fault::SlowStore,
-            7 => Fault::Compact,
-            8 => Fault::Upstream(upstream, behaviour),
-            9 => Fault::Replace(upstream),
-            10 => Fault::Drain(upstream),
-            11 => Fault::Evacuate(rng.random_range(0..ZONES.len())),
-            _ => Fault::Configure,
-        }
-    }
-
-    fn inject(self, deployment: &mut Deployment) {
-        match self {
-            Fault::Kill(index) => deployment.daemons[index].kill(),
-            Fault::ShutDown(index) => deployment.daemons[index].signal("TERM"),
-            Fault::Freeze(index) => deployment.daemons[index].signal("STOP"),
-            Fault::ReloadSettings(index) => deployment.daemons[index].signal("HUP"),
-            Fault::CutFromStore(index, condition) => {
-                deployment.daemons[index].link.set_condition(condition)
-            }
-            Fault::Store(down) => deployment.store.set_fault(down),
-            Fault::SlowStore => deployment.store.set_delay(Duration::from_millis(300)),
-            Fault::Compact => deployment.store.compact(),
-            Fault::Upstream(index, behaviour) => {
-                deployment.upstreams[index].set_behaviour(behaviour)
-            }
-            Fault::Replace(index) => deployment.upstreams[index].unregister(&deployment.store),
-            Fault::Drain(index) => deployment.upstreams[index].register(&deployment.store, true),
-            Fault::Evacuate(index) => deployment.store.evacuate(ZONES[index], true),
-            Fault::Configure => deployment.write_config(|_| {}),
-        }
-    }
-
-    fn undo(self, deployment: &mut Deployment) {
-        match self {
-            Fault::Kill(index) => deployment.start_daemon(index),
-            Fault::ShutDown(index) => {
-                // The graceful shutdown may still be running. Killing the daemon here does not
-                // count as another fault.
-                deployment.daemons[index].kill();
-                deployment.start_daemon(index);
-            }
-            Fault::Freeze(index) => deployment.daemons[index].signal("CONT"),
-            Fault::CutFromStore(index, _) => deployment.daemons[index]
-                .link
-                .set_condition(LinkCondition::default()),
-            Fault::Store(_) => deployment.store.set_fault(StoreFault::Available),
-            Fault::SlowStore => deployment.store.set_delay(Duration::ZERO),
-            Fault::Upstream(index, _) => {
-                deployment.upstreams[index].set_behaviour(Behaviour::default())
-            }
-            Fault::Replace(index) | Fault::Drain(index) => {
-                deployment.upstreams[index].register(&deployment.store, false);
-            }
-            Fault::Evacuate(index) => deployment.store.evacuate(ZONES[index], false),
-            Fault::ReloadSettings(_) | Fault::Compact | Fault::Configure => {}
-        }
-    }
-}
-
-/// The state of the copies from which the store is restored.
-struct StoreRestores {
-    rng: StdRng,
-    copy: Option<StoreCopy>,
-}
-
-impl StoreRestores {
-    /// At random, copies the store if no copy exists, or restores the store from the copy.
-    fn step(&mut self, deployment: &mut Deployment, active_faults: &[(Instant, Fault)]) {
-        if self.copy.is_none() {
-            let copies = self.rng.random_bool(COPY_PROBABILITY);
-            self.copy = copies.then(|| deployment.store.copy());
-        } else if self.rng.random_bool(RESTORE_PROBABILITY) {
-            let copy = self.copy.take().expect("there is one");
-            deployment.store.restore(&copy);
-            repeat_writes(deployment, active_faults);
-        }
-    }
-}
-
-/// Another client of the store, whose entries fill pages, and the age of the pages.
-struct OtherWriter {
-    rng: StdRng,
-}
-
-impl OtherWriter {
-    /// Writes the entries.
-    fn fill_pages(&mut self, deployment: &Deployment) {
-        for number in 0..OTHER_ENTRIES {
-            let prefix = ["servers", "zz"][number % 2];
-            let text = OTHER_KEYS[self.rng.random_range(0..OTHER_KEYS.len())];
-            let key = format!("{prefix}/{text}{number:02}");
-            deployment.store.put(&key, b"filler");
-        }
-    }
-
-    /// At random, lets the pages of stale reads differ in age from now on.
-    fn step(&mut self, deployment: &Deployment) {
-        if self.rng.random_bool(STALE_PAGES_PROBABILITY) {
-            deployment.store.freeze_stale_pages();
-        }
-    }
-}
-
-/// Registers the upstreams of one availability zone behind proxies that repeat responses. An
-/// upstream that registers again after a fault does so without its proxy.
-fn start_repeating_proxies(deployment: &Deployment) -> Vec<RepeatingProxy> {
-    let upstreams = deployment.upstreams.iter().step_by(ZONES.len());
-    upstreams
-        .map(|upstream| {
-            let address = upstream.address();
-            let proxy = RepeatingProxy::start_with_share(address, 1, REPEATED_RESPONSE_SHARE);
-            upstream.register_with_proxy_address(&deployment.store, proxy.address());
-            proxy
-        })
-        .collect()
-}
-
-/// Repeats the writes of operators and upstreams that the restored store lacks.
-fn repeat_writes(deployment: &mut Deployment, active_faults: &[(Instant, Fault)]) {
-    for upstream in &deployment.upstreams {
-        upstream.register(&deployment.store, false);
-    }
-    for zone in ZONES {
-        deployment.store.evacuate(zone, false);
-    }
-    deployment.write_config(|_| {});
-    for (_, fault) in active_faults {
-        if matches!(
-            fault,
-            Fault::Replace(_) | Fault::Drain(_) | Fault::Evacuate(_)
-        ) {
-            fault.inject(deployment);
-        }
-    }
-}
-
 /// A caller's request and its answer.
 struct ObservedRequest {
     path: &'static str,
--- /dev/null
+++ b/hemlockrouter-cli/tests/direct/soak/store.rs
@@ -0,0 +1,109 @@
+//! What happens to the store during the soak test, besides its faults: restores, other writers and
+//! stale pages; and upstreams that repeat responses.
+
+use std::time::Instant;
+
+use hemlockrouter_corporation_lab::StoreCopy;
+use rand::rngs::StdRng;
+use rand::RngExt;
+
+use super::fault::Fault;
+use crate::deployment::Deployment;
+use crate::deployment::ZONES;
+use crate::repeating_proxy::RepeatingProxy;
+
+/// The share of steps at which the store is copied, if no copy exists.
+const COPY_PROBABILITY: f64 = 0.2;
+
+/// The share of steps at which the store is restored, if a copy exists.
+const RESTORE_PROBABILITY: f64 = 0.4;
+
+/// The number of entries of another writer, with which the store's content takes several pages.
+const OTHER_ENTRIES: usize = 60;
+
+/// Parts of the other writer's keys: plain text, and characters that have a meaning in a request.
+const OTHER_KEYS: [&str; 5] = ["plain", "a b", "a?b&after=c", "a#b%20", "a\"\u{fc}"];
+
+/// The share of steps at which stale reads begin to return the current content, except for their
+/// first page, which is always current.
+const STALE_PAGES_PROBABILITY: f64 = 0.3;
+
+/// The share of responses that some upstreams send twice.
+const REPEATED_RESPONSE_SHARE: f64 = 0.05;
+
+/// The state of the copies from which the store is restored.
+pub(super) struct StoreRestores {
+    pub(super) rng: StdRng,
+    pub(super) copy: Option<StoreCopy>,
+}
+
+impl StoreRestores {
+    /// At random, copies the store if no copy exists, or restores the store from the copy.
+    pub(super) fn step(&mut self, deployment: &mut Deployment, active_faults: &[(Instant, Fault)]) {
+        if self.copy.is_none() {
+            let copies = self.rng.random_bool(COPY_PROBABILITY);
+            self.copy = copies.then(|| deployment.store.copy());
+        } else if self.rng.random_bool(RESTORE_PROBABILITY) {
+            let copy = self.copy.take().expect("there is one");
+            deployment.store.restore(&copy);
+            repeat_writes(deployment, active_faults);
+        }
+    }
+}
+
+/// Another client of the store, whose entries fill pages, and the age of the pages.
+pub(super) struct OtherWriter {
+    pub(super) rng: StdRng,
+}
+
+impl OtherWriter {
+    /// Writes the entries.
+    pub(super) fn fill_pages(&mut self, deployment: &Deployment) {
+        for number in 0..OTHER_ENTRIES {
+            let prefix = ["servers", "zz"][number % 2];
+            let text = OTHER_KEYS[self.rng.random_range(0..OTHER_KEYS.len())];
+            let key = format!("{prefix}/{text}{number:02}");
+            deployment.store.put(&key, b"filler");
+        }
+    }
+
+    /// At random, lets the pages of stale reads differ in age from now on.
+    pub(super) fn step(&mut self, deployment: &Deployment) {
+        if self.rng.random_bool(STALE_PAGES_PROBABILITY) {
+            deployment.store.freeze_stale_pages();
+        }
+    }
+}
+
+/// Registers the upstreams of one availability zone behind proxies that repeat responses. An
+/// upstream that registers again after a fault does so without its proxy.
+pub(super) fn start_repeating_proxies(deployment: &Deployment) -> Vec<RepeatingProxy> {
+    let upstreams = deployment.upstreams.iter().step_by(ZONES.len());
+    upstreams
+        .map(|upstream| {
+            let address = upstream.address();
+            let proxy = RepeatingProxy::start_with_share(address, 1, REPEATED_RESPONSE_SHARE);
+            upstream.register_with_proxy_address(&deployment.store, proxy.address());
+            proxy
+        })
+        .collect()
+}
+
+/// Repeats the writes of operators and upstreams that the restored store lacks.
+fn repeat_writes(deployment: &mut Deployment, active_faults: &[(Instant, Fault)]) {
+    for upstream in &deployment.upstreams {
+        upstream.register(&deployment.store, false);
+    }
+    for zone in ZONES {
+        deployment.store.evacuate(zone, false);
+    }
+    deployment.write_config(|_| {});
+    for (_, fault) in active_faults {
+        if matches!(
+            fault,
+            Fault::Replace(_) | Fault::Drain(_) | Fault::Evacuate(_)
+        ) {
+            fault.inject(deployment);
+        }
+    }
+}
