Test that a stop answers no request under way with 408

Reading the change raised the suspicion that a caller which closes its sending side while its request is under way could get the 408 that promises that nothing ran. The test passes without any change of the code: it is not so. It stays, as the promise must hold.

--- a/hemlockrouter-cli/tests/direct/stops.rs
+++ b/hemlockrouter-cli/tests/direct/stops.rs
@@ -250,6 +250,30 @@
     }
 }
 
+/// Guards against a 408, which promises that nothing ran, for a request that was passed on and whose
+/// caller has closed its sending side.
+#[test]
+fn request_under_way_is_not_answered_408_when_its_caller_stops_sending() {
+    let mut deployment = Deployment::start(1);
+    silence_upstreams(&deployment, "ledger");
+    let address = deployment.daemons[0].callers;
+    deployment.daemons[0].signal("TERM");
+    thread::sleep(CLOSING_AFTER - Duration::from_millis(300));
+    let mut connection = CallerConnection::open(address).expect("the instance accepts");
+    let request = format!(
+        "GET {LOOK_UP_PATH} HTTP/1.1\r\nHost: {HOST}\r\nHemlockrouter-Attempt-Id: {}\r\n\r\n",
+        new_attempt_id()
+    );
+    let written = connection.stream.write_all(request.as_bytes());
+    written.expect("the instance reads");
+    thread::sleep(Duration::from_millis(500));
+    let stopped = connection.stream.shutdown(std::net::Shutdown::Write);
+    stopped.expect("the connection is open");
+    let exchange = connection.read_answer();
+    let is_refused = matches!(exchange, Some(Exchange::Answered { status: 408, .. }));
+    assert!(!is_refused, "{exchange:?}");
+}
+
 /// Sends requests on kept connections until `stop` is set, and returns the cut ones.
 fn start_caller(
     deployment: &Deployment,
