Close the callers' port when a stop closes idle connections

Cause: in direct dispatch the port stayed open until the process ended, and the process ended when a look every 50 ms found no open connection. Callers whose requests take about that long kept one open at each look, until less than the target latency was left.

The port is now closed together with the idle connections, after the connections in its queue were accepted. A connection counts as open from the moment it is accepted, and the end of a shutdown waits until the port is closed. Dispatch through owners serves its queue as well.

--- a/hemlockrouter-cli/tests/direct/stops.rs
+++ b/hemlockrouter-cli/tests/direct/stops.rs
@@ -46,6 +46,10 @@
 /// The time from SIGTERM until idle connections are closed.
 const CLOSING_AFTER: Duration = Duration::from_millis(1_500);
 
+/// The longest time from the close until new connections are refused: the duration of a request and
+/// a margin for a busy machine.
+const PORT_CLOSE_MARGIN: Duration = Duration::from_millis(400);
+
 /// A caller's connection, on which requests are written and answers read as plain text.
 struct CallerConnection {
     stream: TcpStream,
@@ -250,6 +254,46 @@
     }
 }
 
+/// Guards against an instance that closes its connections but accepts new ones, is kept running by
+/// them, and refuses their requests when its time runs out.
+#[test]
+fn new_connections_do_not_prolong_a_stop() {
+    let mut deployment = Deployment::start(1);
+    for upstream in &deployment.upstreams {
+        upstream.set_behaviour(Behaviour {
+            work_duration: Duration::from_millis(100),
+            ..Behaviour::default()
+        });
+    }
+    let address = deployment.daemons[0].callers;
+    deployment.daemons[0].signal("TERM");
+    let signalled_at = Instant::now();
+    // One of the callers always has a request under way.
+    let callers = (0..4).map(|index| {
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(30 * index));
+            let mut refused = Vec::new();
+            while let Some(mut connection) = CallerConnection::open(address) {
+                let sent_at = signalled_at.elapsed();
+                match connection.call(LOOK_UP_PATH, &new_attempt_id(), 800) {
+                    Exchange::Answered { status: 200, .. } => {}
+                    // A connection that is opened just when the port is closed is reset.
+                    Exchange::NotSent | Exchange::Cut => {}
+                    other => refused.push(format!("sent at {sent_at:?}: {other:?}")),
+                }
+            }
+            (signalled_at.elapsed(), refused)
+        })
+    });
+    let callers: Vec<JoinHandle<(Duration, Vec<String>)>> = callers.collect();
+    for caller in callers {
+        let (port_closed_after, refused) = caller.join().expect("the caller has not panicked");
+        assert!(refused.is_empty(), "{refused:?}");
+        let is_in_time = port_closed_after < CLOSING_AFTER + PORT_CLOSE_MARGIN;
+        assert!(is_in_time, "the port is open for {port_closed_after:?}");
+    }
+}
+
 /// Guards against a 408, which promises that nothing ran, for a request that was passed on and whose
 /// caller has closed its sending side.
 #[test]
--- a/src/direct/callers.rs
+++ b/src/direct/callers.rs
@@ -1,6 +1,7 @@
 //! HTTP server for callers.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,6 +37,7 @@
 use crate::edge::caller_stream::AnnouncedClose;
 use crate::edge::caller_stream::CallerStream;
 use crate::edge::phase::ShutdownPhase;
+use crate::edge::port;
 
 /// Minimum size of the header buffer that `hyper` allows, in bytes.
 const HEADER_BUFFER_MIN_BYTES: usize = 8_192;
@@ -53,6 +55,8 @@
     pub(super) protocol: Rc<dyn Protocol>,
     pub(super) log: Rc<RequestLog>,
     pub(super) phase: watch::Receiver<ShutdownPhase>,
+    /// Whether connections are accepted.
+    pub(super) is_port_open: Cell<bool>,
     /// Number of open connections.
     pub(super) open_connections: Cell<usize>,
 }
@@ -82,17 +86,48 @@
 }
 
 impl CallerServer {
-    /// Accepts connections for as long as the process runs.
+    /// Accepts connections until a shutdown closes them, and then closes the port. Otherwise new
+    /// connections would keep the instance running until its time is over. The task lasts as long
+    /// as the process.
     pub(super) async fn accept(self: Rc<CallerServer>, listener: TcpListener) {
-        listener::accept(listener, "callers", |stream, peer| {
-            Rc::clone(&self).serve(stream, peer)
-        })
-        .await;
+        let mut phase = self.phase.clone();
+        let accept = listener::accept(&listener, "callers", |stream, peer| {
+            self.start_serving(stream, peer)
+        });
+        tokio::select! {
+            () = accept => {}
+            _ = phase.wait_for(|phase| *phase == ShutdownPhase::Closing) => {}
+        }
+        for stream in port::close(listener) {
+            if let Ok(peer) = stream.peer_addr() {
+                listener::send_at_once(&stream);
+                tokio::task::spawn_local(self.start_serving(stream, peer));
+            }
+        }
+        self.is_port_open.set(false);
+        std::future::pending().await
+    }
+
+    /// Returns whether callers can send requests.
+    pub(super) fn is_open(&self) -> bool {
+        self.is_port_open.get() || self.open_connections.get() > 0
+    }
+
+    /// Counts a connection, and returns a future that serves it until it ends.
+    fn start_serving(
+        self: &Rc<CallerServer>,
+        stream: TcpStream,
+        peer: SocketAddr,
+    ) -> impl Future<Output = ()> {
+        let guard = ConnectionGuard::new(Rc::clone(self));
+        let callers = Rc::clone(self);
+        async move {
+            callers.serve(stream, peer).await;
+            drop(guard);
+        }
     }
 
-    /// Serves one connection until it ends.
     async fn serve(self: Rc<CallerServer>, stream: TcpStream, peer: SocketAddr) {
-        let _guard = ConnectionGuard::new(Rc::clone(&self));
         let limits = self.node.limits();
         let callers = Rc::clone(&self);
         let announced_close = AnnouncedClose::default();
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -216,6 +216,7 @@
         protocol,
         log,
         phase,
+        is_port_open: Cell::new(true),
         open_connections: Cell::new(0),
     });
     tasks.spawn_permanent("callers", Rc::clone(&callers).accept(callers_listener));
@@ -314,8 +315,8 @@
     }
 }
 
-/// Keeps accepting requests for a part of the shutdown time, then closes the callers' connections,
-/// idle ones first. Requests that have not ended shortly before the shutdown time is over get their
+/// Keeps accepting requests for a part of the shutdown time, then closes the callers' port and
+/// their connections, idle ones first. Requests that have not ended shortly before the shutdown time is over get their
 /// final answer then. Waits until all connections are closed and all requests have ended, or the
 /// shutdown time is over.
 async fn shut_down(
@@ -333,7 +334,7 @@
     phase.send_replace(ShutdownPhase::Closing);
     let drain_timeout =
         Duration::from_millis(settings.shutdown_ms.saturating_sub(SHUTDOWN_EXIT_MARGIN_MS));
-    while callers.open_connections.get() > 0 || callers.node.pending() > 0 {
+    while callers.is_open() || callers.node.pending() > 0 {
         if started_at.elapsed() >= drain_timeout {
             return ShutdownOutcome::TimedOut;
         }
--- a/src/direct/listener.rs
+++ b/src/direct/listener.rs
@@ -31,10 +31,9 @@
 /// client whose connection is closed only has to open a new one.
 const HTTP_HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Accepts connections until the process ends and serves each of them on its own task.
-/// `TCP_NODELAY` is set, so that written data is sent at once. The name `port` identifies the
-/// listener in log lines.
-pub(super) async fn accept<S, F>(listener: TcpListener, port: &'static str, mut serve: S)
+/// Accepts connections until it is dropped and serves each of them on its own task. The name `port`
+/// identifies the listener in log lines.
+pub(super) async fn accept<S, F>(listener: &TcpListener, port: &'static str, mut serve: S)
 where
     S: FnMut(TcpStream, SocketAddr) -> F,
     F: Future<Output = ()> + 'static,
@@ -42,8 +41,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                // `TCP_NODELAY` only reduces latency, so a failure to set the option is ignored.
-                let _ = stream.set_nodelay(true);
+                send_at_once(&stream);
                 tokio::task::spawn_local(serve(stream, peer));
             }
             Err(err) => {
@@ -54,6 +52,12 @@
     }
 }
 
+/// Lets written data be sent at once.
+pub(super) fn send_at_once(stream: &TcpStream) {
+    // The option only reduces latency, so a failure to set it is ignored.
+    let _ = stream.set_nodelay(true);
+}
+
 /// Serves HTTP requests on one connection until it ends.
 pub(super) async fn serve_http<R, F, B>(stream: TcpStream, peer: SocketAddr, respond: R)
 where
--- a/src/direct/operators.rs
+++ b/src/direct/operators.rs
@@ -45,7 +45,7 @@
 impl OperatorServer {
     /// Serves a listening socket until the process ends.
     pub(super) async fn accept(self: Rc<OperatorServer>, listener: TcpListener) {
-        listener::accept(listener, "operators", |stream, peer| {
+        listener::accept(&listener, "operators", |stream, peer| {
             let operators = Rc::clone(&self);
             listener::serve_http(stream, peer, move |request| {
                 std::future::ready(operators.respond(&request).map(Full::new))
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -79,7 +79,7 @@
 impl RelayServer {
     /// Serves other instances until the process ends.
     pub(super) async fn accept(self: Rc<RelayServer>, listener: TcpListener) {
-        listener::accept(listener, "relay", |stream, peer| {
+        listener::accept(&listener, "relay", |stream, peer| {
             let relay = Rc::clone(&self);
             listener::serve_http(stream, peer, move |request| {
                 let relay = Rc::clone(&relay);
--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -29,12 +29,14 @@
 use tokio::runtime::Runtime;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
 use crate::edge::caller_stream::AnnouncedClose;
 use crate::edge::caller_stream::CallerStream;
 use crate::edge::phase::ShutdownPhase;
+use crate::edge::port;
 use crate::edge::request;
 use crate::edge::request::CallerError;
 use crate::node::CallerAnswer;
@@ -131,14 +133,17 @@
     bounds: CallerBounds,
     mailbox: Mailbox,
     permits: Arc<Semaphore>,
-    mut phase: watch::Receiver<ShutdownPhase>,
+    phase: watch::Receiver<ShutdownPhase>,
 ) {
+    let mut closing = phase.clone();
     loop {
         let permit = Arc::clone(&permits).acquire_owned().await;
         let permit = permit.expect("the semaphore is never closed");
         let accept_result = tokio::select! {
             accept_result = listener.accept() => accept_result,
-            _ = phase.wait_for(|phase| *phase == ShutdownPhase::Closing) => return,
+            _ = closing.wait_for(|phase| *phase == ShutdownPhase::Closing) => {
+                return serve_queued(listener, permit, bounds, &mailbox, &phase);
+            }
         };
         let Ok((stream, _)) = accept_result else {
             // The likely cause is a lack of file descriptors. The delay gives other connections
@@ -155,6 +160,26 @@
     }
 }
 
+/// Closes the port and serves the connections that waited in its queue. They share one permit, since
+/// their number is bounded by the queue.
+fn serve_queued(
+    listener: TcpListener,
+    permit: OwnedSemaphorePermit,
+    bounds: CallerBounds,
+    mailbox: &Mailbox,
+    phase: &watch::Receiver<ShutdownPhase>,
+) {
+    let permit = Arc::new(permit);
+    for stream in port::close(listener) {
+        let served = serve_connection(stream, bounds, mailbox.clone(), phase.clone());
+        let permit = Arc::clone(&permit);
+        tokio::spawn(async move {
+            served.await;
+            drop(permit);
+        });
+    }
+}
+
 /// Serves one connection until it ends.
 async fn serve_connection(
     stream: TcpStream,
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod instances;
 pub(crate) mod operators;
 pub(crate) mod phase;
+pub(crate) mod port;
 pub(crate) mod request;
 pub(crate) mod tiny;
