Serve the first request of a connection that crosses the close

A caller that opened a connection shortly before a stopping instance closed its idle connections, and sent its request just after, got a 408 or a closed connection.

Cause: a connection that has carried no request yet was closed as idle, although it was most likely opened for a request that is on its way; connections accepted later were served. The new test fails before: the connection is closed when the request is to be sent. Such a connection is now kept for 300 ms longer in both forms of dispatch, and closed with a 408 after that.

--- a/hemlockrouter-cli/tests/direct/stops.rs
+++ b/hemlockrouter-cli/tests/direct/stops.rs
@@ -294,6 +294,30 @@
     }
 }
 
+/// Guards against a new connection that is closed before its first request is read.
+#[test]
+fn first_request_of_a_connection_is_served_around_the_close() {
+    let mut deployment = Deployment::start(1);
+    let address = deployment.daemons[0].callers;
+    deployment.daemons[0].signal("TERM");
+    let closing_at = Instant::now() + CLOSING_AFTER;
+    let callers = (0..CALLER_COUNT as u64).map(|index| {
+        thread::spawn(move || {
+            let open_at = closing_at - Duration::from_millis(60 + index);
+            thread::sleep(open_at.saturating_duration_since(Instant::now()));
+            let mut connection = CallerConnection::open(address).expect("the instance accepts");
+            thread::sleep(Duration::from_millis(100));
+            connection.call(LOOK_UP_PATH, &new_attempt_id(), 800)
+        })
+    });
+    let callers: Vec<JoinHandle<Exchange>> = callers.collect();
+    for caller in callers {
+        let exchange = caller.join().expect("the caller has not panicked");
+        let is_served = matches!(exchange, Exchange::Answered { status: 200, .. });
+        assert!(is_served, "{exchange:?}");
+    }
+}
+
 /// Guards against a 408, which promises that nothing ran, for a request that was passed on and whose
 /// caller has closed its sending side.
 #[test]
--- a/src/direct/callers.rs
+++ b/src/direct/callers.rs
@@ -34,8 +34,8 @@
 use super::listener::build_response;
 use super::node::Node;
 use super::request_log::RequestLog;
-use crate::edge::caller_stream::AnnouncedClose;
 use crate::edge::caller_stream::CallerStream;
+use crate::edge::caller_stream::ConnectionState;
 use crate::edge::phase::ShutdownPhase;
 use crate::edge::port;
 
@@ -130,12 +130,14 @@
     async fn serve(self: Rc<CallerServer>, stream: TcpStream, peer: SocketAddr) {
         let limits = self.node.limits();
         let callers = Rc::clone(&self);
-        let announced_close = AnnouncedClose::default();
-        let stream = CallerStream::new(stream, self.phase.clone(), announced_close.clone());
+        let state = ConnectionState::default();
+        let wait_to_close = state.wait_to_close(self.phase.clone());
+        let stream = CallerStream::new(stream, self.phase.clone(), state.clone());
+        let service_state = state.clone();
         let service = service_fn(move |request| {
             let callers = Rc::clone(&callers);
-            let announced_close = announced_close.clone();
-            async move { Ok::<_, hyper::Error>(callers.respond(request, &announced_close).await) }
+            let state = service_state.clone();
+            async move { Ok::<_, hyper::Error>(callers.respond(request, &state).await) }
         });
         // The header timeout of `hyper` starts when the connection becomes idle, so it includes the
         // idle timeout.
@@ -146,13 +148,9 @@
             .max_buf_size(limits.header_max_bytes.max(HEADER_BUFFER_MIN_BYTES))
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
-        let mut phase = self.phase.clone();
-        // A connection that is accepted while the others are closed gets an answer to its first
-        // request.
-        let is_closing = *phase.borrow() == ShutdownPhase::Closing;
         let result = tokio::select! {
             result = connection.as_mut() => result,
-            _ = phase.wait_for(|phase| *phase == ShutdownPhase::Closing), if !is_closing => {
+            () = wait_to_close => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -165,13 +163,14 @@
     async fn respond(
         &self,
         request: Request<Incoming>,
-        announced_close: &AnnouncedClose,
+        state: &ConnectionState,
     ) -> Response<Full<Bytes>> {
+        state.note_request();
         let mut response = self.handle(request).await;
         if *self.phase.borrow() != ShutdownPhase::Serving {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
-            announced_close.announce();
+            state.announce_close();
         }
         response.map(Full::new)
     }
--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -34,6 +34,9 @@
 /// Maximum time for which a closed connection waits until the caller closes it too.
 const LINGER_MAX: Duration = Duration::from_millis(300);
 
+/// Maximum time for which a connection without a request is kept once idle connections are closed.
+const FIRST_REQUEST_MAX: Duration = Duration::from_millis(300);
+
 /// Size of the buffer for discarded data, in bytes.
 const DISCARD_BUFFER_BYTES: usize = 1 << 10;
 
@@ -41,14 +44,20 @@
 pub(crate) struct CallerStream {
     stream: TcpStream,
     phase: watch::Receiver<ShutdownPhase>,
-    announced_close: AnnouncedClose,
+    state: ConnectionState,
     unsent_response: &'static [u8],
     close_state: CloseState,
 }
 
-/// Whether a response has announced that the connection is closed.
+/// What the service of a connection has done on it. Clones share one state.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct AnnouncedClose(Arc<AtomicBool>);
+pub(crate) struct ConnectionState(Arc<ConnectionFlags>);
+
+#[derive(Debug, Default)]
+struct ConnectionFlags {
+    has_request: AtomicBool,
+    is_close_announced: AtomicBool,
+}
 
 /// Progress of closing the connection.
 enum CloseState {
@@ -58,35 +67,52 @@
     Lingering(Pin<Box<Sleep>>),
 }
 
-impl AnnouncedClose {
+impl ConnectionState {
+    /// Records that the head of a request has been read.
+    pub(crate) fn note_request(&self) {
+        self.0.has_request.store(true, Ordering::Relaxed);
+    }
+
     /// Records a response that announces the close.
-    pub(crate) fn announce(&self) {
-        self.0.store(true, Ordering::Relaxed);
+    pub(crate) fn announce_close(&self) {
+        self.0.is_close_announced.store(true, Ordering::Relaxed);
+    }
+
+    /// Waits until a shutdown closes the connection. A connection without a request may have been
+    /// opened for one that is on its way, so it is closed later.
+    pub(crate) async fn wait_to_close(&self, mut phase: watch::Receiver<ShutdownPhase>) {
+        // An error means that the server is gone, and the connection is closed then as well.
+        let _ = phase
+            .wait_for(|phase| *phase == ShutdownPhase::Closing)
+            .await;
+        if !self.0.has_request.load(Ordering::Relaxed) {
+            tokio::time::sleep(FIRST_REQUEST_MAX).await;
+        }
     }
 
-    fn is_announced(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+    fn is_close_announced(&self) -> bool {
+        self.0.is_close_announced.load(Ordering::Relaxed)
     }
 }
 
 impl CallerStream {
-    /// Wraps a connection. `announced_close` is shared with the service that responds on it.
+    /// Wraps a connection. `state` is shared with the service that responds on it.
     pub(crate) fn new(
         stream: TcpStream,
         phase: watch::Receiver<ShutdownPhase>,
-        announced_close: AnnouncedClose,
+        state: ConnectionState,
     ) -> CallerStream {
         CallerStream {
             stream,
             phase,
-            announced_close,
+            state,
             unsent_response: CLOSING_RESPONSE,
             close_state: CloseState::Open,
         }
     }
 
     fn is_closed_by_shutdown(&self) -> bool {
-        *self.phase.borrow() == ShutdownPhase::Closing && !self.announced_close.is_announced()
+        *self.phase.borrow() == ShutdownPhase::Closing && !self.state.is_close_announced()
     }
 
     fn poll_respond(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -33,8 +33,8 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
-use crate::edge::caller_stream::AnnouncedClose;
 use crate::edge::caller_stream::CallerStream;
+use crate::edge::caller_stream::ConnectionState;
 use crate::edge::phase::ShutdownPhase;
 use crate::edge::port;
 use crate::edge::request;
@@ -185,23 +185,26 @@
     stream: TcpStream,
     bounds: CallerBounds,
     mailbox: Mailbox,
-    mut phase: watch::Receiver<ShutdownPhase>,
+    phase: watch::Receiver<ShutdownPhase>,
 ) {
     // An error is ignored, since the option only reduces latency.
     let _ = stream.set_nodelay(true);
     let service_phase = phase.clone();
-    let announced_close = AnnouncedClose::default();
-    let stream = CallerStream::new(stream, phase.clone(), announced_close.clone());
+    let state = ConnectionState::default();
+    let wait_to_close = state.wait_to_close(phase.clone());
+    let stream = CallerStream::new(stream, phase.clone(), state.clone());
+    let service_state = state.clone();
     let service = service_fn(move |request| {
         let mailbox = mailbox.clone();
         let phase = service_phase.clone();
-        let announced_close = announced_close.clone();
+        let state = service_state.clone();
         async move {
+            state.note_request();
             let mut response = answer_or_render_error(request, bounds, &mailbox).await;
             if *phase.borrow() != ShutdownPhase::Serving {
                 let close = header::HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
-                announced_close.announce();
+                state.announce_close();
             }
             Ok::<_, Infallible>(response)
         }
@@ -212,16 +215,9 @@
         .max_buf_size(bounds.header_max_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let wait_for_closing = async {
-        // An error means that the server was dropped, and the connection is closed in that case as
-        // well.
-        let _ = phase
-            .wait_for(|phase| *phase == ShutdownPhase::Closing)
-            .await;
-    };
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = wait_for_closing => connection.as_mut().graceful_shutdown(),
+        () = wait_to_close => connection.as_mut().graceful_shutdown(),
     }
     // The result is ignored, since a caller may close its connection in any way.
     let _ = connection.await;
