--- a/hemlockrouter-cli/tests/direct/faults.rs
+++ b/hemlockrouter-cli/tests/direct/faults.rs
@@ -10,7 +10,6 @@
 use hemlockrouter_corporation_lab::StoreFault;
 use hemlockrouter_lab::link::LinkCondition;
 use http::StatusCode;
-use serde_json::json;
 
 use crate::deployment::eventually;
 use crate::deployment::Deployment;
@@ -28,104 +27,6 @@
     }
 }
 
-/// Guards against a key of another writer that ends the first read, so that no instance becomes
-/// ready after a restart.
-#[test]
-fn instance_starts_although_a_page_ends_with_a_key_of_another_writer() {
-    let mut deployment = Deployment::start(1);
-    for number in 0..60 {
-        let key = format!("servers/a b?c&after=d#e%20+\u{fc}\"{number:02}");
-        deployment.store.put(&key, b"unreadable");
-    }
-    deployment.daemons[0].kill();
-    deployment.start_daemon(0);
-    deployment.wait_ready(0);
-    let answer = deployment.call(0, SEARCH_PATH, 1_000);
-    assert_eq!(
-        (answer.status, answer.shards_missing),
-        (Some(StatusCode::OK), 0),
-        "{answer:?}"
-    );
-}
-
-/// Values of entries that another writer may leave: nested deeply, with a number that is too large,
-/// or with a port out of range.
-fn odd_values() -> Vec<String> {
-    let upstream = |field: &str, value: &str| {
-        let mut entry = json!({
-            "service": "ledger", "address": "127.0.0.1:1", "zone": "north-a", "version": "v1",
-            "capacity": 2, "state": "ready", "warmupLeftMs": 0, "sequence": 1, "born": 1,
-            "name": "odd", "relay": "127.0.0.1:1", "cpu_permille": 1,
-        })
-        .to_string();
-        let position = entry.rfind('}').expect("an object ends with a brace");
-        // The last value of a field that occurs twice would be ambiguous, so the first is renamed.
-        entry = entry.replace(&format!("\"{field}\":"), "\"other\":");
-        let position = position.min(entry.len() - 1);
-        entry.insert_str(position, &format!(",\"{field}\":{value}"));
-        entry
-    };
-    let mut values = vec!["[".repeat(100_000), "{\"a\":".repeat(100_000)];
-    values.push(upstream("service", &"[".repeat(100_000)));
-    let fields = [
-        "capacity",
-        "warmupLeftMs",
-        "sequence",
-        "born",
-        "cpu_permille",
-    ];
-    let numbers = ["1e999", "1e308", "-1", "18446744073709551615", "4294967295"];
-    for field in fields {
-        values.extend(numbers.map(|number| upstream(field, number)));
-    }
-    for address in [
-        "127.0.0.1:99999",
-        "127.0.0.1:0",
-        "127.0.0.1",
-        "[::1]:1",
-        "255.255.255.255:1",
-    ] {
-        values.push(upstream("address", &format!("\"{address}\"")));
-        values.push(upstream("relay", &format!("\"{address}\"")));
-    }
-    values
-}
-
-/// Guards against an odd entry of another writer that ends instances again and again, or keeps
-/// them from following the store.
-#[test]
-fn odd_entries_of_another_writer_stop_no_instance() {
-    let mut deployment = Deployment::start(2);
-    for (number, value) in odd_values().iter().enumerate() {
-        for prefix in ["servers", "hemlock/instances", "op/evacuate", "op/other"] {
-            let key = format!("{prefix}/odd-{number}");
-            deployment.store.put(&key, value.as_bytes());
-        }
-    }
-    let is_served = |deployment: &Deployment, index: usize| {
-        let answer = deployment.call(index, SEARCH_PATH, 1_000);
-        answer.status == Some(StatusCode::OK) && answer.shards_missing == 0
-    };
-    for round in 0..2 {
-        deployment.write_config(|_| {});
-        for index in 0..2 {
-            eventually("the newest version is in force", || {
-                deployment.version_in_force(index) == Some(deployment.version)
-            });
-            eventually("searches are complete", || is_served(&deployment, index));
-            assert!(deployment.daemons[index].is_running());
-        }
-        if round == 0 {
-            // The entries are read again by instances that start.
-            for index in 0..2 {
-                deployment.daemons[index].kill();
-                deployment.start_daemon(index);
-                deployment.wait_ready(index);
-            }
-        }
-    }
-}
-
 #[test]
 fn search_is_complete_with_a_silent_replica() {
     let deployment = Deployment::start(1);
--- a/hemlockrouter-cli/tests/direct/main.rs
+++ b/hemlockrouter-cli/tests/direct/main.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod in_force;
 mod notices;
+mod odd_entries;
 mod relays;
 mod repeating_proxy;
 mod restored;
--- a/hemlockrouter-cli/tests/direct/serving.rs
+++ b/hemlockrouter-cli/tests/direct/serving.rs
@@ -100,21 +100,6 @@
     );
 }
 
-#[test]
-fn unreadable_store_entry_is_ignored_and_affects_no_other_entry() {
-    let deployment = Deployment::start(1);
-    deployment.store.put("servers/i-bad", b"{\"service\": 7}");
-    deployment.store.put("servers/i-worse", b"\xff\xfe");
-    eventually("the entries are logged", || {
-        deployment.log(0).matches("unreadable entry").count() >= 2
-    });
-    let answer = deployment.call(0, SEARCH_PATH, 1_000);
-    assert_eq!(
-        (answer.status, answer.shards_missing),
-        (Some(StatusCode::OK), 0)
-    );
-}
-
 #[test]
 fn new_version_takes_effect_and_an_older_one_is_ignored() {
     let mut deployment = Deployment::start(1);
