--- a/hemlockrouter-cli/tests/direct/odd_entries.rs
+++ b/hemlockrouter-cli/tests/direct/odd_entries.rs
@@ -5,7 +5,9 @@
 
 use crate::deployment::eventually;
 use crate::deployment::Deployment;
+use crate::deployment::LOOK_UP_PATH;
 use crate::deployment::SEARCH_PATH;
+use crate::deployment::ZONES;
 
 #[test]
 fn unreadable_store_entry_is_ignored_and_affects_no_other_entry() {
@@ -119,3 +121,37 @@
         }
     }
 }
+
+/// Guards against requests that an upstream of another service runs, since an incomplete entry of
+/// another writer names it for theirs.
+#[test]
+fn incomplete_entry_sends_no_request_to_another_service() {
+    let mut deployment = Deployment::start(1);
+    let id = String::from(deployment.upstreams[0].id());
+    let entry = json!({
+        "service": "ledger", "address": deployment.upstreams[0].address(), "zone": ZONES[0],
+        "version": "v1", "capacity": 50, "state": "ready", "warmupLeftMs": 0, "sequence": 1,
+        "born": 1_700_000_000_000_u64,
+    });
+    for field in ["version", "warmupLeftMs", "sequence", "born"] {
+        let mut incomplete = entry.clone();
+        let fields = incomplete.as_object_mut().expect("it is an object");
+        fields.remove(field);
+        let value = incomplete.to_string();
+        deployment
+            .store
+            .put(&format!("servers/{id}"), value.as_bytes());
+        // The instance has read the entry once it has read a version that was written later.
+        deployment.write_config(|_| {});
+        eventually("the newest version is in force", || {
+            deployment.version_in_force(0) == Some(deployment.version)
+        });
+        for _ in 0..20 {
+            let answer = deployment.call(0, LOOK_UP_PATH, 1_000);
+            let runs = deployment.ledger.runs_of(&answer.attempt_id);
+            let is_foreign = runs.iter().any(|run| run.upstream == id);
+            assert!(!is_foreign, "without {field}: {runs:?}");
+        }
+        deployment.upstreams[0].register(&deployment.store, false);
+    }
+}
