Let the pauses of upstreams last for their full length

Cause: the clock cuts instants to whole milliseconds, so a pause that begins late in a millisecond ended early.

The end is now the first instant at which the length has certainly passed.

--- a/hemlockrouter-route/src/direct/notices.rs
+++ b/hemlockrouter-route/src/direct/notices.rs
@@ -36,7 +36,7 @@
             return is_new;
         }
         let was_paused = self.is_paused(now);
-        let until = now + notice.rest_ms.min(PAUSE_MAX_MS);
+        let until = now.after_at_least_ms(notice.rest_ms.min(PAUSE_MAX_MS));
         self.paused_until = self.paused_until.max(Some(until));
         is_new || !was_paused
     }
--- a/hemlockrouter-types/src/clock.rs
+++ b/hemlockrouter-types/src/clock.rs
@@ -56,6 +56,13 @@
         self.0.saturating_sub(now.0)
     }
 
+    /// Returns the first instant at which `ms` milliseconds have passed in full since `self` was
+    /// read from a clock. Clocks count whole milliseconds, so `self` may have been read up to 1 ms
+    /// after the instant that it states.
+    pub const fn after_at_least_ms(self, ms: u64) -> Time {
+        Time(self.0.saturating_add(ms).saturating_add(1))
+    }
+
     /// Returns the instant `ms` milliseconds before `self`, or the start of the clock if that would
     /// be earlier.
     pub const fn minus_ms(self, ms: u64) -> Time {
