Ignore late writes of upstreams that have left

Cause: the registry can execute a write of an upstream, whose answer was lost, after the upstream's removal. The entry was taken for a new registration, although the instance knew later writes of the same start.

Evidence: the new test fails before, with the late write right after the removal. Departed upstreams were already remembered for 60 s, for a registry that is restored from a copy; the same record now tells late writes. They are not used, not kept for followers, and logged.

--- a/hemlockrouter-cli/tests/direct/odd_entries.rs
+++ b/hemlockrouter-cli/tests/direct/odd_entries.rs
@@ -1,4 +1,7 @@
-//! Tests of store entries that other writers leave.
+//! Tests of store entries that other writers leave, or that upstreams write late.
+
+use std::time::Duration;
+use std::time::Instant;
 
 use http::StatusCode;
 use serde_json::json;
@@ -9,6 +12,9 @@
 use crate::deployment::SEARCH_PATH;
 use crate::deployment::ZONES;
 
+/// The time for which an upstream that has left may get requests.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+
 #[test]
 fn unreadable_store_entry_is_ignored_and_affects_no_other_entry() {
     let deployment = Deployment::start(1);
@@ -155,3 +161,42 @@
         deployment.upstreams[0].register(&deployment.store, false);
     }
 }
+
+/// Guards against requests to an upstream that has left, since the store executes one of its writes
+/// after its removal.
+#[test]
+fn late_write_of_an_upstream_that_has_left_sends_it_nothing() {
+    let deployment = Deployment::start(1);
+    let is_ledger = |service: &str| service == "ledger";
+    let mut upstreams = deployment.upstreams.iter();
+    let leaving = upstreams.find(|upstream| is_ledger(upstream.service()));
+    let leaving = leaving.expect("the service has upstreams");
+    let late_entry = json!({
+        "service": "ledger", "address": leaving.address(), "zone": ZONES[0], "version": "v1",
+        "capacity": 2, "state": "ready", "warmupLeftMs": 0, "sequence": 0,
+        "born": 1_700_000_000_000_u64,
+    });
+    let late_value = late_entry.to_string();
+    let key = format!("servers/{}", leaving.id());
+    for late_by in [Duration::ZERO, DRAIN_TIME] {
+        leaving.unregister(&deployment.store);
+        let left_at = Instant::now();
+        std::thread::sleep(late_by);
+        deployment.store.put(&key, late_value.as_bytes());
+        std::thread::sleep(DRAIN_TIME.saturating_sub(late_by) + Duration::from_millis(500));
+        for _ in 0..40 {
+            deployment.call(0, LOOK_UP_PATH, 1_000);
+        }
+        let runs = deployment.ledger.runs();
+        let late_run = runs
+            .iter()
+            .find(|run| run.upstream == leaving.id() && run.started_at > left_at + DRAIN_TIME);
+        assert!(late_run.is_none(), "late by {late_by:?}: {late_run:?}");
+        leaving.register(&deployment.store, false);
+        eventually("the upstream is used again", || {
+            let answer = deployment.call(0, LOOK_UP_PATH, 1_000);
+            let runs = deployment.ledger.runs_of(&answer.attempt_id);
+            runs.iter().any(|run| run.upstream == leaving.id())
+        });
+    }
+}
--- /dev/null
+++ b/src/direct/departed.rs
@@ -0,0 +1,64 @@
+//! Remembers upstreams that have left, so that entries that they wrote before are not used again.
+//!
+//! The registry can execute a write of an upstream after the upstream's removal, and a copy from
+//! which the registry is restored can list upstreams that have left since.
+
+use std::collections::BTreeMap;
+
+use hemlockrouter_edge::UpstreamWrite;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::UpstreamEntry;
+
+/// Time for which an upstream that has left is remembered, in milliseconds. It is longer than the
+/// age of a backup copy and the delay of a write.
+const RETENTION_MS: u64 = 60_000;
+
+/// Upstreams that have left.
+#[derive(Default)]
+pub(super) struct DepartedUpstreams {
+    /// Last write of each upstream and the time at which it left, by id.
+    by_id: BTreeMap<String, (UpstreamWrite, Time)>,
+}
+
+impl DepartedUpstreams {
+    /// Records that an upstream has left.
+    pub(super) fn record_left(&mut self, now: Time, entry: &UpstreamEntry) {
+        self.by_id
+            .retain(|_, (_, at)| now.ms_since(*at) <= RETENTION_MS);
+        let last_write = UpstreamWrite::from_entry(entry);
+        self.by_id.insert(entry.id.clone(), (last_write, now));
+    }
+
+    /// Records a write of an upstream, which is back.
+    pub(super) fn record_written(&mut self, id: &str) {
+        self.by_id.remove(id);
+    }
+
+    /// Returns the last write of each upstream that has left.
+    pub(super) fn last_writes(&self) -> BTreeMap<String, UpstreamWrite> {
+        let last_writes = self.by_id.iter();
+        last_writes
+            .map(|(id, (last_write, _))| (id.clone(), *last_write))
+            .collect()
+    }
+
+    /// Returns the last write of an upstream that has left; `None` if that is not known.
+    pub(super) fn last_write(&self, now: Time, id: &str) -> Option<UpstreamWrite> {
+        let (last_write, left_at) = self.by_id.get(id)?;
+        (now.ms_since(*left_at) <= RETENTION_MS).then_some(*last_write)
+    }
+
+    /// Returns whether an upstream wrote `entry` before it left.
+    pub(super) fn is_late(&self, now: Time, entry: &UpstreamEntry) -> bool {
+        let last_write = self.last_write(now, &entry.id);
+        last_write.is_some_and(|last_write| is_late_write(entry, last_write))
+    }
+}
+
+/// Returns whether `entry` was written no later than `last_write`, the last write before the
+/// upstream left. Writes of different starts are not compared, since a clock that is set back makes
+/// a later start look earlier.
+pub(super) fn is_late_write(entry: &UpstreamEntry, last_write: UpstreamWrite) -> bool {
+    let write = UpstreamWrite::from_entry(entry);
+    write.incarnation == last_write.incarnation && write.sequence <= last_write.sequence
+}
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -11,9 +11,14 @@
 use hemlockrouter_edge::EntrySubject;
 use hemlockrouter_edge::HistoryPosition;
 use hemlockrouter_edge::RelayPage;
+use hemlockrouter_edge::UpstreamWrite;
 use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::UpstreamEntry;
+use log::info;
 use tokio::sync::Notify;
 
+use super::departed::is_late_write;
+use super::departed::DepartedUpstreams;
 use super::registry_reads::KnownState;
 use super::restore_overrides::OverrideCounts;
 use super::restore_overrides::RestoreOverrides;
@@ -49,6 +54,7 @@
     entries: BTreeMap<EntrySubject, Entry>,
     /// Entries that are trusted or refused in deviation from a restored registry.
     overrides: RestoreOverrides,
+    departed: DepartedUpstreams,
     changes: VecDeque<Entry>,
 }
 
@@ -113,6 +119,7 @@
             .iter()
             .filter(|entry| entry.revision > state.position.revision)
             .collect();
+        let newer = state.without_late_writes(now, newer);
         let effective_entries = state.effective_entries(&newer);
         for entry in &effective_entries {
             state.apply_entry(now, entry);
@@ -140,7 +147,8 @@
             false => {
                 // Another instance may have read the registry up to a later revision than this one
                 // and still hold older content.
-                let entries = keep_newer(&state.entries, entries, position.revision);
+                let mut entries = keep_newer(&state.entries, entries, position.revision);
+                entries.retain(|entry| !state.is_late(now, entry));
                 state.replace(now, &entries, is_restored);
                 state.overrides.reconcile_reread(&entries)
             }
@@ -165,7 +173,8 @@
     pub(super) fn expire_overrides(&self) -> Vec<EntryChange> {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let mut due_changes = state.overrides.expire_held(now);
+        let state = &mut *state;
+        let mut due_changes = state.overrides.expire_held(now, &mut state.departed);
         let refused = state.overrides.expire_refused(now);
         let registered = refused
             .iter()
@@ -277,7 +286,8 @@
 
     /// Returns the entries to use after the registry was restored from `copy`.
     fn reconcile_copy(&mut self, now: Time, copy: &[Entry]) -> Vec<Entry> {
-        self.overrides.reconcile_copy(now, &self.entries, copy)
+        self.overrides
+            .reconcile_copy(now, &self.entries, &self.departed, copy)
     }
 
     /// Replaces all entries. After a restore of the registry, the previous routes are kept unless
@@ -301,7 +311,7 @@
                     .entries
                     .contains_key(&EntrySubject::Upstream(upstream.id.clone()))
                 {
-                    self.overrides.record_left(now, &upstream);
+                    self.departed.record_left(now, &upstream);
                 }
             }
         }
@@ -323,6 +333,58 @@
         version(&self.entries.get(&EntrySubject::Routes)?.change)
     }
 
+    /// Removes the entries that upstreams wrote before they left and that the registry executed
+    /// afterwards.
+    fn without_late_writes<'e>(&self, now: Time, newer: Vec<&'e Entry>) -> Vec<&'e Entry> {
+        let mut left: BTreeMap<&str, UpstreamWrite> = BTreeMap::new();
+        let mut current = newer;
+        current.retain(|entry| match &entry.change {
+            EntryChange::UpstreamGone { id } => {
+                left.extend(
+                    self.last_write(id)
+                        .map(|last_write| (id.as_str(), last_write)),
+                );
+                true
+            }
+            EntryChange::Upstream(upstream) => {
+                let last_write = left.get(upstream.id.as_str()).copied();
+                let last_write = last_write.or_else(|| self.departed.last_write(now, &upstream.id));
+                let is_late = last_write.is_some_and(|last| is_late_write(upstream, last));
+                if is_late {
+                    log_late_write(upstream);
+                }
+                !is_late
+            }
+            _ => true,
+        });
+        current
+    }
+
+    /// Returns the last write of a registered upstream.
+    fn last_write(&self, id: &str) -> Option<UpstreamWrite> {
+        let entry = self
+            .entries
+            .get(&EntrySubject::Upstream(String::from(id)))?;
+        match &entry.change {
+            EntryChange::Upstream(upstream) => Some(UpstreamWrite::from_entry(upstream)),
+            _ => None,
+        }
+    }
+
+    /// Returns whether an upstream wrote an entry of a complete read before it left. Entries of a
+    /// restored copy have a rule of their own.
+    fn is_late(&self, now: Time, entry: &Entry) -> bool {
+        let EntryChange::Upstream(upstream) = &entry.change else {
+            return false;
+        };
+        let subject = EntrySubject::Upstream(upstream.id.clone());
+        let is_late = !self.overrides.is_refused(&subject) && self.departed.is_late(now, upstream);
+        if is_late {
+            log_late_write(upstream);
+        }
+        is_late
+    }
+
     /// Returns the entries of `newer` that change the known state.
     fn effective_entries(&self, newer: &[&Entry]) -> Vec<Entry> {
         let newer: Vec<(&Entry, Option<EntrySubject>)> = newer
@@ -351,6 +413,9 @@
         self.encoded = None;
         if let Some(subject) = entry.change.subject() {
             self.overrides.record_written(&subject);
+            if let EntryChange::Upstream(upstream) = &entry.change {
+                self.departed.record_written(&upstream.id);
+            }
             self.apply_subject(now, subject, entry);
         }
     }
@@ -376,11 +441,20 @@
         }
         let removed = self.entries.remove(&subject);
         if let Some(EntryChange::Upstream(upstream)) = removed.map(|entry| entry.change) {
-            self.overrides.record_left(now, &upstream);
+            self.departed.record_left(now, &upstream);
         }
     }
 }
 
+fn log_late_write(upstream: &UpstreamEntry) {
+    info!(
+        target: "belief",
+        upstream = upstream.id.as_str(),
+        sequence = upstream.sequence;
+        "late write of an upstream that has left"
+    );
+}
+
 /// Returns the version of routes; `None` for any other change.
 fn version(change: &EntryChange) -> Option<u64> {
     match change {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -20,6 +20,7 @@
 //! - `registry`: the client for the registry.
 //! - `read_applier`: applies what was read.
 //! - `mirror`: the local copy of the registry, also for followers.
+//! - `departed`: remembers upstreams that have left.
 //! - `restore_overrides`: handles a registry that was restored from a backup copy.
 //! - `relay`: the server for other instances: relays the registry and accepts batches.
 //! - `batches`: the client for instances that collect a part of a search.
@@ -34,6 +35,7 @@
 mod calls;
 mod collector;
 mod connection;
+mod departed;
 mod first_read;
 mod follower;
 mod instance;
--- a/src/direct/restore_overrides.rs
+++ b/src/direct/restore_overrides.rs
@@ -1,8 +1,7 @@
 //! Handles a registry that was restored from a backup copy, which may lack recent entries and
 //! contain outdated ones.
 //!
-//! [`reconcile()`] computes which entries to use. This module keeps its inputs, including the
-//! upstreams that have left recently, and limits how long its results apply.
+//! [`reconcile()`] computes which entries to use. This module limits how long its results apply.
 
 use std::collections::BTreeMap;
 
@@ -11,9 +10,9 @@
 use hemlockrouter_edge::EntryChange;
 use hemlockrouter_edge::EntrySubject;
 use hemlockrouter_edge::HeldEntry;
-use hemlockrouter_edge::UpstreamWrite;
 use hemlockrouter_types::prelude::*;
-use hemlockrouter_types::routing::UpstreamEntry;
+
+use super::departed::DepartedUpstreams;
 
 /// Time for which entries that a restored registry lacks are still used, in milliseconds. Upstreams
 /// that are alive and reach the registry have registered again by then.
@@ -23,15 +22,9 @@
 /// milliseconds. The registration of an upstream that no longer runs has expired by then.
 const REFUSED_UPSTREAMS_PERIOD_MS: u64 = 10_000;
 
-/// Time for which an upstream that has left is remembered, in milliseconds. It is longer than the
-/// age of a backup copy.
-const DEPARTED_RETENTION_MS: u64 = 60_000;
-
 /// Entries known before the registry was restored that still override the restored copy.
 #[derive(Default)]
 pub(super) struct RestoreOverrides {
-    /// Upstreams that have left, with their last write and the time at which they left.
-    departed: BTreeMap<String, (UpstreamWrite, Time)>,
     held: BTreeMap<EntrySubject, HeldEntry>,
     /// Upstreams of the copy that are not used, with the revisions of their entries.
     refused: BTreeMap<EntrySubject, u64>,
@@ -46,21 +39,10 @@
 }
 
 impl RestoreOverrides {
-    /// Records that an upstream has left.
-    pub(super) fn record_left(&mut self, now: Time, entry: &UpstreamEntry) {
-        self.departed
-            .retain(|_, (_, at)| now.ms_since(*at) <= DEPARTED_RETENTION_MS);
-        let last_write = UpstreamWrite::from_entry(entry);
-        self.departed.insert(entry.id.clone(), (last_write, now));
-    }
-
     /// Records a write to the registry, which ends any override for its subject.
     pub(super) fn record_written(&mut self, subject: &EntrySubject) {
         self.held.remove(subject);
         self.refused.remove(subject);
-        if let EntrySubject::Upstream(id) = subject {
-            self.departed.remove(id);
-        }
     }
 
     /// Reconciles a restored copy with `entries`, the previous content of the registry, and returns
@@ -69,15 +51,14 @@
         &mut self,
         now: Time,
         entries: &BTreeMap<EntrySubject, Entry>,
+        departed: &DepartedUpstreams,
         copy: &[Entry],
     ) -> Vec<Entry> {
         let mut known_entries = entries.clone();
         known_entries.retain(|subject, entry| self.refused.get(subject) != Some(&entry.revision));
         let held = std::mem::take(&mut self.held).into_iter();
         known_entries.extend(held.map(|(subject, held)| (subject, held.entry)));
-        let departed = self.departed.iter();
-        let departed = departed.map(|(id, (last_write, _))| (id.clone(), *last_write));
-        let reconciled = reconcile(&known_entries, &departed.collect(), copy);
+        let reconciled = reconcile(&known_entries, &departed.last_writes(), copy);
         self.held = reconciled.held;
         self.refused = reconciled.departed_upstreams;
         self.held_until = Some(now + HELD_ENTRIES_PERIOD_MS);
@@ -105,6 +86,11 @@
         used_entries
     }
 
+    /// Returns whether an entry of the copy is not used for a limited time.
+    pub(super) fn is_refused(&self, subject: &EntrySubject) -> bool {
+        self.refused.contains_key(subject)
+    }
+
     /// Returns how many entries override the copy.
     pub(super) fn counts(&self) -> OverrideCounts {
         OverrideCounts {
@@ -133,8 +119,12 @@
     }
 
     /// Ends the use of held entries if it is due, and returns the changes that take effect where no
-    /// newer entry was written.
-    pub(super) fn expire_held(&mut self, now: Time) -> Vec<EntryChange> {
+    /// newer entry was written. Upstreams among the entries are recorded in `departed`.
+    pub(super) fn expire_held(
+        &mut self,
+        now: Time,
+        departed: &mut DepartedUpstreams,
+    ) -> Vec<EntryChange> {
         if self.held_until.is_none_or(|until| now < until) {
             return Vec::new();
         }
@@ -142,7 +132,7 @@
         let mut due_changes = Vec::with_capacity(self.held.len());
         for held in std::mem::take(&mut self.held).into_values() {
             if let EntryChange::Upstream(upstream) = &held.entry.change {
-                self.record_left(now, upstream);
+                departed.record_left(now, upstream);
             }
             due_changes.push(held.fallback);
         }
