--- /dev/null
+++ b/src/direct/mirror/state.rs
@@ -0,0 +1,250 @@
+//! Content of the local copy of the registry, and the rules by which entries change it.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use hemlockrouter_edge::EncodedEntries;
+use hemlockrouter_edge::Entry;
+use hemlockrouter_edge::EntryChange;
+use hemlockrouter_edge::EntrySubject;
+use hemlockrouter_edge::HistoryPosition;
+use hemlockrouter_edge::UpstreamWrite;
+use hemlockrouter_types::prelude::*;
+use hemlockrouter_types::routing::UpstreamEntry;
+use log::info;
+
+use crate::direct::departed::is_late_write;
+use crate::direct::departed::DepartedUpstreams;
+use crate::direct::restore_overrides::RestoreOverrides;
+
+/// Maximum number of changes kept for followers. A follower that is further behind reads all
+/// entries again.
+const KEPT_CHANGES_MAX: usize = 4_096;
+
+/// Content of the local copy.
+#[derive(Default)]
+pub(super) struct MirrorState {
+    pub(super) position: HistoryPosition,
+    /// Revision after which all changes are kept.
+    pub(super) history_start: u64,
+    pub(super) contact_at: Option<Time>,
+    /// Relays that passed the last update on, starting with the instance that read the registry.
+    pub(super) path: Vec<String>,
+    /// Encoded form of all entries, and the position at which it was encoded.
+    pub(super) encoded: Option<(HistoryPosition, EncodedEntries)>,
+    /// Entries of the registry by subject.
+    pub(super) entries: BTreeMap<EntrySubject, Entry>,
+    /// Entries that are trusted or refused in deviation from a restored registry.
+    pub(super) overrides: RestoreOverrides,
+    pub(super) departed: DepartedUpstreams,
+    pub(super) changes: VecDeque<Entry>,
+}
+
+impl MirrorState {
+    /// Returns the kept changes after a revision.
+    pub(super) fn changes_after(&self, after: u64) -> impl Iterator<Item = &Entry> {
+        self.changes
+            .iter()
+            .filter(move |entry| entry.revision > after)
+    }
+
+    /// Returns all entries in encoded form, from a cache if it is current.
+    pub(super) fn encoded(&mut self) -> Result<EncodedEntries, rmp_serde::encode::Error> {
+        if let Some((position, encoded)) = &self.encoded {
+            if *position == self.position {
+                return Ok(encoded.clone());
+            }
+        }
+        let all_entries: Vec<Entry> = self.entries.values().cloned().collect();
+        let encoded = EncodedEntries::encode(&all_entries)?;
+        self.encoded = Some((self.position, encoded.clone()));
+        Ok(encoded)
+    }
+
+    /// Returns whether all changes after `after` are kept.
+    pub(super) fn has_history_since(&self, after: HistoryPosition) -> bool {
+        after.generation == self.position.generation && after.revision >= self.history_start
+    }
+
+    /// Returns the entries to use after the registry was restored from `copy`.
+    pub(super) fn reconcile_copy(&mut self, now: Time, copy: &[Entry]) -> Vec<Entry> {
+        self.overrides
+            .reconcile_copy(now, &self.entries, &self.departed, copy)
+    }
+
+    /// Replaces all entries. After a restore of the registry, the previous routes are kept unless
+    /// the copy holds routes that are not older, since routes never revert with the registry.
+    pub(super) fn replace(&mut self, now: Time, entries: &[Entry], is_restored: bool) {
+        let previous = std::mem::take(&mut self.entries);
+        self.changes.clear();
+        self.encoded = None;
+        for entry in entries {
+            if let Some(subject) = entry.change.subject().filter(|_| entry.change.is_present()) {
+                self.entries.insert(subject, entry.clone());
+            }
+        }
+        if is_restored {
+            self.keep_routes(previous);
+            return;
+        }
+        for entry in previous.into_values() {
+            if let EntryChange::Upstream(upstream) = entry.change {
+                if !self
+                    .entries
+                    .contains_key(&EntrySubject::Upstream(upstream.id.clone()))
+                {
+                    self.departed.record_left(now, &upstream);
+                }
+            }
+        }
+    }
+
+    /// Keeps the routes of `previous` unless the registry has a newer version.
+    fn keep_routes(&mut self, mut previous: BTreeMap<EntrySubject, Entry>) {
+        let Some(mut routes) = previous.remove(&EntrySubject::Routes) else {
+            return;
+        };
+        if self.routes_version() < version(&routes.change) {
+            // Revision 0 makes any later write to the registry count as newer.
+            routes.revision = 0;
+            self.entries.insert(EntrySubject::Routes, routes);
+        }
+    }
+
+    fn routes_version(&self) -> Option<u64> {
+        version(&self.entries.get(&EntrySubject::Routes)?.change)
+    }
+
+    /// Removes the entries that upstreams wrote before they left and that the registry executed
+    /// afterwards.
+    pub(super) fn without_late_writes<'e>(
+        &self,
+        now: Time,
+        newer: Vec<&'e Entry>,
+    ) -> Vec<&'e Entry> {
+        let mut left: BTreeMap<&str, UpstreamWrite> = BTreeMap::new();
+        let mut current = newer;
+        current.retain(|entry| match &entry.change {
+            EntryChange::UpstreamGone { id } => {
+                left.extend(
+                    self.last_write(id)
+                        .map(|last_write| (id.as_str(), last_write)),
+                );
+                true
+            }
+            EntryChange::Upstream(upstream) => {
+                let last_write = left.get(upstream.id.as_str()).copied();
+                let last_write = last_write.or_else(|| self.departed.last_write(now, &upstream.id));
+                let is_late = last_write.is_some_and(|last| is_late_write(upstream, last));
+                if is_late {
+                    log_late_write(upstream);
+                }
+                !is_late
+            }
+            _ => true,
+        });
+        current
+    }
+
+    /// Returns the last write of a registered upstream.
+    fn last_write(&self, id: &str) -> Option<UpstreamWrite> {
+        let entry = self
+            .entries
+            .get(&EntrySubject::Upstream(String::from(id)))?;
+        match &entry.change {
+            EntryChange::Upstream(upstream) => Some(UpstreamWrite::from_entry(upstream)),
+            _ => None,
+        }
+    }
+
+    /// Returns whether an upstream wrote an entry of a complete read before it left. Entries of a
+    /// restored copy have a rule of their own.
+    pub(super) fn is_late(&self, now: Time, entry: &Entry) -> bool {
+        let EntryChange::Upstream(upstream) = &entry.change else {
+            return false;
+        };
+        let subject = EntrySubject::Upstream(upstream.id.clone());
+        let is_late = !self.overrides.is_refused(&subject) && self.departed.is_late(now, upstream);
+        if is_late {
+            log_late_write(upstream);
+        }
+        is_late
+    }
+
+    /// Returns the entries of `newer` that change the known state.
+    pub(super) fn effective_entries(&self, newer: &[&Entry]) -> Vec<Entry> {
+        let newer: Vec<(&Entry, Option<EntrySubject>)> = newer
+            .iter()
+            .map(|entry| (*entry, entry.change.subject()))
+            .collect();
+        let mut last_revisions: BTreeMap<&EntrySubject, u64> = BTreeMap::new();
+        for (entry, subject) in &newer {
+            if let Some(subject) = subject {
+                last_revisions.insert(subject, entry.revision);
+            }
+        }
+        let is_effective = |entry: &Entry, subject: &EntrySubject| {
+            let known_entry = self.entries.get(subject);
+            let is_last = last_revisions.get(subject) == Some(&entry.revision);
+            is_last && known_entry.is_none_or(|known_entry| known_entry.revision < entry.revision)
+        };
+        let changing = newer.iter().filter(|(entry, subject)| {
+            let subject = subject.as_ref();
+            subject.is_none_or(|subject| is_effective(entry, subject))
+        });
+        changing.map(|(entry, _)| (*entry).clone()).collect()
+    }
+
+    pub(super) fn apply_entry(&mut self, now: Time, entry: &Entry) {
+        self.encoded = None;
+        if let Some(subject) = entry.change.subject() {
+            self.overrides.record_written(&subject);
+            if let EntryChange::Upstream(upstream) = &entry.change {
+                self.departed.record_written(&upstream.id);
+            }
+            self.apply_subject(now, subject, entry);
+        }
+    }
+
+    /// Adds a change to the history that is kept for followers.
+    pub(super) fn record_change(&mut self, entry: &Entry) {
+        self.changes.push_back(entry.clone());
+        if self.changes.len() > KEPT_CHANGES_MAX {
+            if let Some(dropped) = self.changes.pop_front() {
+                self.history_start = self.history_start.max(dropped.revision);
+            }
+        }
+    }
+
+    fn apply_subject(&mut self, now: Time, subject: EntrySubject, entry: &Entry) {
+        if entry.change.is_present() {
+            let is_older_routes =
+                subject == EntrySubject::Routes && version(&entry.change) < self.routes_version();
+            if !is_older_routes {
+                self.entries.insert(subject, entry.clone());
+            }
+            return;
+        }
+        let removed = self.entries.remove(&subject);
+        if let Some(EntryChange::Upstream(upstream)) = removed.map(|entry| entry.change) {
+            self.departed.record_left(now, &upstream);
+        }
+    }
+}
+
+fn log_late_write(upstream: &UpstreamEntry) {
+    info!(
+        target: "belief",
+        upstream = upstream.id.as_str(),
+        sequence = upstream.sequence;
+        "late write of an upstream that has left"
+    );
+}
+
+/// Returns the version of routes; `None` for any other change.
+fn version(change: &EntryChange) -> Option<u64> {
+    match change {
+        EntryChange::Routes(document) => Some(document.version),
+        _ => None,
+    }
+}
