--- a/hemlockrouter-cli/tests/direct/soak/mod.rs
+++ b/hemlockrouter-cli/tests/direct/soak/mod.rs
@@ -26,6 +26,7 @@
 
 use self::fault::Fault;
 use self::store::start_repeating_proxies;
+use self::store::IncompleteEntries;
 use self::store::OtherWriter;
 use self::store::StoreRestores;
 use crate::deployment::shards;
@@ -139,6 +140,15 @@
     if answer.status == Some(StatusCode::SERVICE_UNAVAILABLE) && !runs.is_empty() {
         return Err(format!("{path}: refused and ran: {answer:?}"));
     }
+    let is_search = *path == SEARCH_PATH;
+    let foreign = runs
+        .iter()
+        .find(|run| run.service.starts_with("shard-") != is_search);
+    if let Some(run) = foreign {
+        return Err(format!(
+            "{path}: run by another service: {run:?}: {answer:?}"
+        ));
+    }
     let mut upstreams: HashMap<&str, Vec<&str>> = HashMap::new();
     for run in &runs {
         let known = upstreams.entry(&run.service).or_default();
@@ -201,6 +211,9 @@
     let mut other_writer = OtherWriter {
         rng: StdRng::seed_from_u64(seed.rotate_left(48)),
     };
+    let mut incomplete_entries = IncompleteEntries {
+        rng: StdRng::seed_from_u64(seed.rotate_left(24)),
+    };
     let mut deployment = Deployment::start(DAEMON_COUNT);
     other_writer.fill_pages(&deployment);
     let _proxies = start_repeating_proxies(&deployment);
@@ -244,6 +257,7 @@
             .for_each(|(_, fault)| fault.undo(&mut deployment));
         store_restores.step(&mut deployment, &active_faults);
         other_writer.step(&deployment);
+        incomplete_entries.step(&deployment, &active_faults);
     }
     active_faults
         .into_iter()
--- a/hemlockrouter-cli/tests/direct/soak/store.rs
+++ b/hemlockrouter-cli/tests/direct/soak/store.rs
@@ -1,11 +1,13 @@
 //! What happens to the store during the soak test, besides its faults: restores, other writers and
 //! stale pages; and upstreams that repeat responses.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use hemlockrouter_corporation_lab::StoreCopy;
 use rand::rngs::StdRng;
 use rand::RngExt;
+use serde_json::json;
 
 use super::fault::Fault;
 use crate::deployment::Deployment;
@@ -28,6 +30,15 @@
 /// first page, which is always current.
 const STALE_PAGES_PROBABILITY: f64 = 0.3;
 
+/// The share of steps at which another writer leaves an incomplete entry.
+const INCOMPLETE_ENTRY_PROBABILITY: f64 = 0.3;
+
+/// The time until the upstream whose key has the incomplete entry writes its own entry again.
+const UNTIL_NEXT_WRITE: Duration = Duration::from_millis(100);
+
+/// The fields that an incomplete entry may lack: those that a decoder could do without.
+const OPTIONAL_LOOKING_FIELDS: [&str; 4] = ["version", "warmupLeftMs", "sequence", "born"];
+
 /// The share of responses that some upstreams send twice.
 const REPEATED_RESPONSE_SHARE: f64 = 0.05;
 
@@ -89,6 +100,54 @@
         .collect()
 }
 
+/// Another writer that leaves incomplete entries under the keys of upstreams.
+pub(super) struct IncompleteEntries {
+    pub(super) rng: StdRng,
+}
+
+impl IncompleteEntries {
+    /// At random, lets an entry that lacks a field name an upstream for another service, until the
+    /// upstream writes its own entry again.
+    pub(super) fn step(&mut self, deployment: &Deployment, active_faults: &[(Instant, Fault)]) {
+        if !self.rng.random_bool(INCOMPLETE_ENTRY_PROBABILITY) {
+            return;
+        }
+        let index = self.rng.random_range(0..deployment.upstreams.len());
+        let upstream = &deployment.upstreams[index];
+        let service = match upstream.service() {
+            "ledger" => "shard-0",
+            _ => "ledger",
+        };
+        let mut entry = json!({
+            "service": service, "address": upstream.address(), "zone": ZONES[0], "version": "v1",
+            "capacity": 2, "state": "ready", "warmupLeftMs": 0, "sequence": 1, "born": 1,
+        });
+        let field =
+            OPTIONAL_LOOKING_FIELDS[self.rng.random_range(0..OPTIONAL_LOOKING_FIELDS.len())];
+        let fields = entry.as_object_mut().expect("it is an object");
+        fields.remove(field);
+        let key = format!("servers/{}", upstream.id());
+        deployment.store.put(&key, entry.to_string().as_bytes());
+        std::thread::sleep(UNTIL_NEXT_WRITE);
+        let is_active = |is_kind: fn(&Fault) -> Option<usize>| {
+            let mut faults = active_faults.iter();
+            faults.any(|(_, fault)| is_kind(fault) == Some(index))
+        };
+        let has_left = is_active(|fault| match fault {
+            Fault::Replace(index) => Some(*index),
+            _ => None,
+        });
+        let is_draining = is_active(|fault| match fault {
+            Fault::Drain(index) => Some(*index),
+            _ => None,
+        });
+        match has_left {
+            true => upstream.unregister(&deployment.store),
+            false => upstream.register(&deployment.store, is_draining),
+        }
+    }
+}
+
 /// Repeats the writes of operators and upstreams that the restored store lacks.
 fn repeat_writes(deployment: &mut Deployment, active_faults: &[(Instant, Fault)]) {
     for upstream in &deployment.upstreams {
