--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -316,9 +316,9 @@
 }
 
 /// Keeps accepting requests for a part of the shutdown time, then closes the callers' port and
-/// their connections, idle ones first. Requests that have not ended shortly before the shutdown time is over get their
-/// final answer then. Waits until all connections are closed and all requests have ended, or the
-/// shutdown time is over.
+/// their connections, idle ones first. Requests that have not ended shortly before the shutdown
+/// time is over get their final answer then. Waits until all connections are closed and all
+/// requests have ended, or the shutdown time is over.
 async fn shut_down(
     settings: &DirectSettings,
     callers: &CallerServer,
