Tidy the tests of planned stops after a last reading

The caller's plain connection has a file of its own, a behaviour for all upstreams is set in one place, and the soak's look at active faults is plainer. The checks are unchanged.

--- a/hemlockrouter-cli/tests/direct/deployment.rs
+++ b/hemlockrouter-cli/tests/direct/deployment.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hemlockrouter_corporation_lab::Behaviour;
 use hemlockrouter_corporation_lab::CallResult;
 use hemlockrouter_corporation_lab::Caller;
 use hemlockrouter_corporation_lab::Ledger;
@@ -202,6 +203,13 @@
         status["version"].as_u64()
     }
 
+    /// Replaces the behaviour of all upstreams.
+    pub(crate) fn set_behaviour(&self, behaviour: Behaviour) {
+        for upstream in &self.upstreams {
+            upstream.set_behaviour(behaviour);
+        }
+    }
+
     /// Returns the log of a daemon.
     pub(crate) fn log(&self, index: usize) -> String {
         fs::read_to_string(self.daemons[index].log(&self.dir)).unwrap_or_default()
--- a/hemlockrouter-cli/tests/direct/faults.rs
+++ b/hemlockrouter-cli/tests/direct/faults.rs
@@ -72,12 +72,10 @@
 #[test]
 fn booking_with_a_lost_response_runs_once() {
     let deployment = Deployment::start(1);
-    for upstream in &deployment.upstreams {
-        upstream.set_behaviour(Behaviour {
-            lost_response_permille: 500,
-            ..Behaviour::default()
-        });
-    }
+    deployment.set_behaviour(Behaviour {
+        lost_response_permille: 500,
+        ..Behaviour::default()
+    });
     let mut lost_count = 0;
     for _ in 0..60 {
         let answer = deployment.call(0, BOOK_PATH, 1_000);
@@ -91,12 +89,10 @@
 #[test]
 fn refused_request_has_not_run_and_gets_retry_after() {
     let deployment = Deployment::start(1);
-    for upstream in &deployment.upstreams {
-        upstream.set_behaviour(Behaviour {
-            reject_permille: 900,
-            ..Behaviour::default()
-        });
-    }
+    deployment.set_behaviour(Behaviour {
+        reject_permille: 900,
+        ..Behaviour::default()
+    });
     let mut refused_count = 0;
     for _ in 0..60 {
         let answer = deployment.call(0, BOOK_PATH, 1_000);
@@ -257,12 +253,10 @@
 #[test]
 fn graceful_shutdown_interrupts_no_request() {
     let mut deployment = Deployment::start(1);
-    for upstream in &deployment.upstreams {
-        upstream.set_behaviour(Behaviour {
-            work_duration: Duration::from_millis(40),
-            ..Behaviour::default()
-        });
-    }
+    deployment.set_behaviour(Behaviour {
+        work_duration: Duration::from_millis(40),
+        ..Behaviour::default()
+    });
     let to = deployment.daemons[0].callers;
     let ledger = deployment.ledger.clone();
     let caller_task = deployment.runtime.spawn(async move {
@@ -292,9 +286,7 @@
 #[test]
 fn request_of_a_disconnected_caller_does_not_run() {
     let deployment = Deployment::start(1);
-    for upstream in &deployment.upstreams {
-        upstream.set_behaviour(silent_behaviour());
-    }
+    deployment.set_behaviour(silent_behaviour());
     let mut caller = Caller::new(HOST, &deployment.ledger);
     let to = deployment.daemons[0].callers;
     let caller_task = caller.call(to, LOOK_UP_PATH, 5_000, None);
--- a/hemlockrouter-cli/tests/direct/soak/store.rs
+++ b/hemlockrouter-cli/tests/direct/soak/store.rs
@@ -129,18 +129,12 @@
         let key = format!("servers/{}", upstream.id());
         deployment.store.put(&key, entry.to_string().as_bytes());
         std::thread::sleep(UNTIL_NEXT_WRITE);
-        let is_active = |is_kind: fn(&Fault) -> Option<usize>| {
-            let mut faults = active_faults.iter();
-            faults.any(|(_, fault)| is_kind(fault) == Some(index))
-        };
-        let has_left = is_active(|fault| match fault {
-            Fault::Replace(index) => Some(*index),
-            _ => None,
-        });
-        let is_draining = is_active(|fault| match fault {
-            Fault::Drain(index) => Some(*index),
-            _ => None,
-        });
+        let has_left = active_faults
+            .iter()
+            .any(|(_, fault)| matches!(fault, Fault::Replace(other) if *other == index));
+        let is_draining = active_faults
+            .iter()
+            .any(|(_, fault)| matches!(fault, Fault::Drain(other) if *other == index));
         match has_left {
             true => upstream.unregister(&deployment.store),
             false => upstream.register(&deployment.store, is_draining),
--- a/hemlockrouter-cli/tests/direct/stops.rs
+++ b/hemlockrouter-cli/tests/direct/stops.rs
@@ -2,11 +2,8 @@
 //!
 //! `HEMLOCK_STOPS_SEEDS=100..150` selects other seeds than those that CI runs.
 
-use std::io::ErrorKind;
-use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::net::TcpStream;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -21,6 +18,8 @@
 use rand::SeedableRng;
 use serde_json::Value;
 
+use crate::caller_connection::CallerConnection;
+use crate::caller_connection::Exchange;
 use crate::deployment::eventually;
 use crate::deployment::Deployment;
 use crate::deployment::BOOK_PATH;
@@ -40,9 +39,6 @@
 /// busy machine.
 const STOP_MAX: Duration = Duration::from_millis(4_500);
 
-/// The time for which a caller waits for an answer.
-const READ_TIMEOUT: Duration = Duration::from_secs(8);
-
 /// The time from SIGTERM until idle connections are closed.
 const CLOSING_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -50,81 +46,6 @@
 /// a margin for a busy machine.
 const PORT_CLOSE_MARGIN: Duration = Duration::from_millis(400);
 
-/// A caller's connection, on which requests are written and answers read as plain text.
-struct CallerConnection {
-    stream: TcpStream,
-    answers: usize,
-}
-
-/// The end of one request.
-#[derive(Debug)]
-enum Exchange {
-    /// The connection had been closed before the request was sent.
-    NotSent,
-    /// A complete answer, with its status, and whether the connection is closed after it.
-    Answered { status: u16, closes: bool },
-    /// The connection ended without a complete answer.
-    Cut,
-}
-
-impl CallerConnection {
-    fn open(address: SocketAddr) -> Option<CallerConnection> {
-        let stream = TcpStream::connect(address).ok()?;
-        stream.set_nodelay(true).ok()?;
-        stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
-        Some(CallerConnection { stream, answers: 0 })
-    }
-
-    /// Returns whether the other end has closed the connection, as far as this end knows.
-    fn is_closed(&self) -> bool {
-        if self.stream.set_nonblocking(true).is_err() {
-            return true;
-        }
-        let peeked = self.stream.peek(&mut [0]);
-        let is_open = peeked.is_err_and(|err| err.kind() == ErrorKind::WouldBlock);
-        self.stream.set_nonblocking(false).is_err() || !is_open
-    }
-
-    fn call(&mut self, path: &str, attempt_id: &str, deadline_ms: u64) -> Exchange {
-        if self.is_closed() {
-            return Exchange::NotSent;
-        }
-        let request = format!(
-            "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nHemlockrouter-Attempt-Id: {attempt_id}\r\n\
-             Hemlockrouter-Deadline-Ms: {deadline_ms}\r\n\r\n"
-        );
-        if self.stream.write_all(request.as_bytes()).is_err() {
-            return Exchange::Cut;
-        }
-        let answered = self.read_answer();
-        self.answers += 1;
-        answered.unwrap_or(Exchange::Cut)
-    }
-
-    /// Reads one complete answer with a `Content-Length`.
-    fn read_answer(&mut self) -> Option<Exchange> {
-        let mut answer = Vec::new();
-        let mut chunk = [0; 4_096];
-        loop {
-            if let Some(end) = answer.windows(4).position(|text| text == b"\r\n\r\n") {
-                let head = String::from_utf8_lossy(&answer[..end]).to_ascii_lowercase();
-                let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
-                let body_bytes: usize = field("content-length: ")?.trim().parse().ok()?;
-                if answer.len() >= end + 4 + body_bytes {
-                    let status = head.split(' ').nth(1)?.parse().ok()?;
-                    let closes = field("connection: ").is_some_and(|value| value == "close");
-                    return Some(Exchange::Answered { status, closes });
-                }
-            }
-            let read = self.stream.read(&mut chunk).ok()?;
-            if read == 0 {
-                return None;
-            }
-            answer.extend_from_slice(&chunk[..read]);
-        }
-    }
-}
-
 fn new_attempt_id() -> String {
     format!("{:016x}", rand::random::<u64>())
 }
@@ -259,12 +180,10 @@
 #[test]
 fn new_connections_do_not_prolong_a_stop() {
     let mut deployment = Deployment::start(1);
-    for upstream in &deployment.upstreams {
-        upstream.set_behaviour(Behaviour {
-            work_duration: Duration::from_millis(100),
-            ..Behaviour::default()
-        });
-    }
+    deployment.set_behaviour(Behaviour {
+        work_duration: Duration::from_millis(100),
+        ..Behaviour::default()
+    });
     let address = deployment.daemons[0].callers;
     deployment.daemons[0].signal("TERM");
     let signalled_at = Instant::now();
--- a/hemlockrouter-cli/tests/direct/torn.rs
+++ b/hemlockrouter-cli/tests/direct/torn.rs
@@ -117,12 +117,10 @@
 #[test]
 fn response_without_signature_is_not_a_success() {
     let deployment = Deployment::start(1);
-    for upstream in &deployment.upstreams {
-        upstream.set_behaviour(Behaviour {
-            unsigned_response_permille: 1_000,
-            ..Behaviour::default()
-        });
-    }
+    deployment.set_behaviour(Behaviour {
+        unsigned_response_permille: 1_000,
+        ..Behaviour::default()
+    });
     for path in [BOOK_PATH, LOOK_UP_PATH, SEARCH_PATH] {
         for _ in 0..REQUESTS_PER_KIND {
             let answer = deployment.call(0, path, 800);
