Close the callers' port of a stop once callers open no more connections

Cause: a stop closed the port after half of the shutdown time, whether or not callers still opened connections. The kernel resets connections whose handshake has not ended; accepting the queue first does not reach them.

After half of the shutdown time only idle connections are closed now. The port is closed once no connection was opened for 500 ms, or when the time left does not suffice for a request of any route. Both forms of dispatch use the same rule.

--- a/hemlockrouter-cli/tests/e2e/stops.rs
+++ b/hemlockrouter-cli/tests/e2e/stops.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use hemlockrouter_lab::upstream::UpstreamBehaviour;
 
@@ -15,6 +16,9 @@
 /// after the signal, and a connection without a request 1 s after it was opened.
 const CONNECT_AFTER: Duration = Duration::from_millis(1_500);
 
+/// The time after SIGTERM until which the caller opens connections.
+const CONNECT_UNTIL: Duration = Duration::from_millis(3_500);
+
 /// A shutdown time that is shorter than the deadline of a search, in milliseconds.
 const SHORT_SHUTDOWN_MS: u64 = 2_500;
 
@@ -58,3 +62,23 @@
     let answer = caller.join().expect("the caller has not panicked");
     assert!(answer.starts_with("HTTP/1.1 408"), "{answer:?}");
 }
+
+/// Guards against a port that is closed while callers still open connections, so that those that are
+/// being opened are reset.
+#[test]
+fn callers_that_still_connect_when_idle_connections_are_closed_are_served() {
+    let mut cluster = Cluster::start(Layout::new());
+    let address = cluster.callers()[0];
+    let caller = thread::spawn(move || {
+        let started_at = Instant::now();
+        let caller = Caller::for_teachers();
+        while started_at.elapsed() < CONNECT_UNTIL {
+            // `search` panics if there is no answer.
+            let (status, body) = caller.search(address, "new");
+            assert_eq!(status, 200, "{body}");
+            thread::sleep(Duration::from_millis(50));
+        }
+    });
+    assert!(cluster.instances[0].shut_down().success());
+    caller.join().expect("each search is answered");
+}
--- a/hemlockrouter-route/src/direct/table.rs
+++ b/hemlockrouter-route/src/direct/table.rs
@@ -95,6 +95,13 @@
         self.routes
     }
 
+    /// Returns the shortest target latency of a route, in milliseconds; 0 without routes.
+    pub fn target_latency_min_ms(&self) -> u64 {
+        let routes = self.hosts.values().flat_map(HashMap::values);
+        let latencies_ms = routes.map(|route| route.entry.target_latency_ms);
+        latencies_ms.min().unwrap_or(0)
+    }
+
     /// Returns the sets of shards that searches are sent to.
     pub(super) fn searches(&self) -> impl Iterator<Item = &[ServiceKey]> {
         self.searches.iter().map(Vec::as_slice)
--- a/src/direct/callers.rs
+++ b/src/direct/callers.rs
@@ -29,6 +29,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::listener;
 use super::listener::build_response;
@@ -86,17 +87,16 @@
 }
 
 impl CallerServer {
-    /// Accepts connections until a shutdown closes them, and then closes the port. Otherwise new
-    /// connections would keep the instance running until its time is over. The task lasts as long
-    /// as the process.
+    /// Accepts connections until a shutdown closes the port. The task lasts as long as the process.
     pub(super) async fn accept(self: Rc<CallerServer>, listener: TcpListener) {
-        let mut phase = self.phase.clone();
-        let accept = listener::accept(&listener, "callers", |stream, peer| {
-            self.start_serving(stream, peer)
-        });
-        tokio::select! {
-            () = accept => {}
-            _ = phase.wait_for(|phase| *phase == ShutdownPhase::Closing) => {}
+        let mut accepted_at = Instant::now();
+        loop {
+            let (stream, peer) = tokio::select! {
+                accepted = listener::accept_one(&listener, "callers") => accepted,
+                () = port::wait_to_close(self.phase.clone(), accepted_at) => break,
+            };
+            accepted_at = Instant::now();
+            tokio::task::spawn_local(self.start_serving(stream, peer));
         }
         for stream in port::close(listener) {
             if let Ok(peer) = stream.peer_addr() {
--- a/src/direct/collector.rs
+++ b/src/direct/collector.rs
@@ -64,7 +64,7 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<Response<FrameStream>, StatusCode> {
-        if !self.node.is_configured() || *self.phase.borrow() == ShutdownPhase::Closing {
+        if !self.node.is_configured() || self.phase.borrow().is_closing() {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
         let body = Limited::new(request.into_body(), BATCH_CALL_MAX_BYTES);
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -11,6 +11,7 @@
 use hemlockrouter_member::RegistryTiming;
 use hemlockrouter_route::direct::Config;
 use hemlockrouter_route::direct::RepeatBound;
+use hemlockrouter_route::direct::RouteTable;
 use hemlockrouter_route::direct::SearchDivision;
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::InstanceEntry;
@@ -22,6 +23,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 
 use super::answer_memory::AnswerMemory;
 use super::batches::BatchClient;
@@ -38,6 +40,7 @@
 use super::operators::OperatorServer;
 use super::relay::RelayServer;
 use super::request_log::RequestLog;
+use crate::edge::caller_stream::FIRST_REQUEST_MAX;
 use crate::edge::phase::ShutdownPhase;
 use crate::instance::ShutdownOutcome;
 use crate::metrics::Metrics;
@@ -315,23 +318,25 @@
     }
 }
 
-/// Keeps accepting requests for a part of the shutdown time, then closes the callers' port and
-/// their connections, idle ones first. Requests that have not ended shortly before the shutdown
-/// time is over get their final answer then. Waits until all connections are closed and all
-/// requests have ended, or the shutdown time is over.
+/// Keeps accepting requests for a part of the shutdown time, then closes the callers' connections,
+/// idle ones first, and their port once they open no more. Requests that have not ended shortly
+/// before the shutdown time is over get their final answer then. Waits until all connections are
+/// closed and all requests have ended, or the shutdown time is over.
 async fn shut_down(
     settings: &DirectSettings,
     callers: &CallerServer,
     phase: &watch::Sender<ShutdownPhase>,
 ) -> ShutdownOutcome {
-    let started_at = tokio::time::Instant::now();
+    let started_at = Instant::now();
     let answer_timeout_ms = settings
         .shutdown_ms
         .saturating_sub(SHUTDOWN_ANSWER_MARGIN_MS);
     callers.node.start_shutdown(answer_timeout_ms);
     let accept_period_ms = (settings.shutdown_ms as f64 * SHUTDOWN_ACCEPT_FRACTION) as u64;
     tokio::time::sleep(Duration::from_millis(accept_period_ms)).await;
-    phase.send_replace(ShutdownPhase::Closing);
+    phase.send_replace(ShutdownPhase::Closing {
+        port_open_until: started_at + port_open_period(&callers.node.table(), answer_timeout_ms),
+    });
     let drain_timeout =
         Duration::from_millis(settings.shutdown_ms.saturating_sub(SHUTDOWN_EXIT_MARGIN_MS));
     while callers.is_open() || callers.node.pending() > 0 {
@@ -348,6 +353,14 @@
     ShutdownOutcome::Finished
 }
 
+/// Returns the longest time for which a shutdown accepts connections: as long as there is time to
+/// send a first request and to get its answer within the shortest target latency.
+fn port_open_period(table: &RouteTable, answer_timeout_ms: u64) -> Duration {
+    let answer_timeout = Duration::from_millis(answer_timeout_ms);
+    let target_latency = Duration::from_millis(table.target_latency_min_ms());
+    answer_timeout.saturating_sub(target_latency + FIRST_REQUEST_MAX)
+}
+
 /// Returns the timing of the registry follower. Changes must be known within the shortest of the
 /// bounds that start at the registry's acknowledgement.
 fn follower_timing(settings: &DirectSettings) -> RegistryTiming {
--- a/src/direct/listener.rs
+++ b/src/direct/listener.rs
@@ -38,11 +38,22 @@
     S: FnMut(TcpStream, SocketAddr) -> F,
     F: Future<Output = ()> + 'static,
 {
+    loop {
+        let (stream, peer) = accept_one(listener, port).await;
+        tokio::task::spawn_local(serve(stream, peer));
+    }
+}
+
+/// Accepts one connection. Failures are logged and repeated.
+pub(super) async fn accept_one(
+    listener: &TcpListener,
+    port: &'static str,
+) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 send_at_once(&stream);
-                tokio::task::spawn_local(serve(stream, peer));
+                return (stream, peer);
             }
             Err(err) => {
                 warn!(port = port, why = err.to_string(); "can't accept a connection");
--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -35,7 +35,7 @@
 const LINGER_MAX: Duration = Duration::from_millis(300);
 
 /// Maximum time for which a connection without a request is kept once idle connections are closed.
-const FIRST_REQUEST_MAX: Duration = Duration::from_millis(300);
+pub(crate) const FIRST_REQUEST_MAX: Duration = Duration::from_millis(300);
 
 /// Size of the buffer for discarded data, in bytes.
 const DISCARD_BUFFER_BYTES: usize = 1 << 10;
@@ -82,9 +82,7 @@
     /// opened for one that is on its way, so it is closed later.
     pub(crate) async fn wait_to_close(&self, mut phase: watch::Receiver<ShutdownPhase>) {
         // An error means that the server is gone, and the connection is closed then as well.
-        let _ = phase
-            .wait_for(|phase| *phase == ShutdownPhase::Closing)
-            .await;
+        let _ = phase.wait_for(|phase| phase.is_closing()).await;
         if !self.0.has_request.load(Ordering::Relaxed) {
             tokio::time::sleep(FIRST_REQUEST_MAX).await;
         }
@@ -112,7 +110,7 @@
     }
 
     fn is_closed_by_shutdown(&self) -> bool {
-        *self.phase.borrow() == ShutdownPhase::Closing && !self.state.is_close_announced()
+        self.phase.borrow().is_closing() && !self.state.is_close_announced()
     }
 
     fn poll_respond(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -306,9 +306,10 @@
         if state.should_close_callers(now) {
             if let Some(callers) = self.callers.take() {
                 let mailbox = self.mailbox.clone();
+                let answer_timeout_ms = state.final_answers_in_ms(now);
                 let wait_ms = state.remaining_ms(now);
                 thread::spawn(move || {
-                    callers.close(wait_ms);
+                    callers.close(answer_timeout_ms, wait_ms);
                     mailbox.put(Event::CallersClosed);
                 });
             }
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -2,8 +2,8 @@
 //!
 //! In the first phase the instance reports that it is not ready but still serves callers, so that
 //! the platform's load balancer directs them elsewhere before any connection is refused. In the
-//! second phase the callers' port is closed, and the requests in flight are finished. Shortly before
-//! the end, those that are still in flight get their final answer.
+//! second phase idle connections are closed, the callers' port is closed once callers open no more
+//! connections, and the requests in flight are finished. Shortly before the end, those that are still in flight get their final answer.
 
 use hemlockrouter_config::settings::Timing;
 use hemlockrouter_types::Time;
@@ -47,6 +47,11 @@
         now >= self.end_at
     }
 
+    /// Returns the time until requests in flight get their final answer, in milliseconds.
+    pub(crate) fn final_answers_in_ms(&self, now: Time) -> u64 {
+        self.final_answers_at.remaining_ms(now)
+    }
+
     /// Returns the time until the shutdown times out, in milliseconds.
     pub(crate) fn remaining_ms(&self, now: Time) -> u64 {
         self.end_at.remaining_ms(now)
