Take no repeated registration for a late write of its upstream

An upstream that lapsed and registered again while an instance started would get no requests from that instance's followers. Found by reading; no report.

Cause: the watch repeats changes that a first read already contained. A repeated removal was taken to follow the known entry, which is the later registration; the repeated registration then counted as a late write and was left out of the history for followers, which holds the removal.

Evidence: the new test asks the relay as a follower would.

The last write is now compared with an entry only if the known entry has an earlier revision. Late writes are recognized in a module of their own.

--- a/hemlockrouter-cli/tests/direct/in_force.rs
+++ b/hemlockrouter-cli/tests/direct/in_force.rs
@@ -202,6 +202,36 @@
     assert!(elapsed < IN_FORCE_WITHIN, "{elapsed:?}");
 }
 
+/// Guards against followers that learn of an upstream's removal, but not of its registration after
+/// that, since their relay found both in its first read and takes the registration for a late write
+/// when the store repeats it.
+#[test]
+fn registration_newer_than_the_first_read_is_passed_on_to_followers() {
+    let mut deployment = Deployment::start(1);
+    // With 60 entries behind them, the upstreams are on the first page.
+    for number in 0..60 {
+        deployment.store.put(&format!("zz/{number:02}"), b"filler");
+    }
+    deployment.store.freeze_stale_pages();
+    let follower_revision = deployment.store.revision();
+    let mut upstreams = deployment.upstreams.iter();
+    let upstream = upstreams.find(|upstream| upstream.service() == "ledger");
+    let upstream = upstream.expect("the service has upstreams");
+    upstream.unregister(&deployment.store);
+    upstream.register(&deployment.store, false);
+    deployment.daemons[0].kill();
+    deployment.start_daemon(0);
+    deployment.wait_ready(0);
+    let relay = deployment.daemons[0].relay;
+    let url = format!("http://{relay}/changes/1/{follower_revision}?age_ms=0&wait_ms=100");
+    eventually("a follower gets the registration", || {
+        let answer = ureq::get(&url).call();
+        let page = answer.and_then(|mut answer| answer.body_mut().read_to_vec());
+        let page = page.expect("the relay answers");
+        page.windows(6).any(|text| text == b"ledger")
+    });
+}
+
 /// Guards against the loss of a change during the first read of the store. The pages of this read
 /// are not a snapshot: the first page can be newer than the others.
 #[test]
--- a/src/direct/departed.rs
+++ b/src/direct/departed.rs
@@ -47,18 +47,4 @@
         let (last_write, left_at) = self.by_id.get(id)?;
         (now.ms_since(*left_at) <= RETENTION_MS).then_some(*last_write)
     }
-
-    /// Returns whether an upstream wrote `entry` before it left.
-    pub(super) fn is_late(&self, now: Time, entry: &UpstreamEntry) -> bool {
-        let last_write = self.last_write(now, &entry.id);
-        last_write.is_some_and(|last_write| is_late_write(entry, last_write))
-    }
-}
-
-/// Returns whether `entry` was written no later than `last_write`, the last write before the
-/// upstream left. Writes of different starts are not compared, since a clock that is set back makes
-/// a later start look earlier.
-pub(super) fn is_late_write(entry: &UpstreamEntry, last_write: UpstreamWrite) -> bool {
-    let write = UpstreamWrite::from_entry(entry);
-    write.incarnation == last_write.incarnation && write.sequence <= last_write.sequence
 }
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -119,8 +119,11 @@
             false => {
                 // Another instance may have read the registry up to a later revision than this one
                 // and still hold older content.
-                let mut entries = keep_newer(&state.entries, entries, position.revision);
-                entries.retain(|entry| !state.is_late(now, entry));
+                let entries = keep_newer(&state.entries, entries, position.revision);
+                let entries = entries.into_iter();
+                let entries: Vec<Entry> = entries
+                    .filter_map(|entry| state.current_entry(now, entry))
+                    .collect();
                 state.replace(now, &entries, is_restored);
                 state.overrides.reconcile_reread(&entries)
             }
--- a/src/direct/mirror/state.rs
+++ b/src/direct/mirror/state.rs
@@ -10,11 +10,10 @@
 use hemlockrouter_edge::HistoryPosition;
 use hemlockrouter_edge::UpstreamWrite;
 use hemlockrouter_types::prelude::*;
-use hemlockrouter_types::routing::UpstreamEntry;
-use log::info;
 
-use crate::direct::departed::is_late_write;
 use crate::direct::departed::DepartedUpstreams;
+use crate::direct::late_writes::ChangeSeries;
+use crate::direct::late_writes::LastWrite;
 use crate::direct::restore_overrides::RestoreOverrides;
 
 /// Maximum number of changes kept for followers. A follower that is further behind reads all
@@ -115,60 +114,57 @@
         version(&self.entries.get(&EntrySubject::Routes)?.change)
     }
 
-    /// Removes the entries that upstreams wrote before they left and that the registry executed
-    /// afterwards.
+    /// Removes late writes of upstreams from a series of changes.
     pub(super) fn without_late_writes<'e>(
         &self,
         now: Time,
-        newer: Vec<&'e Entry>,
+        mut changes: Vec<&'e Entry>,
     ) -> Vec<&'e Entry> {
-        let mut left: BTreeMap<&str, UpstreamWrite> = BTreeMap::new();
-        let mut current = newer;
-        current.retain(|entry| match &entry.change {
-            EntryChange::UpstreamGone { id } => {
-                left.extend(
-                    self.last_write(id)
-                        .map(|last_write| (id.as_str(), last_write)),
-                );
-                true
-            }
-            EntryChange::Upstream(upstream) => {
-                let last_write = left.get(upstream.id.as_str()).copied();
-                let last_write = last_write.or_else(|| self.departed.last_write(now, &upstream.id));
-                let is_late = last_write.is_some_and(|last| is_late_write(upstream, last));
-                if is_late {
-                    log_late_write(upstream);
-                }
-                !is_late
-            }
-            _ => true,
+        let mut series = ChangeSeries::default();
+        changes.retain(|entry| {
+            let last_write = |id: &str| self.last_write(now, id, entry.revision);
+            !series.is_late(&entry.change, last_write)
         });
-        current
+        changes
     }
 
-    /// Returns the last write of a registered upstream.
-    fn last_write(&self, id: &str) -> Option<UpstreamWrite> {
-        let entry = self
-            .entries
-            .get(&EntrySubject::Upstream(String::from(id)))?;
-        match &entry.change {
-            EntryChange::Upstream(upstream) => Some(UpstreamWrite::from_entry(upstream)),
-            _ => None,
+    /// Returns the entry to use for an entry of a complete read: the known one if that of the read is
+    /// a late write of a registered upstream, and none if it is one of an upstream that has left.
+    /// Entries of a restored copy have a rule of their own.
+    pub(super) fn current_entry(&self, now: Time, entry: Entry) -> Option<Entry> {
+        let EntryChange::Upstream(upstream) = &entry.change else {
+            return Some(entry);
+        };
+        let subject = EntrySubject::Upstream(upstream.id.clone());
+        if self.overrides.is_refused(&subject) {
+            return Some(entry);
         }
+        let last_write = self.last_write(now, &upstream.id, entry.revision);
+        let Some(last_write) = last_write.filter(|last_write| last_write.is_late(upstream)) else {
+            return Some(entry);
+        };
+        last_write.log_late(upstream);
+        let known_entry = self.entries.get(&subject)?;
+        Some(Entry {
+            revision: entry.revision,
+            ..known_entry.clone()
+        })
     }
 
-    /// Returns whether an upstream wrote an entry of a complete read before it left. Entries of a
-    /// restored copy have a rule of their own.
-    pub(super) fn is_late(&self, now: Time, entry: &Entry) -> bool {
-        let EntryChange::Upstream(upstream) = &entry.change else {
-            return false;
+    /// Returns the last write of an upstream before `revision`; `None` if it is not known, or if the
+    /// known entry has this or a later revision, so that the registry repeats an earlier change.
+    fn last_write(&self, now: Time, id: &str, revision: u64) -> Option<LastWrite> {
+        let known_entry = self.entries.get(&EntrySubject::Upstream(String::from(id)));
+        let Some(known_entry) = known_entry else {
+            return self.departed.last_write(now, id).map(LastWrite::Left);
         };
-        let subject = EntrySubject::Upstream(upstream.id.clone());
-        let is_late = !self.overrides.is_refused(&subject) && self.departed.is_late(now, upstream);
-        if is_late {
-            log_late_write(upstream);
+        match &known_entry.change {
+            EntryChange::Upstream(upstream) if known_entry.revision < revision => {
+                let write = UpstreamWrite::from_entry(upstream);
+                Some(LastWrite::Registered(write))
+            }
+            _ => None,
         }
-        is_late
     }
 
     /// Returns the entries of `newer` that change the known state.
@@ -232,15 +228,6 @@
     }
 }
 
-fn log_late_write(upstream: &UpstreamEntry) {
-    info!(
-        target: "belief",
-        upstream = upstream.id.as_str(),
-        sequence = upstream.sequence;
-        "late write of an upstream that has left"
-    );
-}
-
 /// Returns the version of routes; `None` for any other change.
 fn version(change: &EntryChange) -> Option<u64> {
     match change {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -21,6 +21,7 @@
 //! - `read_applier`: applies what was read.
 //! - `mirror`: the local copy of the registry, also for followers.
 //! - `departed`: remembers upstreams that have left.
+//! - `late_writes`: recognizes writes of upstreams that the registry executed late.
 //! - `restore_overrides`: handles a registry that was restored from a backup copy.
 //! - `relay`: the server for other instances: relays the registry and accepts batches.
 //! - `batches`: the client for instances that collect a part of a search.
@@ -39,6 +40,7 @@
 mod first_read;
 mod follower;
 mod instance;
+mod late_writes;
 mod listener;
 mod member;
 mod mirror;
