Ignore late writes of registered upstreams

Cause: entries were compared with the last write of upstreams that have left, not with that of registered ones.

An entry with a smaller sequence than that of the registered entry of the same start is now ignored; in a complete read the known entry is used. An equal sequence is the same write and stays in the history for followers.

The soak has a generator for late writes.

--- a/hemlockrouter-cli/tests/direct/odd_entries.rs
+++ b/hemlockrouter-cli/tests/direct/odd_entries.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hemlockrouter_corporation_lab::StoreFault;
+use hemlockrouter_corporation_lab::Upstream;
 use http::StatusCode;
 use serde_json::json;
 
@@ -171,18 +173,11 @@
     let mut upstreams = deployment.upstreams.iter();
     let leaving = upstreams.find(|upstream| is_ledger(upstream.service()));
     let leaving = leaving.expect("the service has upstreams");
-    let late_entry = json!({
-        "service": "ledger", "address": leaving.address(), "zone": ZONES[0], "version": "v1",
-        "capacity": 2, "state": "ready", "warmupLeftMs": 0, "sequence": 0,
-        "born": 1_700_000_000_000_u64,
-    });
-    let late_value = late_entry.to_string();
-    let key = format!("servers/{}", leaving.id());
     for late_by in [Duration::ZERO, DRAIN_TIME] {
         leaving.unregister(&deployment.store);
         let left_at = Instant::now();
         std::thread::sleep(late_by);
-        deployment.store.put(&key, late_value.as_bytes());
+        leaving.register_late(&deployment.store);
         std::thread::sleep(DRAIN_TIME.saturating_sub(late_by) + Duration::from_millis(500));
         for _ in 0..40 {
             deployment.call(0, LOOK_UP_PATH, 1_000);
@@ -204,23 +199,43 @@
 /// Guards against requests to an upstream that drains, since the store executes one of its earlier
 /// writes after the one that says so.
 #[test]
-#[ignore = "issue 2, see KNOWN-RED.txt"]
 fn late_write_of_a_draining_upstream_sends_it_nothing() {
+    check_late_write_of_a_draining_upstream(|deployment, draining| {
+        draining.register_late(&deployment.store);
+    });
+}
+
+/// Guards against the same late write if the instance learns of it from a complete read.
+#[test]
+fn late_write_of_a_draining_upstream_in_a_complete_read_sends_it_nothing() {
+    check_late_write_of_a_draining_upstream(|deployment, draining| {
+        deployment.store.set_fault(StoreFault::Status503);
+        std::thread::sleep(Duration::from_millis(300));
+        draining.register_late(&deployment.store);
+        deployment.store.compact();
+        deployment.store.set_fault(StoreFault::Available);
+        eventually("the late write is read", || {
+            deployment
+                .log(0)
+                .contains("late write of a registered upstream")
+        });
+    });
+}
+
+/// Checks that an upstream that has reported `draining` gets no requests after the time for draining,
+/// although `write_late` lets the store execute one of its earlier writes.
+fn check_late_write_of_a_draining_upstream<F>(write_late: F)
+where
+    F: FnOnce(&Deployment, &Upstream),
+{
     let deployment = Deployment::start(1);
     let mut upstreams = deployment.upstreams.iter();
     let draining = upstreams.find(|upstream| upstream.service() == "ledger");
     let draining = draining.expect("the service has upstreams");
-    let late_entry = json!({
-        "service": "ledger", "address": draining.address(), "zone": ZONES[0], "version": "v1",
-        "capacity": 2, "state": "ready", "warmupLeftMs": 0, "sequence": 0,
-        "born": 1_700_000_000_000_u64,
-    });
     draining.register(&deployment.store, true);
     let drains_from = Instant::now();
     std::thread::sleep(DRAIN_TIME);
-    let key = format!("servers/{}", draining.id());
-    let late_value = late_entry.to_string();
-    deployment.store.put(&key, late_value.as_bytes());
+    write_late(&deployment, draining);
     std::thread::sleep(Duration::from_millis(500));
     for _ in 0..40 {
         deployment.call(0, LOOK_UP_PATH, 1_000);
--- a/hemlockrouter-cli/tests/direct/soak/mod.rs
+++ b/hemlockrouter-cli/tests/direct/soak/mod.rs
@@ -27,6 +27,7 @@
 use self::fault::Fault;
 use self::store::start_repeating_proxies;
 use self::store::IncompleteEntries;
+use self::store::LateWrites;
 use self::store::OtherWriter;
 use self::store::StoreRestores;
 use crate::deployment::shards;
@@ -214,6 +215,9 @@
     let mut incomplete_entries = IncompleteEntries {
         rng: StdRng::seed_from_u64(seed.rotate_left(24)),
     };
+    let mut late_writes = LateWrites {
+        rng: StdRng::seed_from_u64(seed.rotate_left(40)),
+    };
     let mut deployment = Deployment::start(DAEMON_COUNT);
     other_writer.fill_pages(&deployment);
     let _proxies = start_repeating_proxies(&deployment);
@@ -258,6 +262,7 @@
         store_restores.step(&mut deployment, &active_faults);
         other_writer.step(&deployment);
         incomplete_entries.step(&deployment, &active_faults);
+        late_writes.step(&deployment, &active_faults);
     }
     active_faults
         .into_iter()
--- a/hemlockrouter-cli/tests/direct/soak/store.rs
+++ b/hemlockrouter-cli/tests/direct/soak/store.rs
@@ -1,5 +1,5 @@
-//! What happens to the store during the soak test, besides its faults: restores, other writers and
-//! stale pages; and upstreams that repeat responses.
+//! What happens to the store during the soak test, besides its faults: restores, other writers, late
+//! writes and stale pages; and upstreams that repeat responses.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -33,6 +33,9 @@
 /// The share of steps at which another writer leaves an incomplete entry.
 const INCOMPLETE_ENTRY_PROBABILITY: f64 = 0.3;
 
+/// The share of steps at which an earlier write of an upstream that drains or has left is executed.
+const LATE_WRITE_PROBABILITY: f64 = 0.3;
+
 /// The time until the upstream whose key has the incomplete entry writes its own entry again.
 const UNTIL_NEXT_WRITE: Duration = Duration::from_millis(100);
 
@@ -142,6 +145,24 @@
     }
 }
 
+/// Writes of upstreams that the store executes late.
+pub(super) struct LateWrites {
+    pub(super) rng: StdRng,
+}
+
+impl LateWrites {
+    /// At random, lets the store execute an earlier write of an upstream that drains or has left.
+    pub(super) fn step(&mut self, deployment: &Deployment, active_faults: &[(Instant, Fault)]) {
+        for (_, fault) in active_faults {
+            if let Fault::Drain(index) | Fault::Replace(index) = fault {
+                if self.rng.random_bool(LATE_WRITE_PROBABILITY) {
+                    deployment.upstreams[*index].register_late(&deployment.store);
+                }
+            }
+        }
+    }
+}
+
 /// Repeats the writes of operators and upstreams that the restored store lacks.
 fn repeat_writes(deployment: &mut Deployment, active_faults: &[(Instant, Fault)]) {
     for upstream in &deployment.upstreams {
--- a/src/direct/late_writes.rs
+++ b/src/direct/late_writes.rs
@@ -1,7 +1,7 @@
 //! Recognizes writes of upstreams that the registry executed late.
 //!
-//! The registry can execute a write of an upstream after the upstream's removal. The entry would then
-//! send requests to an upstream that has left.
+//! The registry can execute a write of an upstream after a later write of the same upstream, or after
+//! the upstream's removal. The entry would then send requests to an upstream that drains or has left.
 
 use std::collections::BTreeMap;
 
@@ -27,7 +27,7 @@
         let write = UpstreamWrite::from_entry(entry);
         let last_write = self.write();
         let is_earlier = match self {
-            LastWrite::Registered(_) => false,
+            LastWrite::Registered(_) => write.sequence < last_write.sequence,
             LastWrite::Left(_) => write.sequence <= last_write.sequence,
         };
         write.incarnation == last_write.incarnation && is_earlier
