Read from the seed if it names no other reader of the zone

Cause: if the seed named no reader of the zone, or the starting instance itself, the instance read from no one. Both happen while the seed lists only a part of the instances.

Evidence: the old failures' logs show seeds that list only themselves.

A seed that answers has read the registry, so it is read from after the readers that it names.

--- a/hemlockrouter-cli/tests/direct/relays.rs
+++ b/hemlockrouter-cli/tests/direct/relays.rs
@@ -130,7 +130,6 @@
 }
 
 #[test]
-#[ignore = "issue 2, see KNOWN-RED.txt"]
 fn instance_started_during_a_store_outage_reads_from_relays() {
     let (mut deployment, _) = start_with_followers();
     deployment.store.set_fault(StoreFault::Status503);
@@ -147,6 +146,25 @@
     });
 }
 
+/// Guards against an instance that waits for the store during its outage, although a seed has read
+/// the store, because the seed knows no other instance of the starting one's zone.
+#[test]
+fn instance_unknown_to_the_seed_reads_from_it_during_a_store_outage() {
+    let mut deployment = Deployment::start(2);
+    deployment.wait_until_instance_list_settles();
+    deployment.daemons[1].shut_down();
+    eventually("the seed is the only listed instance", || {
+        deployment.store.keys("hemlock/instances/").len() == 1
+    });
+    std::thread::sleep(Duration::from_millis(500));
+    deployment.store.set_fault(StoreFault::Status503);
+    deployment.start_daemon(1);
+    deployment.wait_ready(1);
+    eventually("it says so", || {
+        deployment.log(1).contains("read from a relay")
+    });
+}
+
 /// Covers the simultaneous start of hundreds of instances, for which the bandwidth to the store is
 /// too small.
 #[test]
--- a/src/direct/first_read.rs
+++ b/src/direct/first_read.rs
@@ -135,9 +135,9 @@
         .await
     }
 
-    /// Asks the seeds for the readers of the zone, and reads from one of these readers unless this
-    /// instance is a reader itself. The timeout is long for seeds that still wait for the registry
-    /// and short for seeds that do not answer.
+    /// Asks the seeds for the readers of the zone, and reads from one of these readers or from the
+    /// seed that answered. The timeout is long for seeds that still wait for the registry and short
+    /// for seeds that do not answer.
     async fn read_via_seeds(&self, registry_access: &RegistryAccess) -> Option<RegistryRead> {
         let started_at = self.clock.now();
         let unresponsive_timeout_ms = match registry_access.reads_registry {
@@ -153,12 +153,14 @@
                 .fetch_readers(seed, registry_access.reads_registry)
                 .await
             {
-                Ok(readers) => {
-                    let is_reader = readers.iter().any(|entry| entry.name == self.name);
-                    if is_reader {
-                        return None;
+                Ok(mut readers) => {
+                    readers.retain(|entry| entry.name != self.name);
+                    let mut relays = relay_addresses(&readers);
+                    // The seed has read the registry too. It may know no other instance of the zone.
+                    if !relays.contains(&seed) {
+                        relays.push(seed);
                     }
-                    return self.read_from_any(&relay_addresses(&readers)).await;
+                    return self.read_from_any(&relays).await;
                 }
                 // Readers must not wait for each other, because then none of them would ever read.
                 Err(CallError::Outdated { .. }) if registry_access.reads_registry => break,
