Split the soak of planned stops from its directed tests, and share set-ups

The tests of a planned stop's single moments and the randomized run are two files now. The two tests of changes newer than a first read share one function.

--- a/hemlockrouter-cli/tests/direct/in_force.rs
+++ b/hemlockrouter-cli/tests/direct/in_force.rs
@@ -174,62 +174,61 @@
     }
 }
 
-/// Guards against followers that never learn of a version which their relay found in its first
-/// read. The first page of this read is newer than the revision from which the relay watches.
-#[test]
-fn version_newer_than_the_first_read_is_passed_on_to_followers() {
+/// Starts an instance whose first read has a first page that is newer than the revision from which it
+/// watches, since `write` comes between. Waits until a follower at the revision before `write` gets a
+/// page with `text`.
+fn check_change_newer_than_the_first_read<F>(write: F, text: &str)
+where
+    F: FnOnce(&mut Deployment),
+{
     let mut deployment = Deployment::start(1);
-    // With 60 entries behind it, the configuration is on the first page.
+    // With 60 entries behind them, the configuration and the upstreams are on the first page.
     for number in 0..60 {
         deployment.store.put(&format!("zz/{number:02}"), b"filler");
     }
     deployment.store.freeze_stale_pages();
     let follower_revision = deployment.store.revision();
-    deployment.write_config(|config| config["routes"][2]["pathPrefix"] = "/moved/".into());
+    write(&mut deployment);
     deployment.daemons[0].kill();
     deployment.start_daemon(0);
     deployment.wait_ready(0);
     let ready = Instant::now();
     let relay = deployment.daemons[0].relay;
     let url = format!("http://{relay}/changes/1/{follower_revision}?age_ms=0&wait_ms=100");
-    eventually("a follower gets the version", || {
+    eventually("a follower gets the change", || {
         let answer = ureq::get(&url).call();
         let page = answer.and_then(|mut answer| answer.body_mut().read_to_vec());
         let page = page.expect("the relay answers");
-        page.windows(7).any(|text| text == b"/moved/")
+        let mut parts = page.windows(text.len());
+        parts.any(|part| part == text.as_bytes())
     });
     let elapsed = ready.elapsed();
     assert!(elapsed < IN_FORCE_WITHIN, "{elapsed:?}");
 }
 
+/// Guards against followers that never learn of a version which their relay found in its first
+/// read.
+#[test]
+fn version_newer_than_the_first_read_is_passed_on_to_followers() {
+    let write = |deployment: &mut Deployment| {
+        deployment.write_config(|config| config["routes"][2]["pathPrefix"] = "/moved/".into());
+    };
+    check_change_newer_than_the_first_read(write, "/moved/");
+}
+
 /// Guards against followers that learn of an upstream's removal, but not of its registration after
 /// that, since their relay found both in its first read and takes the registration for a late write
 /// when the store repeats it.
 #[test]
 fn registration_newer_than_the_first_read_is_passed_on_to_followers() {
-    let mut deployment = Deployment::start(1);
-    // With 60 entries behind them, the upstreams are on the first page.
-    for number in 0..60 {
-        deployment.store.put(&format!("zz/{number:02}"), b"filler");
-    }
-    deployment.store.freeze_stale_pages();
-    let follower_revision = deployment.store.revision();
-    let mut upstreams = deployment.upstreams.iter();
-    let upstream = upstreams.find(|upstream| upstream.service() == "ledger");
-    let upstream = upstream.expect("the service has upstreams");
-    upstream.unregister(&deployment.store);
-    upstream.register(&deployment.store, false);
-    deployment.daemons[0].kill();
-    deployment.start_daemon(0);
-    deployment.wait_ready(0);
-    let relay = deployment.daemons[0].relay;
-    let url = format!("http://{relay}/changes/1/{follower_revision}?age_ms=0&wait_ms=100");
-    eventually("a follower gets the registration", || {
-        let answer = ureq::get(&url).call();
-        let page = answer.and_then(|mut answer| answer.body_mut().read_to_vec());
-        let page = page.expect("the relay answers");
-        page.windows(6).any(|text| text == b"ledger")
-    });
+    let write = |deployment: &mut Deployment| {
+        let mut upstreams = deployment.upstreams.iter();
+        let upstream = upstreams.find(|upstream| upstream.service() == "ledger");
+        let upstream = upstream.expect("the service has upstreams");
+        upstream.unregister(&deployment.store);
+        upstream.register(&deployment.store, false);
+    };
+    check_change_newer_than_the_first_read(write, "ledger");
 }
 
 /// Guards against the loss of a change during the first read of the store. The pages of this read
--- a/hemlockrouter-cli/tests/direct/main.rs
+++ b/hemlockrouter-cli/tests/direct/main.rs
@@ -16,4 +16,5 @@
 mod sharing;
 mod soak;
 mod stops;
+mod stops_soak;
 mod torn;
