Refuse bookings that outlast a shutdown, with dispatch through owners

A booking that came late in a shutdown, with a deadline beyond its end, was passed on; at the end its caller was told that it may have run.

Cause: the deadlines of new requests were not related to the time of the final answers.

Such a booking is now refused at once (503, not_ready, retry after 20 ms), and the deadline of a search is bounded by the final answers, so that it answers with the coverage it has reached. The new test fails before the change: the booking runs.

--- a/hemlockrouter-cli/tests/e2e/stops.rs
+++ b/hemlockrouter-cli/tests/e2e/stops.rs
@@ -45,6 +45,30 @@
     assert_eq!(status, 502, "{body}");
 }
 
+/// Guards against a booking that is passed on although the shutdown leaves too little time for its
+/// answer.
+#[test]
+fn booking_that_would_outlast_the_shutdown_is_refused() {
+    let mut cluster = Cluster::start(Layout {
+        shutdown_ms: SHORT_SHUTDOWN_MS,
+        ..Layout::new()
+    });
+    let address = cluster.callers()[0];
+    let caller = thread::spawn(move || {
+        // The instance has got the signal by then.
+        thread::sleep(Duration::from_millis(500));
+        // The deadline of the booking is 5 s.
+        Caller::for_teachers().run_with_key(address, "late", "late")
+    });
+    cluster.instances[0].shut_down();
+    let (status, body) = caller.join().expect("the caller gets an answer");
+    assert_eq!(
+        (status, body["code"].as_str()),
+        (503, Some("not_ready")),
+        "{body}"
+    );
+}
+
 /// Guards against a request that crosses the close of its connection and gets no answer.
 #[test]
 fn connection_without_a_request_is_closed_with_an_answer() {
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -293,7 +293,10 @@
             callers.drain();
         }
         call!([self.actors.control], leave());
-        Shutdown::new(self.clock.now(), &self.settings.timing)
+        let shutdown = Shutdown::new(self.clock.now(), &self.settings.timing);
+        let final_answers_at = shutdown.final_answers_at();
+        call!([self.actors.entry], start_shutdown(final_answers_at));
+        shutdown
     }
 
     /// Advances the shutdown, and returns its outcome once it has ended.
@@ -306,7 +309,7 @@
         if state.should_close_callers(now) {
             if let Some(callers) = self.callers.take() {
                 let mailbox = self.mailbox.clone();
-                let answer_timeout_ms = state.final_answers_in_ms(now);
+                let answer_timeout_ms = state.final_answers_at().remaining_ms(now);
                 let wait_ms = state.remaining_ms(now);
                 thread::spawn(move || {
                     callers.close(answer_timeout_ms, wait_ms);
--- a/src/node/entry/mod.rs
+++ b/src/node/entry/mod.rs
@@ -43,6 +43,8 @@
     runner: Runner,
     control: Actor<Control>,
     metrics: Arc<Metrics>,
+    /// Time at which a shutdown gives all requests their final answer; `None` without a shutdown.
+    final_answers_at: Option<Time>,
     requests: BTreeMap<QueryId, PendingRequest>,
     /// Requests that other instances forwarded to this one, by the id that the sender gave them.
     forwarded: BTreeMap<QueryId, RunPayload>,
@@ -107,6 +109,7 @@
             runner,
             control,
             metrics,
+            final_answers_at: None,
             requests: BTreeMap::new(),
             forwarded: BTreeMap::new(),
             search_commands: Vec::new(),
@@ -231,6 +234,11 @@
         call!([self.control], handle_explanation(choices, reply));
     }
 
+    /// Bounds the deadlines of new requests by the time of a shutdown's final answers.
+    pub(crate) fn start_shutdown(&mut self, _: CX![], final_answers_at: Time) {
+        self.final_answers_at = Some(final_answers_at);
+    }
+
     /// Ends all callers' requests at the end of a shutdown. Each caller is told that the request may
     /// have run.
     pub(crate) fn answer_finally(&mut self, _: CX![]) {
--- a/src/node/entry/start.rs
+++ b/src/node/entry/start.rs
@@ -22,6 +22,10 @@
 /// Delay before a retry at an instance that is not ready, in milliseconds.
 const NOT_READY_RETRY_AFTER_MS: u32 = 1_000;
 
+/// Delay before a caller retries a request that a shutdown refuses, in milliseconds. Other
+/// instances can serve it at once.
+const SHUTDOWN_RETRY_AFTER_MS: u32 = 20;
+
 impl Entry {
     /// Starts a request, or returns its answer if it can't be started.
     pub(super) fn start(
@@ -44,6 +48,19 @@
         let Some(customer) = self.names.customers.find(&bearer) else {
             return Err((CallerAnswer::Unauthorized, answer));
         };
+        let left_ms = self.final_answers_at.map(|at| at.remaining_ms(now));
+        if left_ms.is_some_and(|left_ms| !has_time(&kind, left_ms)) {
+            log::info!(
+                target: "decision",
+                request = id.to_string(),
+                left_ms = left_ms;
+                "refused while shutting down"
+            );
+            return Err((
+                refused_answer(RefusalReason::NotReady, SHUTDOWN_RETRY_AFTER_MS),
+                answer,
+            ));
+        }
         if let Err(refusal) = self.admission.admit(now, customer) {
             return Err((CallerAnswer::Refused(refusal), answer));
         }
@@ -60,7 +77,7 @@
                 Some(&search) => Ok(RequestStart {
                     kind: PendingRequestKind::Search(search),
                     body: query,
-                    deadline: now + deadline_ms,
+                    deadline: now + left_ms.map_or(deadline_ms, |left_ms| deadline_ms.min(left_ms)),
                     parameters: StartParameters::Search { min_coverage },
                 }),
             },
@@ -166,6 +183,17 @@
     Search { min_coverage: Option<f64> },
     Run { identifier: RequestIdentifier },
 }
+
+/// Returns whether a request can end before the final answers of a shutdown, which are due in
+/// `left_ms` milliseconds. A request that must not be repeated needs all of its time, since its
+/// caller can't send it again once it may have run. A search may end with less coverage.
+fn has_time(kind: &RequestKind, left_ms: u64) -> bool {
+    match kind {
+        RequestKind::Run { deadline_ms, .. } => *deadline_ms <= left_ms,
+        RequestKind::Search { .. } | RequestKind::Ticket { .. } => left_ms > 0,
+    }
+}
+
 fn refused_answer(reason: RefusalReason, retry_after_ms: u32) -> CallerAnswer {
     CallerAnswer::Refused(Refusal {
         reason,
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -47,9 +47,9 @@
         now >= self.end_at
     }
 
-    /// Returns the time until requests in flight get their final answer, in milliseconds.
-    pub(crate) fn final_answers_in_ms(&self, now: Time) -> u64 {
-        self.final_answers_at.remaining_ms(now)
+    /// Returns the time at which requests in flight get their final answer.
+    pub(crate) fn final_answers_at(&self) -> Time {
+        self.final_answers_at
     }
 
     /// Returns the time until the shutdown times out, in milliseconds.
