review: case 8, a cold replica is overloaded after an outage in which all were killed

Cause: the bound for a cold replica is divided among the instances of the list as it is, also while the list is empty after a start. The stand-ins got a store that goes down, replicas that are cold, and more than one machine in a zone.

--- a/review/standin-2/config.rs
+++ b/review/standin-2/config.rs
@@ -14,6 +14,8 @@
     /// Number of routes beside `/book/`; each is a search over all shards.
     pub searches: usize,
     pub idle_timeout_ms: u64,
+    /// Requests per second that a cold replica tolerates; 0 if replicas are never cold.
+    pub warmup_per_s: u32,
 }
 
 /// Returns the names of all shards.
@@ -39,8 +41,9 @@
         }));
         let mut services = crate::config::shards();
         services.extend(["reserve-ledger", "notice-board"].map(String::from));
+        let warmup_per_s = self.warmup_per_s;
         let services = services.iter().map(|name| {
-            format!(r#"{{"name":"{name}","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false,"warmupS":3.0,"warmupPerS":0.0}}"#)
+            format!(r#"{{"name":"{name}","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false,"warmupS":3.0,"warmupPerS":{warmup_per_s}.0}}"#)
         });
         let services: Vec<String> = services.collect();
         let (version, idle) = (self.version, self.idle_timeout_ms);
--- a/review/standin-2/history.rs
+++ b/review/standin-2/history.rs
@@ -91,6 +91,7 @@
         booking_service: "reserve-ledger",
         searches: SEARCHES,
         idle_timeout_ms: 15_000,
+        warmup_per_s: 0,
     };
     let _shards = world.shard_replicas();
     let _replicas: Vec<_> = (0..4)
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 //! the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod client;
+mod cold;
 mod config;
 mod daemon;
 mod earlier_start;
@@ -39,6 +40,7 @@
         "history" => history::run(folder, has_trouble),
         "stale-config" => stale_config::run(folder, has_trouble),
         "removed-entry" => removed_entry::run(folder, has_trouble),
+        "cold" => cold::run(folder, has_trouble),
         "earlier-start" => earlier_start::run(folder, has_trouble),
         _ => Verdict::NotRun,
     });
--- a/review/standin-2/removed_entry.rs
+++ b/review/standin-2/removed_entry.rs
@@ -44,6 +44,7 @@
         booking_service: "reserve-ledger",
         searches: 2,
         idle_timeout_ms: 15_000,
+        warmup_per_s: 0,
     });
     if !world.start_machines() {
         world.record.say("the machine isn't ready in time");
--- a/review/standin-2/replica.rs
+++ b/review/standin-2/replica.rs
@@ -18,6 +18,8 @@
 pub struct Run {
     pub attempt_id: String,
     pub replica: String,
+    /// Time at which it arrived, since the start of the record.
+    pub at: Duration,
 }
 
 /// What a replica says of itself in the store.
@@ -28,6 +30,8 @@
     pub zone: String,
     pub address: SocketAddr,
     pub draining: bool,
+    /// How much longer the replica is cold.
+    pub warmup_left_ms: u64,
     pub born_ms: u64,
     pub sequence: u64,
 }
@@ -46,12 +50,13 @@
             service,
             zone,
             address,
+            warmup_left_ms,
             born_ms,
             ..
         } = self;
         let state = if self.draining { "draining" } else { "ready" };
         format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","capacity":8,"state":"{state}","warmupLeftMs":0,"sequence":{sequence},"born":{born_ms}}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","capacity":8,"state":"{state}","warmupLeftMs":{warmup_left_ms},"sequence":{sequence},"born":{born_ms}}}"#
         )
     }
 }
@@ -85,6 +90,7 @@
             zone: String::from(zone),
             address: listener.local_addr().expect("the port is bound"),
             draining: false,
+            warmup_left_ms: 0,
             born_ms: unix_ms(),
             sequence: 0,
         };
@@ -116,6 +122,12 @@
             .clone()
     }
 
+    /// Says how much longer the replica is cold.
+    pub fn set_warmup_left_ms(&self, warmup_left_ms: u64) {
+        let mut entry = self.entry.lock().expect("no thread panics with the lock");
+        entry.warmup_left_ms = warmup_left_ms;
+    }
+
     /// Counts the next write of this replica, and returns it.
     pub fn next_write(&self) -> Entry {
         let mut entry = self.entry.lock().expect("no thread panics with the lock");
@@ -193,6 +205,7 @@
             .push(Run {
                 attempt_id: String::from(attempt_id),
                 replica: id.clone(),
+                at: self.record.elapsed(),
             });
         thread::sleep(self.work);
         let seal = format!(
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -23,6 +23,9 @@
 /// Latency of an answer.
 const LATENCY: Duration = Duration::from_millis(4);
 
+/// Answer of a store that is down: nothing was done.
+const UNAVAILABLE: (u16, String) = (503, String::new());
+
 #[derive(Clone)]
 struct Item {
     /// The value in base64, as all calls hold it.
@@ -55,6 +58,7 @@
     leases: BTreeMap<u64, Lease>,
     /// What the entries of replicas hold beside their sequences, by key.
     entries: BTreeMap<String, String>,
+    is_down: bool,
 }
 
 /// The store. Clones share one state.
@@ -107,6 +111,23 @@
         self.state.1.notify_all();
     }
 
+    /// Refuses all calls from now on.
+    pub fn go_down(&self) {
+        self.lock().is_down = true;
+        self.state.1.notify_all();
+    }
+
+    /// Answers again. All leases have run out meanwhile.
+    pub fn come_back(&self) {
+        let mut state = self.lock();
+        state.is_down = false;
+        for lease in state.leases.values_mut() {
+            lease.ends_at = Instant::now();
+        }
+        state.expire();
+        self.state.1.notify_all();
+    }
+
     /// Removes an item.
     pub fn remove(&self, key: &str) {
         self.lock().remove(key);
@@ -133,6 +154,9 @@
     }
 
     fn handle(&self, call: &Message) -> (u16, String) {
+        if self.lock().is_down {
+            return UNAVAILABLE;
+        }
         let path = call.path();
         match (call.method(), path) {
             ("GET", "/kv-key") => self.key(call),
@@ -197,6 +221,9 @@
         loop {
             state.expire();
             state.forget_old();
+            if state.is_down {
+                return UNAVAILABLE;
+            }
             if after < state.dropped_revision || after > state.revision {
                 return (410, String::from("{}"));
             }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -14,6 +14,9 @@
 /// The zones, each in its own region.
 pub const ZONES: [(&str, &str); 2] = [("daegu-a", "yeongnam"), ("seoul-b", "sudogwon")];
 
+/// Largest number of machines that the settings name as seeds.
+const SEEDS_MAX: usize = 3;
+
 /// Runs of all replicas.
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
@@ -27,22 +30,23 @@
 }
 
 impl World {
-    /// Starts the store and plans one machine in each of the first `machines` zones.
+    /// Starts the store and plans the machines, in the zones by turns.
     pub fn new(folder: &Path, machines: usize) -> World {
         let record = Arc::new(Record::create(folder));
         let process_id = std::process::id();
-        let dir = std::env::temp_dir().join(format!("hemlock-review-{process_id}"));
+        let dir = std::env::temp_dir().join(format!("hemlock-review-2-{process_id}"));
         std::fs::create_dir_all(&dir).expect("the temporary folder is writable");
         let net = format!("127.{}.{}", 20 + process_id % 200, process_id / 200 % 250);
         let store = Store::start(&format!("{net}.1"));
         let machines = (0..machines).map(|index| {
-            let (zone, _) = ZONES[index];
+            let (zone, _) = ZONES[index % ZONES.len()];
+            let number = index / ZONES.len() + 1;
             let ip = format!("{net}.{}", 10 + index);
             Arc::new(Machine::new(
                 &record,
                 &dir,
                 &ip,
-                &format!("frontend-{zone}-1"),
+                &format!("frontend-{zone}-{number}"),
             ))
         });
         World {
@@ -107,12 +111,13 @@
             .machines
             .iter()
             .map(|machine| machine.control)
+            .take(SEEDS_MAX)
             .collect();
         let deployment = Deployment {
             store: self.store.address,
             zones: &ZONES,
         };
-        for (machine, (zone, _)) in self.machines.iter().zip(ZONES) {
+        for (machine, (zone, _)) in self.machines.iter().zip(ZONES.iter().cycle()) {
             machine.write_settings(&deployment, zone, &seeds);
             machine.start();
         }
