review: case 7, machines with slow links keep an old configuration after a storm

Cause: what an instance has missed comes in one answer, for which the time is limited to half of the bound and to a quarter after a failure; the same call is repeated. Rule CONFIG, without any fault. The stand-in for the store got links, the machines the settings of a second site.

--- a/review/standin-2/daemon.rs
+++ b/review/standin-2/daemon.rs
@@ -15,8 +15,40 @@
 const PROGRAM: &str = "target/release/hemlockd";
 const SETTINGS_VARIABLE: &str = "HEMLOCKROUTER_NODE_FILE";
 
-/// Memory of a machine, in megabytes.
-pub const MEMORY_MB: u64 = 260;
+/// What a site file says of its machines and bounds.
+pub struct Site {
+    /// Memory of a machine, in megabytes.
+    pub memory_mb: u64,
+    pub cpu_share: f64,
+    /// Bandwidth of the link of a machine.
+    pub link_mbps: u64,
+    pub config_apply_ms: u64,
+    pub contact_ms: u64,
+    pub drain_ms: u64,
+    pub retry_slack: u64,
+}
+
+/// The site `dmlfc-halls`.
+pub const HALLS: Site = Site {
+    memory_mb: 260,
+    cpu_share: 0.25,
+    link_mbps: 1_000,
+    config_apply_ms: 3_000,
+    contact_ms: 5_000,
+    drain_ms: 3_000,
+    retry_slack: 58,
+};
+
+/// The smallest machines of the site `vqa-hemlock-grown`.
+pub const VENTS_GROWN: Site = Site {
+    memory_mb: 160,
+    cpu_share: 0.12,
+    link_mbps: 20,
+    config_apply_ms: 5_000,
+    contact_ms: 6_000,
+    drain_ms: 5_000,
+    retry_slack: 206,
+};
 
 /// Pause before the platform starts a process again.
 const RESTART_PAUSE: Duration = Duration::from_millis(500);
@@ -41,6 +73,7 @@
     pub store: SocketAddr,
     /// Each zone with its region.
     pub zones: &'d [(&'d str, &'d str)],
+    pub site: &'d Site,
 }
 
 fn free_port(ip: &str) -> SocketAddr {
@@ -81,13 +114,22 @@
         let seeds = seeds.join(",");
         let metrics = free_port(&front.ip().to_string());
         let store = deployment.store;
+        let Site {
+            memory_mb,
+            cpu_share,
+            config_apply_ms,
+            contact_ms,
+            drain_ms,
+            retry_slack,
+            ..
+        } = deployment.site;
         let settings = format!(
             r#"{{"dispatch":"direct","protocol":"corporation","name":"{name}","zone":"{zone}",
 "zones":{{{zones}}},"callers_listen":"{front}","ready_listen":"{ready}","metrics_listen":"{metrics}",
 "relay_listen":"{control}","seeds":[{seeds}],"registry_address":"{store}",
-"memory_mb":{MEMORY_MB},"cpu_share":0.25,
-"bounds":{{"in_force_ms":3000,"evacuate_ms":5000,"drain_ms":3000,"shutdown_s":6,"catch_up_ms":5000,
-"repeat_ratio":0.2,"repeat_window_s":10,"repeat_allowance":58,"cold_overage":1.5,"cold_slack":5}},
+"memory_mb":{memory_mb},"cpu_share":{cpu_share},
+"bounds":{{"in_force_ms":{config_apply_ms},"evacuate_ms":5000,"drain_ms":{drain_ms},"shutdown_s":6,"catch_up_ms":{contact_ms},
+"repeat_ratio":0.2,"repeat_window_s":10,"repeat_allowance":{retry_slack},"cold_overage":1.5,"cold_slack":5}},
 "log":{{"level":"info"}}}}"#
         );
         fs::write(&self.settings, settings).expect("the folder is writable");
@@ -154,9 +196,8 @@
         let Some(child) = child.as_ref() else {
             return;
         };
-        let status = Command::new("kill")
-            .args(["-s", signal, &child.id().to_string()])
-            .status();
+        let command = format!("kill -s {signal} {}", child.id());
+        let status = Command::new("sh").args(["-c", &command]).status();
         status.expect("kill runs");
         self.record.write(&format!("{signal} to {}", self.name));
     }
--- a/review/standin-2/history.rs
+++ b/review/standin-2/history.rs
@@ -9,7 +9,7 @@
 
 use crate::client::{Client, Outcome, Sent};
 use crate::config::Config;
-use crate::daemon::{Machine, MEMORY_MB};
+use crate::daemon::{Machine, HALLS};
 use crate::record::Record;
 use crate::world::World;
 use crate::Verdict;
@@ -60,16 +60,17 @@
     fn run(&self, record: &Record, stopped: &AtomicBool) {
         while !stopped.load(Ordering::Relaxed) {
             thread::sleep(MEMORY_CHECK);
+            let memory_mb = HALLS.memory_mb;
             let memory_kb = self.machine.memory_kb().unwrap_or(0);
             let mut peak_kb = self.peak_kb.lock().expect("no thread panics with the lock");
             *peak_kb = memory_kb.max(*peak_kb);
             drop(peak_kb);
-            if memory_kb <= MEMORY_MB << 10 {
+            if memory_kb <= memory_mb << 10 {
                 continue;
             }
             let name = &self.machine.name;
             record.say(&format!(
-                "{:.1} s: {name} holds {memory_kb} kB, over {MEMORY_MB} MB, and is killed",
+                "{:.1} s: {name} holds {memory_kb} kB, over {memory_mb} MB, and is killed",
                 record.elapsed().as_secs_f64()
             ));
             self.machine.kill();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -14,6 +14,7 @@
 mod record;
 mod removed_entry;
 mod replica;
+mod slow_link;
 mod stale_config;
 mod store;
 mod world;
@@ -40,6 +41,7 @@
         "history" => history::run(folder, has_trouble),
         "stale-config" => stale_config::run(folder, has_trouble),
         "removed-entry" => removed_entry::run(folder, has_trouble),
+        "slow-link" => slow_link::run(folder, has_trouble),
         "cold" => cold::run(folder, has_trouble),
         "earlier-start" => earlier_start::run(folder, has_trouble),
         _ => Verdict::NotRun,
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -1,6 +1,7 @@
 //! Stand-in for the platform's store.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -20,6 +21,9 @@
 /// How long the history of changes is kept.
 const HISTORY: Duration = Duration::from_secs(20);
 
+/// Size of the pieces in which an answer is sent.
+const PIECE_BYTES: usize = 16 << 10;
+
 /// Latency of an answer.
 const LATENCY: Duration = Duration::from_millis(4);
 
@@ -66,11 +70,14 @@
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
     pub address: SocketAddr,
+    /// Bandwidth of the link of each machine.
+    link_mbps: u64,
 }
 
 impl Store {
-    /// Starts a store on a free port of `ip`.
-    pub fn start(ip: &str) -> Store {
+    /// Starts a store on a free port of `ip`. Its answers take the time that they need on a link of
+    /// `link_mbps`.
+    pub fn start(ip: &str, link_mbps: u64) -> Store {
         let listener = TcpListener::bind((ip, 0)).expect("a port is free");
         let state = State {
             revision: 100,
@@ -79,6 +86,7 @@
         let store = Store {
             state: Arc::new((Mutex::new(state), Condvar::new())),
             address: listener.local_addr().expect("the port is bound"),
+            link_mbps,
         };
         let served = store.clone();
         thread::spawn(move || {
@@ -144,15 +152,26 @@
             thread::sleep(LATENCY);
             let (status, body) = self.handle(&call);
             let headers = [("content-type", "application/json"), ("store-era", "1")];
-            if connection
-                .write(&answer(status, &headers, body.as_bytes()))
-                .is_err()
-            {
+            let answer = answer(status, &headers, body.as_bytes());
+            if self.send(&mut connection, &answer).is_err() {
                 return;
             }
         }
     }
 
+    /// Sends an answer at the pace of the link.
+    fn send(&self, connection: &mut Connection, answer: &[u8]) -> io::Result<()> {
+        let started_at = Instant::now();
+        let mut sent_bytes = 0;
+        for piece in answer.chunks(PIECE_BYTES) {
+            connection.write(piece)?;
+            sent_bytes += piece.len() as u64;
+            let due = Duration::from_micros(sent_bytes * 8 / self.link_mbps);
+            thread::sleep(due.saturating_sub(started_at.elapsed()));
+        }
+        Ok(())
+    }
+
     fn handle(&self, call: &Message) -> (u16, String) {
         if self.lock().is_down {
             return UNAVAILABLE;
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::config::{shards, Config};
-use crate::daemon::{Deployment, Machine};
+use crate::daemon::{Deployment, Machine, Site, HALLS};
 use crate::record::Record;
 use crate::replica::{Replica, Run, HEARTBEAT};
 use crate::store::Store;
@@ -27,17 +27,23 @@
     pub machines: Vec<Arc<Machine>>,
     dir: PathBuf,
     net: String,
+    site: &'static Site,
 }
 
 impl World {
     /// Starts the store and plans the machines, in the zones by turns.
     pub fn new(folder: &Path, machines: usize) -> World {
+        World::at(folder, machines, &HALLS)
+    }
+
+    /// The same with the bounds and links of another site.
+    pub fn at(folder: &Path, machines: usize, site: &'static Site) -> World {
         let record = Arc::new(Record::create(folder));
         let process_id = std::process::id();
         let dir = std::env::temp_dir().join(format!("hemlock-review-2-{process_id}"));
         std::fs::create_dir_all(&dir).expect("the temporary folder is writable");
         let net = format!("127.{}.{}", 20 + process_id % 200, process_id / 200 % 250);
-        let store = Store::start(&format!("{net}.1"));
+        let store = Store::start(&format!("{net}.1"), site.link_mbps);
         let machines = (0..machines).map(|index| {
             let (zone, _) = ZONES[index % ZONES.len()];
             let number = index / ZONES.len() + 1;
@@ -56,6 +62,7 @@
             store,
             dir,
             net,
+            site,
         }
     }
 
@@ -116,6 +123,7 @@
         let deployment = Deployment {
             store: self.store.address,
             zones: &ZONES,
+            site: self.site,
         };
         for (machine, (zone, _)) in self.machines.iter().zip(ZONES.iter().cycle()) {
             machine.write_settings(&deployment, zone, &seeds);
