Keep which subjects changed for followers, not the series of values

Cause: each instance kept the last 4,096 changes of the registry for followers, routes as whole decoded documents. The bound counted changes, not bytes, and held also where nobody follows.

Fix: a follower needs the present entry of each subject that changed, and the removals. The history holds revisions and removals only; the entries stand in the copy. A page is at most as large as a full read.

The soak writes series of large versions and checks the peak memory of each daemon.

--- a/hemlockrouter-cli/tests/direct/main.rs
+++ b/hemlockrouter-cli/tests/direct/main.rs
@@ -7,6 +7,7 @@
 mod deployment;
 mod faults;
 mod in_force;
+mod memory;
 mod notices;
 mod odd_entries;
 mod relays;
--- a/hemlockrouter-cli/tests/direct/soak/mod.rs
+++ b/hemlockrouter-cli/tests/direct/soak/mod.rs
@@ -27,6 +27,7 @@
 use self::fault::Fault;
 use self::store::start_repeating_proxies;
 use self::store::IncompleteEntries;
+use self::store::LargeVersions;
 use self::store::LateWrites;
 use self::store::OtherWriter;
 use self::store::StoreRestores;
@@ -39,6 +40,7 @@
 use crate::deployment::REPEAT_ALLOWANCE;
 use crate::deployment::REPEAT_RATIO;
 use crate::deployment::SEARCH_PATH;
+use crate::memory::MACHINE_MEMORY_MB;
 
 /// The seeds that failed in the past, each with its cause.
 const REGRESSION_SEEDS: &[u64] = &[
@@ -218,6 +220,9 @@
     let mut late_writes = LateWrites {
         rng: StdRng::seed_from_u64(seed.rotate_left(40)),
     };
+    let mut large_versions = LargeVersions {
+        rng: StdRng::seed_from_u64(seed.rotate_left(8)),
+    };
     let mut deployment = Deployment::start(DAEMON_COUNT);
     other_writer.fill_pages(&deployment);
     let _proxies = start_repeating_proxies(&deployment);
@@ -263,6 +268,7 @@
         other_writer.step(&deployment);
         incomplete_entries.step(&deployment, &active_faults);
         late_writes.step(&deployment, &active_faults);
+        large_versions.step(&mut deployment);
     }
     active_faults
         .into_iter()
@@ -279,12 +285,24 @@
         let answer = deployment.runtime.block_on(caller);
         requests.extend(answer.map_err(|err| err.to_string())?);
     }
-    let checked =
-        recovered.and_then(|()| check_all(&requests, &deployment.ledger, &frozen, started));
+    let checked = recovered
+        .and_then(|()| check_memory(&deployment))
+        .and_then(|()| check_all(&requests, &deployment.ledger, &frozen, started));
     deployment.keep_logs = checked.is_err();
     checked.map_err(|violation| format!("{violation}; logs in {}", deployment.dir.display()))
 }
 
+/// Checks that no daemon exceeded the memory of a small machine.
+fn check_memory(deployment: &Deployment) -> Result<(), String> {
+    for daemon in &deployment.daemons {
+        let peak_kb = daemon.peak_memory_kb();
+        if peak_kb >= MACHINE_MEMORY_MB << 10 {
+            return Err(format!("{} held {peak_kb} kB", daemon.name));
+        }
+    }
+    Ok(())
+}
+
 /// Checks the number of repeats and all observed requests.
 fn check_all(
     requests: &[ObservedRequest],
--- a/hemlockrouter-cli/tests/direct/soak/store.rs
+++ b/hemlockrouter-cli/tests/direct/soak/store.rs
@@ -1,5 +1,5 @@
 //! What happens to the store during the soak test, besides its faults: restores, other writers, late
-//! writes and stale pages; and upstreams that repeat responses.
+//! writes, stale pages and series of large configurations; and upstreams that repeat responses.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -12,6 +12,7 @@
 use super::fault::Fault;
 use crate::deployment::Deployment;
 use crate::deployment::ZONES;
+use crate::memory::add_searches;
 use crate::repeating_proxy::RepeatingProxy;
 
 /// The share of steps at which the store is copied, if no copy exists.
@@ -42,6 +43,12 @@
 /// The fields that an incomplete entry may lack: those that a decoder could do without.
 const OPTIONAL_LOOKING_FIELDS: [&str; 4] = ["version", "warmupLeftMs", "sequence", "born"];
 
+/// The share of steps at which a series of versions of a large configuration is written, the number
+/// of versions, and the pause between them.
+const LARGE_VERSIONS_PROBABILITY: f64 = 0.15;
+const LARGE_VERSIONS_COUNT: usize = 5;
+const LARGE_VERSIONS_PAUSE: Duration = Duration::from_millis(60);
+
 /// The share of responses that some upstreams send twice.
 const REPEATED_RESPONSE_SHARE: f64 = 0.05;
 
@@ -163,6 +170,24 @@
     }
 }
 
+/// Series of versions of a large configuration.
+pub(super) struct LargeVersions {
+    pub(super) rng: StdRng,
+}
+
+impl LargeVersions {
+    /// At random, writes a series of versions in quick succession.
+    pub(super) fn step(&mut self, deployment: &mut Deployment) {
+        if !self.rng.random_bool(LARGE_VERSIONS_PROBABILITY) {
+            return;
+        }
+        for _ in 0..LARGE_VERSIONS_COUNT {
+            deployment.write_config(add_searches);
+            std::thread::sleep(LARGE_VERSIONS_PAUSE);
+        }
+    }
+}
+
 /// Repeats the writes of operators and upstreams that the restored store lacks.
 fn repeat_writes(deployment: &mut Deployment, active_faults: &[(Instant, Fault)]) {
     for upstream in &deployment.upstreams {
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -1,5 +1,6 @@
 //! Local copy of the registry, used by this instance and by the instances that follow it.
 
+mod history;
 mod state;
 
 use std::cell::RefCell;
@@ -22,7 +23,7 @@
 /// latency between the two instances counts as age.
 const FRESHER_CONTACT_MIN_MS: u64 = 100;
 
-/// Local copy of the registry, with recent changes for followers.
+/// Local copy of the registry, with its recent changes for followers.
 pub(super) struct Mirror {
     clock: Clock,
     name: String,
@@ -97,7 +98,7 @@
             state.apply_entry(now, entry);
         }
         for entry in newer {
-            state.record_change(entry);
+            state.history.record(entry);
         }
         state.position = state.position.max(position);
         effective_entries
@@ -128,7 +129,7 @@
                 state.overrides.reconcile_reread(&entries)
             }
         };
-        state.history_start = position.revision;
+        state.history.restart_after(position.revision);
         state.position = position;
         effective_entries
     }
@@ -206,7 +207,7 @@
         let has_fresher_contact = state.contact_at > Some(contact_at + FRESHER_CONTACT_MIN_MS);
         has_fresher_contact
             || !state.has_history_since(after)
-            || state.changes_after(after.revision).next().is_some()
+            || state.history.has_changes_after(after.revision)
     }
 
     fn current_page(
@@ -218,8 +219,8 @@
         let history_position = after.filter(|after| state.has_history_since(*after));
         let entries = match history_position {
             Some(after) => {
-                let newer: Vec<Entry> = state.changes_after(after.revision).cloned().collect();
-                EncodedEntries::encode(&newer)?
+                let changes = state.history.changes_after(after.revision, &state.entries);
+                EncodedEntries::encode(&changes)?
             }
             None => state.encoded()?,
         };
--- a/src/direct/mirror/state.rs
+++ b/src/direct/mirror/state.rs
@@ -1,7 +1,6 @@
 //! Content of the local copy of the registry, and the rules by which entries change it.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 
 use hemlockrouter_edge::EncodedEntries;
 use hemlockrouter_edge::Entry;
@@ -11,21 +10,16 @@
 use hemlockrouter_edge::UpstreamWrite;
 use hemlockrouter_types::prelude::*;
 
+use super::history::History;
 use crate::direct::departed::DepartedUpstreams;
 use crate::direct::late_writes::ChangeSeries;
 use crate::direct::late_writes::LastWrite;
 use crate::direct::restore_overrides::RestoreOverrides;
 
-/// Maximum number of changes kept for followers. A follower that is further behind reads all
-/// entries again.
-const KEPT_CHANGES_MAX: usize = 4_096;
-
 /// Content of the local copy.
 #[derive(Default)]
 pub(super) struct MirrorState {
     pub(super) position: HistoryPosition,
-    /// Revision after which all changes are kept.
-    pub(super) history_start: u64,
     pub(super) contact_at: Option<Time>,
     /// Relays that passed the last update on, starting with the instance that read the registry.
     pub(super) path: Vec<String>,
@@ -36,17 +30,11 @@
     /// Entries that are trusted or refused in deviation from a restored registry.
     pub(super) overrides: RestoreOverrides,
     pub(super) departed: DepartedUpstreams,
-    pub(super) changes: VecDeque<Entry>,
+    /// Recent changes, for followers.
+    pub(super) history: History,
 }
 
 impl MirrorState {
-    /// Returns the kept changes after a revision.
-    pub(super) fn changes_after(&self, after: u64) -> impl Iterator<Item = &Entry> {
-        self.changes
-            .iter()
-            .filter(move |entry| entry.revision > after)
-    }
-
     /// Returns all entries in encoded form, from a cache if it is current.
     pub(super) fn encoded(&mut self) -> Result<EncodedEntries, rmp_serde::encode::Error> {
         if let Some((position, encoded)) = &self.encoded {
@@ -60,9 +48,10 @@
         Ok(encoded)
     }
 
-    /// Returns whether all changes after `after` are kept.
+    /// Returns whether all changes after `after` are known.
     pub(super) fn has_history_since(&self, after: HistoryPosition) -> bool {
-        after.generation == self.position.generation && after.revision >= self.history_start
+        let is_same_generation = after.generation == self.position.generation;
+        is_same_generation && self.history.reaches_back_to(after.revision)
     }
 
     /// Returns the entries to use after the registry was restored from `copy`.
@@ -75,7 +64,6 @@
     /// the copy holds routes that are not older, since routes never revert with the registry.
     pub(super) fn replace(&mut self, now: Time, entries: &[Entry], is_restored: bool) {
         let previous = std::mem::take(&mut self.entries);
-        self.changes.clear();
         self.encoded = None;
         for entry in entries {
             if let Some(subject) = entry.change.subject().filter(|_| entry.change.is_present()) {
@@ -202,16 +190,6 @@
         }
     }
 
-    /// Adds a change to the history that is kept for followers.
-    pub(super) fn record_change(&mut self, entry: &Entry) {
-        self.changes.push_back(entry.clone());
-        if self.changes.len() > KEPT_CHANGES_MAX {
-            if let Some(dropped) = self.changes.pop_front() {
-                self.history_start = self.history_start.max(dropped.revision);
-            }
-        }
-    }
-
     fn apply_subject(&mut self, now: Time, subject: EntrySubject, entry: &Entry) {
         if entry.change.is_present() {
             let is_older_routes =
