Use upstreams that are back once they are confirmed

Cause: an entry that comes back after its removal was believed if its sequence was greater than the last known one. Heartbeats that change nothing but the sequence do not show, so nearly every late heartbeat is greater. Writes of another start were not compared.

Evidence: the log has no 'late write' line for the entry, and registers the upstream: it was compared, with a sequence that is too small.

Fix: such a registration is kept and passed on, but not used until the upstream's health check says that it is back, or until it has lasted for 10 s, longer than late writes and registrations that are not renewed. Readers ask the upstreams, followers ask their relay, so checks do not grow with the fleet. Entries lost while the registry was away are used at once, as before.

Why it works: only the upstream knows whether it left; a second read of the entry would be deceived by two late heartbeats and make a true return wait.

--- a/hemlockrouter-cli/tests/direct/deployment.rs
+++ b/hemlockrouter-cli/tests/direct/deployment.rs
@@ -20,6 +20,7 @@
 use hemlockrouter_corporation_lab::Ledger;
 use hemlockrouter_corporation_lab::Store;
 use hemlockrouter_corporation_lab::Upstream;
+use hemlockrouter_corporation_lab::HEALTH_PATH;
 use hemlockrouter_lab::link::LinkCondition;
 use hemlockrouter_lab::link::TcpRelay;
 use hemlockrouter_lab::ports::PortBlock;
@@ -431,9 +432,15 @@
     search["gather"] = json!(shards());
     search["topK"] = json!(MAX_RECORDS);
     search["minCoverage"] = json!(0.6);
-    let services = services()
-        .into_iter()
-        .map(|name| json!({"name": name, "maxConns": 50, "warmupS": 3.0, "warmupPerS": 0.0}));
+    let services = services().into_iter().map(|name| {
+        json!({
+            "name": name,
+            "healthPath": HEALTH_PATH,
+            "maxConns": 50,
+            "warmupS": 3.0,
+            "warmupPerS": 0.0,
+        })
+    });
     json!({
         "version": version,
         "routes": [
--- a/hemlockrouter-cli/tests/direct/main.rs
+++ b/hemlockrouter-cli/tests/direct/main.rs
@@ -4,6 +4,7 @@
 //! Simulated callers check each answer against the requests that the upstreams recorded.
 
 mod caller_connection;
+mod departures_soak;
 mod deployment;
 mod faults;
 mod in_force;
@@ -13,6 +14,7 @@
 mod relays;
 mod repeating_proxy;
 mod restored;
+mod returns;
 mod serving;
 mod sharing;
 mod soak;
--- /dev/null
+++ b/hemlockrouter-cli/tests/direct/returns.rs
@@ -0,0 +1,180 @@
+//! Tests of upstreams that register again after they have left, and of late writes that look like it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hemlockrouter_corporation_lab::Behaviour;
+use hemlockrouter_corporation_lab::StoreFault;
+use hemlockrouter_corporation_lab::Upstream;
+use http::StatusCode;
+
+use crate::deployment::eventually;
+use crate::deployment::Deployment;
+use crate::deployment::LOOK_UP_PATH;
+use crate::deployment::ZONES;
+
+/// The time for which an upstream that has left may get requests.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+
+/// The longest time until an upstream that is back gets requests.
+const USED_AGAIN_WITHIN: Duration = Duration::from_secs(2);
+
+/// The time after which a registration that is renewed counts as that of an upstream that is back.
+const LASTING_REGISTRATION: Duration = Duration::from_secs(10);
+
+/// The number of instances, five in each of two availability zones: four of them follow the fifth.
+const INSTANCE_COUNT: usize = 10;
+
+const REQUEST_COUNT: usize = 40;
+
+/// Returns an upstream of the service that one upstream answers.
+fn ledger_upstream(deployment: &Deployment) -> &Upstream {
+    let mut upstreams = deployment.upstreams.iter();
+    let upstream = upstreams.find(|upstream| upstream.service() == "ledger");
+    upstream.expect("the service has upstreams")
+}
+
+/// Sends requests to each instance of the upstream's zone, which is the first one, and checks that none reaches `upstream`.
+fn check_unused(deployment: &Deployment, upstream: &Upstream) {
+    for index in (0..deployment.daemons.len()).step_by(ZONES.len()) {
+        for _ in 0..REQUEST_COUNT {
+            let answer = deployment.call(index, LOOK_UP_PATH, 1_000);
+            assert_eq!(answer.status, Some(StatusCode::OK), "{answer:?}");
+            let runs = deployment.ledger.runs_of(&answer.attempt_id);
+            let late_run = runs.iter().find(|run| run.upstream == upstream.id());
+            assert!(late_run.is_none(), "instance {index}: {late_run:?}");
+        }
+    }
+}
+
+/// Waits until each instance of the upstream's zone sends requests to `upstream`.
+fn wait_until_used(deployment: &Deployment, upstream: &Upstream) {
+    for index in (0..deployment.daemons.len()).step_by(ZONES.len()) {
+        eventually("the upstream is used", || {
+            let answer = deployment.call(index, LOOK_UP_PATH, 1_000);
+            let runs = deployment.ledger.runs_of(&answer.attempt_id);
+            runs.iter().any(|run| run.upstream == upstream.id())
+        });
+    }
+}
+
+/// Lets an upstream leave without a report, and its last heartbeat be executed `late_by` later.
+fn check_late_heartbeat(deployment: &Deployment, late_by: Duration) {
+    let leaving = ledger_upstream(deployment);
+    wait_until_used(deployment, leaving);
+    let left_at = Instant::now();
+    leaving.unregister(&deployment.store);
+    std::thread::sleep(late_by);
+    leaving.heartbeat_late(&deployment.store);
+    let quiet = DRAIN_TIME + Duration::from_millis(500);
+    std::thread::sleep(quiet.saturating_sub(left_at.elapsed()));
+    check_unused(deployment, leaving);
+}
+
+/// Guards against requests to an upstream that has left without a report, since the store executes
+/// its last heartbeat after the removal.
+#[test]
+fn late_heartbeat_of_an_upstream_that_has_left_sends_it_nothing() {
+    for late_by in [Duration::ZERO, Duration::from_millis(900), DRAIN_TIME] {
+        check_late_heartbeat(&Deployment::start(1), late_by);
+    }
+}
+
+/// Guards against the same requests of instances that follow another one.
+#[test]
+fn late_heartbeat_of_an_upstream_that_has_left_sends_it_nothing_from_followers() {
+    let deployment = Deployment::start(INSTANCE_COUNT);
+    check_late_heartbeat(&deployment, Duration::from_millis(900));
+}
+
+/// Guards against the same requests if the instance learns of removal and heartbeat from a complete
+/// read.
+#[test]
+fn late_heartbeat_in_a_complete_read_sends_nothing() {
+    let deployment = Deployment::start(1);
+    let leaving = ledger_upstream(&deployment);
+    wait_until_used(&deployment, leaving);
+    leaving.unregister(&deployment.store);
+    std::thread::sleep(Duration::from_millis(500));
+    deployment.store.set_fault(StoreFault::ClosesConnections);
+    leaving.heartbeat_late(&deployment.store);
+    deployment.store.compact();
+    deployment.store.set_fault(StoreFault::Available);
+    std::thread::sleep(DRAIN_TIME);
+    check_unused(&deployment, leaving);
+}
+
+/// Guards against requests to an upstream that drains, since a late write of an earlier start makes
+/// it look like a new one.
+#[test]
+fn late_write_of_an_earlier_start_sends_a_draining_upstream_nothing() {
+    let deployment = Deployment::start(1);
+    let draining = ledger_upstream(&deployment);
+    draining.register(&deployment.store, true);
+    let drains_from = Instant::now();
+    std::thread::sleep(Duration::from_millis(500));
+    draining.register_earlier_start_late(&deployment.store);
+    std::thread::sleep((DRAIN_TIME + Duration::from_millis(100)) - drains_from.elapsed());
+    check_unused(&deployment, draining);
+}
+
+/// Guards against an upstream that is back and waits for requests, although it says that it is
+/// healthy.
+#[test]
+fn healthy_upstream_that_is_back_is_used_at_once_by_followers_as_well() {
+    let deployment = Deployment::start(INSTANCE_COUNT);
+    let upstream = ledger_upstream(&deployment);
+    wait_until_used(&deployment, upstream);
+    upstream.unregister(&deployment.store);
+    std::thread::sleep(Duration::from_secs(1));
+    upstream.register(&deployment.store, false);
+    let registered_at = Instant::now();
+    wait_until_used(&deployment, upstream);
+    let took = registered_at.elapsed();
+    assert!(took < USED_AGAIN_WITHIN, "{took:?}");
+}
+
+/// Guards against an upstream that is back and gets no requests, because its health checks fail.
+#[test]
+fn upstream_whose_health_checks_fail_is_used_once_its_registration_has_lasted() {
+    let deployment = Deployment::start(1);
+    let upstream = ledger_upstream(&deployment);
+    upstream.set_behaviour(Behaviour {
+        fails_health_checks: true,
+        ..Behaviour::default()
+    });
+    upstream.unregister(&deployment.store);
+    std::thread::sleep(Duration::from_secs(1));
+    upstream.register(&deployment.store, false);
+    let registered_at = Instant::now();
+    wait_until_used(&deployment, upstream);
+    let took = registered_at.elapsed();
+    let max = LASTING_REGISTRATION + USED_AGAIN_WITHIN;
+    assert!(took < max, "{took:?}");
+}
+
+/// Guards against upstreams that wait for their confirmation after an outage of the store, in which
+/// all registrations were lost.
+#[test]
+fn registrations_lost_in_an_outage_are_used_at_once_when_they_are_back() {
+    let deployment = Deployment::start(1);
+    let upstream = ledger_upstream(&deployment);
+    wait_until_used(&deployment, upstream);
+    upstream.set_behaviour(Behaviour {
+        fails_health_checks: true,
+        ..Behaviour::default()
+    });
+    deployment.store.set_fault(StoreFault::Status503);
+    std::thread::sleep(Duration::from_millis(4_500));
+    upstream.unregister(&deployment.store);
+    deployment.store.set_fault(StoreFault::Available);
+    eventually("the removal is known", || {
+        deployment.log(0).contains("registry regained")
+    });
+    std::thread::sleep(Duration::from_secs(1));
+    upstream.register(&deployment.store, false);
+    let registered_at = Instant::now();
+    wait_until_used(&deployment, upstream);
+    let took = registered_at.elapsed();
+    assert!(took < USED_AGAIN_WITHIN, "{took:?}");
+}
--- a/hemlockrouter-cli/tests/direct/soak/fault.rs
+++ b/hemlockrouter-cli/tests/direct/soak/fault.rs
@@ -52,6 +52,7 @@
             unsigned_response_permille: answer_rng.random_range(0..200),
             never_responds: rng.random_range(0..4) == 0,
             is_leaving: false,
+            fails_health_checks: false,
             omits_id_in_rejections: answer_rng.random(),
             retry_after: cooldown_rng.random_bool(COOLDOWN_SHARE).then_some(COOLDOWN),
         };
--- a/hemlockrouter-cli/tests/direct/soak/mod.rs
+++ b/hemlockrouter-cli/tests/direct/soak/mod.rs
@@ -219,6 +219,7 @@
     };
     let mut late_writes = LateWrites {
         rng: StdRng::seed_from_u64(seed.rotate_left(40)),
+        heartbeat_rng: StdRng::seed_from_u64(seed.rotate_left(12)),
     };
     let mut large_versions = LargeVersions {
         rng: StdRng::seed_from_u64(seed.rotate_left(8)),
@@ -361,7 +362,7 @@
 }
 
 /// Parses the half-open range `first..end` into its seeds.
-fn parse_seeds(range: &str) -> Vec<u64> {
+pub(crate) fn parse_seeds(range: &str) -> Vec<u64> {
     let (first, end) = range.split_once("..").expect("seeds are a range a..b");
     let number = |text: &str| text.parse::<u64>().expect("seeds are whole numbers");
     (number(first)..number(end)).collect()
--- a/hemlockrouter-cli/tests/direct/soak/store.rs
+++ b/hemlockrouter-cli/tests/direct/soak/store.rs
@@ -155,6 +155,8 @@
 /// Writes of upstreams that the store executes late.
 pub(super) struct LateWrites {
     pub(super) rng: StdRng,
+    /// Random numbers for heartbeats, which came later than the other kinds of writes.
+    pub(super) heartbeat_rng: StdRng,
 }
 
 impl LateWrites {
@@ -162,8 +164,13 @@
     pub(super) fn step(&mut self, deployment: &Deployment, active_faults: &[(Instant, Fault)]) {
         for (_, fault) in active_faults {
             if let Fault::Drain(index) | Fault::Replace(index) = fault {
+                let upstream = &deployment.upstreams[*index];
                 if self.rng.random_bool(LATE_WRITE_PROBABILITY) {
-                    deployment.upstreams[*index].register_late(&deployment.store);
+                    upstream.register_late(&deployment.store);
+                }
+                let has_left = matches!(fault, Fault::Replace(_));
+                if has_left && self.heartbeat_rng.random_bool(LATE_WRITE_PROBABILITY) {
+                    upstream.heartbeat_late(&deployment.store);
                 }
             }
         }
--- a/hemlockrouter-edge/src/protocol.rs
+++ b/hemlockrouter-edge/src/protocol.rs
@@ -66,6 +66,14 @@
         body: Bytes,
     ) -> Option<UpstreamAnswer>;
 
+    /// Builds the request that asks an upstream for its own health at the service's health `path`.
+    /// Returns `None` if the path fits no request.
+    fn write_health_request(&self, path: &str) -> Option<Request<Bytes>>;
+
+    /// Returns whether the head of an answer to [`Protocol::write_health_request`] states that it
+    /// comes from the upstream `upstream_id`, which is healthy and is not leaving.
+    fn is_healthy(&self, head: &response::Parts, upstream_id: &str) -> bool;
+
     /// Builds the request for a page of the registry that starts at `from`, where an earlier page
     /// ended. A page that `may_lag` is cheaper and may have an older revision.
     fn write_page_request(&self, from: Option<&str>, may_lag: bool) -> Request<Bytes>;
--- a/hemlockrouter-route/tests/direct/fixture.rs
+++ b/hemlockrouter-route/tests/direct/fixture.rs
@@ -94,6 +94,7 @@
         name,
         connections_max: 50,
         cold_per_s: Some(6.0),
+        health_path: None,
     });
     RouteDocument {
         version,
--- a/hemlockrouter-types/src/routing.rs
+++ b/hemlockrouter-types/src/routing.rs
@@ -89,6 +89,9 @@
     /// Number of requests per second that a cold upstream can process from all instances together,
     /// or `None` if there is no limit.
     pub cold_per_s: Option<f64>,
+    /// Path at which an upstream reports its own health, if the service has one.
+    #[serde(default)]
+    pub health_path: Option<String>,
 }
 
 /// Limits on the requests of callers.
--- a/src/direct/departed.rs
+++ b/src/direct/departed.rs
@@ -9,6 +9,8 @@
 use hemlockrouter_types::prelude::*;
 use hemlockrouter_types::routing::UpstreamEntry;
 
+use super::late_writes::LastWrite;
+
 /// Time for which an upstream that has left is remembered, in milliseconds. It is longer than the
 /// age of a backup copy and the delay of a write.
 const RETENTION_MS: u64 = 60_000;
@@ -17,16 +19,21 @@
 #[derive(Default)]
 pub(super) struct DepartedUpstreams {
     /// Last write of each upstream and the time at which it left, by id.
-    by_id: BTreeMap<String, (UpstreamWrite, Time)>,
+    by_id: BTreeMap<String, (LastWrite, Time)>,
 }
 
 impl DepartedUpstreams {
-    /// Records that an upstream has left.
-    pub(super) fn record_left(&mut self, now: Time, entry: &UpstreamEntry) {
+    /// Records that an upstream has left after `last_write`.
+    pub(super) fn record_left(&mut self, now: Time, id: &str, last_write: LastWrite) {
         self.by_id
             .retain(|_, (_, at)| now.ms_since(*at) <= RETENTION_MS);
-        let last_write = UpstreamWrite::from_entry(entry);
-        self.by_id.insert(entry.id.clone(), (last_write, now));
+        self.by_id.insert(String::from(id), (last_write, now));
+    }
+
+    /// Records that the registration of an upstream was lost in a restore of the registry.
+    pub(super) fn record_lapsed(&mut self, now: Time, entry: &UpstreamEntry) {
+        let last_write = LastWrite::Lapsed(UpstreamWrite::from_entry(entry));
+        self.record_left(now, &entry.id, last_write);
     }
 
     /// Records a write of an upstream, which is back.
@@ -38,12 +45,12 @@
     pub(super) fn last_writes(&self) -> BTreeMap<String, UpstreamWrite> {
         let last_writes = self.by_id.iter();
         last_writes
-            .map(|(id, (last_write, _))| (id.clone(), *last_write))
+            .map(|(id, (last_write, _))| (id.clone(), last_write.write()))
             .collect()
     }
 
     /// Returns the last write of an upstream that has left; `None` if that is not known.
-    pub(super) fn last_write(&self, now: Time, id: &str) -> Option<UpstreamWrite> {
+    pub(super) fn last_write(&self, now: Time, id: &str) -> Option<LastWrite> {
         let (last_write, left_at) = self.by_id.get(id)?;
         (now.ms_since(*left_at) <= RETENTION_MS).then_some(*last_write)
     }
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -22,8 +22,11 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::confirmation;
+use super::confirmation::HealthCheck;
 use super::first_read::FirstRead;
 use super::mirror::Mirror;
+use super::mirror::Registration;
 use super::node::Identity;
 use super::node::Node;
 use super::read_applier::format_path;
@@ -62,6 +65,10 @@
         connection: RegistryClient,
         result: Result<RegistryRead, CallError>,
     },
+    Confirmed {
+        registrations: Vec<Registration>,
+        why: &'static str,
+    },
 }
 
 /// Keeps the local copy of the registry up to date.
@@ -149,6 +156,8 @@
             let calls = self.sources.due_calls(now, &registry_access);
             calls.into_iter().for_each(|call| self.start_call(call));
             self.read_applier.expire_overrides();
+            self.read_applier.confirm_lasting();
+            self.start_confirmation();
             let wake_at = self.sources.wake_at();
             let due_at = self.mirror.due_at();
             let wake_at = due_at.map_or(wake_at, |at| wake_at.min(at));
@@ -258,8 +267,66 @@
         });
     }
 
+    /// Checks the registrations that may be late writes. An instance whose copy came from a relay
+    /// asks the relay, and any other one asks the upstreams.
+    fn start_confirmation(&self) {
+        let registrations = self.mirror.due_checks();
+        if registrations.is_empty() {
+            return;
+        }
+        match self.followed_relay {
+            Some(relay) if !self.mirror.path().is_empty() => {
+                self.ask_relay_to_confirm(relay, registrations)
+            }
+            _ => registrations
+                .into_iter()
+                .for_each(|registration| self.check_health(registration)),
+        }
+    }
+
+    fn ask_relay_to_confirm(&self, relay: SocketAddr, registrations: Vec<Registration>) {
+        let events = self.events_tx.clone();
+        self.tasks.spawn_call("confirmation by a relay", async move {
+            match confirmation::ask_relay(relay, &registrations).await {
+                Ok(registrations) => {
+                    let why = "the relay has confirmed it";
+                    // Sending can't fail, because the follower lives as long as the process.
+                    let _ = events.send(FollowerEvent::Confirmed { registrations, why });
+                }
+                Err(err) => {
+                    let why = err.to_string();
+                    info!(target: "dependency", relay = relay.to_string(), why = why; "no confirmation");
+                }
+            }
+        });
+    }
+
+    fn check_health(&self, registration: Registration) {
+        let Some((address, path)) = self.mirror.health_target(&registration.id) else {
+            return;
+        };
+        let check = HealthCheck {
+            registration,
+            address,
+            path,
+        };
+        let protocol = Rc::clone(&self.protocol);
+        let events = self.events_tx.clone();
+        self.tasks.spawn_call("health check", async move {
+            if confirmation::is_healthy(protocol, &check).await {
+                let registrations = vec![check.registration];
+                let why = "the upstream is healthy";
+                // Sending can't fail, because the follower lives as long as the process.
+                let _ = events.send(FollowerEvent::Confirmed { registrations, why });
+            }
+        });
+    }
+
     fn handle_event(&mut self, event: FollowerEvent) {
         match event {
+            FollowerEvent::Confirmed { registrations, why } => {
+                self.read_applier.confirm(&registrations, why);
+            }
             FollowerEvent::Registry { connection, result } => {
                 self.registry = Some(connection);
                 match result {
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -2,8 +2,10 @@
 
 mod history;
 mod state;
+mod unconfirmed;
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 
 use hemlockrouter_edge::keep_newer;
 use hemlockrouter_edge::EncodedEntries;
@@ -15,6 +17,8 @@
 use tokio::sync::Notify;
 
 use self::state::MirrorState;
+pub(super) use self::unconfirmed::Registration;
+pub(super) use self::unconfirmed::CHECK_INTERVAL_MS;
 use super::registry_reads::KnownState;
 use super::restore_overrides::OverrideCounts;
 
@@ -78,8 +82,12 @@
         has_changed
     }
 
-    /// Applies the changes of a read up to `position`, and returns those that change the known
-    /// state.
+    /// Sets whether registrations are assumed to be missing because the registry was away.
+    pub(super) fn set_refilling(&self, is_refilling: bool) {
+        self.state.borrow_mut().is_refilling = is_refilling;
+    }
+
+    /// Applies the changes of a read up to `position`, and returns those that change what is used.
     ///
     /// A page that is received a second time, late, restores no old state, and of several entries
     /// about one subject only the last one counts. A complete read may hold entries that are newer
@@ -92,16 +100,25 @@
             .iter()
             .filter(|entry| entry.revision > state.position.revision)
             .collect();
-        let newer = state.without_late_writes(now, newer);
-        let effective_entries = state.effective_entries(&newer);
-        for entry in &effective_entries {
-            state.apply_entry(now, entry);
+        let recent = state.without_late_writes(now, newer);
+        let effective_entries = state.effective_entries(&recent.changes);
+        let mut used_entries = Vec::with_capacity(effective_entries.len());
+        for entry in effective_entries {
+            let is_unconfirmed = recent.is_unconfirmed(&entry);
+            if let Some(removal) = recent.removal_before(&entry) {
+                state.apply_entry(now, removal, false);
+                used_entries.push(removal.clone());
+            }
+            state.apply_entry(now, &entry, is_unconfirmed);
+            if !is_unconfirmed {
+                used_entries.push(entry);
+            }
         }
-        for entry in newer {
+        for entry in recent.changes {
             state.history.record(entry);
         }
         state.position = state.position.max(position);
-        effective_entries
+        used_entries
     }
 
     /// Replaces all entries by those of the registry, and returns the entries to use. The two
@@ -126,7 +143,8 @@
                     .filter_map(|entry| state.current_entry(now, entry))
                     .collect();
                 state.replace(now, &entries, is_restored);
-                state.overrides.reconcile_reread(&entries)
+                let used_entries = state.overrides.reconcile_reread(&entries);
+                state.without_unconfirmed(used_entries)
             }
         };
         state.history.restart_after(position.revision);
@@ -139,9 +157,12 @@
         self.state.borrow().overrides.counts()
     }
 
-    /// Returns the time at which [`Mirror::expire_overrides`] is due.
+    /// Returns the time at which [`Mirror::expire_overrides`], [`Mirror::due_checks`] or
+    /// [`Mirror::lasting_registrations`] is due.
     pub(super) fn due_at(&self) -> Option<Time> {
-        self.state.borrow().overrides.due_at()
+        let state = self.state.borrow();
+        let due = [state.overrides.due_at(), state.unconfirmed.due_at()];
+        due.into_iter().flatten().min()
     }
 
     /// Returns the changes that take effect now because no newer entry was written after the
@@ -159,6 +180,37 @@
         due_changes
     }
 
+    /// Returns the registrations that are to be checked now.
+    pub(super) fn due_checks(&self) -> Vec<Registration> {
+        let now = self.clock.now();
+        self.state.borrow_mut().unconfirmed.due_checks(now)
+    }
+
+    /// Returns the registrations that have lasted long enough to be confirmed.
+    pub(super) fn lasting_registrations(&self) -> Vec<Registration> {
+        let now = self.clock.now();
+        self.state.borrow().unconfirmed.expired(now)
+    }
+
+    /// Confirms a registration, and returns the change that takes effect; `None` if the upstream has
+    /// another entry by now.
+    pub(super) fn confirm(&self, registration: &Registration) -> Option<EntryChange> {
+        self.state.borrow_mut().confirm(registration)
+    }
+
+    /// Returns those of `registrations` that are confirmed here.
+    pub(super) fn confirmed_of(&self, mut registrations: Vec<Registration>) -> Vec<Registration> {
+        let state = self.state.borrow();
+        registrations.retain(|registration| state.is_confirmed(registration));
+        registrations
+    }
+
+    /// Returns the address of an upstream and the path at which it reports its health, if its
+    /// service has one.
+    pub(super) fn health_target(&self, id: &str) -> Option<(SocketAddr, String)> {
+        self.state.borrow().health_target(id)
+    }
+
     /// Waits until the registry was read, at most for `wait`, and returns whether it was.
     pub(super) async fn wait_until_read(&self, wait: std::time::Duration) -> bool {
         let changed = self.change_notify.notified();
--- a/src/direct/mirror/state.rs
+++ b/src/direct/mirror/state.rs
@@ -1,6 +1,7 @@
 //! Content of the local copy of the registry, and the rules by which entries change it.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use hemlockrouter_edge::EncodedEntries;
 use hemlockrouter_edge::Entry;
@@ -11,9 +12,13 @@
 use hemlockrouter_types::prelude::*;
 
 use super::history::History;
+use super::unconfirmed::Registration;
+use super::unconfirmed::UnconfirmedUpstreams;
 use crate::direct::departed::DepartedUpstreams;
-use crate::direct::late_writes::ChangeSeries;
+use crate::direct::late_writes::without_earlier_writes;
 use crate::direct::late_writes::LastWrite;
+use crate::direct::late_writes::Recency;
+use crate::direct::late_writes::RecentChanges;
 use crate::direct::restore_overrides::RestoreOverrides;
 
 /// Content of the local copy.
@@ -30,6 +35,11 @@
     /// Entries that are trusted or refused in deviation from a restored registry.
     pub(super) overrides: RestoreOverrides,
     pub(super) departed: DepartedUpstreams,
+    /// Upstreams whose present entries may be late writes.
+    pub(super) unconfirmed: UnconfirmedUpstreams,
+    /// Whether registrations are assumed to be missing because the registry was away, not because
+    /// upstreams have left.
+    pub(super) is_refilling: bool,
     /// Recent changes, for followers.
     pub(super) history: History,
 }
@@ -56,8 +66,23 @@
 
     /// Returns the entries to use after the registry was restored from `copy`.
     pub(super) fn reconcile_copy(&mut self, now: Time, copy: &[Entry]) -> Vec<Entry> {
+        let entries = self.used_entries();
+        self.unconfirmed.clear();
         self.overrides
-            .reconcile_copy(now, &self.entries, &self.departed, copy)
+            .reconcile_copy(now, &entries, &self.departed, copy)
+    }
+
+    /// Returns the entries without those of unconfirmed registrations.
+    fn used_entries(&self) -> BTreeMap<EntrySubject, Entry> {
+        let mut entries = self.entries.clone();
+        for id in self.unconfirmed.ids() {
+            let subject = EntrySubject::Upstream(String::from(id));
+            match self.unconfirmed.used_entry(id) {
+                Some(used_entry) => entries.insert(subject, used_entry.clone()),
+                None => entries.remove(&subject),
+            };
+        }
+        entries
     }
 
     /// Replaces all entries. After a restore of the registry, the previous routes are kept unless
@@ -74,18 +99,26 @@
             self.keep_routes(previous);
             return;
         }
-        for entry in previous.into_values() {
+        for (subject, entry) in previous {
             if let EntryChange::Upstream(upstream) = entry.change {
-                if !self
-                    .entries
-                    .contains_key(&EntrySubject::Upstream(upstream.id.clone()))
-                {
-                    self.departed.record_left(now, &upstream);
+                if !self.entries.contains_key(&subject) {
+                    let last_write =
+                        self.write_before_removal(UpstreamWrite::from_entry(&upstream));
+                    self.departed.record_left(now, &upstream.id, last_write);
+                    self.unconfirmed.remove(&upstream.id);
                 }
             }
         }
     }
 
+    /// Returns what the removal of an upstream's entry says about the last write before it.
+    fn write_before_removal(&self, write: UpstreamWrite) -> LastWrite {
+        match self.is_refilling {
+            true => LastWrite::Lapsed(write),
+            false => LastWrite::Left(write),
+        }
+    }
+
     /// Keeps the routes of `previous` unless the registry has a newer version.
     fn keep_routes(&mut self, mut previous: BTreeMap<EntrySubject, Entry>) {
         let Some(mut routes) = previous.remove(&EntrySubject::Routes) else {
@@ -106,20 +139,19 @@
     pub(super) fn without_late_writes<'e>(
         &self,
         now: Time,
-        mut changes: Vec<&'e Entry>,
-    ) -> Vec<&'e Entry> {
-        let mut series = ChangeSeries::default();
-        changes.retain(|entry| {
-            let last_write = |id: &str| self.last_write(now, id, entry.revision);
-            !series.is_late(&entry.change, last_write)
-        });
-        changes
+        changes: Vec<&'e Entry>,
+    ) -> RecentChanges<'e> {
+        let last_write = |id: &str, revision: u64| self.last_write(now, id, revision);
+        without_earlier_writes(changes, last_write, |write| {
+            self.write_before_removal(write)
+        })
     }
 
-    /// Returns the entry to use for an entry of a complete read: the known one if that of the read is
-    /// a late write of a registered upstream, and none if it is one of an upstream that has left.
-    /// Entries of a restored copy have a rule of their own.
-    pub(super) fn current_entry(&self, now: Time, entry: Entry) -> Option<Entry> {
+    /// Returns the entry to keep for an entry of a complete read: the known one if that of the read
+    /// is a late write of a registered upstream, and none if it is one of an upstream that has left.
+    /// An entry that may be a late write is recorded as unconfirmed. Entries of a restored copy have
+    /// a rule of their own.
+    pub(super) fn current_entry(&mut self, now: Time, entry: Entry) -> Option<Entry> {
         let EntryChange::Upstream(upstream) = &entry.change else {
             return Some(entry);
         };
@@ -127,16 +159,87 @@
         if self.overrides.is_refused(&subject) {
             return Some(entry);
         }
-        let last_write = self.last_write(now, &upstream.id, entry.revision);
-        let Some(last_write) = last_write.filter(|last_write| last_write.is_late(upstream)) else {
+        let Some(last_write) = self.last_write(now, &upstream.id, entry.revision) else {
             return Some(entry);
         };
-        last_write.log_late(upstream);
-        let known_entry = self.entries.get(&subject)?;
-        Some(Entry {
-            revision: entry.revision,
-            ..known_entry.clone()
-        })
+        match last_write.recency_of(upstream) {
+            Recency::Later => {
+                self.unconfirmed.remove(&upstream.id);
+                Some(entry)
+            }
+            Recency::Unknown => {
+                last_write.log_unconfirmed(upstream);
+                self.hold_unconfirmed(now, &upstream.id, entry.revision);
+                Some(entry)
+            }
+            Recency::Earlier => {
+                last_write.log_earlier(upstream);
+                let known_entry = self.entries.get(&subject)?;
+                Some(Entry {
+                    revision: entry.revision,
+                    ..known_entry.clone()
+                })
+            }
+        }
+    }
+
+    /// Records that the registration of an upstream at `revision`, which is not stored yet, is
+    /// unconfirmed.
+    fn hold_unconfirmed(&mut self, now: Time, id: &str, revision: u64) {
+        let registration = Registration {
+            id: String::from(id),
+            revision,
+        };
+        let subject = EntrySubject::Upstream(String::from(id));
+        let used_entry = self.entries.get(&subject).cloned();
+        self.unconfirmed.hold(now, registration, used_entry);
+    }
+
+    /// Replaces unconfirmed registrations among `entries` by the entries that are used until they
+    /// are confirmed.
+    pub(super) fn without_unconfirmed(&self, entries: Vec<Entry>) -> Vec<Entry> {
+        let used_entry = |entry: Entry| match &entry.change {
+            EntryChange::Upstream(upstream) if self.unconfirmed.contains(&upstream.id) => {
+                self.unconfirmed.used_entry(&upstream.id).cloned()
+            }
+            _ => Some(entry),
+        };
+        entries.into_iter().filter_map(used_entry).collect()
+    }
+
+    /// Confirms a registration, and returns the change that takes effect; `None` if the upstream
+    /// has another entry by now.
+    pub(super) fn confirm(&mut self, registration: &Registration) -> Option<EntryChange> {
+        if !self.unconfirmed.contains_registration(registration) {
+            return None;
+        }
+        self.unconfirmed.remove(&registration.id);
+        self.departed.record_written(&registration.id);
+        let subject = EntrySubject::Upstream(registration.id.clone());
+        let entry = self.entries.get(&subject)?;
+        Some(entry.change.clone())
+    }
+
+    /// Returns the address of an upstream and its service's health path.
+    pub(super) fn health_target(&self, id: &str) -> Option<(SocketAddr, String)> {
+        let subject = EntrySubject::Upstream(String::from(id));
+        let EntryChange::Upstream(upstream) = &self.entries.get(&subject)?.change else {
+            return None;
+        };
+        let EntryChange::Routes(document) = &self.entries.get(&EntrySubject::Routes)?.change else {
+            return None;
+        };
+        let mut services = document.services.iter();
+        let service = services.find(|service| service.name == upstream.service)?;
+        Some((upstream.address, service.health_path.clone()?))
+    }
+
+    /// Returns whether an upstream is registered at `registration` or later, and confirmed.
+    pub(super) fn is_confirmed(&self, registration: &Registration) -> bool {
+        let subject = EntrySubject::Upstream(registration.id.clone());
+        let entry = self.entries.get(&subject);
+        entry.is_some_and(|entry| entry.revision >= registration.revision)
+            && !self.unconfirmed.contains(&registration.id)
     }
 
     /// Returns the last write of an upstream before `revision`; `None` if it is not known, or if the
@@ -144,12 +247,15 @@
     fn last_write(&self, now: Time, id: &str, revision: u64) -> Option<LastWrite> {
         let known_entry = self.entries.get(&EntrySubject::Upstream(String::from(id)));
         let Some(known_entry) = known_entry else {
-            return self.departed.last_write(now, id).map(LastWrite::Left);
+            return self.departed.last_write(now, id);
         };
         match &known_entry.change {
             EntryChange::Upstream(upstream) if known_entry.revision < revision => {
                 let write = UpstreamWrite::from_entry(upstream);
-                Some(LastWrite::Registered(write))
+                match self.unconfirmed.contains(id) {
+                    true => Some(LastWrite::Left(write)),
+                    false => Some(LastWrite::Registered(write)),
+                }
             }
             _ => None,
         }
@@ -179,12 +285,18 @@
         changing.map(|(entry, _)| (*entry).clone()).collect()
     }
 
-    pub(super) fn apply_entry(&mut self, now: Time, entry: &Entry) {
+    /// Applies an entry. If `is_unconfirmed` is set, it may be a late write of its upstream.
+    pub(super) fn apply_entry(&mut self, now: Time, entry: &Entry, is_unconfirmed: bool) {
         self.encoded = None;
         if let Some(subject) = entry.change.subject() {
             self.overrides.record_written(&subject);
             if let EntryChange::Upstream(upstream) = &entry.change {
-                self.departed.record_written(&upstream.id);
+                if is_unconfirmed {
+                    self.hold_unconfirmed(now, &upstream.id, entry.revision);
+                } else {
+                    self.unconfirmed.remove(&upstream.id);
+                    self.departed.record_written(&upstream.id);
+                }
             }
             self.apply_subject(now, subject, entry);
         }
@@ -201,7 +313,14 @@
         }
         let removed = self.entries.remove(&subject);
         if let Some(EntryChange::Upstream(upstream)) = removed.map(|entry| entry.change) {
-            self.departed.record_left(now, &upstream);
+            let write = UpstreamWrite::from_entry(&upstream);
+            let last_write = match &entry.change {
+                // The upstream writes its entry again.
+                EntryChange::Unreadable { .. } => LastWrite::Lapsed(write),
+                _ => self.write_before_removal(write),
+            };
+            self.departed.record_left(now, &upstream.id, last_write);
+            self.unconfirmed.remove(&upstream.id);
         }
     }
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -35,6 +35,7 @@
 mod callers;
 mod calls;
 mod collector;
+mod confirmation;
 mod connection;
 mod departed;
 mod first_read;
--- a/src/direct/read_applier.rs
+++ b/src/direct/read_applier.rs
@@ -12,6 +12,7 @@
 use log::warn;
 
 use super::mirror::Mirror;
+use super::mirror::Registration;
 use super::node::Node;
 use super::registry_reads;
 use super::registry_reads::RegistryRead;
@@ -31,6 +32,9 @@
     mirror: Rc<Mirror>,
     /// End of the period in which the registry is assumed to refill.
     refill_until: Time,
+    /// End of the period in which registrations are assumed to be missing because the registry was
+    /// away.
+    lapse_until: Time,
 }
 
 impl ReadApplier {
@@ -40,6 +44,7 @@
             node,
             mirror,
             refill_until: Time::ZERO,
+            lapse_until: Time::ZERO,
         }
     }
 
@@ -55,11 +60,15 @@
             .mirror
             .age_ms()
             .is_none_or(|age_ms| age_ms > OUTAGE_AGE_MS);
+        let known_position = self.mirror.position();
+        let is_first = known_position.is_none();
         if was_stale && read.age_ms <= OUTAGE_AGE_MS {
             self.refill_until = now + REFILL_PERIOD_MS;
+            if !is_first {
+                self.lapse_until = self.refill_until;
+            }
         }
-        let known_position = self.mirror.position();
-        let is_first = known_position.is_none();
+        self.mirror.set_refilling(now < self.lapse_until);
         let known_position = known_position.unwrap_or_default();
         if read.position.generation < known_position.generation {
             // The read shows the registry before it was restored.
@@ -98,6 +107,7 @@
         }
         self.apply_entries(read);
         self.refill_until = self.clock.now() + REFILL_PERIOD_MS;
+        self.lapse_until = self.refill_until;
         let counts = self.mirror.override_counts();
         let generation = read.position.generation;
         warn!(
@@ -126,6 +136,35 @@
         }
     }
 
+    /// Confirms registrations that have lasted long enough.
+    pub(super) fn confirm_lasting(&self) {
+        let registrations = self.mirror.lasting_registrations();
+        self.confirm(&registrations, "it has lasted");
+    }
+
+    /// Uses the upstreams of registrations from now on, unless they have changed in the meantime.
+    pub(super) fn confirm(&self, registrations: &[Registration], why: &'static str) {
+        let mut changes = Vec::with_capacity(registrations.len());
+        for registration in registrations {
+            let Some(change) = self.mirror.confirm(registration) else {
+                continue;
+            };
+            info!(
+                target: "belief",
+                upstream = registration.id.as_str(),
+                revision = registration.revision,
+                why = why;
+                "registration confirmed"
+            );
+            changes.push(change);
+        }
+        if changes.is_empty() {
+            return;
+        }
+        let staleness_ms = self.mirror.age_ms().unwrap_or_default();
+        self.node.apply_changes(changes, false, staleness_ms);
+    }
+
     fn apply_entries(&self, read: &RegistryRead) {
         let entries: Vec<Entry> = match read.is_whole {
             true => self.mirror.replace(&read.entries, read.position),
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -37,6 +37,7 @@
 use super::listener::build_response;
 use super::member::Member;
 use super::mirror::Mirror;
+use super::mirror::Registration;
 use super::registry_reads::KnownState;
 
 /// Maximum time for which the call of an instance without data waits until this instance has read
@@ -56,12 +57,18 @@
 /// answer waits until this instance has read the registry.
 const READERS_PATH: &str = "/readers/";
 
+/// Path under which followers ask which registrations of upstreams are confirmed.
+const CONFIRMED_PATH: &str = "/confirmed";
+
 /// Path under which stopping instances end their registration.
 const LEAVE_PATH: &str = "/leave";
 
 /// Maximum size of an encoded instance entry, in bytes.
 const INSTANCE_ENTRY_MAX_BYTES: usize = 4 << 10;
 
+/// Maximum size of an encoded list of registrations, in bytes.
+const REGISTRATIONS_MAX_BYTES: usize = 64 << 10;
+
 /// Maximum length of the name of an instance, in bytes.
 const INSTANCE_NAME_MAX_BYTES: usize = 150;
 
@@ -101,6 +108,7 @@
             }
             JOIN_PATH => self.handle_join(request).await,
             LEAVE_PATH => self.handle_leave(request).await,
+            CONFIRMED_PATH => self.handle_confirmed(request).await,
             OFFER_PATH => self.handle_offer(request).await,
             _ => serve_changes(&self.mirror, &request).await,
         };
@@ -139,7 +147,7 @@
     }
 
     async fn handle_join(&self, request: Request<Incoming>) -> Response<Bytes> {
-        let entry: InstanceEntry = match read_message(request).await {
+        let entry: InstanceEntry = match read_message(request, INSTANCE_ENTRY_MAX_BYTES).await {
             Ok(entry) => entry,
             Err(reason) => return reject(&reason),
         };
@@ -154,7 +162,7 @@
     }
 
     async fn handle_leave(&self, request: Request<Incoming>) -> Response<Bytes> {
-        match read_message::<String>(request).await {
+        match read_message::<String>(request, INSTANCE_ENTRY_MAX_BYTES).await {
             Ok(name) => {
                 self.member.accept_leave(&name);
                 build_response(StatusCode::OK, "not registered any more")
@@ -163,8 +171,17 @@
         }
     }
 
+    async fn handle_confirmed(&self, request: Request<Incoming>) -> Response<Bytes> {
+        let registrations: Vec<Registration> =
+            match read_message(request, REGISTRATIONS_MAX_BYTES).await {
+                Ok(registrations) => registrations,
+                Err(reason) => return reject(&reason),
+            };
+        encode_response(rmp_serde::to_vec(&self.mirror.confirmed_of(registrations)))
+    }
+
     async fn handle_offer(&self, request: Request<Incoming>) -> Response<Bytes> {
-        let entry: InstanceEntry = match read_message(request).await {
+        let entry: InstanceEntry = match read_message(request, INSTANCE_ENTRY_MAX_BYTES).await {
             Ok(entry) => entry,
             Err(reason) => return reject(&reason),
         };
@@ -197,12 +214,12 @@
     build_response(StatusCode::BAD_REQUEST, String::from(reason))
 }
 
-/// Reads and decodes a request body of another instance.
-async fn read_message<T>(request: Request<Incoming>) -> Result<T, String>
+/// Reads and decodes a request body of another instance, of at most `max_bytes` bytes.
+async fn read_message<T>(request: Request<Incoming>, max_bytes: usize) -> Result<T, String>
 where
     T: DeserializeOwned,
 {
-    let body = Limited::new(request.into_body(), INSTANCE_ENTRY_MAX_BYTES);
+    let body = Limited::new(request.into_body(), max_bytes);
     let body = body.collect().await.map_err(|err| err.to_string())?;
     rmp_serde::from_slice(&body.to_bytes()).map_err(|err| err.to_string())
 }
@@ -244,6 +261,21 @@
     build_post(OFFER_PATH, entry)
 }
 
+/// Builds the request that asks which of `registrations` are confirmed.
+pub(super) fn build_confirmed_request(registrations: &[Registration]) -> Request<Bytes> {
+    build_post(CONFIRMED_PATH, &registrations)
+}
+
+/// Decodes the answer to [`build_confirmed_request`].
+///
+/// # Errors
+///
+/// Returns the reason as text if the status or the body is invalid.
+pub(super) fn decode_confirmed(status: u16, body: &[u8]) -> Result<Vec<Registration>, String> {
+    check_status(status)?;
+    rmp_serde::from_slice(body).map_err(|err| err.to_string())
+}
+
 /// Builds the request that ends a registration.
 pub(super) fn build_leave_request(name: &str) -> Request<Bytes> {
     build_post(LEAVE_PATH, &name)
--- a/src/direct/restore_overrides.rs
+++ b/src/direct/restore_overrides.rs
@@ -132,7 +132,7 @@
         let mut due_changes = Vec::with_capacity(self.held.len());
         for held in std::mem::take(&mut self.held).into_values() {
             if let EntryChange::Upstream(upstream) = &held.entry.change {
-                departed.record_left(now, upstream);
+                departed.record_lapsed(now, upstream);
             }
             due_changes.push(held.fallback);
         }
