Keep a part of the memory for answers for small ones

What callers saw: searches of sound upstreams lacked parts or were answered 502 while upstreams of another service answered without end. Nobody ran out of memory: each answer and all together are bounded.

Cause: all answers share one budget, and four endless ones of a quarter each take all of it. Until they are given up, any other answer is lost as 'all answers together exceed the memory limit'.

Fix: an answer that grows beyond 64 KiB leaves a quarter of the budget to small ones. What one service takes by large answers no longer costs the others theirs, and the sum stays the same. Large answers of sound upstreams can still be given up while others are endless.

--- a/src/direct/answer_memory.rs
+++ b/src/direct/answer_memory.rs
@@ -3,7 +3,8 @@
 //! A search waits for hundreds of answers at once, and a faulty upstream may send bytes without
 //! end. A limit per answer is not enough on a small machine, so all answers share one memory
 //! budget. An answer that does not fit into the remaining budget is lost, as if its connection had
-//! broken.
+//! broken. Large answers leave a part of the budget to small ones, so that a few endless answers do
+//! not cost other upstreams theirs.
 
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -21,6 +22,12 @@
 /// Fraction of the answer memory that one answer may use.
 const ANSWER_MAX_FRACTION: f64 = 0.25;
 
+/// Fraction of the answer memory that is kept for small answers.
+const SMALL_ANSWERS_FRACTION: f64 = 0.25;
+
+/// Maximum size of a small answer, in bytes.
+const SMALL_ANSWER_MAX_BYTES: usize = 64 << 10;
+
 /// Minimum size of an answer's buffer, in bytes.
 const ANSWER_BUFFER_MIN_BYTES: usize = 1 << 10;
 
@@ -29,6 +36,8 @@
 pub(super) struct AnswerMemory {
     available_bytes: Arc<AtomicUsize>,
     answer_max_bytes: usize,
+    /// Part of the budget that only small answers use, in bytes.
+    small_answers_bytes: usize,
 }
 
 impl AnswerMemory {
@@ -38,6 +47,7 @@
         AnswerMemory {
             available_bytes: Arc::new(AtomicUsize::new(budget_bytes as usize)),
             answer_max_bytes: (budget_bytes * ANSWER_MAX_FRACTION) as usize,
+            small_answers_bytes: (budget_bytes * SMALL_ANSWERS_FRACTION) as usize,
         }
     }
 
@@ -70,8 +80,14 @@
         Ok(Bytes::from_owner(buffer))
     }
 
-    fn reserve(&self, bytes: usize) -> bool {
-        let update = |left: usize| left.checked_sub(bytes);
+    /// Takes `bytes` bytes from the budget for a buffer of `capacity_bytes` bytes, and returns
+    /// whether they were available.
+    fn reserve(&self, bytes: usize, capacity_bytes: usize) -> bool {
+        let kept_bytes = match capacity_bytes <= SMALL_ANSWER_MAX_BYTES {
+            true => 0,
+            false => self.small_answers_bytes,
+        };
+        let update = |left: usize| left.checked_sub(bytes).filter(|left| *left >= kept_bytes);
         let order = Ordering::Relaxed;
         self.available_bytes
             .fetch_update(order, order, update)
@@ -121,7 +137,7 @@
         let doubled_bytes = (2 * self.reserved_bytes).max(ANSWER_BUFFER_MIN_BYTES);
         let capacity_bytes = needed_bytes.max(doubled_bytes);
         let additional_bytes = capacity_bytes - self.reserved_bytes;
-        if !self.memory.reserve(additional_bytes) {
+        if !self.memory.reserve(additional_bytes, capacity_bytes) {
             let reason = String::from("all answers together exceed the memory limit");
             return Err(SendError::Lost(reason));
         }
