End connections whose interim answers come without end

What callers saw: searches of other services lacked shards, and took up to 416 ms, while upstreams of one service sent interim answers (100) without end.

Cause: the HTTP library passes over any number of interim answers, and does not return to the event loop as long as more bytes arrive.

Fix: the stream fails its next read after 32 interim answers to a request, so the library stops within the same call. It holds for upstreams, instances and the registry, and for health checks.

--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -20,6 +20,9 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::client_stream::ClientStream;
+use super::client_stream::InterimLimit;
+
 /// Maximum size of the head of an answer, in bytes.
 const RESPONSE_HEAD_MAX_BYTES: usize = 32 << 10;
 
@@ -38,6 +41,7 @@
 /// HTTP client connection. Dropping a connection closes it and cancels the call in flight.
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    interim_limit: InterimLimit,
     task: AbortHandle,
 }
 
@@ -86,6 +90,8 @@
         }
         let mut builder = http1::Builder::new();
         builder.max_buf_size(RESPONSE_HEAD_MAX_BYTES);
+        let interim_limit = InterimLimit::default();
+        let stream = ClientStream::new(stream, interim_limit.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
@@ -94,6 +100,7 @@
         });
         Ok(Connection {
             sender,
+            interim_limit,
             task: task.abort_handle(),
         })
     }
@@ -109,18 +116,20 @@
         self.sender.ready().await.is_ok()
     }
 
-    /// Sends a request and reads the head of the answer.
+    /// Sends a request and reads the head of the answer. The connection breaks if interim answers
+    /// come without end.
     ///
     /// # Errors
     ///
     /// Returns an error that states whether the request may have been sent.
     pub(super) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         if !self.is_ready().await {
             return Err(SendError::NotSent);
         }
+        self.interim_limit.count(&mut request);
         let result = self.sender.try_send_request(request).await;
         result.map_err(|mut err| match err.take_message() {
             Some(_) => SendError::NotSent,
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -14,6 +14,7 @@
 //! - `answer_memory`: limits the memory for answers.
 //! - `pool`: idle connections for reuse.
 //! - `connection`: an HTTP client connection to an upstream, an instance or the registry.
+//! - `client_stream`: the stream of such a connection, which ends interim answers without end.
 //! - `follower`: keeps the local copy of the registry up to date.
 //! - `first_read`: reads the registry when the instance starts.
 //! - `registry_reads`: reads the registry, directly or from another instance.
@@ -22,6 +23,7 @@
 //! - `mirror`: the local copy of the registry, also for followers.
 //! - `departed`: remembers upstreams that have left.
 //! - `late_writes`: recognizes writes of upstreams that the registry executed late.
+//! - `confirmation`: asks whether upstreams that had left are back.
 //! - `restore_overrides`: handles a registry that was restored from a backup copy.
 //! - `relay`: the server for other instances: relays the registry and accepts batches.
 //! - `batches`: the client for instances that collect a part of a search.
@@ -34,6 +36,7 @@
 mod batches;
 mod callers;
 mod calls;
+mod client_stream;
 mod collector;
 mod confirmation;
 mod connection;
