Pass on only answers with a status from 200 to 599

Cause: ReplyKind::classify called each status that is no success a failure of the upstream, and failures are passed on unchanged.

Evidence: odd_statuses::answer_with_an_odd_status_is_not_passed_on fails before the change (101: the connection is cut) and passes after it for 000, 099, 101, 199, 600 and 999.

Fix: an answer has a status from 200 to 599. classify decides that for single requests, parts of a search and parts that other instances collect; any other answer is lost, as if its connection had broken. Some upstreams of the soak answer with status 600.

--- a/hemlockrouter-cli/tests/direct/main.rs
+++ b/hemlockrouter-cli/tests/direct/main.rs
@@ -11,6 +11,7 @@
 mod memory;
 mod notices;
 mod odd_entries;
+mod odd_statuses;
 mod relays;
 mod repeating_proxy;
 mod restored;
--- a/hemlockrouter-cli/tests/direct/soak/fault.rs
+++ b/hemlockrouter-cli/tests/direct/soak/fault.rs
@@ -41,6 +41,7 @@
         rng: &mut StdRng,
         cooldown_rng: &mut StdRng,
         answer_rng: &mut StdRng,
+        status_rng: &mut StdRng,
         upstreams: usize,
     ) -> Fault {
         let daemon = rng.random_range(0..DAEMON_COUNT);
@@ -50,6 +51,7 @@
             reject_permille: rng.random_range(0..500),
             lost_response_permille: rng.random_range(0..200),
             unsigned_response_permille: answer_rng.random_range(0..200),
+            odd_status_permille: status_rng.random_range(0..200),
             never_responds: rng.random_range(0..4) == 0,
             is_leaving: false,
             fails_health_checks: false,
--- a/hemlockrouter-cli/tests/direct/soak/mod.rs
+++ b/hemlockrouter-cli/tests/direct/soak/mod.rs
@@ -131,6 +131,9 @@
     if let Some(mismatch) = &answer.mismatch {
         return Err(format!("{path}: {mismatch}: {answer:?}"));
     }
+    if let Some(status) = answer.status.filter(|status| status.as_u16() >= 600) {
+        return Err(format!("{path}: status {status}: {answer:?}"));
+    }
     let took_ms = answer.duration.as_millis() as u64;
     let is_late = answer.status.is_some() && took_ms > DEADLINE_MS + DEADLINE_TOLERANCE_MS;
     if is_late && !frozen.iter().any(|frozen| frozen.overlaps(observed)) {
@@ -207,6 +210,7 @@
     // same.
     let mut cooldown_rng = StdRng::seed_from_u64(!seed);
     let mut answer_rng = StdRng::seed_from_u64(seed.rotate_left(16));
+    let mut status_rng = StdRng::seed_from_u64(seed.rotate_left(20));
     let mut store_restores = StoreRestores {
         rng: StdRng::seed_from_u64(seed.rotate_left(32)),
         copy: None,
@@ -239,6 +243,7 @@
             &mut rng,
             &mut cooldown_rng,
             &mut answer_rng,
+            &mut status_rng,
             deployment.upstreams.len(),
         );
         fault.inject(&mut deployment);
--- a/hemlockrouter-route/src/direct/event.rs
+++ b/hemlockrouter-route/src/direct/event.rs
@@ -1,6 +1,7 @@
 //! Input and output types of the dispatcher.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -10,6 +11,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// HTTP statuses of final answers. Lower ones are interim answers or none at all, and higher ones are
+/// not defined.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// The id of a caller's request, unique within its instance.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RequestId(pub u64);
@@ -47,9 +52,9 @@
 
 impl ReplyKind {
     /// Classifies an answer by its HTTP status, by whether it states that the request was not run,
-    /// and by its signature. Returns `None` if these contradict each other: a success bears a
-    /// signature, and a request that was not run has no success. Such an answer reaches no caller,
-    /// and the request may have run.
+    /// and by its signature. Returns `None` if the status is none of a final answer, or if these
+    /// contradict each other: a success bears a signature, and a request that was not run has no
+    /// success. Such an answer reaches no caller, and the request may have run.
     ///
     /// # Examples
     ///
@@ -58,8 +63,12 @@
     ///
     /// assert_eq!(ReplyKind::classify(500, false, None), Some(ReplyKind::Failure));
     /// assert_eq!(ReplyKind::classify(200, false, None), None);
+    /// assert_eq!(ReplyKind::classify(101, false, None), None);
     /// ```
     pub fn classify(status: u16, not_run: bool, signature: Option<String>) -> Option<ReplyKind> {
+        if !FINAL_STATUSES.contains(&status) {
+            return None;
+        }
         let is_success = (200..300).contains(&status);
         match (is_success, not_run) {
             (true, true) => None,
