Read all entries if the missed changes do not arrive whole

Cause: the changes that an instance has missed come in one answer, which grows with how far it is behind, under a fixed limit on its size and its time. Once it exceeds one of them, the same call is made again, for even more, until the registry drops that part of its history.

Evidence: the log says 'length limit exceeded' or 'the time is over' for each such call, while complete reads succeed behind the same link. Both tests of behind fail before the change (20 s) and pass after it.

Fix: an answer that is too large, or whose body does not arrive whole in time, is followed by a complete read in the same call: it takes one version and not all. The limit on changes is 4 MiB, and applies as soon as the head announces more; all other bodies are bounded by 8 MiB.

--- a/hemlockrouter-cli/tests/direct/main.rs
+++ b/hemlockrouter-cli/tests/direct/main.rs
@@ -3,6 +3,7 @@
 //! The daemons are the real program. The platform's store and the upstreams are simulated.
 //! Simulated callers check each answer against the requests that the upstreams recorded.
 
+mod behind;
 mod caller_connection;
 mod departures_soak;
 mod deployment;
--- a/hemlockrouter-cli/tests/direct/soak/fault.rs
+++ b/hemlockrouter-cli/tests/direct/soak/fault.rs
@@ -62,6 +62,7 @@
             cut: rng.random(),
             half_open: rng.random(),
             delay_ms: rng.random_range(0..50),
+            bytes_per_s: 0,
         };
         let down_kinds = [
             StoreFault::Status503,
--- a/hemlockrouter-lab/src/link.rs
+++ b/hemlockrouter-lab/src/link.rs
@@ -58,6 +58,8 @@
     pub half_open: bool,
     /// Delay added in each direction, in milliseconds.
     pub delay_ms: u64,
+    /// Bandwidth of each direction of a connection, in bytes per second; 0 for no limit.
+    pub bytes_per_s: u64,
 }
 
 /// Counters of the connections and bytes of a link.
@@ -188,14 +190,14 @@
         }
     }
 
-    /// Waits while the link is half open, and returns the delay to apply, in milliseconds.
-    fn wait_while_half_open(&self) -> u64 {
+    /// Waits while the link is half open, and returns the condition of the link.
+    fn wait_while_half_open(&self) -> LinkCondition {
         let mut state = self.lock();
         while state.condition.half_open && !state.condition.cut {
             let woken = self.changed.wait(state);
             state = woken.expect("no thread panics under the lock");
         }
-        state.condition.delay_ms
+        state.condition
     }
 
     fn register_connection(
@@ -298,8 +300,11 @@
 
 fn write_chunks(mut to: &TcpStream, receiver: Receiver<(Instant, Vec<u8>)>, shared: &Shared) {
     while let Ok((read_at, chunk)) = receiver.recv() {
-        let delay = Duration::from_millis(shared.wait_while_half_open());
+        let condition = shared.wait_while_half_open();
+        let delay = Duration::from_millis(condition.delay_ms);
         thread::sleep((read_at + delay).saturating_duration_since(Instant::now()));
+        let transfer_us = (chunk.len() as u64 * 1_000_000).checked_div(condition.bytes_per_s);
+        thread::sleep(Duration::from_micros(transfer_us.unwrap_or_default()));
         // The bytes are counted before the write, so that a receiver of a byte always finds it
         // counted.
         shared.lock().counts.bytes += chunk.len() as u64;
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -26,9 +27,6 @@
 /// Maximum size of the head of an answer, in bytes.
 const RESPONSE_HEAD_MAX_BYTES: usize = 32 << 10;
 
-/// Maximum size of the body of a registry answer, in bytes.
-const REGISTRY_BODY_MAX_BYTES: usize = 16 << 20;
-
 /// Idle time after which TCP keepalive starts to probe a connection.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
@@ -136,29 +134,25 @@
             None => SendError::Lost(err.error().to_string()),
         })
     }
-
-    /// Sends a request and reads the whole answer.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error that states whether the request may have been sent.
-    pub(super) async fn call(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<(response::Parts, Bytes), SendError> {
-        read_to_end(self.send(request).await?).await
-    }
 }
 
-/// Reads the whole body of an answer from the registry or from an instance that relays it.
+/// Reads the whole body of an answer, of at most `max_bytes` bytes.
 ///
 /// # Errors
 ///
-/// Returns [`SendError::Lost`] if the body is too large or the connection breaks.
-async fn read_to_end(answer: Response<Incoming>) -> Result<(response::Parts, Bytes), SendError> {
+/// Returns the reason as text if the body is too large, at once if its head says so, or if the
+/// connection breaks.
+pub(super) async fn read_to_end(
+    answer: Response<Incoming>,
+    max_bytes: usize,
+) -> Result<(response::Parts, Bytes), String> {
     let (head, body) = answer.into_parts();
-    let body = Limited::new(body, REGISTRY_BODY_MAX_BYTES).collect().await;
-    let body = body.map_err(|err| SendError::Lost(err.to_string()))?;
+    let announced_bytes = body.size_hint().lower();
+    if announced_bytes > max_bytes as u64 {
+        return Err(format!("{announced_bytes} bytes"));
+    }
+    let body = Limited::new(body, max_bytes).collect().await;
+    let body = body.map_err(|err| err.to_string())?;
     Ok((head, body.to_bytes()))
 }
 
--- a/src/direct/registry.rs
+++ b/src/direct/registry.rs
@@ -1,5 +1,6 @@
 //! Client for the registry and for instances that relay it.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use http_body_util::Full;
 use log::warn;
 
+use super::connection::read_to_end;
 use super::connection::with_timeout_ms;
 use super::connection::Connection;
 use super::connection::SendError;
@@ -22,6 +24,9 @@
 /// Timeout for a call that does not wait for a change, in milliseconds.
 pub(super) const CALL_TIMEOUT_MS: u64 = 1_000;
 
+/// Maximum size of the body of an answer, in bytes: several times all entries.
+const BODY_MAX_BYTES: usize = 8 << 20;
+
 /// Timeout for connecting to the registry, in milliseconds. A call that waits for a change has a
 /// much longer timeout, which must not be spent waiting for a first packet that a broken link has
 /// dropped.
@@ -63,6 +68,9 @@
     /// No usable answer was received.
     #[display("no answer: {_0}")]
     NoAnswer(String),
+    /// The other end answered, but its answer is too large or did not arrive whole in time.
+    #[display("incomplete answer: {_0}")]
+    Incomplete(String),
     /// The other end has older data than this instance, or no recent contact with the registry.
     #[display("the answer is {age_ms} ms old")]
     Outdated {
@@ -95,21 +103,48 @@
     ///
     /// # Errors
     ///
-    /// Returns [`CallError::NoAnswer`] if there is no answer within `timeout_ms` milliseconds.
+    /// Returns [`CallError::NoAnswer`] if there is no answer within `timeout_ms` milliseconds, or
+    /// [`CallError::Incomplete`] if it is not whole by then.
     pub(super) async fn call(
         &mut self,
         request: Request<Bytes>,
         timeout_ms: u64,
     ) -> Result<Answer, CallError> {
-        let answer = with_timeout_ms(timeout_ms, self.try_call(request)).await;
+        self.call_limited(request, timeout_ms, BODY_MAX_BYTES).await
+    }
+
+    /// Makes a call like [`RegistryClient::call`], whose answer has a body of at most
+    /// `body_max_bytes` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`RegistryClient::call`].
+    pub(super) async fn call_limited(
+        &mut self,
+        request: Request<Bytes>,
+        timeout_ms: u64,
+        body_max_bytes: usize,
+    ) -> Result<Answer, CallError> {
+        let has_answered = Cell::new(false);
+        let calling = self.try_call(request, body_max_bytes, &has_answered);
+        let answer = with_timeout_ms(timeout_ms, calling).await;
         let answer = answer.unwrap_or_else(|| Err(String::from("the time is over")));
         if answer.is_err() {
             self.connection = None;
         }
-        answer.map_err(CallError::NoAnswer)
+        answer.map_err(match has_answered.get() {
+            true => CallError::Incomplete,
+            false => CallError::NoAnswer,
+        })
     }
 
-    async fn try_call(&mut self, request: Request<Bytes>) -> Result<Answer, String> {
+    /// Makes a call, and sets `has_answered` when the head of the answer has arrived.
+    async fn try_call(
+        &mut self,
+        request: Request<Bytes>,
+        body_max_bytes: usize,
+        has_answered: &Cell<bool>,
+    ) -> Result<Answer, String> {
         let mut request = request.map(Full::new);
         let host = HeaderValue::try_from(self.address.to_string());
         let host = host.map_err(|err| err.to_string())?;
@@ -122,11 +157,13 @@
             .connection
             .as_mut()
             .expect("the connection was just opened");
-        match connection.call(request).await {
-            Ok((head, body)) => Ok(Answer { head, body }),
-            Err(SendError::NotSent) => Err(String::from("the connection was closed")),
-            Err(SendError::Lost(reason)) => Err(reason),
-        }
+        let answer = connection.send(request).await.map_err(|err| match err {
+            SendError::NotSent => String::from("the connection was closed"),
+            SendError::Lost(reason) => reason,
+        })?;
+        has_answered.set(true);
+        let (head, body) = read_to_end(answer, body_max_bytes).await?;
+        Ok(Answer { head, body })
     }
 }
 
--- a/src/direct/registry_reads.rs
+++ b/src/direct/registry_reads.rs
@@ -13,6 +13,10 @@
 use super::registry::CALL_TIMEOUT_MS;
 use super::relay;
 
+/// Maximum size of the changes that a watch returns, in bytes. All entries are smaller than a long
+/// series of changes of a large configuration.
+const CHANGES_MAX_BYTES: usize = 4 << 20;
+
 /// Age assumed for a read that may be stale, in milliseconds; the true age is not known.
 pub(super) const STALE_READ_AGE_MS: u64 = 10_000;
 
@@ -93,7 +97,8 @@
 }
 
 /// Waits up to `wait_ms` milliseconds for changes after `known_position`. Reads all entries if the
-/// registry no longer keeps these changes or was restored.
+/// registry no longer keeps these changes or was restored, or if the changes are too large or do
+/// not arrive whole in time: the same call would return even more the next time.
 ///
 /// # Errors
 ///
@@ -106,7 +111,14 @@
     timeout_ms: u64,
 ) -> Result<RegistryRead, CallError> {
     let request = protocol.write_watch_request(known_position.revision, wait_ms);
-    let answer = registry.call(request, timeout_ms).await?;
+    let answer = registry.call_limited(request, timeout_ms, CHANGES_MAX_BYTES);
+    let answer = match answer.await {
+        Err(CallError::Incomplete(why)) => {
+            info!(target: "belief", revision = known_position.revision, why = why; "the changes did not arrive whole; reading all entries");
+            return read_all(registry, protocol, known_position.generation, false).await;
+        }
+        answer => answer?,
+    };
     let generation = registry.generation(protocol, &answer, known_position.generation);
     if generation != known_position.generation {
         // After a restore, the same revisions denote other changes.
