Send nothing to a cold upstream before the other instances are known

Cause: the rate limit is divided among the instances of the list as it is. After such an outage the list is empty, and each instance takes itself for the only one. The allowance for repeats asks whether the list is complete, this limit did not.

Fix: an instance sends nothing to a cold upstream before its list has been complete once. A list that was complete and grows is used on, since it is at least as long as before.

--- a/hemlockrouter-route/src/direct/instances.rs
+++ b/hemlockrouter-route/src/direct/instances.rs
@@ -22,6 +22,8 @@
     instances: BTreeMap<String, KnownInstance>,
     /// When the list last grew; `None` if the list is known to be complete.
     grown_at: Option<Time>,
+    /// Whether the list was complete before it last grew.
+    was_complete: bool,
     /// A version number that increases with each change of the counted instances.
     version: u64,
 }
@@ -36,6 +38,7 @@
 impl Instances {
     /// Adds or updates a listed instance, and returns whether the instance was not listed before.
     pub fn add_instance(&mut self, now: Time, entry: InstanceEntry) -> bool {
+        self.was_complete = self.has_been_complete(now);
         let name = entry.name.clone();
         let instance = KnownInstance {
             entry,
@@ -141,6 +144,12 @@
         entries.filter(|entry| entry.relay.is_some())
     }
 
+    /// Returns whether the list is complete or was before it last grew. An instance whose list never
+    /// was may know only few of the others, or none.
+    pub(super) fn has_been_complete(&self, now: Time) -> bool {
+        self.was_complete || self.is_list_complete(now)
+    }
+
     pub(super) fn is_list_complete(&self, now: Time) -> bool {
         let grown_at = self.grown_at;
         let has_settled = grown_at.is_none_or(|at| now.ms_since(at) >= LIST_SETTLING_MS);
--- a/hemlockrouter-route/src/direct/upstreams/choose.rs
+++ b/hemlockrouter-route/src/direct/upstreams/choose.rs
@@ -225,7 +225,8 @@
     }
 
     /// Returns whether this instance may send one more request to an upstream within the rate limit
-    /// that applies while the upstream is cold (recently started).
+    /// that applies while the upstream is cold (recently started). It may send none before it has
+    /// known all other instances.
     fn cold_limit_allows(&self, now: Time, upstream: &Upstream, per_s: Option<f64>) -> bool {
         let Some(per_s) = per_s else {
             return true;
@@ -233,6 +234,10 @@
         if upstream.cold_until <= now {
             return true;
         }
+        if !self.instances.has_been_complete(now) {
+            // The number of instances among which the limit is divided is not known yet.
+            return false;
+        }
         let rate_limit_per_s =
             per_s * self.config.cold_limit_factor + self.config.cold_limit_extra_per_s;
         let own_name = &self.config.name;
--- a/hemlockrouter-route/tests/direct/cases.rs
+++ b/hemlockrouter-route/tests/direct/cases.rs
@@ -2,11 +2,13 @@
 
 use hemlockrouter_route::direct::CallOutcome;
 use hemlockrouter_route::direct::Command;
+use hemlockrouter_route::direct::Instances;
 use hemlockrouter_route::direct::RequestResult;
 use hemlockrouter_types::routing::TargetServices;
 use hemlockrouter_types::routing::WeightedService;
 
 use crate::fixture::failure;
+use crate::fixture::instance;
 use crate::fixture::rejected;
 use crate::fixture::route;
 use crate::fixture::routes;
@@ -310,6 +312,45 @@
     assert!((8..=28).contains(&sent), "{sent}");
 }
 
+/// Guards against instances that take themselves for the only one after an outage of the registry in
+/// which all were restarted, and overload a cold upstream together.
+#[test]
+fn a_cold_upstream_gets_nothing_until_the_list_of_instances_was_complete() {
+    let mut fixture = Fixture::new();
+    *fixture.dispatcher.upstreams_mut().instances_mut() = Instances::default();
+    for zone in ["north-a", "south-b"] {
+        let mut cold_entry = upstream("ledger", zone);
+        cold_entry.cold_ms = 60_000;
+        let now = fixture.now;
+        fixture.dispatcher.upstreams_mut().register(now, cold_entry);
+    }
+    let sent_within = |fixture: &mut Fixture, ms: u64| {
+        let mut sent = 0;
+        for _ in 0..ms / 100 {
+            fixture.start(LOOK_UP_PATH);
+            let calls = fixture.take_sent_calls();
+            sent += calls.len();
+            fixture.answer_all(calls);
+            fixture.advance(100);
+        }
+        sent
+    };
+    let list = |fixture: &mut Fixture, name: &str| {
+        let now = fixture.now;
+        let instances = fixture.dispatcher.upstreams_mut().instances_mut();
+        instances.add_instance(now, instance(name, "north-a"));
+    };
+    assert_eq!(sent_within(&mut fixture, 2_000), 0, "no instance is known");
+    list(&mut fixture, "me");
+    assert_eq!(sent_within(&mut fixture, 2_900), 0, "the list still grows");
+    assert!(sent_within(&mut fixture, 2_000) > 0, "the list is complete");
+    list(&mut fixture, "another");
+    assert!(
+        sent_within(&mut fixture, 2_000) > 0,
+        "the list was complete before"
+    );
+}
+
 #[test]
 fn a_split_distributes_requests_by_weight() {
     let part = |service: &str, weight| WeightedService {
