Count the grace of a leaving upstream from an answer, not an arrival

The test means to wait until the upstream has stated in an answer that it leaves, but waited for the first arrival: that request can be cancelled because another replica has answered, and a cancelled call states nothing. The logs of the failed run show this: no owner wrote 'the upstream is leaving' at all, so no answer had said so when the requests came.

The stand-in now counts the answers that state it, and the test waits for one of them. The grace and the observation that follow are unchanged.

--- a/hemlockrouter-cli/tests/e2e/leaving.rs
+++ b/hemlockrouter-cli/tests/e2e/leaving.rs
@@ -29,7 +29,7 @@
     });
     // The upstream says in its answers that it leaves.
     eventually("the upstream answers a request", || {
-        leaving.counts().work_after_leaving > 0
+        leaving.counts().answers_stating_leaving > 0
     });
     sleep_ms(NEW_REQUESTS_GRACE_MS);
     let arrived = leaving.counts().arrived;
--- a/hemlockrouter-lab/src/upstream/counts.rs
+++ b/hemlockrouter-lab/src/upstream/counts.rs
@@ -41,6 +41,8 @@
     pub answers_lost: u64,
     /// Requests that arrived after the upstream began to leave.
     pub work_after_leaving: u64,
+    /// Answers that stated that the upstream is leaving.
+    pub answers_stating_leaving: u64,
     /// Time from the start of leaving until the last request arrived, in milliseconds.
     pub last_after_leaving_ms: u64,
     /// Whether the upstream is cold.
--- a/hemlockrouter-lab/src/upstream/model.rs
+++ b/hemlockrouter-lab/src/upstream/model.rs
@@ -428,10 +428,12 @@
                 body: json!({"code": "failed", "start": self.start_id()}),
             });
         } else {
+            let body = self.result(&completed);
+            self.counts.answers_stating_leaving += u64::from(body["leaving"] == true);
             commands.push(Command::Answer {
                 ticket,
                 status: 200,
-                body: self.result(&completed),
+                body,
             });
         }
         self.start_waiting(now, commands);
