Split the local copy's unconfirmed registrations into a file

What the copy of the registry does with unconfirmed registrations stands in mirror/confirm.rs now, and the stream of client connections only wraps the receiving half, so that nothing of it repeats the callers' stream. No change of behaviour.

--- a/hemlockrouter-cli/tests/direct/returns.rs
+++ b/hemlockrouter-cli/tests/direct/returns.rs
@@ -58,6 +58,14 @@
     }
 }
 
+/// Registers an upstream, waits until it is used, and returns how long that took.
+fn register_until_used(deployment: &Deployment, upstream: &Upstream) -> Duration {
+    let registered_at = Instant::now();
+    upstream.register(&deployment.store, false);
+    wait_until_used(deployment, upstream);
+    registered_at.elapsed()
+}
+
 /// Lets an upstream leave without a report, and its last heartbeat be executed `late_by` later.
 fn check_late_heartbeat(deployment: &Deployment, late_by: Duration) {
     let leaving = ledger_upstream(deployment);
@@ -127,10 +135,7 @@
     wait_until_used(&deployment, upstream);
     upstream.unregister(&deployment.store);
     std::thread::sleep(Duration::from_secs(1));
-    upstream.register(&deployment.store, false);
-    let registered_at = Instant::now();
-    wait_until_used(&deployment, upstream);
-    let took = registered_at.elapsed();
+    let took = register_until_used(&deployment, upstream);
     assert!(took < USED_AGAIN_WITHIN, "{took:?}");
 }
 
@@ -145,10 +150,7 @@
     });
     upstream.unregister(&deployment.store);
     std::thread::sleep(Duration::from_secs(1));
-    upstream.register(&deployment.store, false);
-    let registered_at = Instant::now();
-    wait_until_used(&deployment, upstream);
-    let took = registered_at.elapsed();
+    let took = register_until_used(&deployment, upstream);
     let max = LASTING_REGISTRATION + USED_AGAIN_WITHIN;
     assert!(took < max, "{took:?}");
 }
@@ -172,9 +174,6 @@
         deployment.log(0).contains("registry regained")
     });
     std::thread::sleep(Duration::from_secs(1));
-    upstream.register(&deployment.store, false);
-    let registered_at = Instant::now();
-    wait_until_used(&deployment, upstream);
-    let took = registered_at.elapsed();
+    let took = register_until_used(&deployment, upstream);
     assert!(took < USED_AGAIN_WITHIN, "{took:?}");
 }
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -21,8 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use super::client_stream::ClientStream;
-use super::client_stream::InterimLimit;
+use super::interim_limit::InterimLimit;
 
 /// Maximum size of the head of an answer, in bytes.
 const RESPONSE_HEAD_MAX_BYTES: usize = 32 << 10;
@@ -89,7 +88,7 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(RESPONSE_HEAD_MAX_BYTES);
         let interim_limit = InterimLimit::default();
-        let stream = ClientStream::new(stream, interim_limit.clone());
+        let stream = interim_limit.limit(stream);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -1,5 +1,6 @@
 //! Local copy of the registry, used by this instance and by the instances that follow it.
 
+mod confirm;
 mod history;
 mod state;
 mod unconfirmed;
--- a/src/direct/mirror/state.rs
+++ b/src/direct/mirror/state.rs
@@ -1,7 +1,6 @@
 //! Content of the local copy of the registry, and the rules by which entries change it.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use hemlockrouter_edge::EncodedEntries;
 use hemlockrouter_edge::Entry;
@@ -12,7 +11,6 @@
 use hemlockrouter_types::prelude::*;
 
 use super::history::History;
-use super::unconfirmed::Registration;
 use super::unconfirmed::UnconfirmedUpstreams;
 use crate::direct::departed::DepartedUpstreams;
 use crate::direct::late_writes::without_earlier_writes;
@@ -72,19 +70,6 @@
             .reconcile_copy(now, &entries, &self.departed, copy)
     }
 
-    /// Returns the entries without those of unconfirmed registrations.
-    fn used_entries(&self) -> BTreeMap<EntrySubject, Entry> {
-        let mut entries = self.entries.clone();
-        for id in self.unconfirmed.ids() {
-            let subject = EntrySubject::Upstream(String::from(id));
-            match self.unconfirmed.used_entry(id) {
-                Some(used_entry) => entries.insert(subject, used_entry.clone()),
-                None => entries.remove(&subject),
-            };
-        }
-        entries
-    }
-
     /// Replaces all entries. After a restore of the registry, the previous routes are kept unless
     /// the copy holds routes that are not older, since routes never revert with the registry.
     pub(super) fn replace(&mut self, now: Time, entries: &[Entry], is_restored: bool) {
@@ -183,65 +168,6 @@
         }
     }
 
-    /// Records that the registration of an upstream at `revision`, which is not stored yet, is
-    /// unconfirmed.
-    fn hold_unconfirmed(&mut self, now: Time, id: &str, revision: u64) {
-        let registration = Registration {
-            id: String::from(id),
-            revision,
-        };
-        let subject = EntrySubject::Upstream(String::from(id));
-        let used_entry = self.entries.get(&subject).cloned();
-        self.unconfirmed.hold(now, registration, used_entry);
-    }
-
-    /// Replaces unconfirmed registrations among `entries` by the entries that are used until they
-    /// are confirmed.
-    pub(super) fn without_unconfirmed(&self, entries: Vec<Entry>) -> Vec<Entry> {
-        let used_entry = |entry: Entry| match &entry.change {
-            EntryChange::Upstream(upstream) if self.unconfirmed.contains(&upstream.id) => {
-                self.unconfirmed.used_entry(&upstream.id).cloned()
-            }
-            _ => Some(entry),
-        };
-        entries.into_iter().filter_map(used_entry).collect()
-    }
-
-    /// Confirms a registration, and returns the change that takes effect; `None` if the upstream
-    /// has another entry by now.
-    pub(super) fn confirm(&mut self, registration: &Registration) -> Option<EntryChange> {
-        if !self.unconfirmed.contains_registration(registration) {
-            return None;
-        }
-        self.unconfirmed.remove(&registration.id);
-        self.departed.record_written(&registration.id);
-        let subject = EntrySubject::Upstream(registration.id.clone());
-        let entry = self.entries.get(&subject)?;
-        Some(entry.change.clone())
-    }
-
-    /// Returns the address of an upstream and its service's health path.
-    pub(super) fn health_target(&self, id: &str) -> Option<(SocketAddr, String)> {
-        let subject = EntrySubject::Upstream(String::from(id));
-        let EntryChange::Upstream(upstream) = &self.entries.get(&subject)?.change else {
-            return None;
-        };
-        let EntryChange::Routes(document) = &self.entries.get(&EntrySubject::Routes)?.change else {
-            return None;
-        };
-        let mut services = document.services.iter();
-        let service = services.find(|service| service.name == upstream.service)?;
-        Some((upstream.address, service.health_path.clone()?))
-    }
-
-    /// Returns whether an upstream is registered at `registration` or later, and confirmed.
-    pub(super) fn is_confirmed(&self, registration: &Registration) -> bool {
-        let subject = EntrySubject::Upstream(registration.id.clone());
-        let entry = self.entries.get(&subject);
-        entry.is_some_and(|entry| entry.revision >= registration.revision)
-            && !self.unconfirmed.contains(&registration.id)
-    }
-
     /// Returns the last write of an upstream before `revision`; `None` if it is not known, or if the
     /// known entry has this or a later revision, so that the registry repeats an earlier change.
     fn last_write(&self, now: Time, id: &str, revision: u64) -> Option<LastWrite> {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -14,7 +14,7 @@
 //! - `answer_memory`: limits the memory for answers.
 //! - `pool`: idle connections for reuse.
 //! - `connection`: an HTTP client connection to an upstream, an instance or the registry.
-//! - `client_stream`: the stream of such a connection, which ends interim answers without end.
+//! - `interim_limit`: limits the interim answers that such a connection receives.
 //! - `follower`: keeps the local copy of the registry up to date.
 //! - `first_read`: reads the registry when the instance starts.
 //! - `registry_reads`: reads the registry, directly or from another instance.
@@ -36,7 +36,6 @@
 mod batches;
 mod callers;
 mod calls;
-mod client_stream;
 mod collector;
 mod confirmation;
 mod connection;
@@ -44,6 +43,7 @@
 mod first_read;
 mod follower;
 mod instance;
+mod interim_limit;
 mod late_writes;
 mod listener;
 mod member;
