Test endless answers with dispatch through owners as well

The operators' report of bytes without end was shown for direct dispatch only. Both programs' tests read the peak memory of a process with the same function now.

--- a/hemlockrouter-cli/tests/direct/deployment.rs
+++ b/hemlockrouter-cli/tests/direct/deployment.rs
@@ -24,6 +24,7 @@
 use hemlockrouter_lab::link::LinkCondition;
 use hemlockrouter_lab::link::TcpRelay;
 use hemlockrouter_lab::ports::PortBlock;
+use hemlockrouter_lab::process::peak_memory_kb;
 use serde_json::json;
 use serde_json::Value;
 
@@ -358,11 +359,7 @@
     /// Returns the peak memory of the daemon, in kB.
     pub(crate) fn peak_memory_kb(&self) -> u64 {
         let child = self.child.as_ref().expect("the daemon runs");
-        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
-        let status = status.expect("the daemon runs");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let peak = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
-        peak.expect("the peak is there").parse().expect("a count")
+        peak_memory_kb(child.id())
     }
 
     /// Returns the address at which other instances follow this daemon, as written in logs.
--- a/hemlockrouter-cli/tests/e2e/harness/instance.rs
+++ b/hemlockrouter-cli/tests/e2e/harness/instance.rs
@@ -11,6 +11,7 @@
 use std::process::Stdio;
 
 use hemlockrouter_lab::link::TcpRelay;
+use hemlockrouter_lab::process::peak_memory_kb;
 use serde_json::json;
 
 use super::eventually;
@@ -107,6 +108,11 @@
         self.child.as_mut().expect("the daemon was started")
     }
 
+    /// Returns the peak memory of the daemon, in kB.
+    pub(crate) fn peak_memory_kb(&mut self) -> u64 {
+        peak_memory_kb(self.child().id())
+    }
+
     /// Returns whether the daemon is running.
     pub(crate) fn is_running(&mut self) -> bool {
         let status = self.child().try_wait();
--- a/hemlockrouter-cli/tests/e2e/main.rs
+++ b/hemlockrouter-cli/tests/e2e/main.rs
@@ -5,6 +5,7 @@
 //! simulated. Tests assert counts and results, never durations.
 
 mod bad_requests;
+mod endless;
 mod failures;
 mod harness;
 mod leaving;
--- a/hemlockrouter-lab/src/lib.rs
+++ b/hemlockrouter-lab/src/lib.rs
@@ -29,6 +29,7 @@
 //! - [`link`]: a TCP relay that simulates a broken, slow or half-open network.
 //! - [`load`]: an open-loop load generator that checks every answer.
 //! - [`ports`]: free ports for processes that can't report which port the kernel gave them.
+//! - [`process`]: what the operating system knows about a process.
 //! - [`server`]: the HTTP server on which all simulated servers run.
 //! - [`timer`]: delayed actions.
 
@@ -36,6 +37,7 @@
 pub mod link;
 pub mod load;
 pub mod ports;
+pub mod process;
 pub mod server;
 pub mod store;
 pub mod timer;
