--- a/hemlockrouter-cli/tests/direct/departures_soak.rs
+++ b/hemlockrouter-cli/tests/direct/departures_soak.rs
@@ -1,5 +1,5 @@
-//! Randomized departures of upstreams: some report that they drain, some just leave, heartbeats of them are
-//! executed late, and some return.
+//! Randomized departures of upstreams: some report that they drain, others just leave, the store
+//! executes some of their heartbeats late, and some return.
 //!
 //! `HEMLOCK_DEPARTURES_SEEDS=100..150` selects other seeds than the one that CI runs.
 
--- a/hemlockrouter-cli/tests/direct/returns.rs
+++ b/hemlockrouter-cli/tests/direct/returns.rs
@@ -1,4 +1,5 @@
-//! Tests of upstreams that register again after they have left, and of late writes that look like it.
+//! Tests of upstreams that register again after they have left, and of late writes that look like
+//! it.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -34,7 +35,8 @@
     upstream.expect("the service has upstreams")
 }
 
-/// Sends requests to each instance of the upstream's zone, which is the first one, and checks that none reaches `upstream`.
+/// Sends requests to each instance of the upstream's zone, which is the first one, and checks that
+/// none reaches `upstream`.
 fn check_unused(deployment: &Deployment, upstream: &Upstream) {
     for index in (0..deployment.daemons.len()).step_by(ZONES.len()) {
         for _ in 0..REQUEST_COUNT {
