--- a/src/direct/late_writes.rs
+++ b/src/direct/late_writes.rs
@@ -120,12 +120,12 @@
 }
 
 /// Removes earlier writes of upstreams from a series of changes. `last_write` returns the last write
-/// of an upstream before the series, and `left` what a removal in the series says of the write
-/// before it.
+/// of an upstream before the series, and `write_before_removal` what a removal in the series says of
+/// the write before it.
 pub(super) fn without_earlier_writes<'c, F, L>(
     changes: Vec<&'c Entry>,
     last_write: F,
-    left: L,
+    write_before_removal: L,
 ) -> RecentChanges<'c>
 where
     F: Fn(&str, u64) -> Option<LastWrite>,
@@ -147,7 +147,7 @@
                 recent.unconfirmed.remove(id.as_str());
                 removals.insert(id, entry);
                 if let Some(last_write) = known(id) {
-                    last_writes.insert(id, left(last_write.write()));
+                    last_writes.insert(id, write_before_removal(last_write.write()));
                 }
             }
             EntryChange::Upstream(upstream) => {
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -84,8 +84,8 @@
     }
 
     /// Sets whether registrations are assumed to be missing because the registry was away.
-    pub(super) fn set_refilling(&self, is_refilling: bool) {
-        self.state.borrow_mut().is_refilling = is_refilling;
+    pub(super) fn set_registry_was_away(&self, was_away: bool) {
+        self.state.borrow_mut().registry_was_away = was_away;
     }
 
     /// Applies the changes of a read up to `position`, and returns those that change what is used.
--- a/src/direct/mirror/state.rs
+++ b/src/direct/mirror/state.rs
@@ -37,7 +37,7 @@
     pub(super) unconfirmed: UnconfirmedUpstreams,
     /// Whether registrations are assumed to be missing because the registry was away, not because
     /// upstreams have left.
-    pub(super) is_refilling: bool,
+    pub(super) registry_was_away: bool,
     /// Recent changes, for followers.
     pub(super) history: History,
 }
@@ -98,7 +98,7 @@
 
     /// Returns what the removal of an upstream's entry says about the last write before it.
     fn write_before_removal(&self, write: UpstreamWrite) -> LastWrite {
-        match self.is_refilling {
+        match self.registry_was_away {
             true => LastWrite::Lapsed(write),
             false => LastWrite::Left(write),
         }
--- a/src/direct/read_applier.rs
+++ b/src/direct/read_applier.rs
@@ -68,7 +68,7 @@
                 self.lapse_until = self.refill_until;
             }
         }
-        self.mirror.set_refilling(now < self.lapse_until);
+        self.mirror.set_registry_was_away(now < self.lapse_until);
         let known_position = known_position.unwrap_or_default();
         if read.position.generation < known_position.generation {
             // The read shows the registry before it was restored.
