--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -72,6 +72,8 @@
     pub born: u64,
     pub address: SocketAddr,
     work_ms: u64,
+    /// Whether the replica leaves, so that its health check fails.
+    pub is_leaving: Arc<AtomicBool>,
     sequence: Arc<AtomicU64>,
     ledger: Ledger,
 }
@@ -99,6 +101,7 @@
             born: 1_700_000_000_000 + random() % 1_000_000,
             address: listener.local_addr().expect("the socket is bound"),
             work_ms,
+            is_leaving: Arc::default(),
             sequence: Arc::new(AtomicU64::new(1)),
             ledger: ledger.clone(),
         };
@@ -116,12 +119,20 @@
 
     /// Writes the replica's entry into the store.
     pub fn register(&self, store: &Store) {
+        store.put(&self.key(), &self.next_entry());
+    }
+
+    pub fn key(&self) -> String {
+        format!("servers/{}", self.id)
+    }
+
+    /// Returns the entry that the replica writes with its next heartbeat.
+    pub fn next_entry(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
-        let value = format!(
+        format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"capacity\":3,\"state\":\"ready\",\"warmupLeftMs\":0,\"sequence\":{sequence},\"born\":{}}}",
             self.service, self.address, self.zone, self.born
-        );
-        store.put(&format!("servers/{}", self.id), &value);
+        )
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
@@ -129,7 +140,11 @@
         loop {
             let request = wire.read_request()?;
             let answer = match request.word(1) {
-                "/health" => response("200 OK", &[("hemlockrouter-instance-id", &self.id)], b""),
+                "/health" => {
+                    let is_leaving = self.is_leaving.load(Ordering::Relaxed);
+                    let status = if is_leaving { "503 Service Unavailable" } else { "200 OK" };
+                    response(status, &[("hemlockrouter-instance-id", &self.id)], b"")
+                }
                 _ => self.answer(&request),
             };
             wire.write(&answer)?;
