--- a/review/standin-3/case_late_write.rs
+++ b/review/standin-3/case_late_write.rs
@@ -91,16 +91,16 @@
     let left = Instant::now();
     ledger.note(&format!("replica {} leaves: the store acknowledges the removal of its entry; it serves on for a while", leaving.id));
     thread::sleep(Duration::from_millis(50));
-    instances[killed].kill();
-    ledger.note(&format!("platform: SIGKILL to {}", instances[killed].name));
-    thread::sleep(Duration::from_millis(200));
-    instances[killed].start();
-    ledger.note(&format!("platform: starts {}", instances[killed].name));
-    sleep_until(called, LATE_MS);
     if has_trouble {
-        store.put(&leaving.key(), &heartbeat);
-        ledger.note(&format!("store: executes the heartbeat of {} that was called {} ms ago", leaving.id, ms_since(called)));
+        instances[killed].kill();
+        ledger.note(&format!("platform: SIGKILL to {}", instances[killed].name));
+        thread::sleep(Duration::from_millis(200));
+        instances[killed].start();
+        ledger.note(&format!("platform: starts {}", instances[killed].name));
     }
+    sleep_until(called, LATE_MS);
+    store.put(&leaving.key(), &heartbeat);
+    ledger.note(&format!("store: executes the heartbeat of {} that was called {} ms ago", leaving.id, ms_since(called)));
     sleep_until(called, LATE_MS + 3 * HEARTBEAT_MS);
     store.remove(&leaving.key());
     ledger.note("store: the entry is removed after three heartbeat intervals of silence");
