--- a/review/standin-3/case_grace.rs
+++ b/review/standin-3/case_grace.rs
@@ -57,6 +57,7 @@
     }
     if !instances.iter().all(|instance| instance.wait_ready(Duration::from_secs(10))) {
         println!("the instances are not ready");
+        instances.iter_mut().for_each(Instance::kill);
         std::process::exit(2);
     }
     let stop = Arc::new(AtomicBool::new(false));
--- a/review/standin-3/case_late_write.rs
+++ b/review/standin-3/case_late_write.rs
@@ -70,6 +70,7 @@
     }
     if !instances.iter().all(|instance| instance.wait_ready(Duration::from_secs(10))) {
         println!("the instances are not ready");
+        instances.iter_mut().for_each(Instance::kill);
         std::process::exit(2);
     }
     let stop = Arc::new(AtomicBool::new(false));
@@ -78,6 +79,7 @@
     thread::sleep(Duration::from_millis(SETTLING_MS));
     let Some(killed) = reader(&instances) else {
         println!("no machine follows another one of its zone");
+        instances.iter_mut().for_each(Instance::kill);
         std::process::exit(2);
     };
 
