Start with settings whose figures have fractions or can't be used

Cause: figures that the platform fills in were read like fields that an operator types, and any that is no whole number in the usual notation ended the process. They are now read as numbers with fractions. SIGHUP is handled from the first line of main on, since it ended a process that had just started.

--- a/hemlockrouter-cli/src/bin/hemlockd/main.rs
+++ b/hemlockrouter-cli/src/bin/hemlockd/main.rs
@@ -17,10 +17,12 @@
 use hemlockrouter::ShutdownOutcome;
 use hemlockrouter_config::DirectSettings;
 use hemlockrouter_config::DispatchMode;
+use hemlockrouter_config::LoadedSettings;
 use hemlockrouter_config::ProtocolName;
 use hemlockrouter_config::Settings;
 use hemlockrouter_corporation::Corporation;
 use log::info;
+use log::warn;
 use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
@@ -36,6 +38,7 @@
 const EXIT_FAILED: u8 = 5;
 
 fn main() -> ExitCode {
+    ignore_early_reloads();
     let args = match Args::parse() {
         Ok(args) => args,
         Err(err) => return print_failure(&err, EXIT_USAGE),
@@ -53,7 +56,7 @@
         Args::Check { settings } => (settings, true),
     };
     match read_settings(&path) {
-        Ok(settings) if check_only => check_keys(&path, &settings),
+        Ok(settings) if check_only => check_settings(&path, &settings),
         Ok(ModeSettings::Owners(settings)) => run_through_owners(settings),
         Ok(ModeSettings::Direct(settings)) => run_direct(&path, settings),
         Err(err) => print_failure(&err, EXIT_SETTINGS),
@@ -63,7 +66,15 @@
 /// The settings of an instance, in the format of its dispatch mode.
 enum ModeSettings {
     Owners(Box<Settings>),
-    Direct(Box<DirectSettings>),
+    Direct(Box<LoadedSettings>),
+}
+
+/// Keeps a SIGHUP that arrives before the instance waits for signals from ending the process.
+fn ignore_early_reloads() {
+    let early_reload = Arc::new(AtomicBool::new(false));
+    if let Err(err) = signal_hook::flag::register(SIGHUP, early_reload) {
+        eprintln!("hemlockd: can't handle SIGHUP yet: {err}");
+    }
 }
 
 fn read_settings(path: &str) -> eyre::Result<ModeSettings> {
@@ -72,21 +83,39 @@
         DispatchMode::ThroughOwners => {
             ModeSettings::Owners(Box::new(Settings::parse(&text, path)?))
         }
-        DispatchMode::Direct => ModeSettings::Direct(Box::new(DirectSettings::parse(&text, path)?)),
+        DispatchMode::Direct => ModeSettings::Direct(Box::new(DirectSettings::load(&text, path)?)),
     })
 }
 
-/// Checks that the keys that the settings name can be loaded, and prints the result.
-fn check_keys(path: &str, settings: &ModeSettings) -> ExitCode {
-    if let ModeSettings::Owners(settings) = settings {
-        if let Err(err) = settings.load_keys() {
-            return print_failure(&err.into(), EXIT_SETTINGS);
+/// Checks that every value of the settings can be used and that the keys can be loaded, and prints
+/// the result.
+fn check_settings(path: &str, settings: &ModeSettings) -> ExitCode {
+    match settings {
+        ModeSettings::Owners(settings) => {
+            if let Err(err) = settings.load_keys() {
+                return print_failure(&err.into(), EXIT_SETTINGS);
+            }
         }
+        ModeSettings::Direct(loaded) if !loaded.replaced.is_empty() => {
+            for replaced in &loaded.replaced {
+                eprintln!("hemlockd: {}; {} is used", replaced.error, replaced.used);
+            }
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+        ModeSettings::Direct(_) => {}
     }
     println!("{path}: the settings are in order");
     ExitCode::SUCCESS
 }
 
+/// Logs which values of the settings were replaced.
+fn log_replaced(loaded: &LoadedSettings) {
+    for replaced in &loaded.replaced {
+        let why = replaced.error.to_string();
+        warn!(target: "process", why = why, used = replaced.used.as_str(); "setting replaced");
+    }
+}
+
 /// Runs an instance that dispatches through the owners of upstreams.
 fn run_through_owners(settings: Box<Settings>) -> ExitCode {
     let keys = match settings.load_keys() {
@@ -106,24 +135,27 @@
 }
 
 /// Runs an instance that dispatches to upstreams directly, and reloads its settings from `path`.
-fn run_direct(path: &str, settings: Box<DirectSettings>) -> ExitCode {
+fn run_direct(path: &str, loaded: Box<LoadedSettings>) -> ExitCode {
+    let settings = &loaded.settings;
     let log = match logging::start(&settings.log) {
         Ok(log) => log,
         Err(err) => return print_failure(&err.into(), EXIT_START),
     };
+    log_replaced(&loaded);
     let protocol = match settings.protocol {
         ProtocolName::Corporation => Rc::new(Corporation),
     };
     let reload = || match read_settings(path)? {
-        ModeSettings::Direct(settings) => {
-            logging::set_level(&settings.log);
-            Ok(*settings)
+        ModeSettings::Direct(loaded) => {
+            logging::set_level(&loaded.settings.log);
+            log_replaced(&loaded);
+            Ok(loaded.settings)
         }
         ModeSettings::Owners(_) => eyre::bail!("{path}: dispatch can't be changed"),
     };
     // The instance itself notices tasks that fail.
     logging::watch_panics(|| {});
-    let code = match hemlockrouter::direct::run(*settings, protocol, reload) {
+    let code = match hemlockrouter::direct::run(loaded.settings, protocol, reload) {
         Ok(ended) => exit_code(ended),
         Err(err) => print_failure(&err, EXIT_START),
     };
--- a/hemlockrouter-cli/tests/direct/main.rs
+++ b/hemlockrouter-cli/tests/direct/main.rs
@@ -18,6 +18,7 @@
 mod restored;
 mod returns;
 mod serving;
+mod settings;
 mod sharing;
 mod soak;
 mod stops;
--- a/hemlockrouter-config/src/direct.rs
+++ b/hemlockrouter-config/src/direct.rs
@@ -3,10 +3,13 @@
 //! These settings have their own file format. An instance that dispatches directly has no keys and
 //! no leases, so most fields of [`Settings`](crate::Settings) would have no meaning for it.
 
+mod figures;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use crate::document::Field;
+use self::figures::FigureReader;
+pub use self::figures::ReplacedValue;
 use crate::document::JsonObject;
 use crate::document::JsonSource;
 use crate::error::Error;
@@ -52,11 +55,23 @@
 
 /// The default for the fewest shards of a search that is divided among instances. For a smaller
 /// search, one instance has sent all sub-requests before another instance could begin.
-const DEFAULT_DIVIDED_SEARCH_SHARDS_MIN: u64 = 40;
+const DEFAULT_DIVIDED_SEARCH_SHARDS_MIN: f64 = 40.0;
 
 /// The default for the number of shards that each instance collects of a divided search. Collecting
 /// this many shards costs about as much as delegating the other groups of shards.
-const DEFAULT_SHARDS_PER_INSTANCE: u64 = 14;
+const DEFAULT_SHARDS_PER_INSTANCE: f64 = 14.0;
+
+/// The largest bound on a time, in seconds.
+const BOUND_MAX_S: f64 = 600.0;
+
+/// The largest bound on a time, in milliseconds.
+const BOUND_MAX_MS: f64 = 1_000.0 * BOUND_MAX_S;
+
+/// The largest memory that the settings can name, in MiB.
+const MEMORY_MAX_MB: f64 = (1 << 20) as f64;
+
+/// Bytes of one MiB.
+const MB_BYTES: f64 = (1 << 20) as f64;
 
 /// The way in which an instance dispatches requests to upstreams.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -175,13 +190,39 @@
     }
 }
 
+/// Settings that can be used, and what had to be replaced in them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadedSettings {
+    /// The settings.
+    pub settings: DirectSettings,
+    /// The values of the file that can't be used.
+    pub replaced: Vec<ReplacedValue>,
+}
+
 impl DirectSettings {
     /// Parses and checks settings. Errors give `file` as the name of the settings' file.
     ///
     /// # Errors
     ///
-    /// Returns an error that names the file, the line, the field and the expected value.
+    /// Returns an error that names the file, the line, the field and the expected value, also for a
+    /// value that [`DirectSettings::load`] replaces.
     pub fn parse(text: &str, file: &str) -> Result<DirectSettings, Error> {
+        let loaded = DirectSettings::load(text, file)?;
+        match loaded.replaced.into_iter().next() {
+            Some(replaced) => Err(replaced.error),
+            None => Ok(loaded.settings),
+        }
+    }
+
+    /// Parses settings for a process that has to run. Figures, optional ports and seeds that can't
+    /// be used are replaced. Errors give `file` as the name of the settings' file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, the line, the field and the expected value if the file
+    /// is not of the expected form, or if a value is missing or wrong that has no replacement: the
+    /// protocol, a name, or the address of a port that every instance has.
+    pub fn load(text: &str, file: &str) -> Result<LoadedSettings, Error> {
         let source = JsonSource::new(text, file);
         let value = source.parse()?;
         let object = source.root(&value).object(SETTINGS_FIELDS)?;
@@ -192,44 +233,45 @@
         let sharing = sharing
             .map(|field| field.object(SHARING_FIELDS))
             .transpose()?;
-        let read_shard_count = |name, default| match &sharing {
-            Some(sharing) => sharing.number_or(name, default, 1, 100_000),
-            None => Ok(default),
+        let mut figures = FigureReader::default();
+        let mut read_shard_count = |name, default| match &sharing {
+            Some(sharing) => figures.read(sharing, name, default, 1.0..=1e5) as usize,
+            None => default as usize,
         };
         let settings = DirectSettings {
+            sharing_parts_min: read_shard_count("parts_min", DEFAULT_DIVIDED_SEARCH_SHARDS_MIN),
+            sharing_parts_each: read_shard_count("parts_each", DEFAULT_SHARDS_PER_INSTANCE),
             protocol: read_protocol(&object)?,
             name: read_nonempty_text(&object, "name")?,
             zone: read_nonempty_text(&object, "zone")?,
             zones: read_zones(&object)?,
             callers_listen: read_address(&object, "callers_listen")?,
             ready_listen: read_address(&object, "ready_listen")?,
-            metrics_listen: object
-                .get("metrics_listen")
-                .map(Field::address)
-                .transpose()?,
-            relay_listen: object.get("relay_listen").map(Field::address).transpose()?,
-            seeds: read_seeds(&object)?,
+            metrics_listen: figures.read_optional_address(&object, "metrics_listen"),
+            relay_listen: figures.read_optional_address(&object, "relay_listen"),
+            seeds: figures.read_addresses(&object, "seeds"),
             registry_address: read_address(&object, "registry_address")?,
-            cpu_permille: (1_000.0 * read_decimal(&object, "cpu_share", 1.0, 1_024.0)?) as u32,
-            memory_bytes: (object.number_or("memory_mb", 256, 16, 1 << 20)? as usize) << 20,
-            in_force_ms: bounds.number_or("in_force_ms", 3_000, 500, 600_000)?,
-            evacuate_ms: bounds.number_or("evacuate_ms", 5_000, 500, 600_000)?,
-            drain_ms: bounds.number_or("drain_ms", 3_000, 100, 600_000)?,
-            shutdown_ms: 1_000 * bounds.number_or("shutdown_s", 6, 1, 600)?,
-            catch_up_ms: bounds.number_or("catch_up_ms", 5_000, 500, 600_000)?,
-            repeat_ratio: read_decimal(&bounds, "repeat_ratio", 0.2, 10.0)?,
-            repeat_window_ms: 1_000 * bounds.number_or("repeat_window_s", 10, 1, 600)?,
-            repeat_allowance: read_decimal(&bounds, "repeat_allowance", 50.0, 1e6)?,
-            cold_overage: read_decimal(&bounds, "cold_overage", 1.0, 100.0)?,
-            cold_slack: read_decimal(&bounds, "cold_slack", 0.0, 1e6)?,
-            sharing_parts_min: read_shard_count("parts_min", DEFAULT_DIVIDED_SEARCH_SHARDS_MIN)?
-                as usize,
-            sharing_parts_each: read_shard_count("parts_each", DEFAULT_SHARDS_PER_INSTANCE)?
+            cpu_permille: (1_000.0 * figures.read(&object, "cpu_share", 1.0, 0.0..=1_024.0)) as u32,
+            memory_bytes: (MB_BYTES
+                * figures.read(&object, "memory_mb", 256.0, 16.0..=MEMORY_MAX_MB))
                 as usize,
+            in_force_ms: figures.read_ms(&bounds, "in_force_ms", 3_000.0, 500.0..=BOUND_MAX_MS),
+            evacuate_ms: figures.read_ms(&bounds, "evacuate_ms", 5_000.0, 500.0..=BOUND_MAX_MS),
+            drain_ms: figures.read_ms(&bounds, "drain_ms", 3_000.0, 100.0..=BOUND_MAX_MS),
+            shutdown_ms: figures.read_s(&bounds, "shutdown_s", 6.0, 0.0..=BOUND_MAX_S),
+            catch_up_ms: figures.read_ms(&bounds, "catch_up_ms", 5_000.0, 500.0..=BOUND_MAX_MS),
+            repeat_ratio: figures.read(&bounds, "repeat_ratio", 0.2, 0.0..=10.0),
+            repeat_window_ms: figures.read_s(&bounds, "repeat_window_s", 10.0, 1.0..=BOUND_MAX_S),
+            repeat_allowance: figures.read(&bounds, "repeat_allowance", 50.0, 0.0..=1e6),
+            cold_overage: figures.read(&bounds, "cold_overage", 1.0, 0.0..=100.0),
+            cold_slack: figures.read(&bounds, "cold_slack", 0.0, 0.0..=1e6),
             log: Log::read(&object)?,
         };
         settings.check(&object)?;
-        Ok(settings)
+        Ok(LoadedSettings {
+            settings,
+            replaced: figures.replaced,
+        })
     }
 
     /// Returns the names of the fields in which `newer` differs, divided into fields that a running
@@ -338,20 +380,6 @@
     }
 }
 
-/// Reads a number from 0 to `max`, which may have a fraction.
-fn read_decimal(
-    object: &JsonObject<'_, '_>,
-    name: &str,
-    default: f64,
-    max: f64,
-) -> Result<f64, Error> {
-    let Some(field) = object.get(name) else {
-        return Ok(default);
-    };
-    let number = field.number(0.0, max);
-    number.map_err(|_| field.expected(format!("a number from 0 to {max}")))
-}
-
 fn read_protocol(object: &JsonObject<'_, '_>) -> Result<ProtocolName, Error> {
     let field = object.require("protocol", "\"corporation\"")?;
     match field.text("\"corporation\"")? {
@@ -381,11 +409,3 @@
     }
     Ok(zones)
 }
-
-fn read_seeds(object: &JsonObject<'_, '_>) -> Result<Vec<SocketAddr>, Error> {
-    let Some(field) = object.get("seeds") else {
-        return Ok(Vec::new());
-    };
-    let seeds = field.list("a list of IP addresses with ports")?;
-    seeds.iter().map(Field::address).collect()
-}
--- a/hemlockrouter-config/src/document.rs
+++ b/hemlockrouter-config/src/document.rs
@@ -22,6 +22,9 @@
 /// The largest part of a wrong value that an error quotes, in characters.
 const QUOTED_VALUE_MAX_CHARS: usize = 40;
 
+/// The largest number up to which a float holds every whole number.
+const EXACT_FLOAT_MAX: f64 = 9_007_199_254_740_992.0;
+
 /// The text of a document, its file name, and the offset at which each line starts.
 pub(crate) struct JsonSource<'t> {
     file: &'t str,
@@ -141,12 +144,21 @@
         let Value::NumberLit(lit) = self.value else {
             return Err(self.expected(format!("a whole number from {min} to {max}")));
         };
-        match lit.value.parse::<N>() {
-            Ok(number) if min <= number && number <= max => Ok(number),
+        match parse_whole(lit.value) {
+            Some(number) if min <= number && number <= max => Ok(number),
             _ => Err(self.expected(format!("a whole number from {min} to {max}"))),
         }
     }
 
+    /// Returns the value as a number that may have a fraction; `None` if it is no finite number.
+    pub(crate) fn decimal(&self) -> Option<f64> {
+        let Value::NumberLit(lit) = self.value else {
+            return None;
+        };
+        let number: Option<f64> = lit.value.parse().ok();
+        number.filter(|number| number.is_finite())
+    }
+
     pub(crate) fn address(&self) -> Result<SocketAddr, Error> {
         let expected_form = "an IP address with a port, such as \"10.0.0.7:8080\"";
         let text = self.text(expected_form)?;
@@ -248,6 +260,20 @@
     }
 }
 
+/// Parses a whole number in any notation of JSON, such as `260`, `260.0` or `2.6e2`.
+fn parse_whole<N>(text: &str) -> Option<N>
+where
+    N: std::str::FromStr,
+{
+    if let Ok(number) = text.parse() {
+        return Some(number);
+    }
+    let number: f64 = text.parse().ok()?;
+    let is_whole = number.fract() == 0.0 && number.abs() <= EXACT_FLOAT_MAX;
+    let number = is_whole.then(|| format!("{number:.0}"))?;
+    number.parse().ok()
+}
+
 /// An object with a fixed set of fields.
 pub(crate) struct JsonObject<'s, 't> {
     source: &'s JsonSource<'t>,
--- a/hemlockrouter-config/tests/direct.rs
+++ b/hemlockrouter-config/tests/direct.rs
@@ -3,6 +3,7 @@
 use hemlockrouter_config::DirectSettings;
 use hemlockrouter_config::DispatchMode;
 use hemlockrouter_config::ErrorKind;
+use proptest::prelude::*;
 
 /// The settings template that the platform renders for each instance.
 const SETTINGS_TEMPLATE: &str = include_str!("../../deploy/settings.jsonc");
@@ -170,3 +171,119 @@
     assert!(remaining_changes.live.is_empty(), "{remaining_changes:?}");
     assert_eq!(remaining_changes.fixed, changed.fixed);
 }
+
+/// The figures of the template: each field, its unit in the settings and its allowed range.
+const FIGURES: &[(&str, f64, f64)] = &[
+    ("memory_mb", 16.0, 1_048_576.0),
+    ("cpu_share", 0.0, 1_024.0),
+    ("in_force_ms", 500.0, 600_000.0),
+    ("evacuate_ms", 500.0, 600_000.0),
+    ("drain_ms", 100.0, 600_000.0),
+    ("shutdown_s", 0.0, 600.0),
+    ("catch_up_ms", 500.0, 600_000.0),
+    ("repeat_ratio", 0.0, 10.0),
+    ("repeat_window_s", 1.0, 600.0),
+    ("repeat_allowance", 0.0, 1e6),
+    ("cold_overage", 0.0, 100.0),
+    ("cold_slack", 0.0, 1e6),
+];
+
+/// Returns the template with another value for a figure.
+fn render_with_figure(name: &str, value: &str) -> String {
+    let text = render_template();
+    let lines = text.lines().map(|line| {
+        let is_figure = line.trim_start().starts_with(&format!("\"{name}\":"));
+        match is_figure {
+            true => format!("\"{name}\": {value},"),
+            false => String::from(line),
+        }
+    });
+    let changed = lines.collect::<Vec<_>>().join("\n");
+    assert!(changed.contains(&format!("\"{name}\": {value},")));
+    changed
+}
+
+/// Returns a figure of loaded settings, in the unit of the settings.
+fn figure(settings: &DirectSettings, name: &str) -> f64 {
+    match name {
+        "memory_mb" => settings.memory_bytes as f64 / f64::from(1 << 20),
+        "cpu_share" => f64::from(settings.cpu_permille) / 1_000.0,
+        "in_force_ms" => settings.in_force_ms as f64,
+        "evacuate_ms" => settings.evacuate_ms as f64,
+        "drain_ms" => settings.drain_ms as f64,
+        "shutdown_s" => settings.shutdown_ms as f64 / 1_000.0,
+        "catch_up_ms" => settings.catch_up_ms as f64,
+        "repeat_ratio" => settings.repeat_ratio,
+        "repeat_window_s" => settings.repeat_window_ms as f64 / 1_000.0,
+        "repeat_allowance" => settings.repeat_allowance,
+        "cold_overage" => settings.cold_overage,
+        "cold_slack" => settings.cold_slack,
+        _ => unreachable!("{name} is no figure"),
+    }
+}
+
+/// Returns what the platform may write for a figure: any number in any notation, true, false,
+/// nothing, and what no page allows.
+fn figure_text() -> impl Strategy<Value = String> {
+    prop_oneof![
+        (0_u32..10_000).prop_map(|whole| whole.to_string()),
+        (0_u32..10_000).prop_map(|whole| format!("{whole}.0")),
+        (0.0..10_000.0).prop_map(|number: f64| number.to_string()),
+        (0.0..10_000.0).prop_map(|number: f64| format!("{number:e}")),
+        any::<f64>().prop_map(|number| format!("{number:e}")),
+        prop::sample::select(vec![
+            "true", "false", "null", "\"soon\"", "[]", "{}", "1e999"
+        ])
+        .prop_map(String::from),
+    ]
+}
+
+proptest! {
+    /// Guards against a process that does not start because of one figure (review 12).
+    #[test]
+    fn figures_of_any_form_are_used_or_replaced(
+        (name, min, max) in prop::sample::select(FIGURES),
+        value in figure_text(),
+    ) {
+        let loaded = DirectSettings::load(&render_with_figure(name, &value), "boot");
+        let loaded = loaded.expect("one figure does not make settings unusable");
+        let used = figure(&loaded.settings, name);
+        let number: Option<f64> = value.parse().ok().filter(|number: &f64| number.is_finite());
+        match number.filter(|number| (min..=max).contains(number)) {
+            Some(number) => {
+                // Durations are cut to whole milliseconds, and shares to a thousandth.
+                prop_assert!((used - number).abs() <= 1.0, "{number} became {used}");
+                prop_assert_eq!(&loaded.replaced, &[]);
+            }
+            None => {
+                prop_assert!((min..=max).contains(&used), "{value} became {used}");
+                prop_assert_eq!(loaded.replaced.len(), 1);
+            }
+        }
+    }
+}
+
+/// Guards against a fraction that is lost or refused (review 12).
+#[test]
+fn fractions_of_bounds_are_kept() {
+    let load = |name, value| {
+        let loaded = DirectSettings::load(&render_with_figure(name, value), "boot");
+        loaded.expect("fractions are allowed").settings
+    };
+    assert_eq!(load("shutdown_s", "6.5").shutdown_ms, 6_500);
+    assert_eq!(load("repeat_window_s", "9.25").repeat_window_ms, 9_250);
+    assert_eq!(load("drain_ms", "2999.9").drain_ms, 2_999);
+    assert_eq!(load("memory_mb", "2.6e2").memory_bytes, 260 << 20);
+}
+
+/// Guards against one address that keeps a process from starting (review 12).
+#[test]
+fn seeds_and_optional_ports_that_cannot_be_used_are_left_out() {
+    let text = render_template()
+        .replace("\"10.2.0.21:8106\"", "\"a seed\"")
+        .replace("\"10.1.0.9:7380\"", "null");
+    let loaded = DirectSettings::load(&text, "boot").expect("the rest is in order");
+    assert_eq!(loaded.settings.seeds.len(), 1);
+    assert_eq!(loaded.settings.metrics_listen, None);
+    assert_eq!(loaded.replaced.len(), 2);
+}
