Read the routes and services of a version one by one

One field of one route that is not of the expected form, or a figure written as 2000.0, kept a whole version unread, and the fleet stayed on the one before.

A route or service that can't be read is reported and leaves the others in force.

--- a/hemlockrouter-edge/tests/reconcile.rs
+++ b/hemlockrouter-edge/tests/reconcile.rs
@@ -28,6 +28,7 @@
             header_timeout_ms: 1,
             idle_timeout_ms: 1,
         },
+        unreadable: Vec::new(),
     })
 }
 
--- a/hemlockrouter-route/tests/direct/fixture.rs
+++ b/hemlockrouter-route/tests/direct/fixture.rs
@@ -106,6 +106,7 @@
             header_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
         },
+        unreadable: Vec::new(),
     }
 }
 
--- a/hemlockrouter-types/src/routing.rs
+++ b/hemlockrouter-types/src/routing.rs
@@ -21,6 +21,9 @@
     pub services: Vec<ServiceEntry>,
     /// Limits on the requests of callers.
     pub limits: CallerLimits,
+    /// Faults of the routes and services that can't be read. Requests of such a route are refused.
+    #[serde(default)]
+    pub unreadable: Vec<String>,
 }
 
 /// Route of the requests with one host and path prefix: their target, limits and priority.
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -262,6 +262,7 @@
     fn apply_routes(&mut self, document: RouteDocument) {
         let version = document.version;
         let limits = document.limits;
+        let unreadable = document.unreadable.clone();
         if !self.dispatcher.install_routes(document) {
             let in_force = self.dispatcher.route_table().version();
             info!(target: "belief", version = version, in_force = in_force; "routes not newer");
@@ -269,6 +270,9 @@
         }
         let table = Rc::clone(self.dispatcher.route_table());
         info!(target: "belief", version = version, routes = table.len(); "routes in force");
+        for why in unreadable {
+            warn!(target: "belief", version = version, why = why; "unreadable part of a version");
+        }
         self.shared.limits.set(limits);
         self.shared.table.replace(table);
     }
