Take removals for lapses only if others lost the registry too

Cause: a copy older than 3 s was read as an outage of the registry, and removals after it as registrations lost in the outage, which are used at once when they are back. A freeze or a cut of the instance's own makes the copy as old. The registry now counts as away only if another instance said that it lost it too, all that were asked answered, and the event loop took its turns. Without that evidence a removal is a departure, and the upstream has to be confirmed.

The test of registrations lost in an outage also runs with an instance in each of two zones now.

--- a/hemlockrouter-cli/tests/direct/returns.rs
+++ b/hemlockrouter-cli/tests/direct/returns.rs
@@ -23,6 +23,9 @@
 /// The time after which a registration that is renewed counts as that of an upstream that is back.
 const LASTING_REGISTRATION: Duration = Duration::from_secs(10);
 
+/// The time for which an instance is frozen, longer than an outage that loses registrations.
+const FREEZE: Duration = Duration::from_millis(3_900);
+
 /// The number of instances, five in each of two availability zones: four of them follow the fifth.
 const INSTANCE_COUNT: usize = 10;
 
@@ -161,9 +164,14 @@
 /// all registrations were lost.
 #[test]
 fn registrations_lost_in_an_outage_are_used_at_once_when_they_are_back() {
-    let deployment = Deployment::start(1);
-    let upstream = ledger_upstream(&deployment);
-    wait_until_used(&deployment, upstream);
+    for instances in [1, ZONES.len()] {
+        check_registration_lost_in_an_outage(&Deployment::start(instances));
+    }
+}
+
+fn check_registration_lost_in_an_outage(deployment: &Deployment) {
+    let upstream = ledger_upstream(deployment);
+    wait_until_used(deployment, upstream);
     upstream.set_behaviour(Behaviour {
         fails_health_checks: true,
         ..Behaviour::default()
@@ -176,6 +184,32 @@
         deployment.log(0).contains("registry regained")
     });
     std::thread::sleep(Duration::from_secs(1));
-    let took = register_until_used(&deployment, upstream);
+    let took = register_until_used(deployment, upstream);
     assert!(took < USED_AGAIN_WITHIN, "{took:?}");
 }
+
+/// Lets an upstream leave while an instance is frozen, and its last heartbeat be executed late.
+fn check_departure_during_a_freeze(deployment: &mut Deployment) {
+    wait_until_used(deployment, ledger_upstream(deployment));
+    deployment.daemons[0].signal("STOP");
+    std::thread::sleep(FREEZE);
+    let left_at = Instant::now();
+    ledger_upstream(deployment).unregister(&deployment.store);
+    std::thread::sleep(Duration::from_millis(100));
+    deployment.daemons[0].signal("CONT");
+    std::thread::sleep(Duration::from_secs(1));
+    let leaving = ledger_upstream(deployment);
+    leaving.heartbeat_late(&deployment.store);
+    let quiet = DRAIN_TIME + Duration::from_millis(500);
+    std::thread::sleep(quiet.saturating_sub(left_at.elapsed()));
+    check_unused(deployment, leaving);
+}
+
+/// Guards against requests to an upstream that left while the instance stood still, which the
+/// instance takes for a registration lost in an outage of the store (review 13).
+#[test]
+fn late_heartbeat_of_an_upstream_that_left_during_a_freeze_sends_it_nothing() {
+    for instances in [1, ZONES.len()] {
+        check_departure_during_a_freeze(&mut Deployment::start(instances));
+    }
+}
--- a/hemlockrouter-member/src/sources.rs
+++ b/hemlockrouter-member/src/sources.rs
@@ -16,6 +16,7 @@
 //! are not assigned to read it ask it ever less often.
 
 mod call;
+mod outage;
 mod registry;
 mod relays;
 mod timing;
@@ -26,6 +27,7 @@
 use hemlockrouter_types::routing::RegistryAccess;
 
 pub use self::call::RegistryCall;
+use self::outage::OutageEvidence;
 use self::registry::RegistryCalls;
 use self::relays::LastAnswer;
 use self::relays::Relays;
@@ -77,6 +79,7 @@
     /// Relays to ask at once, because they offered themselves.
     relays_to_ask: Vec<SocketAddr>,
     was_stale: bool,
+    outage: OutageEvidence,
     wake_at: Time,
 }
 
@@ -110,6 +113,7 @@
             next_review_at: Time::ZERO,
             relays_to_ask: Vec::new(),
             was_stale: true,
+            outage: OutageEvidence::default(),
             wake_at: Time::ZERO,
         }
     }
@@ -165,6 +169,26 @@
         self.known_as_of = self.known_as_of.max(Some(heard_at));
     }
 
+    /// Records a turn of the event loop, before its event is handled. A long pause between two turns
+    /// shows that the process stood still.
+    pub fn record_turn(&mut self, now: Time) {
+        self.outage.record_turn(now);
+    }
+
+    /// Records recent contact with the registry, after [`was_registry_away`] was asked.
+    ///
+    /// [`was_registry_away`]: RegistrySources::was_registry_away
+    pub fn record_contact(&mut self) {
+        self.outage.record_contact();
+    }
+
+    /// Returns whether the registry was away since the last contact, as far as this instance and the
+    /// others that it asked can tell; `false` if it may have been this instance that was cut off or
+    /// stood still.
+    pub fn was_registry_away(&self) -> bool {
+        self.outage.was_registry_away(!self.candidates.is_empty())
+    }
+
     /// Records an answer of the registry. The next call is due after `pace_ms` milliseconds.
     /// Returns the calls that offer this instance to other relays, if it has just begun to read for
     /// itself.
@@ -181,6 +205,7 @@
 
     /// Records that the registry did not answer.
     pub fn record_registry_failure(&mut self, now: Time, registry_access: &RegistryAccess) {
+        self.outage.record_registry_failure();
         self.registry.record_failure(
             now,
             registry_access.reads_registry,
@@ -205,7 +230,12 @@
         age_ms: u64,
         path: &[String],
     ) -> bool {
-        let is_usable = age_ms <= self.timing.stale_after_ms() && self.is_usable_path(path);
+        let is_in_touch = age_ms <= self.timing.stale_after_ms();
+        if !is_in_touch {
+            self.outage
+                .record_relay_contact(now.minus_ms(age_ms), self.known_as_of);
+        }
+        let is_usable = is_in_touch && self.is_usable_path(path);
         let last_answer = match is_usable {
             true => LastAnswer::Usable,
             false => LastAnswer::Unusable,
@@ -220,8 +250,21 @@
         is_usable
     }
 
-    /// Records that a relay did not answer, or that its copy was older than that of this instance.
+    /// Records that a relay did not answer.
     pub fn record_relay_failure(&mut self, now: Time, relay: SocketAddr) {
+        self.outage.record_relay_failure();
+        self.leave_relay(now, relay);
+    }
+
+    /// Records that a relay has a copy that is older than that of this instance, from its last
+    /// contact with the registry `age_ms` milliseconds ago.
+    pub fn record_outdated_relay(&mut self, now: Time, relay: SocketAddr, age_ms: u64) {
+        self.outage
+            .record_relay_contact(now.minus_ms(age_ms), self.known_as_of);
+        self.leave_relay(now, relay);
+    }
+
+    fn leave_relay(&mut self, now: Time, relay: SocketAddr) {
         self.relays.record_failure(now, relay);
         if self.followed == Some(relay) {
             self.followed = None;
--- a/hemlockrouter-member/tests/registry/sources.rs
+++ b/hemlockrouter-member/tests/registry/sources.rs
@@ -421,3 +421,59 @@
     let busiest = busiest.max();
     assert!(busiest <= Some(720 / 5), "{busiest:?} call at once");
 }
+
+/// Returns the sources of a follower that is out of touch after `now`, and asked its relays then.
+fn sources_out_of_touch(now: Time) -> RegistrySources {
+    let mut sources = sources_heard_at(now);
+    sources.record_turn(now);
+    sources.record_contact();
+    let later = now + STALE_COPY_AGE_MS;
+    for at_ms in (0..=STALE_COPY_AGE_MS).step_by(500) {
+        sources.record_turn(now + at_ms);
+    }
+    sources.due_calls(later, &follower_access());
+    sources
+}
+
+/// Guards against a removal that is taken for a lapse although only this instance was out of touch
+/// (review 13).
+#[test]
+fn registry_was_away_only_if_the_others_lost_it_too() {
+    let contact_at = at_ms(10_000);
+    let later = contact_at + STALE_COPY_AGE_MS;
+    let relays = [relay_address(1), relay_address(2)];
+    let mut sources = sources_out_of_touch(contact_at);
+    sources.record_registry_failure(later, &follower_access());
+    assert!(!sources.was_registry_away(), "nobody else was heard");
+    for relay in relays {
+        relay_answers(&mut sources, later, relay, STALE_COPY_AGE_MS);
+    }
+    assert!(sources.was_registry_away(), "the others lost it too");
+    let mut cut_off = sources.clone();
+    cut_off.record_relay_failure(later, relays[0]);
+    assert!(!cut_off.was_registry_away(), "an instance is out of reach");
+    let mut frozen = sources.clone();
+    frozen.record_turn(later + STALE_COPY_AGE_MS);
+    assert!(!frozen.was_registry_away(), "this instance stood still");
+    sources.record_contact();
+    assert!(!sources.was_registry_away(), "there was contact since");
+}
+
+/// Guards against the same of an instance that knows no others: its own calls tell, unless it stood
+/// still (review 13).
+#[test]
+fn lone_instance_that_stood_still_does_not_take_the_registry_for_away() {
+    let access = RegistryAccess {
+        reads_registry: true,
+        relays: Vec::new(),
+    };
+    let contact_at = at_ms(10_000);
+    let mut sources = sources_heard_at(contact_at);
+    sources.due_calls(contact_at, &access);
+    sources.record_turn(contact_at);
+    assert!(!sources.was_registry_away(), "no call has failed");
+    sources.record_registry_failure(contact_at + 1_000, &access);
+    assert!(sources.was_registry_away(), "its calls fail");
+    sources.record_turn(contact_at + STALE_COPY_AGE_MS);
+    assert!(!sources.was_registry_away(), "it stood still");
+}
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -71,6 +71,13 @@
     },
 }
 
+/// Reason for which the follower's loop goes on. The channels do not close while it runs.
+enum Turn {
+    Event(Option<FollowerEvent>),
+    Offer(Option<SocketAddr>),
+    Timer,
+}
+
 /// Keeps the local copy of the registry up to date.
 pub(super) struct Follower {
     identity: Rc<Identity>,
@@ -162,10 +169,16 @@
             let due_at = self.mirror.due_at();
             let wake_at = due_at.map_or(wake_at, |at| wake_at.min(at));
             let wait_ms = wake_at.remaining_ms(self.clock.now());
-            tokio::select! {
-                event = self.events.recv() => event.into_iter().for_each(|event| self.handle_event(event)),
-                offer = self.offers.recv() => offer.into_iter().for_each(|relay| self.handle_offer(relay)),
-                () = tokio::time::sleep(Duration::from_millis(wait_ms)) => {}
+            let turn = tokio::select! {
+                event = self.events.recv() => Turn::Event(event),
+                offer = self.offers.recv() => Turn::Offer(offer),
+                () = tokio::time::sleep(Duration::from_millis(wait_ms)) => Turn::Timer,
+            };
+            self.sources.record_turn(self.clock.now());
+            match turn {
+                Turn::Event(event) => event.into_iter().for_each(|event| self.handle_event(event)),
+                Turn::Offer(offer) => offer.into_iter().for_each(|relay| self.handle_offer(relay)),
+                Turn::Timer => {}
             }
         }
     }
@@ -399,7 +412,13 @@
         if self.followed_relay == Some(address) {
             self.followed_relay = None;
         }
-        self.sources.record_relay_failure(self.clock.now(), address);
+        let now = self.clock.now();
+        match err {
+            CallError::Outdated { age_ms } => {
+                self.sources.record_outdated_relay(now, address, *age_ms);
+            }
+            _ => self.sources.record_relay_failure(now, address),
+        }
     }
 
     fn handle_registry_failure(&mut self, err: &CallError) {
--- a/src/direct/read_applier.rs
+++ b/src/direct/read_applier.rs
@@ -21,8 +21,8 @@
 /// Time for which the registry is assumed to refill after an outage or a restore, in milliseconds.
 const REFILL_PERIOD_MS: u64 = 3_000;
 
-/// Age of the last contact with the registry above which an instance assumes that it missed an
-/// outage, in milliseconds.
+/// Age of the last contact with the registry above which registrations may have lapsed in an outage,
+/// in milliseconds.
 const OUTAGE_AGE_MS: u64 = 3_000;
 
 /// Applies reads of the registry and tracks whether the registry is refilling.
@@ -62,11 +62,14 @@
             .is_none_or(|age_ms| age_ms > OUTAGE_AGE_MS);
         let known_position = self.mirror.position();
         let is_first = known_position.is_none();
-        if was_stale && read.age_ms <= OUTAGE_AGE_MS {
-            self.refill_until = now + REFILL_PERIOD_MS;
-            if !is_first {
-                self.lapse_until = self.refill_until;
+        if read.age_ms <= OUTAGE_AGE_MS {
+            if was_stale {
+                self.refill_until = now + REFILL_PERIOD_MS;
+                if !is_first {
+                    self.end_gap(sources.was_registry_away());
+                }
             }
+            sources.record_contact();
         }
         self.mirror.set_registry_was_away(now < self.lapse_until);
         let known_position = known_position.unwrap_or_default();
@@ -99,6 +102,20 @@
         }
     }
 
+    /// Ends a time without contact with the registry. If the registry was away, registrations that
+    /// are missing now have lapsed.
+    fn end_gap(&mut self, was_registry_away: bool) {
+        if was_registry_away {
+            self.lapse_until = self.refill_until;
+        }
+        info!(
+            target: "belief",
+            age_ms = self.mirror.age_ms(),
+            registry_was_away = was_registry_away;
+            "in touch with the registry again"
+        );
+    }
+
     /// Applies the first read after the registry was restored from a backup copy.
     fn apply_restored(&mut self, read: &RegistryRead, known_position: HistoryPosition) {
         if !read.is_whole {
