Confirm upstreams that were not registered before, whoever reads them

Cause: a process that has started knows no departures and took the late heartbeat for a new upstream; and a relay called confirmed whatever it did not hold back, which its followers believed more than what they had seen. Their logs say 'the relay has confirmed it'.

An upstream that was not registered before is now confirmed before it is used, with no regard to what the reader knows of it. A relay names only what it has checked, and an instance that starts asks others which registrations they hold back.

--- a/hemlockrouter-cli/tests/direct/deployment.rs
+++ b/hemlockrouter-cli/tests/direct/deployment.rs
@@ -206,6 +206,15 @@
         status["version"].as_u64()
     }
 
+    /// Returns whether a daemon reads the store itself; `false` if the daemon does not answer.
+    pub(crate) fn reads_store(&self, index: usize) -> bool {
+        let url = format!("http://{}/status", self.daemons[index].ready);
+        let answer = ureq::get(url).call().ok();
+        let status: Option<Value> =
+            answer.and_then(|mut answer| answer.body_mut().read_json().ok());
+        status.is_some_and(|status| status["registry_path"] == json!([]))
+    }
+
     /// Replaces the behaviour of all upstreams.
     pub(crate) fn set_behaviour(&self, behaviour: Behaviour) {
         for upstream in &self.upstreams {
--- a/hemlockrouter-cli/tests/direct/returns.rs
+++ b/hemlockrouter-cli/tests/direct/returns.rs
@@ -11,6 +11,7 @@
 
 use crate::deployment::eventually;
 use crate::deployment::Deployment;
+use crate::deployment::CATCH_UP_MS;
 use crate::deployment::LOOK_UP_PATH;
 use crate::deployment::ZONES;
 
@@ -29,6 +30,9 @@
 /// The number of instances, five in each of two availability zones: four of them follow the fifth.
 const INSTANCE_COUNT: usize = 10;
 
+/// The number of instances, three in each of two availability zones, of which one reads the store.
+const RELAYED_INSTANCE_COUNT: usize = 6;
+
 const REQUEST_COUNT: usize = 40;
 
 /// Returns an upstream of the service that one upstream answers.
@@ -213,3 +217,90 @@
         check_departure_during_a_freeze(&mut Deployment::start(instances));
     }
 }
+
+/// Kills a daemon and starts it again.
+fn restart(deployment: &mut Deployment, index: usize) {
+    deployment.daemons[index].kill();
+    deployment.start_daemon(index);
+    deployment.wait_ready(index);
+}
+
+/// Returns the index of the one daemon of the first zone that reads the store for the others.
+fn wait_for_reader(deployment: &Deployment) -> usize {
+    let readers = || -> Vec<usize> {
+        let zone = (0..deployment.daemons.len()).step_by(ZONES.len());
+        zone.filter(|index| deployment.reads_store(*index))
+            .collect()
+    };
+    eventually("one instance reads for the others", || readers().len() == 1);
+    readers()[0]
+}
+
+/// Guards against requests to an upstream that has left: an instance that was restarted takes its late
+/// heartbeat for a new upstream, and those that follow it believe that (review 14).
+#[test]
+fn restarted_reader_does_not_vouch_for_an_upstream_that_has_left() {
+    let mut deployment = Deployment::start(RELAYED_INSTANCE_COUNT);
+    let reader = wait_for_reader(&deployment);
+    wait_until_used(&deployment, ledger_upstream(&deployment));
+    let left_at = Instant::now();
+    ledger_upstream(&deployment).unregister(&deployment.store);
+    restart(&mut deployment, reader);
+    std::thread::sleep(Duration::from_secs(2));
+    let leaving = ledger_upstream(&deployment);
+    leaving.heartbeat_late(&deployment.store);
+    let quiet = DRAIN_TIME + Duration::from_millis(500);
+    std::thread::sleep(quiet.saturating_sub(left_at.elapsed()));
+    check_unused(&deployment, leaving);
+}
+
+/// Guards against requests to an upstream that has left, from an instance that starts when the late
+/// heartbeat is registered already, and sees another one later (review 14, related path).
+#[test]
+fn instance_that_starts_after_a_late_heartbeat_learns_of_the_departure() {
+    let mut deployment = Deployment::start(RELAYED_INSTANCE_COUNT);
+    let reader = wait_for_reader(&deployment);
+    wait_until_used(&deployment, ledger_upstream(&deployment));
+    let leaving = ledger_upstream(&deployment);
+    leaving.unregister(&deployment.store);
+    std::thread::sleep(Duration::from_millis(500));
+    leaving.heartbeat_late(&deployment.store);
+    restart(&mut deployment, reader);
+    std::thread::sleep(Duration::from_millis(CATCH_UP_MS));
+    let leaving = ledger_upstream(&deployment);
+    leaving.heartbeat_late(&deployment.store);
+    std::thread::sleep(Duration::from_millis(500));
+    check_unused(&deployment, leaving);
+}
+
+/// Guards against new upstreams that wait for requests because they have to be confirmed.
+#[test]
+fn new_upstream_is_used_at_once_by_followers_as_well() {
+    let mut deployment = Deployment::start(RELAYED_INSTANCE_COUNT);
+    wait_for_reader(&deployment);
+    let added_at = Instant::now();
+    let index = deployment.add_upstream("ledger", ZONES[0]);
+    wait_until_used(&deployment, &deployment.upstreams[index]);
+    let took = added_at.elapsed();
+    assert!(took < USED_AGAIN_WITHIN, "{took:?}");
+}
+
+/// Guards against new upstreams that wait because their service has no health path.
+#[test]
+fn new_upstream_without_a_health_path_is_used_at_once() {
+    let mut deployment = Deployment::start(1);
+    deployment.write_config(|config| {
+        for service in config["services"].as_array_mut().into_iter().flatten() {
+            service["healthPath"] = serde_json::Value::Null;
+        }
+    });
+    let version = deployment.version;
+    eventually("the version is in force", || {
+        deployment.version_in_force(0) == Some(version)
+    });
+    let added_at = Instant::now();
+    let index = deployment.add_upstream("ledger", ZONES[0]);
+    wait_until_used(&deployment, &deployment.upstreams[index]);
+    let took = added_at.elapsed();
+    assert!(took < USED_AGAIN_WITHIN, "{took:?}");
+}
--- a/src/direct/confirmation.rs
+++ b/src/direct/confirmation.rs
@@ -1,7 +1,12 @@
 //! Finds out whether upstreams that registered again after they had left are back.
 //!
 //! An instance that reads the registry asks the upstreams themselves. The other instances ask the
-//! relay that they follow, so that the number of health checks does not grow with the fleet.
+//! relay that they follow, so that the number of health checks does not grow with the fleet. A relay
+//! names only registrations that it has confirmed, and checks those that it uses unchecked once it is
+//! asked about them: an instance that has just started does not vouch for what it does not know.
+//!
+//! An instance that has just started asks others which registrations they hold back, since it knows
+//! no departures of its own.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -67,6 +72,20 @@
     let request = relay::build_confirmed_request(registrations);
     let mut relay = RegistryClient::for_instance(address);
     let answer = relay.call(request, CHECK_INTERVAL_MS).await?;
-    let confirmed = relay::decode_confirmed(answer.status(), &answer.body);
+    let confirmed = relay::decode_registrations(answer.status(), &answer.body);
     confirmed.map_err(CallError::NoAnswer)
 }
+
+/// Asks another instance which registrations it holds back.
+///
+/// # Errors
+///
+/// Returns an error if there is no valid answer in time.
+pub(super) async fn ask_held(address: SocketAddr) -> Result<Vec<Registration>, CallError> {
+    let mut relay = RegistryClient::for_instance(address);
+    let answer = relay
+        .call(relay::build_held_request(), CHECK_INTERVAL_MS)
+        .await?;
+    let held = relay::decode_registrations(answer.status(), &answer.body);
+    held.map_err(CallError::NoAnswer)
+}
--- a/src/direct/follower.rs
+++ b/src/direct/follower.rs
@@ -25,6 +25,7 @@
 use super::confirmation;
 use super::confirmation::HealthCheck;
 use super::first_read::FirstRead;
+use super::mirror::Checker;
 use super::mirror::Mirror;
 use super::mirror::Registration;
 use super::node::Identity;
@@ -48,6 +49,12 @@
 /// the same time register during this pause.
 const FIRST_FOLLOW_DELAY: Duration = Duration::from_millis(300);
 
+/// Maximum number of instances that are asked which registrations they hold back.
+const HELD_RELAYS_MAX: usize = 4;
+
+/// Delays before these questions, the second one after the first.
+const HELD_DELAYS: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(1_800)];
+
 /// Timeout for the call that offers this instance to another one as a relay, in milliseconds.
 const RELAY_OFFER_TIMEOUT_MS: u64 = 500;
 
@@ -69,6 +76,10 @@
         registrations: Vec<Registration>,
         why: &'static str,
     },
+    Held {
+        relay: SocketAddr,
+        registrations: Vec<Registration>,
+    },
 }
 
 /// Reason for which the follower's loop goes on. The channels do not close while it runs.
@@ -153,6 +164,7 @@
     /// Follows the registry until the process ends.
     pub(super) async fn run(mut self) {
         self.read_first().await;
+        self.ask_for_held();
         if !self.node.registry_access().reads_registry {
             tokio::time::sleep(FIRST_FOLLOW_DELAY).await;
         }
@@ -163,7 +175,7 @@
             let calls = self.sources.due_calls(now, &registry_access);
             calls.into_iter().for_each(|call| self.start_call(call));
             self.read_applier.expire_overrides();
-            self.read_applier.confirm_lasting();
+            self.read_applier.confirm_unchecked();
             self.start_confirmation();
             let wake_at = self.sources.wake_at();
             let due_at = self.mirror.due_at();
@@ -172,6 +184,7 @@
             let turn = tokio::select! {
                 event = self.events.recv() => Turn::Event(event),
                 offer = self.offers.recv() => Turn::Offer(offer),
+                () = self.mirror.wait_for_checks() => Turn::Timer,
                 () = tokio::time::sleep(Duration::from_millis(wait_ms)) => Turn::Timer,
             };
             self.sources.record_turn(self.clock.now());
@@ -283,15 +296,20 @@
     /// Checks the registrations that may be late writes. An instance whose copy came from a relay
     /// asks the relay, and any other one asks the upstreams.
     fn start_confirmation(&self) {
-        let registrations = self.mirror.due_checks();
+        let relay = self
+            .followed_relay
+            .filter(|_| !self.mirror.path().is_empty());
+        let checker = match relay {
+            Some(_) => Checker::Relay,
+            None => Checker::Upstream,
+        };
+        let registrations = self.mirror.due_checks(checker);
         if registrations.is_empty() {
             return;
         }
-        match self.followed_relay {
-            Some(relay) if !self.mirror.path().is_empty() => {
-                self.ask_relay_to_confirm(relay, registrations)
-            }
-            _ => registrations
+        match relay {
+            Some(relay) => self.ask_relay_to_confirm(relay, registrations),
+            None => registrations
                 .into_iter()
                 .for_each(|registration| self.check_health(registration)),
         }
@@ -314,6 +332,31 @@
         });
     }
 
+    /// Asks other instances which registrations they hold back, soon after the first read and once
+    /// more when they know of what the first read showed.
+    fn ask_for_held(&self) {
+        let relays = self.node.registry_access().relays.into_iter();
+        for relay in relays.take(HELD_RELAYS_MAX) {
+            let events = self.events_tx.clone();
+            self.tasks.spawn_call("held registrations", async move {
+                for delay in HELD_DELAYS {
+                    tokio::time::sleep(delay).await;
+                    match confirmation::ask_held(relay).await {
+                        Ok(registrations) => {
+                            let held = FollowerEvent::Held { relay, registrations };
+                            // Sending can't fail, because the follower lives as long as the process.
+                            let _ = events.send(held);
+                        }
+                        Err(err) => {
+                            let why = err.to_string();
+                            info!(target: "dependency", relay = relay.to_string(), why = why; "held registrations not known");
+                        }
+                    }
+                }
+            });
+        }
+    }
+
     fn check_health(&self, registration: Registration) {
         let Some((address, path)) = self.mirror.health_target(&registration.id) else {
             return;
@@ -340,6 +383,10 @@
             FollowerEvent::Confirmed { registrations, why } => {
                 self.read_applier.confirm(&registrations, why);
             }
+            FollowerEvent::Held {
+                relay,
+                registrations,
+            } => self.read_applier.hold_back(&registrations, relay),
             FollowerEvent::Registry { connection, result } => {
                 self.registry = Some(connection);
                 match result {
--- a/src/direct/late_writes.rs
+++ b/src/direct/late_writes.rs
@@ -17,6 +17,9 @@
 pub(super) enum LastWrite {
     /// The upstream is registered with the entry of this write.
     Registered(UpstreamWrite),
+    /// The upstream is registered with the entry of this write, which may be late, and no departure
+    /// is known.
+    New(UpstreamWrite),
     /// The upstream has left after this write.
     Left(UpstreamWrite),
     /// The registration with this write was lost while the registry was away, or was overwritten
@@ -24,6 +27,17 @@
     Lapsed(UpstreamWrite),
 }
 
+/// What is known of an upstream's writes before an entry.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum PreviousWrite {
+    /// The upstream is not registered, and no departure is known.
+    Unseen,
+    /// The entry is known or expected: the registry repeats it, or lost it in a restore.
+    Expected,
+    /// The upstream's last write.
+    Seen(LastWrite),
+}
+
 /// Whether an entry is more recent than the last known write of its upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Recency {
@@ -42,23 +56,33 @@
         let write = UpstreamWrite::from_entry(entry);
         let last_write = self.write();
         let is_repetition = write.sequence == last_write.sequence;
+        let (later, repeated) = match self {
+            LastWrite::Registered(_) => (Recency::Later, Recency::Later),
+            LastWrite::New(_) => (Recency::Unknown, Recency::Unknown),
+            LastWrite::Left(_) => (Recency::Unknown, Recency::Earlier),
+            LastWrite::Lapsed(_) => (Recency::Later, Recency::Earlier),
+        };
         match write.incarnation.cmp(&last_write.incarnation) {
-            Ordering::Greater => Recency::Later,
+            Ordering::Greater => later,
             Ordering::Less => Recency::Unknown,
             Ordering::Equal if write.sequence < last_write.sequence => Recency::Earlier,
-            Ordering::Equal => match self {
-                LastWrite::Registered(_) => Recency::Later,
-                LastWrite::Left(_) | LastWrite::Lapsed(_) if is_repetition => Recency::Earlier,
-                LastWrite::Left(_) => Recency::Unknown,
-                LastWrite::Lapsed(_) => Recency::Later,
-            },
+            Ordering::Equal if is_repetition => repeated,
+            Ordering::Equal => later,
+        }
+    }
+
+    /// Returns the last write once a write follows that may be late.
+    fn followed_by_unconfirmed(self, write: UpstreamWrite) -> LastWrite {
+        match self {
+            LastWrite::New(_) => LastWrite::New(write),
+            _ => LastWrite::Left(write),
         }
     }
 
     /// Logs that an earlier write is not used.
     pub(super) fn log_earlier(self, entry: &UpstreamEntry) {
         let message = match self {
-            LastWrite::Registered(_) => "late write of a registered upstream",
+            LastWrite::Registered(_) | LastWrite::New(_) => "late write of a registered upstream",
             LastWrite::Left(_) | LastWrite::Lapsed(_) => "late write of an upstream that has left",
         };
         self.log(entry, message);
@@ -85,35 +109,46 @@
     /// Returns the position of the write.
     pub(super) fn write(self) -> UpstreamWrite {
         match self {
-            LastWrite::Registered(write) | LastWrite::Left(write) | LastWrite::Lapsed(write) => {
-                write
-            }
+            LastWrite::Registered(write)
+            | LastWrite::New(write)
+            | LastWrite::Left(write)
+            | LastWrite::Lapsed(write) => write,
         }
     }
 }
 
+/// Logs that a new upstream is not used before its registration is confirmed.
+pub(super) fn log_new(entry: &UpstreamEntry) {
+    info!(
+        target: "belief",
+        upstream = entry.id.as_str(),
+        sequence = entry.sequence,
+        start = entry.incarnation;
+        "new registration to be confirmed"
+    );
+}
+
+/// An upstream whose last entry in a series may be a late write.
+#[derive(Clone, Copy)]
+pub(super) struct UnconfirmedChange<'c> {
+    /// Removal of the upstream in the series.
+    pub(super) removal: Option<&'c Entry>,
+    /// Whether the upstream is known to have left or drained before.
+    pub(super) has_left: bool,
+}
+
 /// A series of changes without the earlier writes in it.
 pub(super) struct RecentChanges<'c> {
     pub(super) changes: Vec<&'c Entry>,
-    /// Upstreams whose last entry in the series may be an earlier write, by id, each with its removal
-    /// in the series, if there is one.
-    unconfirmed: BTreeMap<&'c str, Option<&'c Entry>>,
+    /// Upstreams whose last entry in the series may be an earlier write, by id.
+    unconfirmed: BTreeMap<&'c str, UnconfirmedChange<'c>>,
 }
 
-impl RecentChanges<'_> {
-    /// Returns whether the last entry of a subject may be an earlier write.
-    pub(super) fn is_unconfirmed(&self, entry: &Entry) -> bool {
-        self.find_unconfirmed(entry).is_some()
-    }
-
-    /// Returns the removal that precedes an unconfirmed entry in the series.
-    pub(super) fn removal_before(&self, entry: &Entry) -> Option<&Entry> {
-        *self.find_unconfirmed(entry)?
-    }
-
-    fn find_unconfirmed(&self, entry: &Entry) -> Option<&Option<&Entry>> {
+impl<'c> RecentChanges<'c> {
+    /// Returns what is known of an entry that may be an earlier write; `None` for any other.
+    pub(super) fn find_unconfirmed(&self, entry: &Entry) -> Option<UnconfirmedChange<'c>> {
         match &entry.change {
-            EntryChange::Upstream(upstream) => self.unconfirmed.get(upstream.id.as_str()),
+            EntryChange::Upstream(upstream) => self.unconfirmed.get(upstream.id.as_str()).copied(),
             _ => None,
         }
     }
@@ -128,7 +163,7 @@
     write_before_removal: L,
 ) -> RecentChanges<'c>
 where
-    F: Fn(&str, u64) -> Option<LastWrite>,
+    F: Fn(&str, u64) -> PreviousWrite,
     L: Fn(UpstreamWrite) -> LastWrite,
 {
     let mut last_writes: BTreeMap<&str, LastWrite> = BTreeMap::new();
@@ -139,36 +174,47 @@
     let mut removals: BTreeMap<&str, &Entry> = BTreeMap::new();
     for entry in changes {
         let known = |id: &str| {
-            let in_series = last_writes.get(id).copied();
-            in_series.or_else(|| last_write(id, entry.revision))
+            let in_series = last_writes.get(id).copied().map(PreviousWrite::Seen);
+            in_series.unwrap_or_else(|| last_write(id, entry.revision))
         };
         match &entry.change {
             EntryChange::UpstreamGone { id } => {
                 recent.unconfirmed.remove(id.as_str());
                 removals.insert(id, entry);
-                if let Some(last_write) = known(id) {
+                if let PreviousWrite::Seen(last_write) = known(id) {
                     last_writes.insert(id, write_before_removal(last_write.write()));
                 }
             }
             EntryChange::Upstream(upstream) => {
-                let last_write = known(&upstream.id);
                 let write = UpstreamWrite::from_entry(upstream);
-                match last_write.map(|last_write| (last_write, last_write.recency_of(upstream))) {
-                    Some((last_write, Recency::Earlier)) => {
-                        last_write.log_earlier(upstream);
-                        continue;
-                    }
-                    Some((last_write, Recency::Unknown)) => {
-                        last_write.log_unconfirmed(upstream);
-                        let removal = removals.get(upstream.id.as_str()).copied();
-                        recent.unconfirmed.insert(&upstream.id, removal);
-                        last_writes.insert(&upstream.id, LastWrite::Left(write));
+                let removal = removals.get(upstream.id.as_str()).copied();
+                let (has_left, write_after) = match known(&upstream.id) {
+                    PreviousWrite::Expected => (None, LastWrite::Registered(write)),
+                    PreviousWrite::Unseen => {
+                        log_new(upstream);
+                        (Some(false), LastWrite::New(write))
                     }
-                    Some((_, Recency::Later)) | None => {
-                        recent.unconfirmed.remove(upstream.id.as_str());
-                        last_writes.insert(&upstream.id, LastWrite::Registered(write));
-                    }
-                }
+                    PreviousWrite::Seen(last_write) => match last_write.recency_of(upstream) {
+                        Recency::Earlier => {
+                            last_write.log_earlier(upstream);
+                            continue;
+                        }
+                        Recency::Later => (None, LastWrite::Registered(write)),
+                        Recency::Unknown => {
+                            last_write.log_unconfirmed(upstream);
+                            let write_after = last_write.followed_by_unconfirmed(write);
+                            let has_left = matches!(write_after, LastWrite::Left(_));
+                            (Some(has_left), write_after)
+                        }
+                    },
+                };
+                last_writes.insert(&upstream.id, write_after);
+                match has_left {
+                    None => recent.unconfirmed.remove(upstream.id.as_str()),
+                    Some(has_left) => recent
+                        .unconfirmed
+                        .insert(&upstream.id, UnconfirmedChange { removal, has_left }),
+                };
             }
             _ => {}
         }
--- a/src/direct/mirror.rs
+++ b/src/direct/mirror.rs
@@ -18,6 +18,7 @@
 use tokio::sync::Notify;
 
 use self::state::MirrorState;
+pub(super) use self::unconfirmed::Checker;
 pub(super) use self::unconfirmed::Registration;
 pub(super) use self::unconfirmed::CHECK_INTERVAL_MS;
 use super::registry_reads::KnownState;
@@ -34,6 +35,8 @@
     name: String,
     state: RefCell<MirrorState>,
     change_notify: Notify,
+    /// Notified when followers ask for registrations that have to be checked.
+    checks_notify: Notify,
 }
 
 impl Mirror {
@@ -43,6 +46,7 @@
             name: String::from(name),
             state: RefCell::default(),
             change_notify: Notify::new(),
+            checks_notify: Notify::new(),
         }
     }
 
@@ -105,13 +109,13 @@
         let effective_entries = state.effective_entries(&recent.changes);
         let mut used_entries = Vec::with_capacity(effective_entries.len());
         for entry in effective_entries {
-            let is_unconfirmed = recent.is_unconfirmed(&entry);
-            if let Some(removal) = recent.removal_before(&entry) {
-                state.apply_entry(now, removal, false);
+            let unconfirmed = recent.find_unconfirmed(&entry);
+            if let Some(removal) = unconfirmed.and_then(|unconfirmed| unconfirmed.removal) {
+                state.apply_entry(now, removal, None);
                 used_entries.push(removal.clone());
             }
-            state.apply_entry(now, &entry, is_unconfirmed);
-            if !is_unconfirmed {
+            state.apply_entry(now, &entry, unconfirmed);
+            if unconfirmed.is_none() {
                 used_entries.push(entry);
             }
         }
@@ -181,10 +185,18 @@
         due_changes
     }
 
-    /// Returns the registrations that are to be checked now.
-    pub(super) fn due_checks(&self) -> Vec<Registration> {
+    /// Returns the registrations that are to be checked now with `checker`.
+    pub(super) fn due_checks(&self, checker: Checker) -> Vec<Registration> {
         let now = self.clock.now();
-        self.state.borrow_mut().unconfirmed.due_checks(now)
+        self.state.borrow_mut().unconfirmed.due_checks(now, checker)
+    }
+
+    /// Returns the registrations of new upstreams that nothing tells the health of.
+    pub(super) fn uncheckable_registrations(&self) -> Vec<Registration> {
+        let state = self.state.borrow();
+        let mut registrations = state.unconfirmed.new_registrations();
+        registrations.retain(|registration| state.health_target(&registration.id).is_none());
+        registrations
     }
 
     /// Returns the registrations that have lasted long enough to be confirmed.
@@ -199,13 +211,43 @@
         self.state.borrow_mut().confirm(registration)
     }
 
-    /// Returns those of `registrations` that are confirmed here.
+    /// Returns those of `registrations` that were confirmed here. Registrations that are used here
+    /// although nobody has confirmed them are checked from now on.
     pub(super) fn confirmed_of(&self, mut registrations: Vec<Registration>) -> Vec<Registration> {
-        let state = self.state.borrow();
-        registrations.retain(|registration| state.is_confirmed(registration));
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let mut checks_begin = false;
+        registrations.retain(|registration| {
+            checks_begin |= state.begin_check(now, &registration.id);
+            state.is_confirmed(registration)
+        });
+        if checks_begin {
+            self.checks_notify.notify_one();
+        }
         registrations
     }
 
+    /// Returns the registrations that are held back here, at most `max` of them.
+    pub(super) fn held_registrations(&self, max: usize) -> Vec<Registration> {
+        self.state.borrow().unconfirmed.registrations(max)
+    }
+
+    /// Holds back those of `registrations` that nobody has checked here, and returns the changes that
+    /// take effect.
+    pub(super) fn hold_back(&self, registrations: &[Registration]) -> Vec<EntryChange> {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let held_back = registrations
+            .iter()
+            .filter_map(|registration| state.hold_back(now, &registration.id));
+        held_back.collect()
+    }
+
+    /// Waits until another instance has asked for a registration that has to be checked first.
+    pub(super) async fn wait_for_checks(&self) {
+        self.checks_notify.notified().await;
+    }
+
     /// Returns the address of an upstream and the path at which it reports its health, if its
     /// service has one.
     pub(super) fn health_target(&self, id: &str) -> Option<(SocketAddr, String)> {
--- a/src/direct/mirror/confirm.rs
+++ b/src/direct/mirror/confirm.rs
@@ -13,6 +13,7 @@
 
 use super::state::MirrorState;
 use super::unconfirmed::Registration;
+use super::unconfirmed::CONFIRMED_AFTER_MS;
 
 impl MirrorState {
     /// Returns the entries without those of unconfirmed registrations.
@@ -29,15 +30,50 @@
     }
 
     /// Records that the registration of an upstream at `revision`, which is not stored yet, is
-    /// unconfirmed.
-    pub(super) fn hold_unconfirmed(&mut self, now: Time, id: &str, revision: u64) {
+    /// unconfirmed. `has_left` states whether the upstream is known to have left or drained before.
+    pub(super) fn hold_unconfirmed(&mut self, now: Time, id: &str, revision: u64, has_left: bool) {
         let registration = Registration {
             id: String::from(id),
             revision,
         };
         let subject = EntrySubject::Upstream(String::from(id));
         let used_entry = self.entries.get(&subject).cloned();
-        self.unconfirmed.hold(now, registration, used_entry);
+        self.unchecked.remove(id);
+        self.unconfirmed
+            .hold(now, registration, used_entry, has_left);
+    }
+
+    /// Begins to check a registration that is used although nobody has checked it, and returns
+    /// whether it is such a one. It is still used meanwhile.
+    pub(super) fn begin_check(&mut self, now: Time, id: &str) -> bool {
+        let Some(since) = self.unchecked.remove(id) else {
+            return false;
+        };
+        let subject = EntrySubject::Upstream(String::from(id));
+        let Some(entry) = self.entries.get(&subject) else {
+            return false;
+        };
+        if now.ms_since(since) >= CONFIRMED_AFTER_MS {
+            return false;
+        }
+        let revision = entry.revision;
+        self.hold_unconfirmed(since, id, revision, true);
+        true
+    }
+
+    /// Holds back an upstream that is used although nobody has checked its registration, and returns
+    /// the change that takes effect; `None` if it is not such an upstream.
+    pub(super) fn hold_back(&mut self, now: Time, id: &str) -> Option<EntryChange> {
+        self.unchecked.remove(id)?;
+        let subject = EntrySubject::Upstream(String::from(id));
+        let registration = Registration {
+            id: String::from(id),
+            revision: self.entries.get(&subject)?.revision,
+        };
+        self.unconfirmed.hold(now, registration, None, true);
+        Some(EntryChange::UpstreamGone {
+            id: String::from(id),
+        })
     }
 
     /// Replaces unconfirmed registrations among `entries` by the entries that are used until they
@@ -59,6 +95,7 @@
             return None;
         }
         self.unconfirmed.remove(&registration.id);
+        self.unchecked.remove(&registration.id);
         self.departed.record_written(&registration.id);
         let subject = EntrySubject::Upstream(registration.id.clone());
         let entry = self.entries.get(&subject)?;
@@ -79,7 +116,8 @@
         Some((upstream.address, service.health_path.clone()?))
     }
 
-    /// Returns whether an upstream is registered at `registration` or later, and confirmed.
+    /// Returns whether an upstream is registered at `registration` or later, and that was confirmed.
+    /// [`MirrorState::begin_check`] tells registrations that were not checked.
     pub(super) fn is_confirmed(&self, registration: &Registration) -> bool {
         let subject = EntrySubject::Upstream(registration.id.clone());
         let entry = self.entries.get(&subject);
--- a/src/direct/mirror/state.rs
+++ b/src/direct/mirror/state.rs
@@ -13,10 +13,13 @@
 use super::history::History;
 use super::unconfirmed::UnconfirmedUpstreams;
 use crate::direct::departed::DepartedUpstreams;
+use crate::direct::late_writes::log_new;
 use crate::direct::late_writes::without_earlier_writes;
 use crate::direct::late_writes::LastWrite;
+use crate::direct::late_writes::PreviousWrite;
 use crate::direct::late_writes::Recency;
 use crate::direct::late_writes::RecentChanges;
+use crate::direct::late_writes::UnconfirmedChange;
 use crate::direct::restore_overrides::RestoreOverrides;
 
 /// Content of the local copy.
@@ -35,6 +38,9 @@
     pub(super) departed: DepartedUpstreams,
     /// Upstreams whose present entries may be late writes.
     pub(super) unconfirmed: UnconfirmedUpstreams,
+    /// Upstreams that are used although nobody has checked their registrations, by id, each with the
+    /// time at which its registration was seen first.
+    pub(super) unchecked: BTreeMap<String, Time>,
     /// Whether registrations are assumed to be missing because the registry was away, not because
     /// upstreams have left.
     pub(super) registry_was_away: bool,
@@ -91,6 +97,7 @@
                         self.write_before_removal(UpstreamWrite::from_entry(&upstream));
                     self.departed.record_left(now, &upstream.id, last_write);
                     self.unconfirmed.remove(&upstream.id);
+                    self.unchecked.remove(&upstream.id);
                 }
             }
         }
@@ -144,17 +151,29 @@
         if self.overrides.is_refused(&subject) {
             return Some(entry);
         }
-        let Some(last_write) = self.last_write(now, &upstream.id, entry.revision) else {
-            return Some(entry);
+        let last_write = match self.last_write(now, &upstream.id, entry.revision) {
+            PreviousWrite::Seen(last_write) => last_write,
+            PreviousWrite::Expected => return Some(entry),
+            // The entries of a first read are all used, and none of them was checked.
+            PreviousWrite::Unseen if self.contact_at.is_none() => {
+                self.unchecked.insert(upstream.id.clone(), now);
+                return Some(entry);
+            }
+            PreviousWrite::Unseen => {
+                log_new(upstream);
+                self.hold_unconfirmed(now, &upstream.id, entry.revision, false);
+                return Some(entry);
+            }
         };
         match last_write.recency_of(upstream) {
             Recency::Later => {
-                self.unconfirmed.remove(&upstream.id);
+                self.note_used(now, &upstream.id);
                 Some(entry)
             }
             Recency::Unknown => {
                 last_write.log_unconfirmed(upstream);
-                self.hold_unconfirmed(now, &upstream.id, entry.revision);
+                let has_left = !matches!(last_write, LastWrite::New(_));
+                self.hold_unconfirmed(now, &upstream.id, entry.revision, has_left);
                 Some(entry)
             }
             Recency::Earlier => {
@@ -168,25 +187,41 @@
         }
     }
 
-    /// Returns the last write of an upstream before `revision`; `None` if it is not known, or if the
-    /// known entry has this or a later revision, so that the registry repeats an earlier change.
-    fn last_write(&self, now: Time, id: &str, revision: u64) -> Option<LastWrite> {
-        let known_entry = self.entries.get(&EntrySubject::Upstream(String::from(id)));
-        let Some(known_entry) = known_entry else {
-            return self.departed.last_write(now, id);
+    /// Returns what is known of an upstream's writes before `revision`. If the known entry has this or
+    /// a later revision, the registry repeats an earlier change.
+    fn last_write(&self, now: Time, id: &str, revision: u64) -> PreviousWrite {
+        let subject = EntrySubject::Upstream(String::from(id));
+        let Some(known_entry) = self.entries.get(&subject) else {
+            if self.overrides.is_held(&subject) {
+                return PreviousWrite::Expected;
+            }
+            let last_write = self.departed.last_write(now, id);
+            return last_write.map_or(PreviousWrite::Unseen, PreviousWrite::Seen);
         };
         match &known_entry.change {
             EntryChange::Upstream(upstream) if known_entry.revision < revision => {
                 let write = UpstreamWrite::from_entry(upstream);
-                match self.unconfirmed.contains(id) {
-                    true => Some(LastWrite::Left(write)),
-                    false => Some(LastWrite::Registered(write)),
-                }
+                let last_write = match self.unconfirmed.contains(id) {
+                    true if self.unconfirmed.is_new(id) => LastWrite::New(write),
+                    true => LastWrite::Left(write),
+                    false => LastWrite::Registered(write),
+                };
+                PreviousWrite::Seen(last_write)
             }
-            _ => None,
+            _ => PreviousWrite::Expected,
         }
     }
 
+    /// Records that the registration of an upstream is used from now on without a check, unless it
+    /// was used before.
+    fn note_used(&mut self, now: Time, id: &str) {
+        let subject = EntrySubject::Upstream(String::from(id));
+        if !self.entries.contains_key(&subject) || self.unconfirmed.contains(id) {
+            self.unchecked.insert(String::from(id), now);
+        }
+        self.unconfirmed.remove(id);
+    }
+
     /// Returns the entries of `newer` that change the known state.
     pub(super) fn effective_entries(&self, newer: &[&Entry]) -> Vec<Entry> {
         let newer: Vec<(&Entry, Option<EntrySubject>)> = newer
@@ -211,16 +246,22 @@
         changing.map(|(entry, _)| (*entry).clone()).collect()
     }
 
-    /// Applies an entry. If `is_unconfirmed` is set, it may be a late write of its upstream.
-    pub(super) fn apply_entry(&mut self, now: Time, entry: &Entry, is_unconfirmed: bool) {
+    /// Applies an entry. `unconfirmed` is set if it may be a late write of its upstream.
+    pub(super) fn apply_entry(
+        &mut self,
+        now: Time,
+        entry: &Entry,
+        unconfirmed: Option<UnconfirmedChange<'_>>,
+    ) {
         self.encoded = None;
         if let Some(subject) = entry.change.subject() {
             self.overrides.record_written(&subject);
             if let EntryChange::Upstream(upstream) = &entry.change {
-                if is_unconfirmed {
-                    self.hold_unconfirmed(now, &upstream.id, entry.revision);
+                if let Some(unconfirmed) = unconfirmed {
+                    let has_left = unconfirmed.has_left;
+                    self.hold_unconfirmed(now, &upstream.id, entry.revision, has_left);
                 } else {
-                    self.unconfirmed.remove(&upstream.id);
+                    self.note_used(now, &upstream.id);
                     self.departed.record_written(&upstream.id);
                 }
             }
@@ -247,6 +288,7 @@
             };
             self.departed.record_left(now, &upstream.id, last_write);
             self.unconfirmed.remove(&upstream.id);
+            self.unchecked.remove(&upstream.id);
         }
     }
 }
--- a/src/direct/mirror/unconfirmed.rs
+++ b/src/direct/mirror/unconfirmed.rs
@@ -2,9 +2,10 @@
 //!
 //! The registry can execute a write of an upstream seconds after the upstream's removal. Its entry
 //! looks like that of an upstream that is back: writes that change nothing but the sequence do not
-//! show, so the last known sequence does not tell which of the two it is. Such an upstream is not
-//! used until it states that it is healthy, or until its registration has lasted longer than one
-//! that is not renewed.
+//! show, so the last known sequence does not tell which of the two it is. To an instance that does
+//! not know of the removal, because it has just started, the entry looks like that of a new
+//! upstream. Therefore an upstream that was not registered before is not used until it states that
+//! it is healthy, or until its registration has lasted longer than one that is not renewed.
 
 use std::collections::BTreeMap;
 
@@ -16,6 +17,10 @@
 /// Interval at which an unconfirmed registration is checked, in milliseconds.
 pub(in crate::direct) const CHECK_INTERVAL_MS: u64 = 500;
 
+/// Delay after which a relay is asked about a registration for the second time, in milliseconds. The
+/// delay doubles with each further time up to the interval of checks.
+const RELAY_CHECK_DELAY_MIN_MS: u64 = 50;
+
 /// Maximum number of registrations that are checked at once, and the pause before the next ones, in
 /// milliseconds. Hundreds of upstreams are back at once after a partition.
 const CHECKS_MAX: usize = 64;
@@ -23,7 +28,16 @@
 
 /// Time after which a registration counts as confirmed, in milliseconds. The registry has executed
 /// late writes by then, and has removed registrations that were not renewed.
-const CONFIRMED_AFTER_MS: u64 = 10_000;
+pub(super) const CONFIRMED_AFTER_MS: u64 = 10_000;
+
+/// Who knows whether a registration is current.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(in crate::direct) enum Checker {
+    /// The upstream itself.
+    Upstream,
+    /// The relay that this instance follows, once it has checked the registration.
+    Relay,
+}
 
 /// A registration to be confirmed.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -44,28 +58,55 @@
     revision: u64,
     since: Time,
     next_check_at: Time,
+    /// Number of checks so far.
+    check_count: u32,
+    /// Whether the upstream is known to have left or drained before.
+    has_left: bool,
     /// Entry that is used until the registration is confirmed; `None` if the upstream is not used.
     used_entry: Option<Entry>,
 }
 
+impl Unconfirmed {
+    fn registration(&self, id: &str) -> Registration {
+        Registration {
+            id: String::from(id),
+            revision: self.revision,
+        }
+    }
+
+    /// Returns the delay until the next check, in milliseconds.
+    fn check_delay_ms(&self, checker: Checker) -> u64 {
+        match checker {
+            Checker::Upstream => CHECK_INTERVAL_MS,
+            Checker::Relay => {
+                let doublings = self.check_count.min(u32::BITS - 1);
+                (RELAY_CHECK_DELAY_MIN_MS << doublings).min(CHECK_INTERVAL_MS)
+            }
+        }
+    }
+}
+
 impl UnconfirmedUpstreams {
     /// Records an unconfirmed registration. `used_entry` is the confirmed entry of the upstream, if
-    /// there is one.
+    /// there is one; `has_left` states whether the upstream is known to have left or drained before.
     pub(super) fn hold(
         &mut self,
         now: Time,
         registration: Registration,
         used_entry: Option<Entry>,
+        has_left: bool,
     ) {
         let previous = self.by_id.remove(&registration.id);
-        let (since, used_entry) = match previous {
-            Some(previous) => (previous.since, previous.used_entry),
-            None => (now, used_entry),
+        let (since, used_entry, had_left) = match previous {
+            Some(previous) => (previous.since, previous.used_entry, previous.has_left),
+            None => (now, used_entry, false),
         };
         let unconfirmed = Unconfirmed {
             revision: registration.revision,
             since,
             next_check_at: now,
+            check_count: 0,
+            has_left: has_left || had_left,
             used_entry,
         };
         self.by_id.insert(registration.id, unconfirmed);
@@ -102,8 +143,28 @@
         self.by_id.get(id)?.used_entry.as_ref()
     }
 
-    /// Returns the registrations to check now.
-    pub(super) fn due_checks(&mut self, now: Time) -> Vec<Registration> {
+    /// Returns whether the upstream's registration is unconfirmed and no departure is known.
+    pub(super) fn is_new(&self, id: &str) -> bool {
+        let unconfirmed = self.by_id.get(id);
+        unconfirmed.is_some_and(|unconfirmed| !unconfirmed.has_left)
+    }
+
+    /// Returns at most `max` of the registrations.
+    pub(super) fn registrations(&self, max: usize) -> Vec<Registration> {
+        let all = self.by_id.iter().take(max);
+        all.map(|(id, unconfirmed)| unconfirmed.registration(id))
+            .collect()
+    }
+
+    /// Returns the registrations of upstreams of which no departure is known.
+    pub(super) fn new_registrations(&self) -> Vec<Registration> {
+        let new = self.by_id.iter().filter(|(_, one)| !one.has_left);
+        new.map(|(id, unconfirmed)| unconfirmed.registration(id))
+            .collect()
+    }
+
+    /// Returns the registrations to check now with `checker`.
+    pub(super) fn due_checks(&mut self, now: Time, checker: Checker) -> Vec<Registration> {
         let mut due = Vec::new();
         for (id, unconfirmed) in &mut self.by_id {
             if unconfirmed.next_check_at > now {
@@ -113,11 +174,9 @@
                 unconfirmed.next_check_at = now + CHECKS_PAUSE_MS;
                 continue;
             }
-            unconfirmed.next_check_at = now + CHECK_INTERVAL_MS;
-            due.push(Registration {
-                id: id.clone(),
-                revision: unconfirmed.revision,
-            });
+            unconfirmed.next_check_at = now + unconfirmed.check_delay_ms(checker);
+            unconfirmed.check_count = unconfirmed.check_count.saturating_add(1);
+            due.push(unconfirmed.registration(id));
         }
         due
     }
@@ -129,10 +188,7 @@
             .iter()
             .filter(|(_, unconfirmed)| now.ms_since(unconfirmed.since) >= CONFIRMED_AFTER_MS);
         expired
-            .map(|(id, unconfirmed)| Registration {
-                id: id.clone(),
-                revision: unconfirmed.revision,
-            })
+            .map(|(id, unconfirmed)| unconfirmed.registration(id))
             .collect()
     }
 
--- a/src/direct/read_applier.rs
+++ b/src/direct/read_applier.rs
@@ -1,6 +1,7 @@
 //! Applies reads of the registry to the mirror, which serves other instances, and to the node,
 //! which decides.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use hemlockrouter_edge::Entry;
@@ -153,10 +154,25 @@
         }
     }
 
-    /// Confirms registrations that have lasted long enough.
-    pub(super) fn confirm_lasting(&self) {
-        let registrations = self.mirror.lasting_registrations();
-        self.confirm(&registrations, "it has lasted");
+    /// Confirms registrations that have lasted long enough, and those of new upstreams that can't be
+    /// checked.
+    pub(super) fn confirm_unchecked(&self) {
+        let lasting = self.mirror.lasting_registrations();
+        self.confirm(&lasting, "it has lasted");
+        let uncheckable = self.mirror.uncheckable_registrations();
+        self.confirm(&uncheckable, "it has no health path");
+    }
+
+    /// Holds back upstreams that another instance holds back, unless they were checked here.
+    pub(super) fn hold_back(&self, registrations: &[Registration], relay: SocketAddr) {
+        let changes = self.mirror.hold_back(registrations);
+        if changes.is_empty() {
+            return;
+        }
+        let relay = relay.to_string();
+        info!(target: "belief", relay = relay, count = changes.len(); "registrations held back");
+        let staleness_ms = self.mirror.age_ms().unwrap_or_default();
+        self.node.apply_changes(changes, false, staleness_ms);
     }
 
     /// Uses the upstreams of registrations from now on, unless they have changed in the meantime.
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -60,6 +60,12 @@
 /// Path under which followers ask which registrations of upstreams are confirmed.
 const CONFIRMED_PATH: &str = "/confirmed";
 
+/// Path under which instances that have just started ask which registrations are held back.
+const HELD_PATH: &str = "/held";
+
+/// Maximum number of registrations in an answer. After an outage, hundreds are checked at once.
+const HELD_REGISTRATIONS_MAX: usize = 512;
+
 /// Path under which stopping instances end their registration.
 const LEAVE_PATH: &str = "/leave";
 
@@ -109,6 +115,10 @@
             JOIN_PATH => self.handle_join(request).await,
             LEAVE_PATH => self.handle_leave(request).await,
             CONFIRMED_PATH => self.handle_confirmed(request).await,
+            HELD_PATH => {
+                let held = self.mirror.held_registrations(HELD_REGISTRATIONS_MAX);
+                encode_response(rmp_serde::to_vec(&held))
+            }
             OFFER_PATH => self.handle_offer(request).await,
             _ => serve_changes(&self.mirror, &request).await,
         };
@@ -266,12 +276,19 @@
     build_post(CONFIRMED_PATH, &registrations)
 }
 
-/// Decodes the answer to [`build_confirmed_request`].
+/// Builds the request that asks which registrations are held back.
+pub(super) fn build_held_request() -> Request<Bytes> {
+    let mut request = Request::new(Bytes::new());
+    *request.uri_mut() = Uri::from_static(HELD_PATH);
+    request
+}
+
+/// Decodes the answer to [`build_confirmed_request`] or [`build_held_request`].
 ///
 /// # Errors
 ///
 /// Returns the reason as text if the status or the body is invalid.
-pub(super) fn decode_confirmed(status: u16, body: &[u8]) -> Result<Vec<Registration>, String> {
+pub(super) fn decode_registrations(status: u16, body: &[u8]) -> Result<Vec<Registration>, String> {
     check_status(status)?;
     rmp_serde::from_slice(body).map_err(|err| err.to_string())
 }
--- a/src/direct/restore_overrides.rs
+++ b/src/direct/restore_overrides.rs
@@ -91,6 +91,11 @@
         self.refused.contains_key(subject)
     }
 
+    /// Returns whether the entry that the copy lacks is still used.
+    pub(super) fn is_held(&self, subject: &EntrySubject) -> bool {
+        self.held.contains_key(subject)
+    }
+
     /// Returns how many entries override the copy.
     pub(super) fn counts(&self) -> OverrideCounts {
         OverrideCounts {
