Apply the limits on callers' requests that are in force to kept connections

Cause: the limits were read when a connection was accepted and given to the HTTP library, which can't change them. The idle timeout has the same fault, and the library's own count of header lines refused proper requests too. The stream now counts the bytes of an incomplete head, each complete head is checked, and one timer per connection follows the timeouts in force.

--- a/hemlockrouter-cli/tests/direct/caller_connection.rs
+++ b/hemlockrouter-cli/tests/direct/caller_connection.rs
@@ -49,12 +49,23 @@
     }
 
     pub(crate) fn call(&mut self, path: &str, attempt_id: &str, deadline_ms: u64) -> Exchange {
+        self.call_with_headers(path, attempt_id, deadline_ms, "")
+    }
+
+    /// Sends a request with further header lines, each of which ends with a line break.
+    pub(crate) fn call_with_headers(
+        &mut self,
+        path: &str,
+        attempt_id: &str,
+        deadline_ms: u64,
+        lines: &str,
+    ) -> Exchange {
         if self.is_closed() {
             return Exchange::NotSent;
         }
         let request = format!(
             "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nHemlockrouter-Attempt-Id: {attempt_id}\r\n\
-             Hemlockrouter-Deadline-Ms: {deadline_ms}\r\n\r\n"
+             Hemlockrouter-Deadline-Ms: {deadline_ms}\r\n{lines}\r\n"
         );
         if self.stream.write_all(request.as_bytes()).is_err() {
             return Exchange::Cut;
--- a/hemlockrouter-cli/tests/direct/main.rs
+++ b/hemlockrouter-cli/tests/direct/main.rs
@@ -5,6 +5,7 @@
 
 mod behind;
 mod caller_connection;
+mod caller_limits;
 mod departures_soak;
 mod deployment;
 mod faults;
--- a/src/direct/callers.rs
+++ b/src/direct/callers.rs
@@ -4,7 +4,6 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use hemlockrouter_edge::CallerRequest;
@@ -31,18 +30,20 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::caller_limits::head_bytes;
+use super::caller_limits::ConnectionMeter;
+use super::caller_limits::MeteredStream;
+use super::caller_limits::HEAD_BUFFER_MAX_BYTES;
 use super::listener;
 use super::listener::build_response;
 use super::node::Node;
 use super::request_log::RequestLog;
 use crate::edge::caller_stream::CallerStream;
 use crate::edge::caller_stream::ConnectionState;
+use crate::edge::callers::HEADER_LINES_MAX;
 use crate::edge::phase::ShutdownPhase;
 use crate::edge::port;
 
-/// Minimum size of the header buffer that `hyper` allows, in bytes.
-const HEADER_BUFFER_MIN_BYTES: usize = 8_192;
-
 /// Delay before a caller retries on an instance that has no routes yet, in milliseconds.
 const UNCONFIGURED_RETRY_AFTER_MS: u64 = 200;
 
@@ -128,31 +129,41 @@
     }
 
     async fn serve(self: Rc<CallerServer>, stream: TcpStream, peer: SocketAddr) {
-        let limits = self.node.limits();
         let callers = Rc::clone(&self);
         let state = ConnectionState::default();
+        let meter = ConnectionMeter::new(self.node.watch_limits());
         let wait_to_close = state.wait_to_close(self.phase.clone());
         let stream = CallerStream::new(stream, self.phase.clone(), state.clone());
+        let stream = MeteredStream::new(stream, meter.clone());
         let service_state = state.clone();
+        let service_meter = meter.clone();
         let service = service_fn(move |request| {
             let callers = Rc::clone(&callers);
             let state = service_state.clone();
-            async move { Ok::<_, hyper::Error>(callers.respond(request, &state).await) }
+            let meter = service_meter.clone();
+            meter.begin_request();
+            async move {
+                let response = callers.respond(request, &state).await;
+                meter.end_request();
+                Ok::<_, hyper::Error>(response)
+            }
         });
-        // The header timeout of `hyper` starts when the connection becomes idle, so it includes the
-        // idle timeout.
-        let idle_and_header_ms = limits.idle_timeout_ms + limits.header_timeout_ms;
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from_millis(idle_and_header_ms))
-            .max_buf_size(limits.header_max_bytes.max(HEADER_BUFFER_MIN_BYTES))
+            .header_read_timeout(None)
+            .max_headers(HEADER_LINES_MAX)
+            .max_buf_size(HEAD_BUFFER_MAX_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let result = tokio::select! {
             result = connection.as_mut() => result,
+            () = meter.wait_for_timeout() => return,
             () = wait_to_close => {
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                tokio::select! {
+                    result = connection.as_mut() => result,
+                    () = meter.wait_for_timeout() => return,
+                }
             }
         };
         if let Err(err) = result {
@@ -177,6 +188,11 @@
 
     async fn handle(&self, request: Request<Incoming>) -> Response<Bytes> {
         let (head, body) = request.into_parts();
+        let limits = self.node.limits();
+        if head_bytes(&head) > limits.header_max_bytes {
+            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            return self.reject(status, "the head is too large");
+        }
         let request = match self.protocol.read_request(head) {
             Ok(request) => request,
             Err(err) => return self.reject(StatusCode::BAD_REQUEST, &err.to_string()),
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -10,6 +10,7 @@
 //! - `node`: the deciding actor and its connection to the event loop.
 //! - `listener`: accepts connections on all ports.
 //! - `callers`: the server for callers.
+//! - `caller_limits`: applies the limits in force on callers' connections of any age.
 //! - `calls`: the client for upstreams.
 //! - `answer_memory`: limits the memory for answers.
 //! - `pool`: idle connections for reuse.
@@ -34,6 +35,7 @@
 
 mod answer_memory;
 mod batches;
+mod caller_limits;
 mod callers;
 mod calls;
 mod collector;
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -42,6 +42,7 @@
 use stakker::Stakker;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
@@ -95,7 +96,7 @@
     pending_requests: RefCell<HashMap<RequestId, PendingRequest>>,
     running_calls: RefCell<HashMap<CallId, AbortHandle>>,
     table: RefCell<Rc<RouteTable>>,
-    limits: Cell<CallerLimits>,
+    limits: watch::Sender<CallerLimits>,
     is_loaded: Cell<bool>,
     wake_at: Cell<Option<Time>>,
     /// Time at which all requests get their final answer; set by a shutdown.
@@ -155,7 +156,7 @@
             pending_requests: RefCell::default(),
             running_calls: RefCell::default(),
             table: RefCell::default(),
-            limits: Cell::new(INITIAL_CALLER_LIMITS),
+            limits: watch::Sender::new(INITIAL_CALLER_LIMITS),
             is_loaded: Cell::new(false),
             wake_at: Cell::new(None),
             final_answer_at: Cell::new(None),
@@ -182,7 +183,12 @@
 
     /// Returns the limits for callers' requests.
     pub(super) fn limits(&self) -> CallerLimits {
-        self.shared.limits.get()
+        *self.shared.limits.borrow()
+    }
+
+    /// Returns a receiver of the limits for callers' requests, which changes with them.
+    pub(super) fn watch_limits(&self) -> watch::Receiver<CallerLimits> {
+        self.shared.limits.subscribe()
     }
 
     /// Returns whether routes and upstreams are known.
--- a/src/direct/node/decider.rs
+++ b/src/direct/node/decider.rs
@@ -273,7 +273,11 @@
         for why in unreadable {
             warn!(target: "belief", version = version, why = why; "unreadable part of a version");
         }
-        self.shared.limits.set(limits);
+        self.shared.limits.send_if_modified(|in_force| {
+            let has_changed = *in_force != limits;
+            *in_force = limits;
+            has_changed
+        });
         self.shared.table.replace(table);
     }
 
--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -50,6 +50,10 @@
 /// closed.
 const DISCARDED_BODY_MAX_BYTES: usize = 8 << 20;
 
+/// Maximum number of header lines of a request: as many of the shortest lines as fit into 16 KiB. The
+/// bound that operators set is the one on the size of the header.
+pub(crate) const HEADER_LINES_MAX: usize = 4_096;
+
 /// Maximum fraction of the time until the final answers for which the port stays open. The rest is
 /// for the last requests.
 const PORT_OPEN_FRACTION: f64 = 0.5;
@@ -237,6 +241,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(bounds.header_timeout_ms))
+        .max_headers(HEADER_LINES_MAX)
         .max_buf_size(bounds.header_max_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
