Read settings that change without a signal

The settings were read at the start and on SIGHUP only, so the process planned with the time of its start.

The file is now read once a second and when a planned stop begins, and loaded if its text has changed.

Both soaks change settings with and without a signal now.

--- a/hemlockrouter-cli/src/bin/hemlockd/args.rs
+++ b/hemlockrouter-cli/src/bin/hemlockd/args.rs
@@ -20,7 +20,8 @@
 
 Signals:
   SIGTERM, SIGINT  shut down gracefully: readiness off, hand over, finish what was accepted
-  SIGHUP           ignored; settings are read once, at the start
+  SIGHUP           with direct dispatch, read the settings again, which otherwise happens once a
+                   second; ignored with dispatch through owners
 
 Exit codes:
   0  shut down gracefully, or the settings are in order
--- a/hemlockrouter-cli/src/bin/hemlockd/main.rs
+++ b/hemlockrouter-cli/src/bin/hemlockd/main.rs
@@ -4,6 +4,7 @@
 mod log_writer;
 mod logging;
 
+use std::cell::RefCell;
 use std::fs;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -13,6 +14,7 @@
 use std::thread;
 
 use eyre::WrapErr;
+use hemlockrouter::direct::Reload;
 use hemlockrouter::Instance;
 use hemlockrouter::ShutdownOutcome;
 use hemlockrouter_config::DirectSettings;
@@ -55,10 +57,11 @@
         Args::Run { settings } => (settings, false),
         Args::Check { settings } => (settings, true),
     };
-    match read_settings(&path) {
+    let file = SettingsFile::new(path.clone());
+    match file.read() {
         Ok(settings) if check_only => check_settings(&path, &settings),
         Ok(ModeSettings::Owners(settings)) => run_through_owners(settings),
-        Ok(ModeSettings::Direct(settings)) => run_direct(&path, settings),
+        Ok(ModeSettings::Direct(settings)) => run_direct(&file, settings),
         Err(err) => print_failure(&err, EXIT_SETTINGS),
     }
 }
@@ -77,13 +80,50 @@
     }
 }
 
-fn read_settings(path: &str) -> eyre::Result<ModeSettings> {
-    let text = fs::read_to_string(path).wrap_err_with(|| format!("can't read {path}"))?;
-    Ok(match DispatchMode::from_settings(&text, path)? {
-        DispatchMode::ThroughOwners => {
-            ModeSettings::Owners(Box::new(Settings::parse(&text, path)?))
+/// The settings file, and its text when it was read last.
+struct SettingsFile {
+    path: String,
+    last_text: RefCell<String>,
+}
+
+impl SettingsFile {
+    fn new(path: String) -> SettingsFile {
+        SettingsFile {
+            path,
+            last_text: RefCell::default(),
+        }
+    }
+
+    fn read_text(&self) -> eyre::Result<String> {
+        let path = &self.path;
+        fs::read_to_string(path).wrap_err_with(|| format!("can't read {path}"))
+    }
+
+    fn read(&self) -> eyre::Result<ModeSettings> {
+        self.parse(self.read_text()?)
+    }
+
+    /// Reads the settings if their text is not the one that was read last.
+    fn read_if_changed(&self) -> eyre::Result<Option<ModeSettings>> {
+        let text = self.read_text()?;
+        let is_unchanged = text == *self.last_text.borrow();
+        match is_unchanged {
+            true => Ok(None),
+            false => self.parse(text).map(Some),
         }
-        DispatchMode::Direct => ModeSettings::Direct(Box::new(DirectSettings::load(&text, path)?)),
+    }
+
+    fn parse(&self, text: String) -> eyre::Result<ModeSettings> {
+        let settings = parse_settings(&text, &self.path);
+        self.last_text.replace(text);
+        settings
+    }
+}
+
+fn parse_settings(text: &str, path: &str) -> eyre::Result<ModeSettings> {
+    Ok(match DispatchMode::from_settings(text, path)? {
+        DispatchMode::ThroughOwners => ModeSettings::Owners(Box::new(Settings::parse(text, path)?)),
+        DispatchMode::Direct => ModeSettings::Direct(Box::new(DirectSettings::load(text, path)?)),
     })
 }
 
@@ -134,8 +174,8 @@
     code
 }
 
-/// Runs an instance that dispatches to upstreams directly, and reloads its settings from `path`.
-fn run_direct(path: &str, loaded: Box<LoadedSettings>) -> ExitCode {
+/// Runs an instance that dispatches to upstreams directly, and reloads its settings from `file`.
+fn run_direct(file: &SettingsFile, loaded: Box<LoadedSettings>) -> ExitCode {
     let settings = &loaded.settings;
     let log = match logging::start(&settings.log) {
         Ok(log) => log,
@@ -145,13 +185,14 @@
     let protocol = match settings.protocol {
         ProtocolName::Corporation => Rc::new(Corporation),
     };
-    let reload = || match read_settings(path)? {
-        ModeSettings::Direct(loaded) => {
-            logging::set_level(&loaded.settings.log);
-            log_replaced(&loaded);
-            Ok(loaded.settings)
-        }
-        ModeSettings::Owners(_) => eyre::bail!("{path}: dispatch can't be changed"),
+    let reload = |when| {
+        let settings = match when {
+            Reload::Always => Some(file.read()?),
+            Reload::IfChanged => file.read_if_changed()?,
+        };
+        settings
+            .map(|settings| adopt_settings(file, settings))
+            .transpose()
     };
     // The instance itself notices tasks that fail.
     logging::watch_panics(|| {});
@@ -163,6 +204,18 @@
     code
 }
 
+/// Returns the settings of an instance that runs already, and sets the level of its log.
+fn adopt_settings(file: &SettingsFile, settings: ModeSettings) -> eyre::Result<DirectSettings> {
+    match settings {
+        ModeSettings::Direct(loaded) => {
+            logging::set_level(&loaded.settings.log);
+            log_replaced(&loaded);
+            Ok(loaded.settings)
+        }
+        ModeSettings::Owners(_) => eyre::bail!("{}: dispatch can't be changed", file.path),
+    }
+}
+
 /// Runs the instance until SIGTERM or SIGINT shuts it down.
 fn run_until_signal(instance: Instance) -> ExitCode {
     info!(
--- a/hemlockrouter-cli/tests/direct/settings.rs
+++ b/hemlockrouter-cli/tests/direct/settings.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::process::Command;
 use std::time::Duration;
+use std::time::Instant;
 
 use http::StatusCode;
 use serde_json::json;
@@ -14,6 +15,9 @@
 /// The time in which a process starts and opens its settings.
 const START_TIME: Duration = Duration::from_millis(300);
 
+/// The longest duration of a planned stop that may take 1 s, with a tolerance for a busy machine.
+const SHORT_STOP_MAX: Duration = Duration::from_millis(1_500);
+
 /// Guards against a process that ends at each start because of one figure, although it ran with the
 /// same file after a SIGHUP (review 12).
 #[test]
@@ -63,3 +67,41 @@
     fs::write(&path, text).expect("the daemon reads the pipe");
     deployment.wait_ready(0);
 }
+
+/// Guards against bounds that are as old as the process, since the settings changed without a signal
+/// (review 11).
+#[test]
+fn settings_that_change_without_a_signal_are_in_force() {
+    let mut deployment = Deployment::start(1);
+    deployment.daemons[0].set_bound("drain_ms", json!(2000));
+    deployment.daemons[0].write_settings(&deployment.dir);
+    eventually("the new bound is in force", || {
+        deployment.log(0).contains(r#""changed":"bounds.drain_ms""#)
+    });
+    std::thread::sleep(Duration::from_secs(2));
+    let reloads = deployment.log(0).matches("settings reloaded").count();
+    assert_eq!(
+        reloads, 1,
+        "a file that does not change is not loaded again"
+    );
+}
+
+/// Guards against requests that are cut at a planned stop, because the time for it was shortened without
+/// a signal just before (review 11).
+#[test]
+fn planned_stop_takes_no_longer_than_the_settings_of_that_moment_allow() {
+    let mut deployment = Deployment::start(1);
+    deployment.daemons[0].set_bound("shutdown_s", json!(6));
+    let dir = deployment.dir.clone();
+    deployment.daemons[0].change_settings(&dir, |_| {});
+    eventually("the first bound is in force", || {
+        deployment.log(0).contains("bounds.shutdown_s")
+    });
+    deployment.daemons[0].set_bound("shutdown_s", json!(1));
+    deployment.daemons[0].write_settings(&deployment.dir);
+    let stopped_at = Instant::now();
+    let status = deployment.daemons[0].shut_down();
+    let took = stopped_at.elapsed();
+    assert!(status.success(), "{status}");
+    assert!(took < SHORT_STOP_MAX, "{took:?}");
+}
--- a/hemlockrouter-cli/tests/direct/soak/mod.rs
+++ b/hemlockrouter-cli/tests/direct/soak/mod.rs
@@ -6,6 +6,7 @@
 //! `HEMLOCK_SOAK_SECONDS` sets the duration of each run.
 
 mod fault;
+mod settings;
 mod store;
 
 use std::collections::HashMap;
@@ -25,6 +26,7 @@
 use tokio::task::JoinHandle;
 
 use self::fault::Fault;
+use self::settings::SettingsChanges;
 use self::store::start_repeating_proxies;
 use self::store::IncompleteEntries;
 use self::store::LargeVersions;
@@ -228,6 +230,9 @@
     let mut large_versions = LargeVersions {
         rng: StdRng::seed_from_u64(seed.rotate_left(8)),
     };
+    let mut settings_changes = SettingsChanges {
+        rng: StdRng::seed_from_u64(seed.rotate_left(4)),
+    };
     let mut deployment = Deployment::start(DAEMON_COUNT);
     other_writer.fill_pages(&deployment);
     let _proxies = start_repeating_proxies(&deployment);
@@ -275,6 +280,7 @@
         incomplete_entries.step(&deployment, &active_faults);
         late_writes.step(&deployment, &active_faults);
         large_versions.step(&mut deployment);
+        settings_changes.step(&mut deployment);
     }
     active_faults
         .into_iter()
--- a/hemlockrouter-cli/tests/direct/stops_soak.rs
+++ b/hemlockrouter-cli/tests/direct/stops_soak.rs
@@ -1,4 +1,5 @@
-//! Randomized planned stops, with callers that use their connections until the process is gone.
+//! Randomized planned stops, with callers that use their connections until the process is gone, and
+//! with settings that change the time for a stop, with and without a signal.
 //!
 //! `HEMLOCK_STOPS_SEEDS=100..150` selects other seeds than those that CI runs.
 
@@ -9,6 +10,7 @@
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
 
 use hemlockrouter_corporation_lab::Behaviour;
 use rand::rngs::StdRng;
@@ -24,13 +26,74 @@
 use crate::stops::new_attempt_id;
 use crate::stops::silence_upstreams;
 use crate::stops::use_long_timeouts;
-use crate::stops::wait_until_gone;
 use crate::stops::LONG_DEADLINE_MS;
 
 const DAEMON_COUNT: usize = 3;
 const CALLER_COUNT: usize = 24;
 const ROUND_COUNT: usize = 3;
 
+/// The time for a stop in the settings that instances start with, in seconds.
+const SHUTDOWN_S: f64 = 3.0;
+
+/// The time by which a stop may exceed the one that the settings name on a busy machine.
+const STOP_TOLERANCE: Duration = Duration::from_millis(500);
+
+/// The times for a stop in the instances' settings files, in seconds.
+struct ShutdownTimes {
+    rng: StdRng,
+    by_instance_s: Vec<f64>,
+}
+
+impl ShutdownTimes {
+    fn new(seed: u64) -> ShutdownTimes {
+        ShutdownTimes {
+            rng: StdRng::seed_from_u64(seed),
+            by_instance_s: vec![SHUTDOWN_S; DAEMON_COUNT],
+        }
+    }
+
+    /// At random, writes another time into the settings file of an instance, with or without a
+    /// signal, and with or without a pause before what comes next.
+    fn change(&mut self, deployment: &mut Deployment, index: usize) {
+        if self.rng.random_bool(0.5) {
+            return;
+        }
+        let shutdown_s = f64::from(self.rng.random_range(6..16)) / 4.0;
+        self.by_instance_s[index] = shutdown_s;
+        let dir = deployment.dir.clone();
+        let daemon = &mut deployment.daemons[index];
+        daemon.set_bound("shutdown_s", shutdown_s.into());
+        daemon.write_settings(&dir);
+        if self.rng.random_bool(0.3) {
+            daemon.signal("HUP");
+        }
+        thread::sleep(Duration::from_millis(self.rng.random_range(0..50)));
+    }
+
+    /// Returns the time by which an instance that is stopped now has to be gone.
+    fn stop_due_at(&self, index: usize) -> Instant {
+        Instant::now() + Duration::from_secs_f64(self.by_instance_s[index]) + STOP_TOLERANCE
+    }
+}
+
+/// Waits until stopped instances are gone, and checks that each one took no longer than its settings
+/// allow.
+fn wait_for_stops(deployment: &mut Deployment, stops: &[(usize, Instant)]) -> Result<(), String> {
+    let mut result = Ok(());
+    for (index, due_at) in stops {
+        while deployment.daemons[*index].is_running() {
+            if Instant::now() > *due_at {
+                result = Err(format!(
+                    "instance {index} took longer than its settings allow"
+                ));
+                deployment.daemons[*index].kill();
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+    result
+}
+
 /// What the callers of a run share.
 struct CallerControl {
     is_stopped: AtomicBool,
@@ -99,6 +162,8 @@
     let callers = (0..CALLER_COUNT as u64)
         .map(|index| start_caller(&deployment, seed.rotate_left(32) ^ index, &control));
     let callers: Vec<JoinHandle<Vec<String>>> = callers.collect();
+    // Later kinds of changes have their own generator, so that those of older seeds stay the same.
+    let mut shutdown_times = ShutdownTimes::new(!seed);
     let mut result = Ok(());
     for _ in 0..ROUND_COUNT {
         for upstream in &deployment.upstreams {
@@ -116,8 +181,11 @@
         let stopped: Vec<usize> = (0..rng.random_range(1..DAEMON_COUNT))
             .map(|offset| (first + offset) % DAEMON_COUNT)
             .collect();
+        let mut stops = Vec::new();
         for index in &stopped {
+            shutdown_times.change(&mut deployment, *index);
             deployment.daemons[*index].signal("TERM");
+            stops.push((*index, shutdown_times.stop_due_at(*index)));
             thread::sleep(Duration::from_millis(rng.random_range(0..900)));
             control.is_leaving[*index].store(true, Ordering::Relaxed);
             if rng.random_bool(0.5) {
@@ -125,7 +193,7 @@
                 deployment.write_config(use_long_timeouts);
             }
         }
-        result = result.and(wait_until_gone(&mut deployment, &stopped));
+        result = result.and(wait_for_stops(&mut deployment, &stops));
         stopped
             .iter()
             .for_each(|index| deployment.start_daemon(*index));
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -64,7 +64,21 @@
 /// reserved for learning that the upstream leaves and for requests in flight.
 const LEAVING_UPSTREAM_USE_FRACTION: f64 = 0.4;
 
-/// Runs an instance until a signal ends the process. On SIGHUP, `reload` reads the settings again.
+/// Interval at which the settings are read, in case they have changed without a signal.
+const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// When settings are read again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reload {
+    /// In any case, since a signal says that they have changed.
+    Always,
+    /// Only if they have changed since they were read last.
+    IfChanged,
+}
+
+/// Runs an instance until a signal ends the process. `reload` reads the settings again, and returns
+/// `None` if they have not changed: on SIGHUP, once a second, and when a shutdown begins, since they
+/// may change without a signal.
 ///
 /// # Errors
 ///
@@ -75,7 +89,7 @@
     reload: R,
 ) -> eyre::Result<ShutdownOutcome>
 where
-    R: Fn() -> eyre::Result<DirectSettings>,
+    R: Fn(Reload) -> eyre::Result<Option<DirectSettings>>,
 {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -90,7 +104,7 @@
     reload: R,
 ) -> eyre::Result<ShutdownOutcome>
 where
-    R: Fn() -> eyre::Result<DirectSettings>,
+    R: Fn(Reload) -> eyre::Result<Option<DirectSettings>>,
 {
     let (phase, phase_rx) = watch::channel(ShutdownPhase::Serving);
     let running = start(&settings, protocol, phase_rx).await?;
@@ -108,8 +122,8 @@
         callers = settings.callers_listen.to_string();
         "started"
     );
-    let stopped = wait_for_stop(|| {
-        if reload_settings(&mut settings, &reload) {
+    let stopped = wait_for_stop(|when| {
+        if reload_settings(&mut settings, || reload(when)) {
             node.reconfigure(dispatcher_config(&settings));
             timing_in_use.set(follower_timing(&settings));
         }
@@ -282,10 +296,11 @@
 /// instance runs. Invalid settings change nothing.
 fn reload_settings<R>(settings: &mut DirectSettings, reload: R) -> bool
 where
-    R: Fn() -> eyre::Result<DirectSettings>,
+    R: FnOnce() -> eyre::Result<Option<DirectSettings>>,
 {
     let reloaded = match reload() {
-        Ok(reloaded) => reloaded,
+        Ok(Some(reloaded)) => reloaded,
+        Ok(None) => return false,
         Err(err) => {
             error!(target: "process", why = format!("{err:#}"); "settings not reloaded");
             return false;
@@ -301,21 +316,25 @@
     !changed.live.is_empty()
 }
 
-/// Waits for a signal that ends the process, and calls `reload` on each SIGHUP.
+/// Waits for a signal that ends the process. Calls `reload` on each SIGHUP, at intervals, and when the
+/// process is to end: the time for the shutdown may have changed without a signal.
 async fn wait_for_stop<F>(mut reload: F) -> eyre::Result<()>
 where
-    F: FnMut(),
+    F: FnMut(Reload),
 {
     let mut terminate = signal(SignalKind::terminate()).wrap_err("can't wait for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for SIGINT")?;
     let mut hangup = signal(SignalKind::hangup()).wrap_err("can't wait for SIGHUP")?;
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => reload(),
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(Reload::Always),
+            () = tokio::time::sleep(SETTINGS_POLL_INTERVAL) => reload(Reload::IfChanged),
         }
     }
+    reload(Reload::IfChanged);
+    Ok(())
 }
 
 /// Keeps accepting requests for a part of the shutdown time, then closes the callers' connections,
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -61,3 +61,4 @@
 mod restore_overrides;
 
 pub use self::instance::run;
+pub use self::instance::Reload;
