Expect a lapsed upstream back no longer once its entry is removed

An upstream whose entry another writer had made unreadable counted as lapsed also after it had left, so a late heartbeat was used at once, with no check. A removal that was not seen as part of an outage now makes it a departure.

late_heartbeat_after_an_unreadable_entry_sends_nothing fails before and passes after this change.

--- a/hemlockrouter-cli/tests/direct/returns.rs
+++ b/hemlockrouter-cli/tests/direct/returns.rs
@@ -304,3 +304,24 @@
     let took = added_at.elapsed();
     assert!(took < USED_AGAIN_WITHIN, "{took:?}");
 }
+
+/// Guards against requests to an upstream that has left, whose entry another writer had made unreadable
+/// before: the upstream was expected back although its entry was removed (review 13, related path).
+#[test]
+fn late_heartbeat_after_an_unreadable_entry_sends_nothing() {
+    let deployment = Deployment::start(1);
+    let leaving = ledger_upstream(&deployment);
+    wait_until_used(&deployment, leaving);
+    let key = format!("servers/{}", leaving.id());
+    deployment.store.put(&key, b"unreadable");
+    eventually("the entry is unreadable", || {
+        deployment.log(0).contains("unreadable entry")
+    });
+    let left_at = Instant::now();
+    leaving.unregister(&deployment.store);
+    std::thread::sleep(Duration::from_millis(500));
+    leaving.heartbeat_late(&deployment.store);
+    let quiet = DRAIN_TIME + Duration::from_millis(500);
+    std::thread::sleep(quiet.saturating_sub(left_at.elapsed()));
+    check_unused(&deployment, leaving);
+}
--- a/src/direct/departed.rs
+++ b/src/direct/departed.rs
@@ -36,6 +36,14 @@
         self.record_left(now, &entry.id, last_write);
     }
 
+    /// Records the removal of an upstream whose registration had lapsed, so that it is not expected
+    /// back any more.
+    pub(super) fn record_removed(&mut self, now: Time, id: &str) {
+        if let Some(last_write) = self.last_write(now, id) {
+            self.record_left(now, id, LastWrite::Left(last_write.write()));
+        }
+    }
+
     /// Records a write of an upstream, which is back.
     pub(super) fn record_written(&mut self, id: &str) {
         self.by_id.remove(id);
--- a/src/direct/mirror/state.rs
+++ b/src/direct/mirror/state.rs
@@ -279,6 +279,11 @@
             return;
         }
         let removed = self.entries.remove(&subject);
+        if let EntryChange::UpstreamGone { id } = &entry.change {
+            if removed.is_none() && !self.registry_was_away {
+                self.departed.record_removed(now, id);
+            }
+        }
         if let Some(EntryChange::Upstream(upstream)) = removed.map(|entry| entry.change) {
             let write = UpstreamWrite::from_entry(&upstream);
             let last_write = match &entry.change {
