Decide on an upstream's entry in one place

Changes and complete reads had the decision written twice. One verdict serves both now. A repeated entry no longer ends the doubt about its upstream: a later write in the same series was then used without a check (found by reading, no test).

--- a/hemlockrouter-cli/tests/direct/returns.rs
+++ b/hemlockrouter-cli/tests/direct/returns.rs
@@ -67,6 +67,12 @@
     }
 }
 
+/// Waits until an upstream that left at `left_at` may get no more requests.
+fn wait_until_drained(left_at: Instant) {
+    let quiet = DRAIN_TIME + Duration::from_millis(500);
+    std::thread::sleep(quiet.saturating_sub(left_at.elapsed()));
+}
+
 /// Registers an upstream, waits until it is used, and returns how long that took.
 fn register_until_used(deployment: &Deployment, upstream: &Upstream) -> Duration {
     let registered_at = Instant::now();
@@ -83,8 +89,7 @@
     leaving.unregister(&deployment.store);
     std::thread::sleep(late_by);
     leaving.heartbeat_late(&deployment.store);
-    let quiet = DRAIN_TIME + Duration::from_millis(500);
-    std::thread::sleep(quiet.saturating_sub(left_at.elapsed()));
+    wait_until_drained(left_at);
     check_unused(deployment, leaving);
 }
 
@@ -204,8 +209,7 @@
     std::thread::sleep(Duration::from_secs(1));
     let leaving = ledger_upstream(deployment);
     leaving.heartbeat_late(&deployment.store);
-    let quiet = DRAIN_TIME + Duration::from_millis(500);
-    std::thread::sleep(quiet.saturating_sub(left_at.elapsed()));
+    wait_until_drained(left_at);
     check_unused(deployment, leaving);
 }
 
@@ -249,8 +253,7 @@
     std::thread::sleep(Duration::from_secs(2));
     let leaving = ledger_upstream(&deployment);
     leaving.heartbeat_late(&deployment.store);
-    let quiet = DRAIN_TIME + Duration::from_millis(500);
-    std::thread::sleep(quiet.saturating_sub(left_at.elapsed()));
+    wait_until_drained(left_at);
     check_unused(&deployment, leaving);
 }
 
@@ -321,7 +324,6 @@
     leaving.unregister(&deployment.store);
     std::thread::sleep(Duration::from_millis(500));
     leaving.heartbeat_late(&deployment.store);
-    let quiet = DRAIN_TIME + Duration::from_millis(500);
-    std::thread::sleep(quiet.saturating_sub(left_at.elapsed()));
+    wait_until_drained(left_at);
     check_unused(&deployment, leaving);
 }
--- a/src/direct/late_writes.rs
+++ b/src/direct/late_writes.rs
@@ -40,7 +40,7 @@
 
 /// Whether an entry is more recent than the last known write of its upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Recency {
+enum Recency {
     /// The entry was written later.
     Later,
     /// The entry was written earlier, or repeats the last write of an upstream that has left.
@@ -52,7 +52,7 @@
 
 impl LastWrite {
     /// Returns whether `entry` is more recent.
-    pub(super) fn recency_of(self, entry: &UpstreamEntry) -> Recency {
+    fn recency_of(self, entry: &UpstreamEntry) -> Recency {
         let write = UpstreamWrite::from_entry(entry);
         let last_write = self.write();
         let is_repetition = write.sequence == last_write.sequence;
@@ -71,16 +71,18 @@
         }
     }
 
-    /// Returns the last write once a write follows that may be late.
-    fn followed_by_unconfirmed(self, write: UpstreamWrite) -> LastWrite {
-        match self {
-            LastWrite::New(_) => LastWrite::New(write),
-            _ => LastWrite::Left(write),
+    /// Returns the last write of an upstream whose entry is not confirmed. `has_left` states whether it
+    /// is known to have left or drained before.
+    pub(super) fn unconfirmed(entry: &UpstreamEntry, has_left: bool) -> LastWrite {
+        let write = UpstreamWrite::from_entry(entry);
+        match has_left {
+            true => LastWrite::Left(write),
+            false => LastWrite::New(write),
         }
     }
 
     /// Logs that an earlier write is not used.
-    pub(super) fn log_earlier(self, entry: &UpstreamEntry) {
+    fn log_earlier(self, entry: &UpstreamEntry) {
         let message = match self {
             LastWrite::Registered(_) | LastWrite::New(_) => "late write of a registered upstream",
             LastWrite::Left(_) | LastWrite::Lapsed(_) => "late write of an upstream that has left",
@@ -89,7 +91,7 @@
     }
 
     /// Logs that an upstream is not used before its registration is confirmed.
-    pub(super) fn log_unconfirmed(self, entry: &UpstreamEntry) {
+    fn log_unconfirmed(self, entry: &UpstreamEntry) {
         self.log(entry, "registration to be confirmed");
     }
 
@@ -117,8 +119,48 @@
     }
 }
 
+/// What becomes of an entry of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Verdict {
+    /// The entry changes nothing that is known.
+    Repeated,
+    /// The entry is an earlier write, which is not used.
+    Earlier,
+    /// The entry is used.
+    Current,
+    /// The entry is not used before it is confirmed. `has_left` states whether the upstream is known
+    /// to have left or drained before.
+    Unconfirmed { has_left: bool },
+}
+
+impl PreviousWrite {
+    /// Decides on an entry, and logs it unless it is used.
+    pub(super) fn judge(self, entry: &UpstreamEntry) -> Verdict {
+        let last_write = match self {
+            PreviousWrite::Expected => return Verdict::Repeated,
+            PreviousWrite::Unseen => {
+                log_new(entry);
+                return Verdict::Unconfirmed { has_left: false };
+            }
+            PreviousWrite::Seen(last_write) => last_write,
+        };
+        match last_write.recency_of(entry) {
+            Recency::Later => Verdict::Current,
+            Recency::Earlier => {
+                last_write.log_earlier(entry);
+                Verdict::Earlier
+            }
+            Recency::Unknown => {
+                last_write.log_unconfirmed(entry);
+                let has_left = !matches!(last_write, LastWrite::New(_));
+                Verdict::Unconfirmed { has_left }
+            }
+        }
+    }
+}
+
 /// Logs that a new upstream is not used before its registration is confirmed.
-pub(super) fn log_new(entry: &UpstreamEntry) {
+fn log_new(entry: &UpstreamEntry) {
     info!(
         target: "belief",
         upstream = entry.id.as_str(),
@@ -186,35 +228,27 @@
                 }
             }
             EntryChange::Upstream(upstream) => {
-                let write = UpstreamWrite::from_entry(upstream);
-                let removal = removals.get(upstream.id.as_str()).copied();
-                let (has_left, write_after) = match known(&upstream.id) {
-                    PreviousWrite::Expected => (None, LastWrite::Registered(write)),
-                    PreviousWrite::Unseen => {
-                        log_new(upstream);
-                        (Some(false), LastWrite::New(write))
+                let (unconfirmed, write_after) = match known(&upstream.id).judge(upstream) {
+                    Verdict::Earlier => continue,
+                    Verdict::Repeated => (None, None),
+                    Verdict::Current => {
+                        let write = UpstreamWrite::from_entry(upstream);
+                        recent.unconfirmed.remove(upstream.id.as_str());
+                        (None, Some(LastWrite::Registered(write)))
+                    }
+                    Verdict::Unconfirmed { has_left } => {
+                        let removal = removals.get(upstream.id.as_str()).copied();
+                        let unconfirmed = UnconfirmedChange { removal, has_left };
+                        let write_after = LastWrite::unconfirmed(upstream, has_left);
+                        (Some(unconfirmed), Some(write_after))
                     }
-                    PreviousWrite::Seen(last_write) => match last_write.recency_of(upstream) {
-                        Recency::Earlier => {
-                            last_write.log_earlier(upstream);
-                            continue;
-                        }
-                        Recency::Later => (None, LastWrite::Registered(write)),
-                        Recency::Unknown => {
-                            last_write.log_unconfirmed(upstream);
-                            let write_after = last_write.followed_by_unconfirmed(write);
-                            let has_left = matches!(write_after, LastWrite::Left(_));
-                            (Some(has_left), write_after)
-                        }
-                    },
-                };
-                last_writes.insert(&upstream.id, write_after);
-                match has_left {
-                    None => recent.unconfirmed.remove(upstream.id.as_str()),
-                    Some(has_left) => recent
-                        .unconfirmed
-                        .insert(&upstream.id, UnconfirmedChange { removal, has_left }),
                 };
+                if let Some(unconfirmed) = unconfirmed {
+                    recent.unconfirmed.insert(&upstream.id, unconfirmed);
+                }
+                if let Some(write_after) = write_after {
+                    last_writes.insert(&upstream.id, write_after);
+                }
             }
             _ => {}
         }
--- a/src/direct/mirror/state.rs
+++ b/src/direct/mirror/state.rs
@@ -13,13 +13,12 @@
 use super::history::History;
 use super::unconfirmed::UnconfirmedUpstreams;
 use crate::direct::departed::DepartedUpstreams;
-use crate::direct::late_writes::log_new;
 use crate::direct::late_writes::without_earlier_writes;
 use crate::direct::late_writes::LastWrite;
 use crate::direct::late_writes::PreviousWrite;
-use crate::direct::late_writes::Recency;
 use crate::direct::late_writes::RecentChanges;
 use crate::direct::late_writes::UnconfirmedChange;
+use crate::direct::late_writes::Verdict;
 use crate::direct::restore_overrides::RestoreOverrides;
 
 /// Content of the local copy.
@@ -151,33 +150,23 @@
         if self.overrides.is_refused(&subject) {
             return Some(entry);
         }
-        let last_write = match self.last_write(now, &upstream.id, entry.revision) {
-            PreviousWrite::Seen(last_write) => last_write,
-            PreviousWrite::Expected => return Some(entry),
+        let previous = self.last_write(now, &upstream.id, entry.revision);
+        if matches!(previous, PreviousWrite::Unseen) && self.contact_at.is_none() {
             // The entries of a first read are all used, and none of them was checked.
-            PreviousWrite::Unseen if self.contact_at.is_none() => {
-                self.unchecked.insert(upstream.id.clone(), now);
-                return Some(entry);
-            }
-            PreviousWrite::Unseen => {
-                log_new(upstream);
-                self.hold_unconfirmed(now, &upstream.id, entry.revision, false);
-                return Some(entry);
-            }
-        };
-        match last_write.recency_of(upstream) {
-            Recency::Later => {
+            self.unchecked.insert(upstream.id.clone(), now);
+            return Some(entry);
+        }
+        match previous.judge(upstream) {
+            Verdict::Repeated => Some(entry),
+            Verdict::Current => {
                 self.note_used(now, &upstream.id);
                 Some(entry)
             }
-            Recency::Unknown => {
-                last_write.log_unconfirmed(upstream);
-                let has_left = !matches!(last_write, LastWrite::New(_));
+            Verdict::Unconfirmed { has_left } => {
                 self.hold_unconfirmed(now, &upstream.id, entry.revision, has_left);
                 Some(entry)
             }
-            Recency::Earlier => {
-                last_write.log_earlier(upstream);
+            Verdict::Earlier => {
                 let known_entry = self.entries.get(&subject)?;
                 Some(Entry {
                     revision: entry.revision,
@@ -200,11 +189,9 @@
         };
         match &known_entry.change {
             EntryChange::Upstream(upstream) if known_entry.revision < revision => {
-                let write = UpstreamWrite::from_entry(upstream);
-                let last_write = match self.unconfirmed.contains(id) {
-                    true if self.unconfirmed.is_new(id) => LastWrite::New(write),
-                    true => LastWrite::Left(write),
-                    false => LastWrite::Registered(write),
+                let last_write = match self.unconfirmed.has_left(id) {
+                    Some(has_left) => LastWrite::unconfirmed(upstream, has_left),
+                    None => LastWrite::Registered(UpstreamWrite::from_entry(upstream)),
                 };
                 PreviousWrite::Seen(last_write)
             }
--- a/src/direct/mirror/unconfirmed.rs
+++ b/src/direct/mirror/unconfirmed.rs
@@ -143,10 +143,10 @@
         self.by_id.get(id)?.used_entry.as_ref()
     }
 
-    /// Returns whether the upstream's registration is unconfirmed and no departure is known.
-    pub(super) fn is_new(&self, id: &str) -> bool {
-        let unconfirmed = self.by_id.get(id);
-        unconfirmed.is_some_and(|unconfirmed| !unconfirmed.has_left)
+    /// Returns whether the upstream is known to have left or drained before; `None` if its registration
+    /// is not unconfirmed.
+    pub(super) fn has_left(&self, id: &str) -> Option<bool> {
+        Some(self.by_id.get(id)?.has_left)
     }
 
     /// Returns at most `max` of the registrations.
