Give the default for figures below zero, and follow the registry within 500 ms at best

instance_with_a_bound_too_short_to_keep_still_learns_of_changes fails before and passes after this change.

--- a/hemlockrouter-cli/tests/direct/settings.rs
+++ b/hemlockrouter-cli/tests/direct/settings.rs
@@ -15,6 +15,9 @@
 /// The time in which a process starts and opens its settings.
 const START_TIME: Duration = Duration::from_millis(300);
 
+/// The time that the store takes for an answer on a busy machine.
+const STORE_DELAY: Duration = Duration::from_millis(150);
+
 /// The longest duration of a planned stop that may take 1 s, with a tolerance for a busy machine.
 const SHORT_STOP_MAX: Duration = Duration::from_millis(1_500);
 
@@ -105,3 +108,22 @@
     assert!(status.success(), "{status}");
     assert!(took < SHORT_STOP_MAX, "{took:?}");
 }
+
+/// Guards against an instance that learns of no changes any more, since a bound is shorter than any
+/// instance can keep (soak seed 9000).
+#[test]
+fn instance_with_a_bound_too_short_to_keep_still_learns_of_changes() {
+    let mut deployment = Deployment::start(1);
+    deployment.daemons[0].set_bound("drain_ms", json!(100));
+    let dir = deployment.dir.clone();
+    deployment.daemons[0].change_settings(&dir, |_| {});
+    eventually("the bound is in force", || {
+        deployment.log(0).contains("bounds.drain_ms")
+    });
+    deployment.store.set_delay(STORE_DELAY);
+    deployment.write_config(|_| {});
+    let version = deployment.version;
+    eventually("the new version is in force", || {
+        deployment.version_in_force(0) == Some(version)
+    });
+}
--- a/hemlockrouter-config/src/direct/figures.rs
+++ b/hemlockrouter-config/src/direct/figures.rs
@@ -28,8 +28,8 @@
 }
 
 impl FigureReader {
-    /// Reads a number, which may have a fraction. A number outside `range` is replaced by the
-    /// nearest one inside, and any other value by `default`.
+    /// Reads a number, which may have a fraction. A positive number outside `range` is replaced by the
+    /// nearest one inside, and any other value by `default`: zero and less bound nothing.
     pub(super) fn read(
         &mut self,
         object: &JsonObject<'_, '_>,
@@ -45,7 +45,8 @@
         if let Some(number) = number.filter(|number| range.contains(number)) {
             return number;
         }
-        let used = number.map_or(default, |number| number.clamp(min, max));
+        let positive = number.filter(|number| *number > 0.0);
+        let used = positive.map_or(default, |number| number.clamp(min, max));
         self.replace(
             field.expected(format!("a number from {min} to {max}")),
             used,
--- a/hemlockrouter-config/tests/direct.rs
+++ b/hemlockrouter-config/tests/direct.rs
@@ -263,6 +263,17 @@
     }
 }
 
+/// Guards against a figure that bounds nothing and becomes the shortest bound (soak seed 9000).
+#[test]
+fn figures_below_zero_give_the_default() {
+    let text = render_with_figure("drain_ms", "-3000.0");
+    let loaded = DirectSettings::load(&text, "boot").expect("the rest is in order");
+    assert_eq!(loaded.settings.drain_ms, 3_000);
+    let text = render_with_figure("drain_ms", "20");
+    let loaded = DirectSettings::load(&text, "boot").expect("the rest is in order");
+    assert_eq!(loaded.settings.drain_ms, 100);
+}
+
 /// Guards against a fraction that is lost or refused (review 12).
 #[test]
 fn fractions_of_bounds_are_kept() {
--- a/src/direct/instance.rs
+++ b/src/direct/instance.rs
@@ -67,6 +67,10 @@
 /// Interval at which the settings are read, in case they have changed without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Shortest time within which an instance tries to know of changes of the registry, in milliseconds.
+/// With a shorter one, every copy would be stale before its next update.
+const KNOWN_WITHIN_MIN_MS: u64 = 500;
+
 /// When settings are read again.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reload {
@@ -392,7 +396,7 @@
         .into_iter()
         .min()
         .expect("the array has three bounds");
-    RegistryTiming::new(bound_ms, settings.catch_up_ms)
+    RegistryTiming::new(bound_ms.max(KNOWN_WITHIN_MIN_MS), settings.catch_up_ms)
 }
 
 /// Returns the dispatcher's configuration.
