--- a/hemlockrouter-cli/tests/direct/soak/settings.rs
+++ b/hemlockrouter-cli/tests/direct/soak/settings.rs
@@ -11,7 +11,7 @@
 /// The share of steps at which the settings file of an instance changes.
 const CHANGE_PROBABILITY: f64 = 0.3;
 
-/// The bounds that change, each with its default and unit. The bounds on repeats, which the soak
+/// The bounds that change, each with its default in the unit of its name. The bounds on repeats, which the soak
 /// checks, stay the same.
 const BOUNDS: [(&str, f64); 5] = [
     ("in_force_ms", 3_000.0),
--- a/hemlockrouter-config/tests/direct.rs
+++ b/hemlockrouter-config/tests/direct.rs
@@ -172,7 +172,7 @@
     assert_eq!(remaining_changes.fixed, changed.fixed);
 }
 
-/// The figures of the template: each field, its unit in the settings and its allowed range.
+/// The figures of the template: each field with the least and the greatest value allowed.
 const FIGURES: &[(&str, f64, f64)] = &[
     ("memory_mb", 16.0, 1_048_576.0),
     ("cpu_share", 0.0, 1_024.0),
